Decide about requests in a library without sockets or clock

Cause: nothing stood yet. The decisions are to run unchanged in the daemon, in randomised tests and in experiments.

Change: the settings tree with its checks, routing, the fair queue and exact ledger of a sidecar, limits shared through a home sidecar, session tokens, the sequential test of roll-outs, the policy of cascades, bill records as a set, and the frames between processes. Time, seeds and messages are inputs.

Nothing was measured yet.

--- /dev/null
+++ b/crates/core/src/entry/decision.rs
@@ -0,0 +1,105 @@
+//! What was decided about a request and why, for `explain`.
+//!
+//! ```
+//! use sorreldeck::entry::History;
+//! use sorreldeck::RequestId;
+//!
+//! assert!(History::default().get(RequestId::new(1, 1)).is_none());
+//! ```
+
+use crate::failure::Failure;
+use crate::id::*;
+use crate::route::Why;
+use crate::tree::Class;
+use serde::{Deserialize, Serialize};
+use std::collections::{HashMap, VecDeque};
+
+/// How many requests are remembered.
+const KEPT: usize = 4096;
+
+/// One try of one step.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Try {
+    /// The step of a cascade.
+    pub step: u16,
+    /// The version, or `None` for a plain service.
+    pub version: Option<VersionId>,
+    /// Why the version was chosen.
+    pub why: Option<Why>,
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// What came of it, empty while it runs.
+    pub outcome: String,
+}
+
+/// What was decided about a request.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Decision {
+    /// The request.
+    pub request: String,
+    /// The revision of the configuration.
+    pub revision: Revision,
+    /// The node, where one was found.
+    pub node: Option<NodePath>,
+    /// The client account.
+    pub account: Option<AccountId>,
+    /// The class.
+    pub class: Option<Class>,
+    /// The model, cascade or path asked for.
+    pub asked: String,
+    /// The tries, in order.
+    pub tries: Vec<Try>,
+    /// Why there was no answer.
+    pub failure: Option<Failure>,
+}
+
+/// The decisions about the latest requests.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    decisions: HashMap<RequestId, Decision>,
+    order: VecDeque<RequestId>,
+}
+
+impl History {
+    /// Returns the decision about a request, if it is remembered.
+    pub fn get(&self, request: RequestId) -> Option<&Decision> {
+        self.decisions.get(&request)
+    }
+
+    /// Starts a decision.
+    pub fn begin(&mut self, request: RequestId, revision: Revision, asked: String) {
+        let decision = Decision {
+            request: request.to_string(),
+            revision,
+            node: None,
+            account: None,
+            class: None,
+            asked,
+            tries: Vec::new(),
+            failure: None,
+        };
+        self.decisions.insert(request, decision);
+        self.order.push_back(request);
+        if self.order.len() > KEPT {
+            if let Some(oldest) = self.order.pop_front() {
+                self.decisions.remove(&oldest);
+            }
+        }
+    }
+
+    /// Changes the decision about a request, if it is remembered.
+    pub fn note(&mut self, request: RequestId, change: impl FnOnce(&mut Decision)) {
+        if let Some(decision) = self.decisions.get_mut(&request) {
+            change(decision);
+        }
+    }
+
+    /// Notes what came of the latest try.
+    pub fn outcome(&mut self, request: RequestId, outcome: impl Into<String>) {
+        self.note(request, |decision| {
+            if let Some(last) = decision.tries.last_mut() {
+                last.outcome = outcome.into();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/core/src/entry/flight.rs
@@ -0,0 +1,117 @@
+//! A request under way at an entry.
+
+use crate::entry::ask::{Ask, Chat, What};
+use crate::id::*;
+use crate::pick::{Link, Prefix};
+use crate::route::{Choice, Site, Target, Why};
+use crate::session::Session;
+use crate::unit::Time;
+use crate::verdict::Verdict;
+use crate::wire::{Confidence, Header, Run};
+
+/// A request under way.
+#[derive(Debug)]
+pub(super) struct Flight {
+    pub ask: Ask,
+    pub site: Site,
+    pub session: Option<Session>,
+    pub goal: Goal,
+    pub pool: PoolId,
+    pub choice: Option<Choice>,
+    pub once: bool,
+    pub began: Time,
+    pub deadline: Time,
+    pub run: Run,
+    pub at: Option<Link>,
+    pub tried: Vec<Link>,
+    pub verdict: Verdict,
+    pub waiting: Option<Time>,
+    pub revision: Revision,
+    pub first: Option<Time>,
+    pub headed: bool,
+    pub late: bool,
+    pub parts: u32,
+    pub text: Vec<u8>,
+    pub kept: Option<Whole>,
+    pub status: u16,
+    pub headers: Vec<Header>,
+}
+
+/// What a request is to get.
+#[derive(Clone, Debug)]
+pub(super) enum Goal {
+    /// A call of a plain service.
+    Service,
+    /// An answer of one version of a model.
+    Model(ModelId),
+    /// An answer of a cascade; the step is the index in its list.
+    Cascade(CascadeId, usize),
+}
+
+/// A whole answer that is kept until it is known whether it is given.
+#[derive(Clone, Debug)]
+pub(super) struct Whole {
+    pub version: VersionId,
+    pub step: usize,
+    pub status: u16,
+    pub headers: Vec<Header>,
+    pub body: Vec<u8>,
+    pub confidence: Option<Confidence>,
+}
+
+impl From<Target> for Goal {
+    fn from(target: Target) -> Goal {
+        match target {
+            Target::Model(model) => Goal::Model(model),
+            Target::Cascade(cascade) => Goal::Cascade(cascade, 0),
+        }
+    }
+}
+
+impl Flight {
+    pub fn chat(&self) -> Option<&Chat> {
+        match &self.ask.what {
+            What::Chat(chat) => Some(chat),
+            What::Plain(_) => None,
+        }
+    }
+
+    pub fn version(&self) -> Option<&VersionId> {
+        self.choice.as_ref().map(|c| &c.version)
+    }
+
+    pub fn prompt_tokens(&self) -> u32 {
+        self.chat().map_or(0, |c| c.prompt_tokens)
+    }
+
+    pub fn prefix(&self) -> Option<Prefix> {
+        self.chat().and_then(|c| c.prefix)
+    }
+
+    /// Returns the expected cost at an upstream.
+    pub fn cost(&self) -> u32 {
+        self.chat().map_or(1, Chat::cost)
+    }
+
+    /// Returns whether the answer of the present run is held until it is
+    /// judged.
+    pub fn is_judged(&self) -> bool {
+        matches!(self.goal, Goal::Cascade(..)) && self.kept_open()
+    }
+
+    fn kept_open(&self) -> bool {
+        !matches!(
+            self.choice.as_ref().map(|c| &c.why),
+            Some(Why::Session | Why::Moved(_))
+        )
+    }
+
+    /// Returns what is known now about whether the request ran, counting the
+    /// run that is under way.
+    pub fn known_verdict(&self) -> Verdict {
+        match self.at {
+            Some(_) => self.verdict.raise(Verdict::MayHaveRun),
+            None => self.verdict,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/evidence.rs
@@ -0,0 +1,162 @@
+//! Evidence about a version and the sequential test that holds back a bad one.
+//!
+//! The test bets against the claim "this version is good". For ratings `x` in
+//! `[0, 1]` and a floor `m`, the capital `Π (1 + λ (m - x))` cannot be expected
+//! to grow while the mean is at least `m`, so it exceeds `1 / α` with a chance
+//! of at most `α`, *however often one looks* (Ville's inequality). Several
+//! stakes `λ` are played side by side and their mean capital counts. The logs of
+//! the capitals are sums over ratings, so entries pool their evidence by adding
+//! vectors.
+//!
+//! A version that turns bad long after is found by the same bets restarted
+//! whenever the capital falls below one, with a higher bar.
+//!
+//! ```
+//! use sorreldeck::evidence::{Bar, Detector, Evidence};
+//!
+//! let bar = Bar { floor: 0.8, bad: 0.5, max_error: 0.05, false_alarm: 0.01 };
+//! let mut evidence = Evidence::default();
+//! let mut detector = Detector::default();
+//! for _ in 0..40 {
+//!     evidence.rate(0.3, &bar);
+//!     detector.update(&evidence, &bar);
+//! }
+//! assert!(detector.is_bad());
+//! ```
+
+use serde::{Deserialize, Serialize};
+
+/// The number of stakes played side by side.
+const STAKES: usize = 6;
+/// The stakes, as parts of the largest that can lose all.
+const STAKE_PARTS: [f64; STAKES] = [0.02, 0.06, 0.15, 0.3, 0.5, 0.75];
+/// The observations over which the restarted bets keep to the false-alarm rate.
+const HORIZON: f64 = 2000.0;
+/// How the chance of a false alarm is divided: over the ratings and failures,
+/// and over the bets from the start and those restarted.
+const PARTS: f64 = 4.0;
+
+/// What tells a good version from a bad one.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bar {
+    /// The least mean rating of a good version.
+    pub floor: f64,
+    /// The mean rating that must be caught.
+    pub bad: f64,
+    /// The largest share of failed answers of a good version.
+    pub max_error: f64,
+    /// The chance that a good version is held back.
+    pub false_alarm: f64,
+}
+
+/// What was found out about a version: sums that can be added up.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// The answers given.
+    pub answers: u64,
+    /// The answers that failed or began late.
+    pub failures: u64,
+    /// The ratings that came in.
+    pub ratings: u64,
+    /// The sum of the ratings.
+    pub sum: f64,
+    quality: [f64; STAKES],
+    failing: [f64; STAKES],
+}
+
+impl Evidence {
+    /// Counts an answer, good or failed.
+    pub fn answer(&mut self, failed: bool, bar: &Bar) {
+        self.answers += 1;
+        self.failures += u64::from(failed);
+        let x = if failed { 1.0 } else { 0.0 };
+        bet(&mut self.failing, x - bar.max_error, bar.max_error);
+    }
+
+    /// Counts a rating between 0 and 1.
+    pub fn rate(&mut self, rating: f64, bar: &Bar) {
+        let rating = rating.clamp(0.0, 1.0);
+        self.ratings += 1;
+        self.sum += rating;
+        bet(&mut self.quality, bar.floor - rating, 1.0 - bar.floor);
+    }
+
+    /// Adds what another process found.
+    pub fn add(&mut self, other: &Evidence) {
+        self.answers += other.answers;
+        self.failures += other.failures;
+        self.ratings += other.ratings;
+        self.sum += other.sum;
+        for i in 0..STAKES {
+            self.quality[i] += other.quality[i];
+            self.failing[i] += other.failing[i];
+        }
+    }
+
+    /// Returns the mean rating, or `None` before the first.
+    pub fn mean(&self) -> Option<f64> {
+        (self.ratings > 0).then(|| self.sum / self.ratings as f64)
+    }
+
+    /// Returns the answers that were not rated yet.
+    pub fn unrated(&self) -> u64 {
+        (self.answers - self.failures.min(self.answers)).saturating_sub(self.ratings)
+    }
+}
+
+/// Adds the log of each stake's gain; `worst` is the largest possible loss of a
+/// unit stake.
+fn bet(logs: &mut [f64; STAKES], gain: f64, worst: f64) {
+    let largest = 1.0 / worst.max(1e-3);
+    for (log, part) in logs.iter_mut().zip(STAKE_PARTS) {
+        *log += (part * largest * gain).ln_1p();
+    }
+}
+
+/// Returns the log of the mean capital over the stakes.
+fn capital(logs: &[f64; STAKES]) -> f64 {
+    let top = logs.iter().copied().fold(f64::MIN, f64::max);
+    let sum: f64 = logs.iter().map(|log| (log - top).exp()).sum();
+    top + (sum / STAKES as f64).ln()
+}
+
+/// Decides from growing evidence whether a version is bad.
+#[derive(Clone, Debug, Default)]
+pub struct Detector {
+    seen: Evidence,
+    quality: [f64; STAKES],
+    failing: [f64; STAKES],
+    bad: bool,
+}
+
+impl Detector {
+    /// Looks at the evidence as it now stands and returns whether the version
+    /// is bad.
+    pub fn update(&mut self, evidence: &Evidence, bar: &Bar) -> bool {
+        let grown = evidence.ratings != self.seen.ratings || evidence.answers != self.seen.answers;
+        if !grown {
+            return self.bad;
+        }
+        restart(&mut self.quality, &evidence.quality, &self.seen.quality);
+        restart(&mut self.failing, &evidence.failing, &self.seen.failing);
+        self.seen = evidence.clone();
+        let first = (PARTS / bar.false_alarm).ln();
+        let later = (PARTS * HORIZON / bar.false_alarm).ln();
+        let from_start = capital(&evidence.quality).max(capital(&evidence.failing));
+        let restarted = capital(&self.quality).max(capital(&self.failing));
+        self.bad |= from_start >= first || restarted >= later;
+        self.bad
+    }
+
+    /// Returns whether the version was found bad.
+    pub fn is_bad(&self) -> bool {
+        self.bad
+    }
+}
+
+/// Plays on from what there was, but from one where it fell below.
+fn restart(logs: &mut [f64; STAKES], now: &[f64; STAKES], before: &[f64; STAKES]) {
+    for i in 0..STAKES {
+        logs[i] = logs[i].max(0.0) + now[i] - before[i];
+    }
+}
--- /dev/null
+++ b/crates/core/src/failure.rs
@@ -0,0 +1,139 @@
+//! Why a request got no answer, and what its caller is told.
+//!
+//! ```
+//! use sorreldeck::{Failure, Reason, Verdict};
+//!
+//! let failure = Failure::not_run(Reason::Overloaded, "every queue is full");
+//! assert_eq!(failure.verdict, Verdict::NotRun);
+//! assert_eq!(failure.reason.status(), 503);
+//! ```
+
+use crate::unit::Span;
+use crate::verdict::Verdict;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+macro_rules! reasons {
+    ($($(#[$doc:meta])* $name:ident, $code:literal, $status:literal;)*) => {
+        /// Why a request got no answer.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        #[serde(rename_all = "snake_case")]
+        pub enum Reason {
+            $($(#[$doc])* $name,)*
+        }
+
+        impl Reason {
+            /// Every reason, in the order of the documentation.
+            pub const ALL: &'static [Reason] = &[$(Reason::$name),*];
+
+            /// Returns the code in error bodies.
+            pub fn code(self) -> &'static str {
+                match self {
+                    $(Reason::$name => $code,)*
+                }
+            }
+
+            /// Returns the HTTP status.
+            pub fn status(self) -> u16 {
+                match self {
+                    $(Reason::$name => $status,)*
+                }
+            }
+        }
+    };
+}
+
+reasons! {
+    /// The request carries no API key.
+    NoKey, "no_key", 401;
+    /// The API key is not known.
+    BadKey, "bad_key", 401;
+    /// The client account may not do this.
+    NotAllowed, "not_allowed", 403;
+    /// There is no such model.
+    UnknownModel, "unknown_model", 404;
+    /// There is no such path.
+    UnknownPath, "unknown_path", 404;
+    /// The request is malformed.
+    BadRequest, "bad_request", 400;
+    /// The session token is forged, foreign or sealed with a retired key.
+    BadSession, "bad_session", 400;
+    /// The body is larger than the node allows.
+    TooLarge, "too_large", 413;
+    /// The request did not arrive in time.
+    TooSlow, "too_slow", 408;
+    /// The client account has used up its rate.
+    LimitReached, "limit_reached", 429;
+    /// The request could not begin within its deadline.
+    Overloaded, "overloaded", 503;
+    /// No upstream that could answer is in reach.
+    NoUpstream, "no_upstream", 503;
+    /// The version asked for takes no new work.
+    Withdrawn, "withdrawn", 409;
+    /// The sender knew an older configuration than the receiver.
+    Stale, "stale", 503;
+    /// The process is about to stop.
+    Leaving, "leaving", 503;
+    /// The platform's table is out of reach and the request needs it.
+    StoreDown, "store_down", 503;
+    /// A request with the same idempotency key was already claimed.
+    Duplicate, "duplicate", 409;
+    /// The upstream failed or closed in mid-answer.
+    UpstreamFailed, "upstream_failed", 502;
+    /// The upstream's answer belonged to another request.
+    ForeignAnswer, "foreign_answer", 502;
+    /// The link to the sidecar broke while the request was there.
+    LinkLost, "link_lost", 502;
+    /// The caller went away.
+    Cancelled, "cancelled", 499;
+    /// An invariant would have been broken; the action was refused.
+    Invariant, "invariant", 500;
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.code())
+    }
+}
+
+/// Why a request got no whole answer, and whether it may have run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Failure {
+    /// The kind of failure.
+    pub reason: Reason,
+    /// Whether the request may have run.
+    pub verdict: Verdict,
+    /// When the caller may come back, where that is known.
+    pub retry_after: Option<Span>,
+    /// A sentence for people.
+    pub message: String,
+}
+
+impl Failure {
+    /// Creates a failure of a request that did not run.
+    pub fn not_run(reason: Reason, message: impl Into<String>) -> Failure {
+        Failure::new(reason, Verdict::NotRun, message)
+    }
+
+    /// Creates a failure with what is known about the request.
+    pub fn new(reason: Reason, verdict: Verdict, message: impl Into<String>) -> Failure {
+        Failure {
+            reason,
+            verdict,
+            retry_after: None,
+            message: message.into(),
+        }
+    }
+
+    /// Adds when the caller may come back.
+    pub fn retry_after(mut self, span: Span) -> Failure {
+        self.retry_after = Some(span);
+        self
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ({}): {}", self.reason, self.verdict, self.message)
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,39 @@
+//! Decision logic of sorreldeck, a model-aware router for versions and cascades.
+//!
+//! This library has no sockets, no clock and no global randomness: time, seeds
+//! and messages are passed in, so that the daemon, the tests and the
+//! experiments execute the same code.
+
+pub mod bill;
+pub mod cascade;
+pub mod config;
+pub mod entry;
+pub mod evidence;
+pub mod header;
+pub mod ledger;
+pub mod limit;
+pub mod pick;
+pub mod queue;
+pub mod retry;
+pub mod route;
+pub mod session;
+pub mod sidecar;
+pub mod store;
+pub mod subset;
+pub mod tree;
+pub mod wire;
+
+mod error;
+mod failure;
+mod id;
+mod promise;
+mod unit;
+mod verdict;
+
+pub use error::{Category, Error, Result};
+pub use failure::{Failure, Reason};
+pub use id::*;
+pub use promise::{Promise, Promises};
+pub use tree::{Class, Tree};
+pub use unit::*;
+pub use verdict::Verdict;
--- /dev/null
+++ b/crates/core/src/pick.rs
@@ -0,0 +1,288 @@
+//! Which upstream of a pool gets a request.
+//!
+//! Each upstream in reach is scored by the time to the first token that it is
+//! expected to give: the wait that it reported last, what this entry has sent
+//! since, and the prefill of the prompt tokens that are not in its cache.
+//!
+//! ```
+//! use sorreldeck::pick::{Peers, Policy, Wish};
+//! use sorreldeck::wire::Load;
+//! use sorreldeck::Time;
+//!
+//! let mut peers = Peers::default();
+//! let pool = "assistant".parse()?;
+//! peers.join(1, "u1".parse()?, &pool, Load { slots: 4, ..Load::default() });
+//! let wish = Wish { pool: &pool, tokens: 100, prefix: None, last: None, tried: &[] };
+//! assert_eq!(peers.pick(&wish, Policy::FirstToken, Time(0), 0.5), Some(1));
+//! # Ok::<(), sorreldeck::Error>(())
+//! ```
+
+use crate::id::{PoolId, UpstreamId};
+use crate::unit::{Span, Time};
+use crate::wire::Load;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+/// The number of a link, unique in one run of a process.
+pub type Link = u64;
+
+/// How an upstream is chosen; all but the first are baselines for experiments.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Policy {
+    /// The least expected time to the first token.
+    #[default]
+    FirstToken,
+    /// Each in turn.
+    RoundRobin,
+    /// The fewest requests of this entry in flight.
+    LeastInFlight,
+    /// The lower reported load of two drawn at random.
+    TwoChoices,
+}
+
+impl std::str::FromStr for Policy {
+    type Err = crate::Error;
+
+    fn from_str(s: &str) -> crate::Result<Self> {
+        match s {
+            "first-token" => Ok(Policy::FirstToken),
+            "round-robin" => Ok(Policy::RoundRobin),
+            "least-in-flight" => Ok(Policy::LeastInFlight),
+            "two-choices" => Ok(Policy::TwoChoices),
+            _ => Err(crate::Error::new(
+                crate::Category::Invalid,
+                format!(
+                    "{s:?} is no policy: first-token, round-robin, least-in-flight, two-choices"
+                ),
+            )),
+        }
+    }
+}
+
+/// The first part of a prompt, which requests may share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Prefix {
+    /// The hash of the text.
+    pub hash: u64,
+    /// The length in tokens.
+    pub tokens: u32,
+}
+
+/// What a request wants of an upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish<'a> {
+    /// The pool.
+    pub pool: &'a PoolId,
+    /// The prompt tokens.
+    pub tokens: u32,
+    /// The first part of the prompt, if it is long enough to cache.
+    pub prefix: Option<Prefix>,
+    /// The upstream that answered the session last.
+    pub last: Option<&'a UpstreamId>,
+    /// The links already tried.
+    pub tried: &'a [Link],
+}
+
+/// The prefixes that this entry remembers for each upstream.
+const PREFIXES: usize = 64;
+/// The prompt tokens a second assumed until an upstream reports its own.
+const PREFILL: u32 = 8000;
+/// How long a report of load counts in full; it fades over the same time again.
+const REPORT_LIFE: Span = Span::from_millis(500);
+/// What one request in flight is taken to add to the wait where nothing is
+/// known of the upstream.
+const UNKNOWN_SERVICE: Span = Span::from_millis(50);
+
+/// An upstream in reach.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// What it reported last.
+    pub load: Load,
+    /// When it reported.
+    pub reported: Time,
+    /// The requests of this entry that are there.
+    pub in_flight: u32,
+    /// The requests sent since the last report.
+    pub since_report: u32,
+    /// The prompt tokens sent since the last report.
+    pub tokens_since: u32,
+    /// Whether it said goodbye.
+    pub leaving: bool,
+    prefixes: VecDeque<Prefix>,
+}
+
+/// The upstreams in reach of an entry, by pool.
+#[derive(Clone, Debug, Default)]
+pub struct Peers {
+    peers: HashMap<Link, Peer>,
+    pools: BTreeMap<PoolId, Vec<Link>>,
+    turn: usize,
+}
+
+impl Peers {
+    /// Adds an upstream.
+    pub fn join(&mut self, link: Link, upstream: UpstreamId, pool: &PoolId, load: Load) {
+        let peer = Peer {
+            upstream,
+            load,
+            reported: Time::default(),
+            in_flight: 0,
+            since_report: 0,
+            tokens_since: 0,
+            leaving: false,
+            prefixes: VecDeque::new(),
+        };
+        self.peers.insert(link, peer);
+        let links = self.pools.entry(pool.clone()).or_default();
+        links.push(link);
+        // A fixed order makes runs with one seed alike.
+        links.sort_unstable();
+    }
+
+    /// Removes an upstream.
+    pub fn leave(&mut self, link: Link) {
+        self.peers.remove(&link);
+        for links in self.pools.values_mut() {
+            links.retain(|l| *l != link);
+        }
+    }
+
+    /// Returns an upstream.
+    pub fn get(&self, link: Link) -> Option<&Peer> {
+        self.peers.get(&link)
+    }
+
+    /// Returns all upstreams.
+    pub fn iter(&self) -> impl Iterator<Item = (Link, &Peer)> {
+        self.peers.iter().map(|(link, peer)| (*link, peer))
+    }
+
+    /// Returns the pools in reach with the links to each.
+    pub fn pools(&self) -> &BTreeMap<PoolId, Vec<Link>> {
+        &self.pools
+    }
+
+    /// Notes a report of load.
+    pub fn report(&mut self, link: Link, load: Load, now: Time) {
+        if let Some(peer) = self.peers.get_mut(&link) {
+            peer.load = load;
+            peer.reported = now;
+            peer.since_report = 0;
+            peer.tokens_since = 0;
+        }
+    }
+
+    /// Notes that the upstream takes no new work.
+    pub fn goodbye(&mut self, link: Link) {
+        if let Some(peer) = self.peers.get_mut(&link) {
+            peer.leaving = true;
+        }
+    }
+
+    /// Notes a request sent.
+    pub fn sent(&mut self, link: Link, tokens: u32, prefix: Option<Prefix>) {
+        let Some(peer) = self.peers.get_mut(&link) else {
+            return;
+        };
+        peer.in_flight += 1;
+        peer.since_report += 1;
+        peer.tokens_since += tokens;
+        if let Some(prefix) = prefix {
+            peer.remember(prefix);
+        }
+    }
+
+    /// Notes the end of a request.
+    pub fn ended(&mut self, link: Link) {
+        if let Some(peer) = self.peers.get_mut(&link) {
+            peer.in_flight = peer.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Returns the link to the upstream that gets the request, if one may.
+    ///
+    /// `draw` is a random number in `[0, 1)`.
+    pub fn pick(&mut self, wish: &Wish, policy: Policy, now: Time, draw: f64) -> Option<Link> {
+        let links = self.pools.get(wish.pool)?;
+        let usable: Vec<Link> = links
+            .iter()
+            .copied()
+            .filter(|l| !self.peers[l].leaving && !wish.tried.contains(l))
+            .collect();
+        if usable.is_empty() {
+            return None;
+        }
+        let start = (draw * usable.len() as f64) as usize % usable.len();
+        match policy {
+            Policy::RoundRobin => {
+                self.turn = self.turn.wrapping_add(1);
+                Some(usable[self.turn % usable.len()])
+            }
+            Policy::LeastInFlight => self.least(&usable, start, |p| u64::from(p.in_flight)),
+            Policy::TwoChoices => {
+                let second = usable[(start + 1) % usable.len()];
+                self.least(&[usable[start], second], 0, |p| p.load.wait.micros())
+            }
+            Policy::FirstToken => self.least(&usable, start, |p| p.first_token(wish, now)),
+        }
+    }
+
+    /// Returns the link with the least score; ties go to the first after `start`.
+    fn least(&self, links: &[Link], start: usize, score: impl Fn(&Peer) -> u64) -> Option<Link> {
+        let (after, before) = (&links[start..], &links[..start]);
+        after
+            .iter()
+            .chain(before)
+            .min_by_key(|l| score(&self.peers[l]))
+            .copied()
+    }
+
+    /// Returns the least wait that the upstreams of a pool report.
+    pub fn least_wait(&self, pool: &PoolId) -> Option<Span> {
+        let links = self.pools.get(pool)?;
+        links.iter().map(|l| self.peers[l].load.wait).min()
+    }
+}
+
+impl Peer {
+    /// Returns the expected time to the first token, in microseconds.
+    fn first_token(&self, wish: &Wish, now: Time) -> u64 {
+        let prefill = match self.load.prefill {
+            0 => PREFILL,
+            known => known,
+        };
+        let cached = match wish.prefix {
+            _ if wish.last == Some(&self.upstream) => wish.tokens,
+            Some(prefix) if self.prefixes.contains(&prefix) => prefix.tokens.min(wish.tokens),
+            _ => 0,
+        };
+        let fresh = u64::from(wish.tokens - cached) + u64::from(self.tokens_since);
+        let work = fresh * 1_000_000 / u64::from(prefill);
+        self.queue(now) + work
+    }
+
+    /// Returns the expected wait for a slot, in microseconds.
+    fn queue(&self, now: Time) -> u64 {
+        let reported = (self.load.wait.micros() as f64 * self.freshness(now)) as u64;
+        // The share of slots in use breaks ties between idle upstreams and
+        // steers away from one that is about to fill up.
+        let slots = u64::from(self.load.slots.max(1));
+        let busy = u64::from(self.load.running.max(self.in_flight) + self.since_report);
+        let over = (busy + 1).saturating_sub(slots);
+        reported + busy * 1000 / slots + over * UNKNOWN_SERVICE.micros() / slots
+    }
+
+    fn freshness(&self, now: Time) -> f64 {
+        let age = now.since(self.reported).secs_f64() / REPORT_LIFE.secs_f64();
+        (2.0 - age).clamp(0.0, 1.0)
+    }
+
+    fn remember(&mut self, prefix: Prefix) {
+        self.prefixes.retain(|p| *p != prefix);
+        self.prefixes.push_back(prefix);
+        if self.prefixes.len() > PREFIXES {
+            self.prefixes.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/route.rs
@@ -0,0 +1,315 @@
+//! Which node, model and version a request gets, and why.
+//!
+//! Everything here is a pure function of the tree, the request and one random
+//! draw, so that `explain` runs the same code as the daemon.
+//!
+//! ```
+//! use sorreldeck::route::{self, Caller};
+//! use sorreldeck::{Reason, Tree};
+//!
+//! let caller = Caller { key: Some("nobody"), route: None, class: None };
+//! let failure = route::identify(&Tree::default(), &caller).unwrap_err();
+//! assert_eq!(failure.reason, Reason::BadKey);
+//! ```
+
+use crate::failure::{Failure, Reason};
+use crate::id::*;
+use crate::session::Session;
+use crate::tree::{Class, Intent, Node, Phase, State, Tree};
+use crate::unit::Share;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// What a caller says about itself.
+#[derive(Clone, Copy, Debug)]
+pub struct Caller<'a> {
+    /// The API key.
+    pub key: Option<&'a str>,
+    /// The route below the node of the key.
+    pub route: Option<&'a str>,
+    /// The class asked for.
+    pub class: Option<&'a str>,
+}
+
+/// The node that a request belongs to, with all that it inherits.
+#[derive(Clone, Debug)]
+pub struct Site {
+    /// The path of the node.
+    pub path: NodePath,
+    /// The client account.
+    pub account: AccountId,
+    /// The class of the request.
+    pub class: Class,
+    /// The settings in force.
+    pub node: Arc<Node>,
+}
+
+/// Why a version was chosen.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Why {
+    /// The split of the model or node.
+    Split,
+    /// The stage of a roll-out.
+    Rollout(RolloutId),
+    /// The session keeps its version.
+    Session,
+    /// The session's version takes no new work; the session moved from it.
+    Moved(VersionId),
+    /// A step of a cascade.
+    Cascade(CascadeId),
+}
+
+/// A version and why it was chosen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The version.
+    pub version: VersionId,
+    /// Why.
+    pub why: Why,
+}
+
+/// What a name that callers ask for stands for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Target {
+    /// A model, of which one version answers.
+    Model(ModelId),
+    /// A cascade, whose versions are asked in turn.
+    Cascade(CascadeId),
+}
+
+/// Finds the node, client account and class of a request.
+///
+/// # Errors
+///
+/// Fails, not run, when the key, route or class is unknown or not allowed.
+pub fn identify(tree: &Tree, caller: &Caller) -> Result<Site, Failure> {
+    let key = caller
+        .key
+        .ok_or_else(|| Failure::not_run(Reason::NoKey, "send the API key as a bearer token"))?;
+    let path = tree
+        .node_of_key(key)
+        .ok_or_else(|| Failure::not_run(Reason::BadKey, "the API key is not known"))?;
+    let path = descend(tree, path, caller.route)?;
+    let node = tree
+        .effective(&path)
+        .ok_or_else(|| Failure::not_run(Reason::BadRequest, "there is no such route"))?;
+    let account = node
+        .account
+        .clone()
+        .ok_or_else(|| Failure::not_run(Reason::BadKey, "the key has no client account"))?;
+    let class = choose_class(&node, caller.class)?;
+    Ok(Site {
+        path,
+        account,
+        class,
+        node,
+    })
+}
+
+fn descend(tree: &Tree, path: &NodePath, route: Option<&str>) -> Result<NodePath, Failure> {
+    let Some(route) = route else {
+        return Ok(path.clone());
+    };
+    let mut below = path.clone();
+    for name in route.split('/') {
+        below = below
+            .child(name)
+            .map_err(|e| Failure::not_run(Reason::BadRequest, e.to_string()))?;
+    }
+    match tree.node(&below) {
+        Some(_) => Ok(below),
+        None => Err(Failure::not_run(
+            Reason::BadRequest,
+            format!("there is no route {route} below {path}"),
+        )),
+    }
+}
+
+fn choose_class(node: &Node, asked: Option<&str>) -> Result<Class, Failure> {
+    let Some(asked) = asked else {
+        return Ok(node.class());
+    };
+    let class: Class = asked
+        .parse()
+        .map_err(|e: crate::Error| Failure::not_run(Reason::BadRequest, e.to_string()))?;
+    if class > node.class() {
+        return Err(Failure::not_run(
+            Reason::NotAllowed,
+            format!(
+                "class {class} is above {}, the class of this route",
+                node.class()
+            ),
+        ));
+    }
+    Ok(class)
+}
+
+/// Finds what the name asked for stands for.
+///
+/// # Errors
+///
+/// Fails, not run, when the name is unknown or not allowed. Both look alike to
+/// a caller that may not use the name, so that it learns nothing of others.
+pub fn target(tree: &Tree, site: &Site, name: &str) -> Result<Target, Failure> {
+    if !site.node.allows_model(name) {
+        let reason = match tree.has_model(name) {
+            true => Reason::NotAllowed,
+            false => Reason::UnknownModel,
+        };
+        let message = format!("client account {} may not use {name:?}", site.account);
+        return Err(Failure::not_run(reason, message));
+    }
+    let unknown = || Failure::not_run(Reason::UnknownModel, format!("there is no model {name:?}"));
+    if tree.cascade(name).is_some() {
+        return name.parse().map(Target::Cascade).map_err(|_| unknown());
+    }
+    name.parse().map(Target::Model).map_err(|_| unknown())
+}
+
+/// Returns whether a version takes new work as far as the tree says.
+pub fn takes_work(tree: &Tree, version: &VersionId) -> bool {
+    let serving = tree
+        .version(version)
+        .is_some_and(|v| v.state == State::Serving);
+    serving && !held_back(tree, version)
+}
+
+/// Returns whether a roll-out found the version bad.
+fn held_back(tree: &Tree, version: &VersionId) -> bool {
+    tree.progress().iter().any(|(name, progress)| {
+        progress.phase == Phase::Held
+            && tree
+                .rollout(name)
+                .is_some_and(|r| r.to == *version && r.intent != Intent::Planned)
+    })
+}
+
+/// Chooses the version that answers.
+///
+/// `draw` is a random number in `[0, 1)`; `suspect` says which versions this
+/// process has stopped giving work to ahead of the record.
+///
+/// # Errors
+///
+/// Fails, not run, when no version that the client account is allowed takes
+/// new work.
+pub fn version(
+    tree: &Tree,
+    site: &Site,
+    model: &ModelId,
+    session: Option<&Session>,
+    draw: f64,
+    suspect: impl Fn(&VersionId) -> bool,
+) -> Result<Choice, Failure> {
+    let usable = |v: &VersionId| site.node.allows_version(v) && takes_work(tree, v) && !suspect(v);
+    if let Some(session) = session {
+        if usable(&session.version) {
+            return Ok(Choice {
+                version: session.version.clone(),
+                why: Why::Session,
+            });
+        }
+    }
+    let fresh = fresh_version(tree, site, model, draw, &usable);
+    let Some(session) = session else {
+        return fresh;
+    };
+    let version = match successor(tree, &session.version, &usable) {
+        Some(version) => version,
+        None => fresh?.version,
+    };
+    Ok(Choice {
+        version,
+        why: Why::Moved(session.version.clone()),
+    })
+}
+
+fn successor(
+    tree: &Tree,
+    version: &VersionId,
+    usable: &impl Fn(&VersionId) -> bool,
+) -> Option<VersionId> {
+    let mut next = tree.version(version)?.successor.as_ref()?;
+    while !usable(next) {
+        next = tree.version(next)?.successor.as_ref()?;
+    }
+    Some(next.clone())
+}
+
+fn fresh_version(
+    tree: &Tree,
+    site: &Site,
+    model: &ModelId,
+    draw: f64,
+    usable: &impl Fn(&VersionId) -> bool,
+) -> Result<Choice, Failure> {
+    let mut draw = draw;
+    if let Some((name, to, share)) = moving(tree, model) {
+        let share = share.fraction();
+        if draw < share && usable(to) {
+            return Ok(Choice {
+                version: to.clone(),
+                why: Why::Rollout(name.clone()),
+            });
+        }
+        // What is left of the draw is as good as a new one.
+        draw = match draw < share {
+            true => draw / share,
+            false => (draw - share) / (1.0 - share),
+        };
+    }
+    let split = split(tree, site, model)?;
+    let candidates: Vec<(&VersionId, f64)> = split
+        .iter()
+        .filter(|(v, share)| share.fraction() > 0.0 && usable(v))
+        .map(|(v, share)| (v, share.fraction()))
+        .collect();
+    let version = weighted(&candidates, draw)
+        .or_else(|| tree.versions_of(model.as_str()).find(|v| usable(v)))
+        .ok_or_else(|| {
+            let message = format!("no version of {model} that the account may use takes new work");
+            Failure::not_run(Reason::Withdrawn, message)
+        })?;
+    Ok(Choice {
+        version: version.clone(),
+        why: Why::Split,
+    })
+}
+
+/// Returns the roll-out that moves a model now, its version and share.
+fn moving<'a>(tree: &'a Tree, model: &ModelId) -> Option<(&'a RolloutId, &'a VersionId, Share)> {
+    let (name, rollout) = tree
+        .rollouts()
+        .iter()
+        .find(|(_, r)| r.model == *model && matches!(r.intent, Intent::Running | Intent::Paused))?;
+    let share = match tree.record(name) {
+        None => rollout.stages[0],
+        Some(p) if p.phase == Phase::Held => return None,
+        Some(p) => rollout.stages[p.stage],
+    };
+    Some((name, &rollout.to, share))
+}
+
+fn split<'a>(
+    tree: &'a Tree,
+    site: &'a Site,
+    model: &ModelId,
+) -> Result<&'a BTreeMap<VersionId, Share>, Failure> {
+    let own = site.node.splits.as_ref().and_then(|all| all.get(model));
+    own.or_else(|| tree.model(model).map(|m| &m.split))
+        .ok_or_else(|| Failure::not_run(Reason::UnknownModel, format!("there is no model {model}")))
+}
+
+fn weighted<'a>(candidates: &[(&'a VersionId, f64)], draw: f64) -> Option<&'a VersionId> {
+    let sum: f64 = candidates.iter().map(|(_, w)| w).sum();
+    let mut left = draw * sum;
+    for (version, weight) in candidates {
+        if left < *weight {
+            return Some(version);
+        }
+        left -= weight;
+    }
+    candidates.last().map(|(v, _)| *v)
+}
--- /dev/null
+++ b/crates/core/src/wire.rs
@@ -0,0 +1,331 @@
+//! Messages between an entry and a sidecar, and their form on a link.
+//!
+//! One WebSocket message carries a batch of frames, so that a busy link pays
+//! for one system call, not one for each token.
+//!
+//! ```
+//! use sorreldeck::wire::{self, Frame};
+//!
+//! let buf = wire::encode(&[Frame::Goodbye]);
+//! assert_eq!(wire::decode(&buf)?, vec![Frame::Goodbye]);
+//! # Ok::<(), sorreldeck::Error>(())
+//! ```
+
+use crate::bill::Record;
+use crate::error::{Category, Error, Result};
+use crate::evidence::Evidence;
+use crate::failure::Failure;
+use crate::id::*;
+use crate::tree::{Change, Class};
+use crate::unit::Span;
+use crate::verdict::Verdict;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// One try to run one step of a request.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Run {
+    /// The request.
+    pub request: RequestId,
+    /// The step of a cascade, from 0; 0 where there is no cascade.
+    pub step: u16,
+    /// The count of the try, from 0.
+    pub attempt: u16,
+}
+
+impl Run {
+    /// Returns the first try of the first step of a request.
+    pub fn first(request: RequestId) -> Run {
+        Run {
+            request,
+            step: 0,
+            attempt: 0,
+        }
+    }
+
+    /// Returns the next try of the same step.
+    pub fn again(self) -> Run {
+        Run {
+            attempt: self.attempt + 1,
+            ..self
+        }
+    }
+
+    /// Returns the first try of the next step.
+    pub fn next_step(self) -> Run {
+        Run {
+            step: self.step + 1,
+            attempt: 0,
+            ..self
+        }
+    }
+}
+
+impl fmt::Display for Run {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{}-{}", self.request, self.step, self.attempt)
+    }
+}
+
+impl fmt::Debug for Run {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+/// What runs at an upstream and what waits there, as its sidecar counts it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// The requests running.
+    pub running: u32,
+    /// The most requests that may run at a time.
+    pub slots: u32,
+    /// The requests waiting.
+    pub queued: u32,
+    /// The expected wait of a standard request that comes now.
+    #[serde(with = "span_micros")]
+    pub wait: Span,
+    /// The prompt tokens that the upstream works through in a second.
+    pub prefill: u32,
+}
+
+mod span_micros {
+    use super::Span;
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    pub fn serialize<S: Serializer>(span: &Span, s: S) -> Result<S::Ok, S::Error> {
+        s.serialize_u64(span.micros())
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(d: D) -> Result<Span, D::Error> {
+        u64::deserialize(d).map(Span::from_micros)
+    }
+}
+
+/// Who a sidecar is and what its upstream serves.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Welcome {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// The pool that the upstream belongs to.
+    pub pool: PoolId,
+    /// The data hall of the upstream.
+    pub hall: Hall,
+    /// The run of the sidecar.
+    pub incarnation: Incarnation,
+    /// The revision that the sidecar has in force.
+    pub revision: Revision,
+    /// What runs there.
+    pub load: Load,
+}
+
+/// An HTTP header.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Header {
+    /// The name, in lower case.
+    pub name: String,
+    /// The value.
+    pub value: String,
+}
+
+impl Header {
+    /// Creates a header.
+    pub fn new(name: impl Into<String>, value: impl fmt::Display) -> Header {
+        Header {
+            name: name.into(),
+            value: value.to_string(),
+        }
+    }
+}
+
+/// A request on its way to an upstream.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Call {
+    /// The method.
+    pub method: String,
+    /// The path and query as the upstream is to see it.
+    pub path: String,
+    /// The headers that are passed on.
+    pub headers: Vec<Header>,
+    /// The body.
+    #[serde(with = "serde_bytes")]
+    pub body: Vec<u8>,
+}
+
+/// A sidecar's order to run a request.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Start {
+    /// The try.
+    pub run: Run,
+    /// The client account that pays.
+    pub account: AccountId,
+    /// The weight of the client account.
+    pub weight: u32,
+    /// The class.
+    pub class: Class,
+    /// The version to run, or `None` for a plain service.
+    pub version: Option<VersionId>,
+    /// The time left until the answer must begin, in microseconds.
+    pub deadline_us: u64,
+    /// The expected cost of the request, in tokens.
+    pub tokens: u32,
+    /// The revision by which the entry decided.
+    pub revision: Revision,
+    /// The call itself.
+    pub call: Call,
+}
+
+/// What a run used.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    /// The prompt tokens.
+    pub prompt: u64,
+    /// The generated tokens.
+    pub generated: u64,
+    /// The prompt tokens found in the prefix cache.
+    pub cached: u64,
+}
+
+/// How sure a model was of its answer: the mean probability of its tokens,
+/// from 0 to 1.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub struct Confidence(pub f64);
+
+/// A message between an entry and a sidecar.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Frame {
+    /// The sidecar presents itself; its first frame on a link.
+    Welcome(Welcome),
+    /// Run a request.
+    Start(Box<Start>),
+    /// The upstream began to answer.
+    Head {
+        /// The run.
+        run: Run,
+        /// The HTTP status.
+        status: u16,
+        /// The headers that are passed on.
+        headers: Vec<Header>,
+    },
+    /// A part of the answer.
+    Data {
+        /// The run.
+        run: Run,
+        /// The count of the part, from 0.
+        seq: u32,
+        /// The bytes.
+        #[serde(with = "serde_bytes")]
+        data: Vec<u8>,
+    },
+    /// The answer is whole.
+    End {
+        /// The run.
+        run: Run,
+        /// The parts that were sent.
+        parts: u32,
+        /// What the run used.
+        usage: Usage,
+        /// How sure the model was, where the engine told.
+        confidence: Option<Confidence>,
+        /// The bill of the run.
+        record: Option<Record>,
+        /// What runs there now.
+        load: Load,
+    },
+    /// The run was refused or failed.
+    Fail {
+        /// The run.
+        run: Run,
+        /// Why, and whether it may have run.
+        failure: Failure,
+        /// What was billed for the part that ran.
+        record: Option<Record>,
+        /// What runs there now.
+        load: Load,
+    },
+    /// The caller went away; stop the run.
+    Cancel(Run),
+    /// What runs at the upstream now.
+    Load(Load),
+    /// No new work from now on; running work finishes.
+    Goodbye,
+    /// The sender has this revision in force.
+    Revision(Revision),
+    /// Send the changes after this revision.
+    Missing(Revision),
+    /// Changes of the configuration, in order.
+    Changes(Vec<Change>),
+    /// The whole configuration, for a process that is too far behind.
+    Snapshot {
+        /// The revision.
+        revision: Revision,
+        /// The entries.
+        entries: BTreeMap<String, Value>,
+    },
+    /// These records are in the platform's store.
+    Billed(Vec<Run>),
+    /// What an entry wants of a client account's limit, as a multiple of it.
+    Demand {
+        /// The client account.
+        account: AccountId,
+        /// The demand; 1 is the whole limit.
+        demand: f64,
+    },
+    /// An entry's part of a client account's limit.
+    Grant {
+        /// The client account.
+        account: AccountId,
+        /// The part; 1 is the whole limit.
+        share: f64,
+    },
+    /// What an entry has found out about a version, since it started.
+    Evidence {
+        /// The run of the entry.
+        entry: Incarnation,
+        /// The version.
+        version: VersionId,
+        /// All that the entry found.
+        evidence: Evidence,
+    },
+    /// What all entries have found out about a version.
+    Pooled {
+        /// The version.
+        version: VersionId,
+        /// All that was found.
+        evidence: Evidence,
+        /// Whether the version was found bad.
+        bad: bool,
+    },
+}
+
+/// Writes frames as one message.
+pub fn encode(frames: &[Frame]) -> Vec<u8> {
+    let mut buf = Vec::with_capacity(128 * frames.len());
+    // Frames hold only types that CBOR can express, and a Vec takes all bytes.
+    ciborium::into_writer(frames, &mut buf).expect("a frame is always CBOR");
+    buf
+}
+
+/// Reads the frames of one message.
+///
+/// # Errors
+///
+/// Fails with [`Category::Invalid`] when the bytes are no batch of frames.
+pub fn decode(buf: &[u8]) -> Result<Vec<Frame>> {
+    ciborium::from_reader(buf).map_err(|e| Error::new(Category::Invalid, e.to_string()))
+}
+
+impl Frame {
+    /// Returns the frame that refuses a run that was not started.
+    pub fn refuse(run: Run, failure: Failure, load: Load) -> Frame {
+        debug_assert_eq!(failure.verdict, Verdict::NotRun);
+        Frame::Fail {
+            run,
+            failure,
+            record: None,
+            load,
+        }
+    }
+}
