--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -87,6 +87,12 @@
         Ok(Update::Adopted)
     }
 
+    /// Returns all the changes that are kept, or `None` if there are none.
+    pub fn kept(&self) -> Option<Vec<Change>> {
+        let first = self.changes.front()?;
+        self.since(Revision(first.revision.0 - 1))
+    }
+
     /// Returns the changes after a revision, or `None` if they are not kept.
     pub fn since(&self, revision: Revision) -> Option<Vec<Change>> {
         let first = self.changes.front().map(|c| c.revision)?;
--- a/crates/core/src/entry/answer.rs
+++ b/crates/core/src/entry/answer.rs
@@ -153,8 +153,8 @@
                 headers.push(Header::new(header::MOVED, from));
             }
         }
-        if let Some(peer) = flight.at.and_then(|l| self.peers.get(l)) {
-            headers.push(Header::new(header::UPSTREAM, &peer.upstream));
+        if let Some(upstream) = &flight.upstream {
+            headers.push(Header::new(header::UPSTREAM, upstream));
         }
         if let Some(token) = token {
             headers.push(Header::new(header::SESSION, token));
@@ -174,10 +174,7 @@
             account: flight.site.account.clone(),
             model: flight.chat()?.model.clone(),
             version: flight.version()?.clone(),
-            upstream: flight
-                .at
-                .and_then(|l| self.peers.get(l))
-                .map(|p| p.upstream.clone()),
+            upstream: flight.upstream.clone(),
         };
         Some(self.settings.keys.seal(&session, nonce))
     }
--- a/crates/core/src/entry/flight.rs
+++ b/crates/core/src/entry/flight.rs
@@ -23,6 +23,7 @@
     pub deadline: Time,
     pub run: Run,
     pub at: Option<Link>,
+    pub upstream: Option<UpstreamId>,
     pub tried: Vec<Link>,
     pub verdict: Verdict,
     pub waiting: Option<Time>,
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -430,6 +430,7 @@
             began: now,
             deadline,
             at: None,
+            upstream: None,
             tried: Vec::new(),
             verdict: Verdict::NotRun,
             waiting: None,
@@ -636,6 +637,7 @@
             *self.running.entry(version.clone()).or_default() += 1;
         }
         flight.at = Some(link);
+        flight.upstream = self.peers.get(link).map(|p| p.upstream.clone());
         flight.tried.push(link);
         flight.revision = self.tree.revision();
         flight.parts = 0;
@@ -744,13 +746,7 @@
     /// # Errors
     ///
     /// Fails with the failure that the caller would get.
-    pub fn explain(&mut self, now: Time, ask: Ask) -> Result<Decision, Failure> {
-        let caller = Caller {
-            key: ask.key.as_deref(),
-            route: ask.route.as_deref(),
-            class: ask.class.as_deref(),
-        };
-        let site = route::identify(&self.tree, &caller)?;
+    pub fn explain(&mut self, now: Time, site: Site, ask: Ask) -> Result<Decision, Failure> {
         let asked = ask.what.name();
         let request = ask.request;
         let mut flight = self.prepare(now, ask, site)?;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod entry;
 pub mod evidence;
 pub mod header;
+pub mod lease;
 pub mod ledger;
 pub mod limit;
 pub mod pick;
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -92,14 +92,23 @@
         .node_of_key(key)
         .ok_or_else(|| Failure::not_run(Reason::BadKey, "the API key is not known"))?;
     let path = descend(tree, path, caller.route)?;
+    site(tree, path, caller.class)
+}
+
+/// Returns the site of a request at a node, with the class asked for.
+///
+/// # Errors
+///
+/// Fails, not run, when there is no such node, it has no client account or the
+/// class is not allowed.
+pub fn site(tree: &Tree, path: NodePath, class: Option<&str>) -> Result<Site, Failure> {
     let node = tree
         .effective(&path)
-        .ok_or_else(|| Failure::not_run(Reason::BadRequest, "there is no such route"))?;
-    let account = node
-        .account
-        .clone()
-        .ok_or_else(|| Failure::not_run(Reason::BadKey, "the key has no client account"))?;
-    let class = choose_class(&node, caller.class)?;
+        .ok_or_else(|| Failure::not_run(Reason::BadRequest, format!("there is no node {path}")))?;
+    let account = node.account.clone().ok_or_else(|| {
+        Failure::not_run(Reason::BadKey, format!("node {path} has no client account"))
+    })?;
+    let class = choose_class(&node, class)?;
     Ok(Site {
         path,
         account,
--- a/crates/core/src/sidecar.rs
+++ b/crates/core/src/sidecar.rs
@@ -15,6 +15,7 @@
 //!     slots: 8,
 //!     reserve: 1,
 //!     prefill: 8000,
+//!     fifo: false,
 //! });
 //! let out = sidecar.handle(Time(0), Input::LinkUp(1));
 //! assert!(matches!(&out[0], Output::Send(1, Frame::Welcome(_))));
@@ -66,6 +67,8 @@
     pub reserve: u32,
     /// The prompt tokens that the upstream works through in a second.
     pub prefill: u32,
+    /// First come first served, without shedding: a baseline for experiments.
+    pub fifo: bool,
 }
 
 /// What an upstream does with a run.
@@ -118,6 +121,8 @@
     Open(Box<Start>),
     /// Stop a run at the upstream.
     Abort(Run),
+    /// A run has ended; its connection is no longer needed.
+    Closed(Run),
     /// Write records to the platform's store.
     Write(Batch),
     /// A link knows a newer configuration.
@@ -237,6 +242,11 @@
         &self.tree
     }
 
+    /// Returns how many bill records wait to be written.
+    pub fn unbilled(&self) -> usize {
+        self.held.len()
+    }
+
     /// Returns what runs and waits now.
     pub fn load(&self) -> Load {
         Load {
@@ -353,21 +363,31 @@
             .cost_before(start.class, &start.account, start.weight);
         let wait = self.wait_for(before);
         let deadline = Span::from_micros(start.deadline_us);
-        if !self.ledger.has_room(start.class) && wait > deadline {
+        if !self.settings.fifo && !self.ledger.has_room(start.class) && wait > deadline {
             let failure =
                 Failure::not_run(Reason::Overloaded, "the queue is longer than the deadline")
                     .retry_after((wait - deadline).max(RETRY_FLOOR));
             return self.refuse(link, run, failure, out);
         }
-        self.queue.push(Item {
-            class: start.class,
-            account: start.account.clone(),
+        let item = self.item(now, link, start);
+        self.queue.push(item);
+        self.pump(now, out);
+    }
+
+    /// Returns a request's place in the queue. First come first served is one
+    /// flow without a deadline.
+    fn item(&self, now: Time, link: Link, start: Box<Start>) -> Item<Waiting> {
+        let fifo = self.settings.fifo;
+        let deadline = Span::from_micros(start.deadline_us);
+        let same = || "all".parse().expect("a legal name");
+        Item {
+            class: if fifo { Class::Priority } else { start.class },
+            account: if fifo { same() } else { start.account.clone() },
             weight: start.weight,
             cost: start.tokens,
-            deadline: now + deadline,
+            deadline: if fifo { Time(u64::MAX) } else { now + deadline },
             value: Waiting { link, start },
-        });
-        self.pump(now, out);
+        }
     }
 
     /// Checks what the sidecar itself answers for, whatever the entry believes.
@@ -549,6 +569,7 @@
             return;
         };
         self.ledger.end(run);
+        out.push(Output::Closed(run));
         self.learn_service(now, &running);
         let record = self.bill(now, run, &running, usage, outcome.is_ok());
         let load = self.load();
--- /dev/null
+++ b/crates/daemon/src/admin.rs
@@ -0,0 +1,702 @@
+//! The administration API under `/admin/v1`.
+
+use crate::callers::bearer;
+use crate::clock;
+use crate::entry::{Message, Shared};
+use crate::spread::{self, News, Outcome, Wish};
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+use sorreldeck::bill::{Record, Total};
+use sorreldeck::entry::{Ask, Chat, What};
+use sorreldeck::route;
+use sorreldeck::tree::{self, Change, Edit, Key, Section, Tree};
+use sorreldeck::wire::Call;
+use sorreldeck::{Category, Error, NodePath, Revision};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use tide::{Body, Request, Response};
+
+/// The header that states the revision on which a change is based.
+pub const IF_MATCH: &str = "if-match";
+/// The header with the number by which a repeated change is recognised.
+pub const TICKET: &str = "x-sorreldeck-ticket";
+
+/// Adds the paths of operators.
+pub fn routes(app: &mut tide::Server<Shared>) {
+    app.at("/admin/v1/tree").get(tree_of);
+    app.at("/admin/v1/entries/*key").get(entry);
+    app.at("/admin/v1/effective").get(effective);
+    app.at("/admin/v1/effective/*path").get(effective);
+    app.at("/admin/v1/changes").post(change);
+    app.at("/admin/v1/changes/:ticket").get(look_up);
+    app.at("/admin/v1/versions/:name/withdraw").post(withdraw);
+    app.at("/admin/v1/rollouts/:name/:intent").post(steer);
+    app.at("/admin/v1/status").get(status);
+    app.at("/admin/v1/bill").get(bill);
+    app.at("/admin/v1/explain").post(explain);
+    app.at("/admin/v1/explain/:request").get(explain_past);
+}
+
+/// Who asks, and the branch that is open to them.
+struct Operator {
+    name: String,
+    branch: NodePath,
+}
+
+/// A failure of an operator's call.
+struct Refusal {
+    status: u16,
+    code: &'static str,
+    message: String,
+    extra: Value,
+}
+
+impl Refusal {
+    fn new(status: u16, code: &'static str, message: impl Into<String>) -> Refusal {
+        Refusal {
+            status,
+            code,
+            message: message.into(),
+            extra: Value::Null,
+        }
+    }
+
+    fn response(self) -> Response {
+        let body = json!({"error": {
+            "code": self.code,
+            "message": self.message,
+            "detail": self.extra,
+        }});
+        Response::builder(self.status).body(body).build()
+    }
+}
+
+impl From<Error> for Refusal {
+    fn from(e: Error) -> Refusal {
+        let (status, code) = match e.classify() {
+            Category::Invalid => (422, "invalid"),
+            Category::Conflict => (409, "conflict"),
+            Category::Denied => (403, "denied"),
+            Category::Missing => (404, "missing"),
+            Category::Unavailable => (503, "unavailable"),
+        };
+        let mut refusal = Refusal::new(status, code, e.to_string());
+        refusal.extra = json!({"place": e.place()});
+        refusal
+    }
+}
+
+type Answer = Result<Response, Refusal>;
+
+fn reply(answer: Answer) -> tide::Result {
+    Ok(answer.unwrap_or_else(Refusal::response))
+}
+
+fn json_response(value: &impl Serialize) -> Answer {
+    let body = Body::from_json(value).map_err(|e| Refusal::new(500, "internal", e.to_string()))?;
+    Ok(Response::builder(200).body(body).build())
+}
+
+fn operator(request: &Request<Shared>) -> Result<Operator, Refusal> {
+    let token = bearer(request).ok_or_else(|| {
+        Refusal::new(
+            401,
+            "no_token",
+            "send an operator's token as a bearer token",
+        )
+    })?;
+    let shared = request.state();
+    if shared.root_token.as_deref() == Some(tree::hash_key(&token).as_str()) {
+        return Ok(Operator {
+            name: "root".into(),
+            branch: NodePath::root(),
+        });
+    }
+    let tree = shared.tree();
+    let found = tree.operator_of_token(&token);
+    let (name, operator) =
+        found.ok_or_else(|| Refusal::new(401, "bad_token", "the operator's token is not known"))?;
+    Ok(Operator {
+        name: name.to_string(),
+        branch: operator.branch.clone(),
+    })
+}
+
+impl Operator {
+    fn sees(&self, tree: &Tree, key: &Key) -> bool {
+        tree.owner(key).is_within(&self.branch)
+    }
+
+    /// Checks that an entry may be read.
+    fn may_read(&self, tree: &Tree, key: &Key) -> Result<(), Refusal> {
+        match self.sees(tree, key) {
+            true => Ok(()),
+            false => Err(self.outside(key)),
+        }
+    }
+
+    /// Checks that an edit stays within the branch, before and after it.
+    fn may_edit(&self, tree: &Tree, edit: &Edit) -> Result<(), Refusal> {
+        if edit.key.section == Section::Progress {
+            let message = "the record of a roll-out is written by its controller only";
+            return Err(Refusal::new(403, "denied", message));
+        }
+        let stays = match (&edit.new, edit.key.section) {
+            (_, Section::Nodes) | (None, _) => true,
+            (Some(new), _) => new_owner(new).is_within(&self.branch),
+        };
+        let known = tree.entries().contains_key(&edit.key);
+        let before = match (known, edit.key.section) {
+            (false, section) if section != Section::Nodes => true,
+            _ => self.sees(tree, &edit.key),
+        };
+        match stays && before {
+            true => Ok(()),
+            false => Err(self.outside(&edit.key)),
+        }
+    }
+
+    fn outside(&self, key: &Key) -> Refusal {
+        let message = format!(
+            "{key} lies outside the branch {} of {}",
+            self.branch, self.name
+        );
+        Refusal::new(403, "denied", message)
+    }
+}
+
+fn new_owner(entry: &Value) -> NodePath {
+    let owner = entry.get("owner").and_then(Value::as_str);
+    owner
+        .and_then(|o| o.parse().ok())
+        .unwrap_or_else(NodePath::root)
+}
+
+#[derive(Serialize)]
+struct Listing {
+    revision: Revision,
+    entries: BTreeMap<String, Value>,
+}
+
+async fn tree_of(request: Request<Shared>) -> tide::Result {
+    reply((|| {
+        let operator = operator(&request)?;
+        let tree = request.state().tree();
+        let seen = tree
+            .entries()
+            .iter()
+            .filter(|(k, _)| operator.sees(&tree, k));
+        json_response(&Listing {
+            revision: tree.revision(),
+            entries: seen.map(|(k, v)| (k.to_string(), v.clone())).collect(),
+        })
+    })())
+}
+
+async fn entry(request: Request<Shared>) -> tide::Result {
+    reply((|| {
+        let operator = operator(&request)?;
+        let tree = request.state().tree();
+        let key: Key = request.param("key").unwrap_or_default().parse()?;
+        operator.may_read(&tree, &key)?;
+        let value = tree
+            .entries()
+            .get(&key)
+            .ok_or_else(|| Refusal::new(404, "missing", format!("there is no entry {key}")))?;
+        json_response(&json!({"revision": tree.revision(), "key": key, "value": value}))
+    })())
+}
+
+async fn effective(request: Request<Shared>) -> tide::Result {
+    reply((|| {
+        let operator = operator(&request)?;
+        let tree = request.state().tree();
+        let path: NodePath = format!("/{}", request.param("path").unwrap_or_default()).parse()?;
+        operator.may_read(&tree, &Key::new(Section::Nodes, &path))?;
+        let origins = tree
+            .origins(&path)
+            .ok_or_else(|| Refusal::new(404, "missing", format!("there is no node {path}")))?;
+        json_response(&json!({
+            "revision": tree.revision(),
+            "node": path,
+            "settings": origins,
+        }))
+    })())
+}
+
+/// A change as an operator asks for it.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Wanted {
+    /// A document whose entries are put.
+    document: Option<String>,
+    /// The format of the document: `toml` or `json`.
+    #[serde(default)]
+    format: Format,
+    /// Entries that are removed.
+    #[serde(default)]
+    remove: Vec<Key>,
+    /// Whether entries of the branch that the document lacks are removed.
+    #[serde(default)]
+    prune: bool,
+    /// Whether the change is only checked and shown.
+    #[serde(default)]
+    dry_run: bool,
+}
+
+#[derive(Clone, Copy, Default, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Format {
+    #[default]
+    Toml,
+    Json,
+}
+
+async fn change(mut request: Request<Shared>) -> tide::Result {
+    let body = request.body_bytes().await?;
+    let answer = async {
+        let wanted: Wanted = serde_json::from_slice(&body)
+            .map_err(|e| Refusal::new(400, "bad_request", e.to_string()))?;
+        let operator = operator(&request)?;
+        let tree = request.state().tree();
+        let edits = edits_of(&operator, &tree, &wanted)?;
+        if wanted.dry_run {
+            return dry_run(&operator, &tree, &edits);
+        }
+        submit(&request, &operator, tree, edits).await
+    };
+    reply(answer.await)
+}
+
+fn edits_of(operator: &Operator, tree: &Tree, wanted: &Wanted) -> Result<Vec<Edit>, Refusal> {
+    let put = match (&wanted.document, wanted.format) {
+        (None, _) => BTreeMap::new(),
+        (Some(text), Format::Toml) => tree::parse_toml(text)?,
+        (Some(text), Format::Json) => tree::parse_json(text)?,
+    };
+    let mut edits = Vec::new();
+    for (key, value) in &put {
+        let old = tree.entries().get(key);
+        if old != Some(value) {
+            edits.push(Edit {
+                key: key.clone(),
+                old: old.cloned(),
+                new: Some(value.clone()),
+            });
+        }
+    }
+    for (key, old) in tree.entries() {
+        let pruned = wanted.prune
+            && !put.contains_key(key)
+            && key.section != Section::Progress
+            && operator.sees(tree, key);
+        if pruned || wanted.remove.contains(key) {
+            edits.push(Edit {
+                key: key.clone(),
+                old: Some(old.clone()),
+                new: None,
+            });
+        }
+    }
+    let missing = wanted
+        .remove
+        .iter()
+        .find(|k| !tree.entries().contains_key(k));
+    if let Some(key) = missing {
+        return Err(Refusal::new(
+            404,
+            "missing",
+            format!("there is no entry {key}"),
+        ));
+    }
+    Ok(edits)
+}
+
+fn dry_run(operator: &Operator, tree: &Tree, edits: &[Edit]) -> Answer {
+    for edit in edits {
+        operator.may_edit(tree, edit)?;
+    }
+    tree.with(edits, tree.revision().next())?;
+    json_response(&json!({"revision": tree.revision(), "accepted": false, "edits": edits}))
+}
+
+/// Submits a change and tells what became of it.
+async fn submit(
+    request: &Request<Shared>,
+    operator: &Operator,
+    tree: Arc<Tree>,
+    edits: Vec<Edit>,
+) -> Answer {
+    let shared = request.state();
+    let ticket = ticket(request)?;
+    // A repeated change whose first answer was lost is not made twice.
+    if let Some(change) = accepted_before(shared, ticket).await {
+        return accepted(&change);
+    }
+    let base: Revision = match request.header(IF_MATCH) {
+        Some(value) => value.as_str().trim_matches('"').parse()?,
+        None => {
+            let message = "state the revision that the change is based on in if-match";
+            return Err(Refusal::new(428, "no_revision", message));
+        }
+    };
+    if base != tree.revision() {
+        return Err(conflict(base, tree.revision()));
+    }
+    for edit in &edits {
+        operator.may_edit(&tree, edit)?;
+    }
+    if edits.is_empty() {
+        let nothing = json!({"revision": tree.revision(), "accepted": true, "edits": []});
+        return json_response(&nothing);
+    }
+    let wish = Wish {
+        author: operator.name.clone(),
+        ticket,
+        edits,
+        lease: None,
+    };
+    match spread::accept(&shared.platform, &tree, wish).await? {
+        Outcome::Accepted(change) => {
+            let news = News::Changes(vec![change.clone()]);
+            let _ = shared.send.send(Message::News(news)).await;
+            accepted(&change)
+        }
+        Outcome::Conflict(revision) => Err(conflict(base, revision)),
+        Outcome::Unknown(message) => {
+            let message = format!("whether the change was accepted is not known; repeat it with the same ticket: {message}");
+            let mut refusal = Refusal::new(504, "unknown", message);
+            refusal.extra = json!({"ticket": format!("{ticket:016x}")});
+            Err(refusal)
+        }
+        Outcome::Down(message) => Err(Refusal::new(503, "store_down", message)),
+    }
+}
+
+fn ticket(request: &Request<Shared>) -> Result<u64, Refusal> {
+    match request.header(TICKET) {
+        None => Ok(u64::from_le_bytes(clock::random())),
+        Some(value) => parse_ticket(value.as_str()),
+    }
+}
+
+fn parse_ticket(text: &str) -> Result<u64, Refusal> {
+    u64::from_str_radix(text, 16).map_err(|_| {
+        Refusal::new(
+            400,
+            "bad_request",
+            "a ticket is a number of up to 16 hexadecimal digits",
+        )
+    })
+}
+
+async fn accepted_before(shared: &Shared, ticket: u64) -> Option<Change> {
+    // Another entry may have accepted it a moment ago.
+    let known = shared.tree().revision();
+    if let Ok(Some(news)) = spread::fetch(&shared.platform, known).await {
+        let _ = shared.send.send(Message::News(news)).await;
+    }
+    let find = move |room: &mut crate::entry::Room| {
+        let changes = room
+            .config
+            .since(Revision(0))
+            .or_else(|| room.config.kept());
+        changes.and_then(|all| all.into_iter().find(|c| c.ticket == ticket))
+    };
+    shared.ask(find).await.flatten()
+}
+
+fn accepted(change: &Change) -> Answer {
+    json_response(&json!({
+        "revision": change.revision,
+        "accepted": true,
+        "ticket": format!("{:016x}", change.ticket),
+        "edits": change.edits,
+    }))
+}
+
+fn conflict(base: Revision, now: Revision) -> Refusal {
+    let message = format!("the change is based on revision {base}, but revision {now} is accepted; nothing was changed");
+    let mut refusal = Refusal::new(409, "conflict", message);
+    refusal.extra = json!({"base": base, "revision": now});
+    refusal
+}
+
+async fn look_up(request: Request<Shared>) -> tide::Result {
+    let answer = async {
+        operator(&request)?;
+        let ticket = parse_ticket(request.param("ticket").unwrap_or_default())?;
+        match accepted_before(request.state(), ticket).await {
+            Some(change) => accepted(&change),
+            None => Err(Refusal::new(
+                404,
+                "missing",
+                "no change with this ticket is among the last ones accepted",
+            )),
+        }
+    };
+    reply(answer.await)
+}
+
+/// Sets one field of an entry, as a change of its own.
+async fn set_field(request: &Request<Shared>, key: Key, field: &str, value: Value) -> Answer {
+    let operator = operator(request)?;
+    let tree = request.state().tree();
+    let old = tree.entries().get(&key).cloned();
+    let Some(Value::Object(mut fields)) = old.clone() else {
+        return Err(Refusal::new(
+            404,
+            "missing",
+            format!("there is no entry {key}"),
+        ));
+    };
+    fields.insert(field.to_owned(), value);
+    let new = Some(Value::Object(fields));
+    if new == old {
+        let nothing = json!({"revision": tree.revision(), "accepted": true, "edits": []});
+        return json_response(&nothing);
+    }
+    let edit = Edit { key, old, new };
+    submit(request, &operator, tree, vec![edit]).await
+}
+
+async fn withdraw(request: Request<Shared>) -> tide::Result {
+    let key = Key::new(Section::Versions, request.param("name").unwrap_or_default());
+    reply(set_field(&request, key, "state", "withdrawn".into()).await)
+}
+
+async fn steer(request: Request<Shared>) -> tide::Result {
+    let key = Key::new(Section::Rollouts, request.param("name").unwrap_or_default());
+    let intent = match request.param("intent").unwrap_or_default() {
+        "start" => "running",
+        "pause" => "paused",
+        "abort" => "aborted",
+        other => {
+            let message = format!("a roll-out cannot {other:?}: start, pause and abort are known");
+            return reply(Err(Refusal::new(404, "missing", message)));
+        }
+    };
+    reply(set_field(&request, key, "intent", intent.into()).await)
+}
+
+async fn status(request: Request<Shared>) -> tide::Result {
+    let answer = async {
+        let operator = operator(&request)?;
+        let status = request
+            .state()
+            .ask(move |room| status_of(room, &operator))
+            .await;
+        let status =
+            status.ok_or_else(|| Refusal::new(503, "leaving", "this entry has stopped"))?;
+        json_response(&status)
+    };
+    reply(answer.await)
+}
+
+fn status_of(room: &mut crate::entry::Room, operator: &Operator) -> Value {
+    let tree = room.entry.tree().clone();
+    let upstreams: Vec<Value> = room
+        .entry
+        .peers()
+        .pools()
+        .iter()
+        .flat_map(|(pool, links)| links.iter().map(move |l| (pool, *l)))
+        .filter_map(|(pool, link)| Some((pool, room.entry.peers().get(link)?)))
+        .map(|(pool, peer)| {
+            json!({
+                "upstream": peer.upstream,
+                "pool": pool,
+                "running": peer.load.running,
+                "slots": peer.load.slots,
+                "queued": peer.load.queued,
+                "in_flight_here": peer.in_flight,
+                "leaving": peer.leaving,
+            })
+        })
+        .collect();
+    let rollouts: Vec<Value> = tree
+        .rollouts()
+        .iter()
+        .filter(|(name, _)| operator.sees(&tree, &Key::new(Section::Rollouts, name)))
+        .map(|(name, rollout)| {
+            json!({
+                "rollout": name,
+                "to": rollout.to,
+                "intent": rollout.intent,
+                "record": tree.record(name),
+                "held_back_here": room.entry.watch().suspects(&rollout.to),
+            })
+        })
+        .collect();
+    json!({
+        "revision": tree.revision(),
+        "in_flight": room.entry.in_flight(),
+        "unbilled": room.entry.unbilled(),
+        "instances": room.instances,
+        "upstreams": upstreams,
+        "rollouts": rollouts,
+    })
+}
+
+#[derive(Deserialize)]
+struct Days {
+    day: Option<u32>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct BillLine {
+    #[serde(flatten)]
+    line: sorreldeck::bill::Line,
+    #[serde(flatten)]
+    total: Total,
+}
+
+async fn bill(request: Request<Shared>) -> tide::Result {
+    let answer = async {
+        let operator = operator(&request)?;
+        let days: Days = request
+            .query()
+            .map_err(|e| Refusal::new(400, "bad_request", e.to_string()))?;
+        let records = read_bill(&request.state().platform, days.day)
+            .await
+            .map_err(|e| Refusal::new(503, "store_down", e.to_string()))?;
+        let tree = request.state().tree();
+        let own = records.iter().filter(|r| is_within(&tree, &operator, r));
+        let lines: Vec<BillLine> = Total::add_up(own)
+            .into_iter()
+            .map(|(line, total)| BillLine { line, total })
+            .collect();
+        json_response(&json!({"lines": lines}))
+    };
+    reply(answer.await)
+}
+
+/// Returns whether the client account of a record lies in the branch.
+fn is_within(tree: &Tree, operator: &Operator, record: &Record) -> bool {
+    if operator.branch == NodePath::root() {
+        return true;
+    }
+    let node = tree
+        .nodes()
+        .iter()
+        .find(|(_, n)| n.account.as_ref() == Some(&record.account));
+    node.is_some_and(|(path, _)| path.is_within(&operator.branch))
+}
+
+async fn read_bill(
+    platform: &sorreldeck_net::Platform,
+    day: Option<u32>,
+) -> eyre::Result<Vec<Record>> {
+    let prefix = match day {
+        Some(day) => format!("bill/{day}/"),
+        None => "bill/".to_owned(),
+    };
+    let mut records = Vec::new();
+    for name in platform.list_objects(&prefix).await? {
+        if let Some(data) = platform.get_object(&name).await? {
+            let batch: Vec<Record> = serde_json::from_slice(&data)?;
+            records.extend(batch);
+        }
+    }
+    Ok(records)
+}
+
+/// A request as an operator describes it.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Described {
+    node: NodePath,
+    model: Option<String>,
+    path: Option<String>,
+    #[serde(default)]
+    method: Option<String>,
+    class: Option<String>,
+    session: Option<String>,
+}
+
+async fn explain(mut request: Request<Shared>) -> tide::Result {
+    let body = request.body_bytes().await?;
+    let answer = async {
+        let described: Described = serde_json::from_slice(&body)
+            .map_err(|e| Refusal::new(400, "bad_request", e.to_string()))?;
+        let operator = operator(&request)?;
+        let tree = request.state().tree();
+        operator.may_read(&tree, &Key::new(Section::Nodes, &described.node))?;
+        let class = described.class.as_deref();
+        let site = route::site(&tree, described.node.clone(), class).map_err(refusal_of)?;
+        let ask = ask_of(request.state(), described)?;
+        let decision = request
+            .state()
+            .ask(move |room| {
+                let now = room.clock.now();
+                room.entry.explain(now, site, ask)
+            })
+            .await;
+        let decision =
+            decision.ok_or_else(|| Refusal::new(503, "leaving", "this entry has stopped"))?;
+        json_response(&decision.map_err(refusal_of)?)
+    };
+    reply(answer.await)
+}
+
+fn refusal_of(failure: sorreldeck::Failure) -> Refusal {
+    Refusal::new(
+        failure.reason.status(),
+        failure.reason.code(),
+        failure.message,
+    )
+}
+
+fn ask_of(shared: &Shared, described: Described) -> Result<Ask, Refusal> {
+    let what = match (described.model, described.path) {
+        (Some(model), None) => {
+            let body = json!({"model": model, "messages": []}).to_string();
+            let chat = Chat::from_slice(body.as_bytes()).map_err(refusal_of)?;
+            What::Chat(Box::new(chat))
+        }
+        (None, Some(path)) => What::Plain(Call {
+            method: described.method.unwrap_or_else(|| "GET".into()),
+            path,
+            headers: Vec::new(),
+            body: Vec::new(),
+        }),
+        _ => {
+            let message = "describe either a model or a path";
+            return Err(Refusal::new(400, "bad_request", message));
+        }
+    };
+    Ok(Ask {
+        request: shared.next_request(),
+        key: None,
+        route: None,
+        class: described.class,
+        session: described.session,
+        once: false,
+        idempotency: None,
+        what,
+    })
+}
+
+async fn explain_past(request: Request<Shared>) -> tide::Result {
+    let answer = async {
+        let operator = operator(&request)?;
+        let id: sorreldeck::RequestId = request.param("request").unwrap_or_default().parse()?;
+        let decision = request
+            .state()
+            .ask(move |room| room.entry.history().get(id).cloned())
+            .await
+            .flatten();
+        let decision = decision.ok_or_else(|| {
+            let message = format!(
+                "this entry does not remember the request; it was taken in by run {}",
+                id.origin()
+            );
+            Refusal::new(404, "missing", message)
+        })?;
+        let node = decision.node.clone().unwrap_or_else(NodePath::root);
+        let tree = request.state().tree();
+        operator.may_read(&tree, &Key::new(Section::Nodes, &node))?;
+        json_response(&decision)
+    };
+    reply(answer.await)
+}
--- /dev/null
+++ b/crates/daemon/src/callers.rs
@@ -0,0 +1,434 @@
+//! What callers see: chat completions, models, plain services and health.
+
+use crate::entry::{Message, Shared};
+use async_channel::Receiver;
+use async_std::future::timeout;
+use async_std::io::ReadExt;
+use async_std::net::TcpStream;
+use futures_lite::FutureExt;
+use serde_json::{json, Value};
+use sorreldeck::entry::{Ask, Chat, Part, What};
+use sorreldeck::header;
+use sorreldeck::route::{self, Caller};
+use sorreldeck::wire::{Call, Header};
+use sorreldeck::{Failure, Reason, RequestId, Size, Span, Verdict};
+use sorreldeck_net::http::{self, Piece, Stream};
+use std::net::SocketAddr;
+use tide::{Body, Request, Response};
+
+/// The header by which the loop tells a handler to hand a call to old scripts.
+pub const FORWARD: &str = "x-sorreldeck-forward";
+
+/// The largest body that is gathered before it is given on.
+const GATHERED: u64 = 1 << 20;
+
+/// Adds the paths of callers.
+pub fn routes(app: &mut tide::Server<Shared>) {
+    app.at("/health").get(|_| async { Ok("ok\n") });
+    app.at("/ready").get(ready);
+    app.at("/metrics").get(metrics);
+    app.at("/v1/models").get(models);
+    app.at("/v1/chat/completions").post(chat);
+    app.at("/").all(plain);
+    app.at("/*").all(plain);
+}
+
+async fn ready(request: Request<Shared>) -> tide::Result {
+    match request.state().is_ready() {
+        true => Ok("ready\n".into()),
+        false => Ok(Response::builder(503).body("not ready\n").build()),
+    }
+}
+
+async fn metrics(request: Request<Shared>) -> tide::Result {
+    match request.state().ask(|room| room.metrics_text()).await {
+        Some(text) => Ok(text.into()),
+        None => Ok(Response::new(503)),
+    }
+}
+
+/// Returns the API key or token of a request.
+pub fn bearer(request: &Request<Shared>) -> Option<String> {
+    let value = request.header("authorization")?.as_str();
+    Some(value.strip_prefix("Bearer ")?.trim().to_owned())
+}
+
+fn header_of(request: &Request<Shared>, name: &str) -> Option<String> {
+    request.header(name).map(|v| v.as_str().to_owned())
+}
+
+async fn models(request: Request<Shared>) -> tide::Result {
+    let tree = request.state().tree();
+    let key = bearer(&request);
+    let route = header_of(&request, header::ROUTE);
+    let caller = Caller {
+        key: key.as_deref(),
+        route: route.as_deref(),
+        class: None,
+    };
+    let site = match route::identify(&tree, &caller) {
+        Ok(site) => site,
+        Err(failure) => return Ok(refuse(None, &failure)),
+    };
+    let names = site.node.models.iter().flatten();
+    let data: Vec<Value> = names
+        .map(|name| json!({"id": name, "object": "model", "created": 0, "owned_by": "sorreldeck"}))
+        .collect();
+    Ok(json!({"object": "list", "data": data}).into())
+}
+
+async fn chat(request: Request<Shared>) -> tide::Result {
+    serve(request, |_, body| {
+        let chat = Chat::from_slice(&body)?;
+        Ok(What::Chat(Box::new(chat)))
+    })
+    .await
+}
+
+async fn plain(request: Request<Shared>) -> tide::Result {
+    serve(request, |mut call, body| {
+        // The API key is for sorreldeck; a service has no use for it.
+        call.headers.retain(|h| h.name != "authorization");
+        Ok(What::Plain(Call { body, ..call }))
+    })
+    .await
+}
+
+/// Serves one request; `read` makes of the call and its body what is asked.
+async fn serve(
+    mut request: Request<Shared>,
+    read: fn(Call, Vec<u8>) -> Result<What, Failure>,
+) -> tide::Result {
+    let shared = request.state().clone();
+    let id = shared.next_request();
+    let call = call_of(&request);
+    let asked = match take_in(&mut request, &shared).await {
+        Ok(body) => read(call.clone(), body.clone()).map(|what| (what, body)),
+        Err(failure) => Err(failure),
+    };
+    let (what, body) = match asked {
+        Ok(asked) => asked,
+        Err(failure) => {
+            let mut response = refuse(Some(id), &failure);
+            // What is left of the request would be taken for the next one.
+            response.insert_header("connection", "close");
+            return Ok(response);
+        }
+    };
+    let ask = ask_of(&request, id, what);
+    let (send, parts) = async_channel::unbounded();
+    let message = Message::Ask(Box::new(ask), send);
+    if shared.send.send(message).await.is_err() {
+        let failure = Failure::not_run(Reason::Leaving, "this entry has stopped");
+        return Ok(refuse(Some(id), &failure));
+    }
+    let connection = request.ext::<TcpStream>().cloned();
+    let call = Call { body, ..call };
+    Ok(answer(&shared, id, call, parts, connection).await)
+}
+
+fn call_of(request: &Request<Shared>) -> Call {
+    let url = request.url();
+    let path = match url.query() {
+        Some(query) => format!("{}?{query}", url.path()),
+        None => url.path().to_owned(),
+    };
+    let mut headers = Vec::new();
+    for (name, values) in request.iter() {
+        let name = name.as_str();
+        let own = name.starts_with("x-sorreldeck-") || name == "host";
+        if own || !crate::upstream::passes(name) {
+            continue;
+        }
+        for value in values {
+            headers.push(Header::new(name, value.as_str()));
+        }
+    }
+    Call {
+        method: request.method().to_string(),
+        path,
+        headers,
+        body: Vec::new(),
+    }
+}
+
+fn ask_of(request: &Request<Shared>, id: RequestId, what: What) -> Ask {
+    Ask {
+        request: id,
+        key: bearer(request),
+        route: header_of(request, header::ROUTE),
+        class: header_of(request, header::CLASS),
+        session: header_of(request, header::SESSION),
+        once: header_of(request, header::ONCE).as_deref() == Some("true"),
+        idempotency: header_of(request, header::IDEMPOTENCY),
+        what,
+    }
+}
+
+/// Reads the body within the limits of the caller's node. A caller that is not
+/// known is refused before its body is read.
+async fn take_in(request: &mut Request<Shared>, shared: &Shared) -> Result<Vec<u8>, Failure> {
+    let key = bearer(request);
+    let route = header_of(request, header::ROUTE);
+    let caller = Caller {
+        key: key.as_deref(),
+        route: route.as_deref(),
+        class: None,
+    };
+    let site = route::identify(&shared.tree(), &caller)?;
+    let limit = site.node.max_body();
+    let expected = request.len();
+    if expected.is_some_and(|len| len as u64 > limit.bytes()) {
+        return Err(too_large(limit));
+    }
+    let span = site.node.body_timeout();
+    let body = timeout(span.into(), read_body(request, limit))
+        .await
+        .map_err(|_| too_slow(span))??;
+    if expected.is_some_and(|len| body.len() < len) {
+        let message = "the body ended before its stated length";
+        return Err(Failure::not_run(Reason::BadRequest, message));
+    }
+    Ok(body)
+}
+
+fn too_large(limit: Size) -> Failure {
+    Failure::not_run(Reason::TooLarge, format!("the body may be at most {limit}"))
+}
+
+fn too_slow(span: Span) -> Failure {
+    Failure::not_run(Reason::TooSlow, format!("the body must come within {span}"))
+}
+
+async fn read_body(request: &mut Request<Shared>, limit: Size) -> Result<Vec<u8>, Failure> {
+    let mut body = Vec::new();
+    let mut buf = vec![0; 16 * 1024];
+    loop {
+        let n = request.read(&mut buf).await.map_err(|e| {
+            Failure::not_run(
+                Reason::BadRequest,
+                format!("the body could not be read: {e}"),
+            )
+        })?;
+        if n == 0 {
+            return Ok(body);
+        }
+        body.extend_from_slice(&buf[..n]);
+        if body.len() as u64 > limit.bytes() {
+            return Err(too_large(limit));
+        }
+    }
+}
+
+/// Waits for the answer's first part and gives it on; a caller that goes away
+/// meanwhile is noticed, and the loop is told when the parts find no reader.
+async fn answer(
+    shared: &Shared,
+    id: RequestId,
+    call: Call,
+    parts: Receiver<Part>,
+    connection: Option<TcpStream>,
+) -> Response {
+    let first = async { parts.recv().await.ok() };
+    let gone = async {
+        match &connection {
+            Some(stream) => http::closed(stream).await,
+            None => futures_lite::future::pending().await,
+        }
+        None
+    };
+    match first.or(gone).await {
+        Some(Part::Head { status: 0, headers }) => forward(shared, id, call, &headers).await,
+        Some(Part::Head { status, headers }) => give(id, status, headers, parts).await,
+        Some(Part::Fail(failure)) => refuse(Some(id), &failure),
+        Some(Part::Data(_) | Part::End) => {
+            let message = "the answer has no head";
+            refuse(
+                Some(id),
+                &Failure::new(Reason::Invariant, Verdict::Ran, message),
+            )
+        }
+        None => {
+            parts.close();
+            let message = sorreldeck::entry::Input::Gone(id);
+            let _ = shared.send.send(Message::Input(message)).await;
+            let failure = Failure::new(
+                Reason::Cancelled,
+                Verdict::MayHaveRun,
+                "the caller went away",
+            );
+            refuse(Some(id), &failure)
+        }
+    }
+}
+
+async fn give(id: RequestId, status: u16, headers: Vec<Header>, parts: Receiver<Part>) -> Response {
+    let streamed = http::find_header(&headers, "content-type")
+        .is_some_and(|v| v.starts_with("text/event-stream"));
+    let mut response = Response::new(status);
+    for header in &headers {
+        response.append_header(header.name.as_str(), header.value.as_str());
+    }
+    if streamed {
+        response.set_body(Body::from_reader(Stream::new(parts, event_piece), None));
+        return with_headers(response, &headers);
+    }
+    let mut body = Vec::new();
+    while let Ok(part) = parts.recv().await {
+        match part {
+            Part::Data(data) => body.extend_from_slice(&data),
+            Part::End => break,
+            Part::Fail(failure) => return refuse(Some(id), &failure),
+            Part::Head { .. } => {}
+        }
+        if body.len() as u64 > GATHERED {
+            return give_rest(response, &headers, body, parts);
+        }
+    }
+    response.set_body(body);
+    with_headers(response, &headers)
+}
+
+/// Gives on a long answer without gathering the rest of it.
+fn give_rest(
+    mut response: Response,
+    headers: &[Header],
+    body: Vec<u8>,
+    parts: Receiver<Part>,
+) -> Response {
+    let start = async_std::io::Cursor::new(body);
+    let rest = Stream::new(parts, plain_piece);
+    let whole = async_std::io::BufReader::new(start.chain(rest));
+    response.set_body(Body::from_reader(whole, None));
+    with_headers(response, headers)
+}
+
+/// Sets the headers again, since setting a body replaces its type.
+fn with_headers(mut response: Response, headers: &[Header]) -> Response {
+    if let Some(kind) = http::find_header(headers, "content-type") {
+        response.insert_header("content-type", kind);
+    }
+    response
+}
+
+/// Returns the bytes of a part of a stream of events; a failure is told in an
+/// event of its own, after which the connection breaks off.
+fn event_piece(part: Part) -> Piece {
+    match part {
+        Part::Fail(failure) => Piece {
+            data: format!("data: {}\n\n", error_body(None, &failure)).into_bytes(),
+            broken: true,
+        },
+        part => plain_piece(part),
+    }
+}
+
+fn plain_piece(part: Part) -> Piece {
+    match part {
+        Part::Data(data) => data.into(),
+        Part::Head { .. } | Part::End => Piece::default(),
+        Part::Fail(_) => Piece {
+            data: Vec::new(),
+            broken: true,
+        },
+    }
+}
+
+/// Hands a call to the old scripts.
+async fn forward(shared: &Shared, id: RequestId, call: Call, headers: &[Header]) -> Response {
+    let address = http::find_header(headers, FORWARD).and_then(|a| a.parse::<SocketAddr>().ok());
+    let Some(address) = address else {
+        let message = "the address of the old scripts is not understood";
+        return refuse(Some(id), &Failure::not_run(Reason::NoUpstream, message));
+    };
+    let sent = shared.client.send(address, &call, false).await;
+    let mut incoming = match sent {
+        Ok(incoming) => incoming,
+        Err(trouble) => {
+            let message = format!("the old scripts: {}", trouble.message);
+            let failure = Failure::new(Reason::UpstreamFailed, trouble.verdict, message);
+            return refuse(Some(id), &failure);
+        }
+    };
+    let passed = incoming.headers.iter();
+    let mut headers: Vec<Header> = passed
+        .filter(|h| crate::upstream::passes(&h.name))
+        .cloned()
+        .collect();
+    headers.push(Header::new(header::REQUEST, id));
+    headers.push(Header::new(header::VERDICT, Verdict::Ran));
+    let status = incoming.status;
+    let (send, parts) = async_channel::bounded(16);
+    async_std::task::spawn(async move {
+        loop {
+            let part = match incoming.next().await {
+                Ok(Some(data)) => Part::Data(data),
+                Ok(None) => Part::End,
+                Err(trouble) => Part::Fail(Failure::new(
+                    Reason::UpstreamFailed,
+                    Verdict::Ran,
+                    trouble.message,
+                )),
+            };
+            let last = !matches!(part, Part::Data(_));
+            if send.send(part).await.is_err() || last {
+                return;
+            }
+        }
+    });
+    give(id, status, headers, parts).await
+}
+
+/// Returns the response that tells a caller of a failure.
+pub fn refuse(id: Option<RequestId>, failure: &Failure) -> Response {
+    let mut response = Response::new(failure.reason.status());
+    response.set_body(error_body(id, failure));
+    response.insert_header(header::VERDICT, failure.verdict.as_str());
+    if let Some(id) = id {
+        response.insert_header(header::REQUEST, id.to_string());
+    }
+    if let Some(span) = failure.retry_after {
+        // The header counts whole seconds; the body has the exact time.
+        let seconds = span.millis().div_ceil(1000).max(1);
+        response.insert_header("retry-after", seconds.to_string());
+    }
+    response
+}
+
+fn error_body(id: Option<RequestId>, failure: &Failure) -> Value {
+    let kind = match failure.reason.status() {
+        401 => "authentication_error",
+        403 => "permission_error",
+        429 => "rate_limit_error",
+        400..=499 => "invalid_request_error",
+        _ => "server_error",
+    };
+    json!({
+        "error": {
+            "message": failure.message,
+            "type": kind,
+            "code": failure.reason.code(),
+            "param": null,
+            "verdict": failure.verdict,
+            "retry_after_ms": failure.retry_after.map(Span::millis),
+            "request": id.map(|id| id.to_string()),
+        }
+    })
+}
+
+/// Returns the text of an answer of an engine, whole or streamed.
+pub fn text_of(answer: &[u8]) -> String {
+    let piece = |value: &Value, field: &str| {
+        let content = &value["choices"][0][field]["content"];
+        content.as_str().unwrap_or_default().to_owned()
+    };
+    if let Ok(value) = serde_json::from_slice::<Value>(answer) {
+        return piece(&value, "message");
+    }
+    let answer = String::from_utf8_lossy(answer);
+    let events = answer.lines().filter_map(|l| l.strip_prefix("data: "));
+    events
+        .filter_map(|data| serde_json::from_str::<Value>(data).ok())
+        .map(|value| piece(&value, "delta"))
+        .collect()
+}
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,202 @@
+//! Counters and histograms in the format of Prometheus.
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
+use prometheus_client::registry::Registry;
+use sorreldeck::entry::Done;
+use sorreldeck::{Promise, Promises};
+use sorreldeck_net::link::Traffic;
+use std::sync::atomic::Ordering;
+
+/// The client account and class of a request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Who {
+    account: String,
+    class: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Outcome {
+    account: String,
+    class: String,
+    outcome: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OfPromise {
+    promise: String,
+}
+
+fn seconds() -> Histogram {
+    // 1 ms to 32 s, each bucket twice the one before.
+    Histogram::new(exponential_buckets(0.001, 2.0, 16))
+}
+
+/// The metrics of one process.
+pub struct Metrics {
+    registry: Registry,
+    requests: Family<Outcome, Counter>,
+    first: Family<Who, Histogram>,
+    whole: Family<Who, Histogram>,
+    checked: Family<OfPromise, Gauge>,
+    violated: Family<OfPromise, Gauge>,
+    gauges: Gauges,
+}
+
+/// Values that are read off when the metrics are asked for.
+#[derive(Clone, Default)]
+pub struct Gauges {
+    /// The revision in force.
+    pub revision: Gauge,
+    /// The links that are up.
+    pub links: Gauge,
+    /// The requests under way.
+    pub in_flight: Gauge,
+    /// The bill records that are not known to be in the platform's store.
+    pub unbilled: Gauge,
+    /// The bytes sent over links.
+    pub sent: Gauge,
+    /// The bytes sent over links for control.
+    pub control: Gauge,
+    /// The bytes received over links.
+    pub received: Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("sorreldeck");
+        let requests = Family::default();
+        let first = Family::new_with_constructor(seconds as fn() -> Histogram);
+        let whole = Family::new_with_constructor(seconds as fn() -> Histogram);
+        let checked = Family::default();
+        let violated = Family::default();
+        let gauges = Gauges::default();
+        registry.register("requests", "Requests by outcome", requests.clone());
+        registry.register(
+            "first_token_seconds",
+            "Time to the first part of the answer",
+            first.clone(),
+        );
+        registry.register(
+            "answer_seconds",
+            "Time to the end of the answer",
+            whole.clone(),
+        );
+        registry.register("promise_checked", "Checks of each promise", checked.clone());
+        registry.register("promise_violated", "Checks that failed", violated.clone());
+        gauges.register(&mut registry);
+        Metrics {
+            registry,
+            requests,
+            first,
+            whole,
+            checked,
+            violated,
+            gauges,
+        }
+    }
+}
+
+impl Gauges {
+    fn register(&self, registry: &mut Registry) {
+        registry.register("revision", "Revision in force", self.revision.clone());
+        registry.register("links", "Links that are up", self.links.clone());
+        registry.register("in_flight", "Requests under way", self.in_flight.clone());
+        registry.register(
+            "unbilled",
+            "Bill records not yet stored",
+            self.unbilled.clone(),
+        );
+        registry.register(
+            "link_sent_bytes",
+            "Bytes sent over links",
+            self.sent.clone(),
+        );
+        registry.register(
+            "link_control_bytes",
+            "Bytes sent over links for control",
+            self.control.clone(),
+        );
+        registry.register(
+            "link_received_bytes",
+            "Bytes received over links",
+            self.received.clone(),
+        );
+    }
+
+    /// Reads off the bytes that went over links.
+    pub fn set_traffic(&self, traffic: &Traffic) {
+        self.sent.set(traffic.sent.load(Ordering::Relaxed) as i64);
+        self.control
+            .set(traffic.control.load(Ordering::Relaxed) as i64);
+        self.received
+            .set(traffic.received.load(Ordering::Relaxed) as i64);
+    }
+}
+
+impl Metrics {
+    /// Returns the values that are read off.
+    pub fn gauges(&self) -> &Gauges {
+        &self.gauges
+    }
+
+    /// Counts a request that has ended.
+    pub fn ended(&self, done: &Done) {
+        let account = done
+            .account
+            .as_ref()
+            .map_or("none", |a| a.as_str())
+            .to_owned();
+        let class = match done.plain {
+            true => "plain",
+            false => done.class.as_str(),
+        };
+        let class = class.to_owned();
+        let who = Who {
+            account: account.clone(),
+            class: class.clone(),
+        };
+        if let Some(first) = done.first {
+            self.first.get_or_create(&who).observe(first.secs_f64());
+        }
+        if done.failure.is_none() {
+            self.whole
+                .get_or_create(&who)
+                .observe(done.whole.secs_f64());
+        }
+        let outcome = done.failure.map_or("answered", |reason| reason.code());
+        let outcome = Outcome {
+            account,
+            class,
+            outcome: outcome.to_owned(),
+        };
+        self.requests.get_or_create(&outcome).inc();
+    }
+
+    /// Reads off the promises.
+    pub fn set_promises(&self, promises: &Promises) {
+        for promise in Promise::ALL {
+            let label = OfPromise {
+                promise: promise.to_string(),
+            };
+            self.checked
+                .get_or_create(&label)
+                .set(promises.checked(promise) as i64);
+            self.violated
+                .get_or_create(&label)
+                .set(promises.violated(promise) as i64);
+        }
+    }
+
+    /// Writes all metrics.
+    pub fn text(&self) -> String {
+        let mut buf = String::new();
+        // Writing to a string cannot fail.
+        let _ = encode(&mut buf, &self.registry);
+        buf
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/sidecar.rs
@@ -0,0 +1,418 @@
+//! The sidecar's loop and what feeds it.
+
+use crate::clock::{self, Clock};
+use crate::metrics::Metrics;
+use crate::options;
+use crate::spread::{self, News};
+use crate::upstream::{self, Handle};
+use async_channel::{Receiver, Sender};
+use async_std::net::TcpListener;
+use async_std::task;
+use eyre::Result;
+use log::{error, info};
+use sorreldeck::config::Config;
+use sorreldeck::pick::Link;
+use sorreldeck::sidecar::{Input, Output, Settings, Sidecar};
+use sorreldeck::store::Batch;
+use sorreldeck::wire::{Frame, Run};
+use sorreldeck::{Incarnation, Promise, Revision};
+use sorreldeck_net::http::{self, Client};
+use sorreldeck_net::link::{self, Event, Keys, Outbox, Traffic};
+use sorreldeck_net::Platform;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tide::{Request, Response};
+
+const TICK: Duration = Duration::from_millis(20);
+/// How long a stopping sidecar goes on with what runs.
+const STOP_TIMEOUT: Duration = Duration::from_secs(120);
+/// The least time between two calls for missing changes.
+const ASK_AGAIN: Duration = Duration::from_millis(100);
+
+/// What reaches the loop.
+enum Message {
+    Input(Input),
+    LinkUp(Link, Outbox),
+    Link(Event),
+    News(News),
+    Metrics(Sender<String>),
+}
+
+/// A running sidecar.
+#[derive(Clone, Debug)]
+pub struct Running {
+    /// The address for links.
+    pub address: SocketAddr,
+    /// The address for health checks and metrics.
+    pub health: SocketAddr,
+    stop: Arc<AtomicBool>,
+    ended: Receiver<()>,
+}
+
+impl Running {
+    /// Starts a planned stop.
+    pub fn stop(&self) {
+        self.stop.store(true, Ordering::Relaxed);
+    }
+
+    /// Waits until the sidecar has ended.
+    pub async fn ended(&self) {
+        let _ = self.ended.recv().await;
+    }
+}
+
+/// Runs a sidecar until it is told to stop by SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Fails when an address cannot be listened on.
+pub async fn run(settings: options::Sidecar) -> Result<()> {
+    let platform = Platform::connect(settings.platform);
+    let stop = stop_on_signal()?;
+    let running = start(settings, platform, stop).await?;
+    println!("links on {}, health on {}", running.address, running.health);
+    running.ended().await;
+    Ok(())
+}
+
+/// Returns a flag that SIGTERM and SIGINT raise.
+///
+/// # Errors
+///
+/// Fails when the signals cannot be caught.
+pub fn stop_on_signal() -> Result<Arc<AtomicBool>> {
+    let stop = Arc::new(AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        signal_hook::flag::register(signal, stop.clone())?;
+    }
+    Ok(stop)
+}
+
+/// Starts a sidecar in this process.
+///
+/// # Errors
+///
+/// Fails when an address cannot be listened on.
+pub async fn start(
+    settings: options::Sidecar,
+    platform: Platform,
+    stop: Arc<AtomicBool>,
+) -> Result<Running> {
+    let listener = TcpListener::bind(settings.listen).await?;
+    let address = listener.local_addr()?;
+    let health = TcpListener::bind(settings.health).await?;
+    let health_address = health.local_addr()?;
+    let (send, receive) = async_channel::unbounded();
+    let (end, ended) = async_channel::bounded(1);
+    let incarnation = Incarnation(u64::from_le_bytes(clock::random()));
+    info!("sidecar {} starts as {incarnation}", settings.name);
+    let config = Config::default();
+    let room = Room {
+        sidecar: Sidecar::new(Settings {
+            upstream: settings.name.clone(),
+            pool: settings.pool.clone(),
+            hall: settings.hall.clone(),
+            incarnation,
+            slots: settings.slots,
+            reserve: settings.reserve,
+            prefill: settings.prefill,
+            fifo: settings.fifo,
+        }),
+        config,
+        clock: Clock::start(),
+        client: Client::default(),
+        upstream: settings.upstream,
+        platform: platform.clone(),
+        links: HashMap::new(),
+        runs: HashMap::new(),
+        metrics: Metrics::default(),
+        traffic: Arc::default(),
+        asked: Instant::now(),
+        violated: 0,
+        send: send.clone(),
+    };
+    let traffic = room.traffic.clone();
+    task::spawn(take_links(
+        listener,
+        settings.link_keys,
+        send.clone(),
+        traffic,
+    ));
+    task::spawn(poll(platform, send.clone()));
+    task::spawn(http::serve(health, app(send)));
+    let flag = stop.clone();
+    task::spawn(async move {
+        room.work(receive, flag).await;
+        let _ = end.send(()).await;
+    });
+    Ok(Running {
+        address,
+        health: health_address,
+        stop,
+        ended,
+    })
+}
+
+async fn take_links(
+    listener: TcpListener,
+    keys: Keys,
+    send: Sender<Message>,
+    traffic: Arc<Traffic>,
+) {
+    let mut next: Link = 1;
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            task::sleep(TICK).await;
+            continue;
+        };
+        let (keys, send, traffic) = (keys.clone(), send.clone(), traffic.clone());
+        let link = next;
+        next += 1;
+        task::spawn(async move {
+            let open = match link::accept(stream, &keys, clock::random()).await {
+                Ok(open) => open,
+                Err(e) => return info!("a link was refused: {e}"),
+            };
+            let (events, incoming) = async_channel::bounded(64);
+            let outbox = open.run(link, events, traffic);
+            if send.send(Message::LinkUp(link, outbox)).await.is_err() {
+                return;
+            }
+            while let Ok(event) = incoming.recv().await {
+                if send.send(Message::Link(event)).await.is_err() {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+/// Reads the head row at jittered intervals for as long as the loop runs.
+async fn poll(platform: Platform, send: Sender<Message>) {
+    let mut known = Revision(0);
+    loop {
+        if let Ok(Some(news)) = spread::fetch(&platform, known).await {
+            known = match &news {
+                News::Snapshot(snapshot) => snapshot.revision,
+                News::Changes(changes) => changes.last().map_or(known, |c| c.revision),
+            };
+            if send.send(Message::News(news)).await.is_err() {
+                return;
+            }
+        }
+        if send.is_closed() {
+            return;
+        }
+        task::sleep(spread::pause(unit())).await;
+    }
+}
+
+/// Returns a random number in `[0, 1)`.
+pub fn unit() -> f64 {
+    let bits = u64::from_le_bytes(clock::random());
+    (bits >> 11) as f64 / (1u64 << 53) as f64
+}
+
+/// What the loop holds.
+struct Room {
+    sidecar: Sidecar,
+    config: Config,
+    clock: Clock,
+    client: Client,
+    upstream: SocketAddr,
+    platform: Platform,
+    links: HashMap<Link, Outbox>,
+    runs: HashMap<Run, Handle>,
+    metrics: Metrics,
+    traffic: Arc<Traffic>,
+    asked: Instant,
+    violated: u64,
+    send: Sender<Message>,
+}
+
+impl Room {
+    async fn work(mut self, receive: Receiver<Message>, stop: Arc<AtomicBool>) {
+        let mut ticked = Instant::now();
+        let mut stopping: Option<Instant> = None;
+        loop {
+            let wait = TICK.saturating_sub(ticked.elapsed());
+            if let Ok(Ok(message)) = async_std::future::timeout(wait, receive.recv()).await {
+                self.take(message);
+            }
+            // All that waits is dealt with before the next timer is set.
+            for _ in 0..256 {
+                match receive.try_recv() {
+                    Ok(message) => self.take(message),
+                    Err(_) => break,
+                }
+            }
+            if ticked.elapsed() < TICK {
+                continue;
+            }
+            ticked = Instant::now();
+            self.handle(Input::Tick);
+            self.watch_promises();
+            if stop.load(Ordering::Relaxed) && stopping.is_none() {
+                info!("the sidecar leaves");
+                stopping = Some(Instant::now());
+                self.handle(Input::Leave);
+            }
+            if stopping.is_some_and(|since| self.is_done(since)) {
+                break;
+            }
+        }
+        info!("the sidecar has ended");
+        for outbox in self.links.values() {
+            outbox.close();
+        }
+        task::sleep(Duration::from_millis(50)).await;
+    }
+
+    fn is_done(&self, since: Instant) -> bool {
+        self.sidecar.is_idle() || since.elapsed() >= STOP_TIMEOUT
+    }
+
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Input(input) => self.handle(input),
+            Message::LinkUp(link, outbox) => {
+                self.links.insert(link, outbox);
+                self.handle(Input::LinkUp(link));
+            }
+            Message::Link(Event::Frames(link, frames)) => {
+                for frame in frames {
+                    self.frame(link, frame);
+                }
+            }
+            Message::Link(Event::Down(link)) => {
+                self.links.remove(&link);
+                self.handle(Input::LinkDown(link));
+            }
+            Message::News(news) => self.adopt(news),
+            Message::Metrics(reply) => {
+                let _ = reply.try_send(self.metrics_text());
+            }
+        }
+    }
+
+    fn frame(&mut self, link: Link, frame: Frame) {
+        match frame {
+            Frame::Changes(changes) => self.adopt(News::Changes(changes)),
+            Frame::Snapshot { revision, entries } => {
+                self.adopt(News::Snapshot(spread::Snapshot { revision, entries }));
+            }
+            frame => self.handle(Input::Frame(link, frame)),
+        }
+    }
+
+    fn adopt(&mut self, news: News) {
+        if let Some(tree) = spread::adopt(&mut self.config, news) {
+            info!("revision {} is in force", tree.revision());
+            self.handle(Input::Tree(tree));
+        }
+    }
+
+    fn handle(&mut self, input: Input) {
+        let now = self.clock.now();
+        for output in self.sidecar.handle(now, input) {
+            self.execute(output);
+        }
+    }
+
+    fn execute(&mut self, output: Output) {
+        match output {
+            Output::Send(link, frame) => self.post(link, frame),
+            Output::Open(start) => {
+                let send = self.send.clone();
+                let run = start.run;
+                let tell = move |run, event| {
+                    // The loop outlives every run, unless the process ends.
+                    let _ = send.try_send(Message::Input(Input::Upstream(run, event)));
+                };
+                let handle = upstream::open(&self.client, self.upstream, *start, tell);
+                self.runs.insert(run, handle);
+            }
+            Output::Abort(run) => {
+                if let Some(handle) = self.runs.get(&run) {
+                    handle.abort();
+                }
+            }
+            Output::Closed(run) => drop(self.runs.remove(&run)),
+            Output::Write(batch) => self.write(batch),
+            Output::Behind(link) => {
+                if self.asked.elapsed() >= ASK_AGAIN {
+                    self.asked = Instant::now();
+                    self.post(link, Frame::Missing(self.config.revision()));
+                }
+            }
+            Output::Ahead(link, revision) => {
+                let frame = spread::answer(&self.config, revision);
+                self.post(link, frame);
+            }
+        }
+    }
+
+    fn post(&self, link: Link, frame: Frame) {
+        if let Some(outbox) = self.links.get(&link) {
+            outbox.send(frame);
+        }
+    }
+
+    fn write(&self, batch: Batch) {
+        let (platform, send) = (self.platform.clone(), self.send.clone());
+        task::spawn(async move {
+            let input = match write_batch(&platform, &batch).await {
+                true => Input::Written(batch.number),
+                false => Input::NotWritten(batch.number),
+            };
+            let _ = send.send(Message::Input(input)).await;
+        });
+    }
+
+    fn watch_promises(&mut self) {
+        let promises = self.sidecar.promises();
+        let violated: u64 = Promise::ALL.iter().map(|p| promises.violated(*p)).sum();
+        if violated > self.violated {
+            self.violated = violated;
+            error!("a promise would have been broken; {violated} actions were refused");
+        }
+    }
+
+    fn metrics_text(&self) -> String {
+        let gauges = self.metrics.gauges();
+        gauges.revision.set(self.config.revision().0 as i64);
+        gauges.links.set(self.links.len() as i64);
+        gauges.in_flight.set(i64::from(self.sidecar.load().running));
+        gauges.unbilled.set(self.sidecar.unbilled() as i64);
+        gauges.set_traffic(&self.traffic);
+        self.metrics.set_promises(self.sidecar.promises());
+        self.metrics.text()
+    }
+}
+
+/// Writes a batch of bill records; returns whether it is known to be stored.
+pub async fn write_batch(platform: &Platform, batch: &Batch) -> bool {
+    let Ok(data) = serde_json::to_vec(&batch.records) else {
+        return false;
+    };
+    platform.put_object(&batch.name(), data).await.is_ok()
+}
+
+fn app(send: Sender<Message>) -> tide::Server<Sender<Message>> {
+    let mut app = tide::with_state(send);
+    app.at("/health").get(|_| async { Ok("ok\n") });
+    app.at("/metrics").get(metrics);
+    app
+}
+
+async fn metrics(request: Request<Sender<Message>>) -> tide::Result {
+    let (reply, text) = async_channel::bounded(1);
+    let sent = request.state().send(Message::Metrics(reply)).await;
+    match (sent, text.recv().await) {
+        (Ok(()), Ok(text)) => Ok(Response::from(text)),
+        _ => Ok(Response::new(503)),
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,1 +1,9 @@
+//! HTTP, the links between processes, and the contract with the platform.
+//!
+//! Everything here moves bytes; the decisions are in the `sorreldeck` library.
 
+pub mod http;
+pub mod link;
+pub mod platform;
+
+pub use platform::Platform;
