--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod links;
 pub mod metrics;
 pub mod options;
+pub mod program;
 pub mod sidecar;
 pub mod spread;
 pub mod standalone;
