Measure limits, roll-outs, cascades and overload with real daemons

The rating service is asked first about what is on trial; the bets of the sequential test lean towards the stake that gains most at the rating that must be caught; a burst of one second and 5% headroom for limits; the cascade aims 0.85 points above its target.

Ruled out for limits: rounding of shares; arrivals that bunch overran a quarter-second burst.

--- a/crates/bench/src/call.rs
+++ b/crates/bench/src/call.rs
@@ -49,6 +49,8 @@
     pub upstream: String,
     /// The identity of the request.
     pub request: String,
+    /// The id that the engine gave the answer.
+    pub id: String,
     /// The session token of the answer.
     pub session: Option<String>,
     /// Whether the answer ended as it should.
@@ -56,6 +58,14 @@
 }
 
 impl Outcome {
+    /// Returns the steps of a cascade that were asked, by the id of the answer,
+    /// which ends with step and try.
+    pub fn request_steps(&self) -> u32 {
+        let mut parts = self.id.rsplit('-');
+        let step = parts.nth(1).and_then(|s| s.parse::<u32>().ok());
+        step.unwrap_or(0) + 1
+    }
+
     /// Returns whether there was a whole answer.
     pub fn is_answered(&self) -> bool {
         self.status == 200 && self.complete
@@ -178,5 +188,6 @@
     let answer: Value = serde_json::from_str(raw).unwrap_or_default();
     let content = answer["choices"][0]["message"]["content"].as_str();
     outcome.text = content.unwrap_or_default().to_owned();
+    outcome.id = answer["id"].as_str().unwrap_or_default().to_owned();
     outcome.tokens = answer["usage"]["completion_tokens"].as_u64().unwrap_or(0);
 }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,9 +4,14 @@
 #![allow(dead_code)]
 
 mod call;
+mod cascade;
 mod fleet;
+mod limits;
+mod load;
+mod overload;
 mod path;
 mod plan;
+mod rollout;
 mod stand;
 mod stats;
 
@@ -23,6 +28,18 @@
     /// Measure what the path through sorreldeck adds, and check every answer
     #[bpaf(command)]
     Path(#[bpaf(external(path::options))] path::Options),
+    /// Load the engines beyond their capacity
+    #[bpaf(command)]
+    Overload(#[bpaf(external(overload::options))] overload::Options),
+    /// Hold a client account to its rate over several entries
+    #[bpaf(command)]
+    Limits(#[bpaf(external(limits::options))] limits::Options),
+    /// Roll out a version that is bad
+    #[bpaf(command)]
+    Rollout(#[bpaf(external(rollout::options))] rollout::Options),
+    /// Ask a cheap version first
+    #[bpaf(command)]
+    Cascade(#[bpaf(external(cascade::options))] cascade::Options),
     /// Run stand-ins until killed (used by the experiments)
     #[bpaf(command("stand-ins"))]
     StandIns(#[bpaf(external(stand::options))] stand::Options),
@@ -39,6 +56,10 @@
     let options = options().run();
     let passed = match options {
         Options::Path(options) => run(path::run(options))?,
+        Options::Overload(options) => run(overload::run(options))?,
+        Options::Limits(options) => run(limits::run(options))?,
+        Options::Rollout(options) => run(rollout::run(options))?,
+        Options::Cascade(options) => run(cascade::run(options))?,
         Options::StandIns(options) => run(stand::run(options))?,
         Options::Daemon(options) => {
             sorreldeckd::program::run(options)?;
--- a/crates/bench/src/stats.rs
+++ b/crates/bench/src/stats.rs
@@ -17,7 +17,8 @@
 impl Times {
     /// Adds a time.
     pub fn add(&mut self, time: Duration) {
-        self.0.saturating_record(time.as_micros() as u64);
+        // Recording grows the histogram; only a time of centuries would not fit.
+        let _ = self.0.record(time.as_micros() as u64);
     }
 
     /// Returns a percentile in milliseconds, or 0 without times.
--- a/crates/core/src/cascade.rs
+++ b/crates/core/src/cascade.rs
@@ -29,6 +29,10 @@
 const PRIOR_WEIGHT: f64 = 2.0;
 /// How many standard errors the estimate must clear the target by.
 const CAUTION: f64 = 1.0;
+/// How far above the target the policy aims. A mean that only just reaches the
+/// target would lie below it for half of the callers; this is 1.645 standard
+/// errors of the mean rating of some 6,000 answers.
+const MARGIN: f64 = 0.0085;
 /// How fast the correction follows the ratings of answers given.
 const CORRECTION_GAIN: f64 = 0.004;
 /// The largest correction.
@@ -135,7 +139,7 @@
 
     /// Counts the rating of an answer that a caller got.
     pub fn rate_given(&mut self, rating: f64) {
-        let step = CORRECTION_GAIN * (self.target - rating);
+        let step = CORRECTION_GAIN * (self.target + MARGIN - rating);
         self.correction = (self.correction + step).clamp(-CORRECTION_MAX, CORRECTION_MAX);
     }
 
@@ -148,7 +152,7 @@
             return;
         }
         let dear = self.dear.sum / self.dear.ratings;
-        let goal = (self.target + self.correction).min(dear);
+        let goal = (self.target + MARGIN + self.correction).min(dear);
         let means = self.smooth_means();
         let mut quality = dear;
         let mut variance = 0.0;
--- a/crates/core/src/entry/answer.rs
+++ b/crates/core/src/entry/answer.rs
@@ -19,7 +19,11 @@
                 run,
                 status,
                 headers,
-            } => self.head(now, run, status, headers, out),
+                load,
+            } => {
+                self.peers.report(link, load, now);
+                self.head(now, run, status, headers, out);
+            }
             Frame::Data { run, seq, data } => self.data(now, run, seq, data, out),
             Frame::End {
                 run,
@@ -47,7 +51,9 @@
             Frame::Revision(revision) => self.compare(link, revision, out),
             Frame::Missing(revision) => out.push(Output::Ahead(link, revision)),
             Frame::Billed(runs) => self.held.billed(&runs),
-            Frame::Grant { account, share } => self.limits.granted(&account, share, now),
+            Frame::Grant { account, share } if !self.settings.even_limits => {
+                self.limits.granted(&account, share, now);
+            }
             Frame::Pooled {
                 version,
                 evidence,
@@ -62,6 +68,7 @@
             | Frame::Changes(_)
             | Frame::Snapshot { .. }
             | Frame::Demand { .. }
+            | Frame::Grant { .. }
             | Frame::Evidence { .. } => {}
         }
     }
--- a/crates/core/src/entry/learn.rs
+++ b/crates/core/src/entry/learn.rs
@@ -28,7 +28,12 @@
         let Some(version) = flight.version() else {
             return;
         };
-        if flight.status >= 300 || self.rng.random::<f64>() >= self.settings.sample.fraction() {
+        // The rating service's time goes first to what is on trial.
+        let share = match self.settings.judge {
+            Judge::Sequential if watch::is_on_trial(&self.tree, version) => 1.0,
+            _ => self.settings.sample.fraction(),
+        };
+        if flight.status >= 300 || self.rng.random::<f64>() >= share {
             return;
         }
         let cascade = match (&flight.goal, flight.is_judged()) {
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -21,7 +21,7 @@
 
 pub use ask::{Ask, Chat, Part, What};
 pub use decision::{Decision, History, Try};
-pub use watch::{bar, rollout_of, Pool, Watch};
+pub use watch::{bar, rollout_of, Judge, Pool, Watch};
 
 use crate::bill::Record;
 use crate::cascade;
@@ -64,8 +64,10 @@
     pub policy: Policy,
     /// The share of answers that are sent to the rating service.
     pub sample: Share,
-    /// Whether a version found bad is held back ahead of the record.
-    pub hold: bool,
+    /// How a new version is judged.
+    pub judge: Judge,
+    /// Whether a limit is divided evenly, whatever the demand: a baseline.
+    pub even_limits: bool,
 }
 
 impl Settings {
@@ -78,7 +80,8 @@
             seed,
             policy: Policy::FirstToken,
             sample: Share::ALL,
-            hold: true,
+            judge: Judge::Sequential,
+            even_limits: false,
         }
     }
 }
@@ -208,6 +211,7 @@
 impl Entry {
     /// Creates an entry without a configuration.
     pub fn new(settings: Settings) -> Entry {
+        let watch = Watch::new(settings.judge);
         Entry {
             rng: ChaCha8Rng::seed_from_u64(settings.seed),
             held: Held::new(settings.incarnation),
@@ -218,7 +222,7 @@
             running: BTreeMap::new(),
             limits: Limits::default(),
             budget: Budget::default(),
-            watch: Watch::default(),
+            watch,
             cascades: HashMap::new(),
             history: History::default(),
             promises: Promises::default(),
@@ -525,7 +529,7 @@
             Goal::Model(model) => {
                 let draw = self.rng.random::<f64>();
                 let (tree, watch) = (&self.tree, &self.watch);
-                let hold = self.settings.hold;
+                let hold = self.settings.judge == Judge::Sequential;
                 let running = &self.running;
                 let suspect = |v: &VersionId| hold && watch.suspects(v);
                 let session = flight.session.as_ref();
@@ -562,7 +566,7 @@
         let usable = |v: &VersionId| {
             flight.site.node.allows_version(v)
                 && route::takes_work(&tree, v)
-                && !(self.settings.hold && self.watch.suspects(v))
+                && !self.watch.suspects(v)
         };
         let steps = tree.cascade(name.as_str()).map_or(&[][..], |c| &c.steps);
         if let Some(session) = &flight.session {
@@ -614,6 +618,7 @@
         let wish = Wish {
             pool: &flight.pool,
             tokens: flight.prompt_tokens(),
+            urgent: flight.site.class == Class::Priority,
             prefix: flight.prefix(),
             last: flight.session.as_ref().and_then(|s| s.upstream.as_ref()),
             tried: &flight.tried,
@@ -755,6 +760,7 @@
         let wish = Wish {
             pool: &flight.pool,
             tokens: flight.prompt_tokens(),
+            urgent: flight.site.class == Class::Priority,
             prefix: flight.prefix(),
             last: None,
             tried: &[],
--- a/crates/core/src/entry/watch.rs
+++ b/crates/core/src/entry/watch.rs
@@ -19,9 +19,38 @@
 
 /// The unrated answers that a new version may have outstanding over all entries
 /// before it has proved anything.
-const ALLOWANCE: f64 = 16.0;
-/// What each rating adds to the allowance.
-const ALLOWANCE_PER_RATING: f64 = 0.5;
+const ALLOWANCE: f64 = 6.0;
+/// What each good rating adds to the allowance, and each bad one takes from it.
+const PER_GOOD: f64 = 0.5;
+const PER_BAD: f64 = 1.5;
+/// The part of the chance of a false alarm that the home has; the entries, which
+/// decide alone while no home answers, share the rest.
+const HOME_PART: f64 = 0.8;
+
+/// How a new version is judged.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Judge {
+    /// By a sequential test, with unrated answers kept few.
+    #[default]
+    Sequential,
+    /// By the mean of a fixed window at the end of each stage: a baseline.
+    Window,
+}
+
+impl std::str::FromStr for Judge {
+    type Err = crate::Error;
+
+    fn from_str(s: &str) -> crate::Result<Self> {
+        match s {
+            "sequential" => Ok(Judge::Sequential),
+            "window" => Ok(Judge::Window),
+            _ => Err(crate::Error::new(
+                crate::Category::Invalid,
+                format!("{s:?} is no judge: sequential and window are"),
+            )),
+        }
+    }
+}
 
 /// What is known of one version.
 #[derive(Clone, Debug, Default)]
@@ -33,12 +62,23 @@
     sent: u64,
 }
 
+impl Known {
+    /// Returns the evidence that rests on more ratings.
+    fn best(&self) -> &Evidence {
+        match self.pooled.ratings >= self.own.ratings {
+            true => &self.pooled,
+            false => &self.own,
+        }
+    }
+}
+
 /// What an entry knows about how good versions are.
 #[derive(Clone, Debug, Default)]
 pub struct Watch {
     versions: BTreeMap<VersionId, Known>,
     stages: BTreeMap<RolloutId, Stage>,
     entries: usize,
+    judge: Judge,
 }
 
 /// The evidence at the beginning of a stage.
@@ -66,7 +106,21 @@
         .find(|(_, r)| r.to == *version && matches!(r.intent, Intent::Running | Intent::Paused))
 }
 
+/// Returns whether a roll-out of the version is still gathering evidence.
+pub(super) fn is_on_trial(tree: &Tree, version: &VersionId) -> bool {
+    rollout_of(tree, version)
+        .is_some_and(|(name, _)| tree.record(name).is_none_or(|p| p.phase == Phase::Watching))
+}
+
 impl Watch {
+    /// Creates a watch that has seen nothing.
+    pub fn new(judge: Judge) -> Watch {
+        Watch {
+            judge,
+            ..Watch::default()
+        }
+    }
+
     /// Sets the number of entries over which the allowance is divided.
     pub fn set_entries(&mut self, entries: usize) {
         self.entries = entries.max(1);
@@ -74,27 +128,25 @@
 
     /// Returns whether the version gets no new work from this entry.
     pub fn suspects(&self, version: &VersionId) -> bool {
-        self.versions
-            .get(version)
-            .is_some_and(|known| known.told_bad || known.detector.is_bad())
+        let known = self.versions.get(version);
+        self.judge == Judge::Sequential
+            && known.is_some_and(|known| known.told_bad || known.detector.is_bad())
     }
 
     /// Returns whether a version on trial may get another new session.
     ///
     /// `in_flight` is the number of requests of this entry that run on it.
     pub fn allows_more(&self, tree: &Tree, version: &VersionId, in_flight: u64) -> bool {
-        let Some((name, _)) = rollout_of(tree, version) else {
-            return true;
-        };
-        if tree.record(name).is_some_and(|p| p.phase == Phase::Done) {
+        if !is_on_trial(tree, version) {
             return true;
         }
         let entries = self.entries.max(1) as f64;
         let Some(known) = self.versions.get(version) else {
             return (in_flight as f64) < (ALLOWANCE / entries).max(1.0);
         };
-        let ratings = known.pooled.ratings.max(known.own.ratings) as f64;
-        let allowance = (ALLOWANCE + ALLOWANCE_PER_RATING * ratings) / entries;
+        let all = known.best();
+        let bad = all.ratings as f64 - all.sum;
+        let allowance = (ALLOWANCE + PER_GOOD * all.sum - PER_BAD * bad) / entries;
         (known.own.unrated() + in_flight) as f64 <= allowance.max(1.0)
     }
 
@@ -122,9 +174,7 @@
         let entries = self.entries.max(1);
         let known = self.versions.entry(version.clone()).or_default();
         count(&mut known.own, &bar);
-        // The home decides with half of the chance of a false alarm; the
-        // entries, which decide alone while no home answers, share the other.
-        bar.false_alarm /= 2.0 * entries as f64;
+        bar.false_alarm *= (1.0 - HOME_PART) / entries as f64;
         known.detector.update(&known.own, &bar);
         !before && self.suspects(version)
     }
@@ -173,10 +223,7 @@
     pub fn propose(&mut self, tree: &Tree, name: &RolloutId, fence: u64) -> Option<Progress> {
         let rollout = tree.rollout(name)?;
         let known = self.versions.get(&rollout.to).cloned().unwrap_or_default();
-        let evidence = match known.pooled.ratings >= known.own.ratings {
-            true => &known.pooled,
-            false => &known.own,
-        };
+        let evidence = known.best();
         let record = tree.record(name);
         let stage = record.map_or(0, |p| p.stage);
         let phase = record.map_or(Phase::Watching, |p| p.phase);
@@ -210,7 +257,13 @@
         let mean = (evidence.sum - base.sum) / ratings.max(1) as f64;
         // Not clearly bad is not enough to go on: the stage must look good.
         let good = mean >= (rollout.floor.fraction() + rollout.bad.fraction()) / 2.0;
-        if ratings < u64::from(rollout.evidence) || !good {
+        if ratings < u64::from(rollout.evidence) {
+            return None;
+        }
+        if !good && self.judge == Judge::Window {
+            return progress(stage, Phase::Held);
+        }
+        if !good {
             return None;
         }
         match stage + 1 < rollout.stages.len() {
@@ -245,7 +298,7 @@
             return (evidence, false);
         };
         let mut bar = bar(rollout);
-        bar.false_alarm /= 2.0;
+        bar.false_alarm *= HOME_PART;
         let pooled = self.versions.entry(version.clone()).or_default();
         pooled.by_entry.insert(entry, evidence);
         let mut sum = Evidence::default();
--- a/crates/core/src/evidence.rs
+++ b/crates/core/src/evidence.rs
@@ -27,14 +27,22 @@
 use serde::{Deserialize, Serialize};
 
 /// The number of stakes played side by side.
-const STAKES: usize = 6;
-/// The stakes, as parts of the largest that can lose all.
-const STAKE_PARTS: [f64; STAKES] = [0.02, 0.06, 0.15, 0.3, 0.5, 0.75];
+const STAKES: usize = 4;
+/// The stakes, as multiples of the one that gains most on a version that is
+/// just as bad as must be caught, and the part of the capital put on each.
+const STAKE_OF_BEST: [f64; STAKES] = [0.2, 0.5, 1.0, 1.4];
+const CAPITAL_OF: [f64; STAKES] = [0.1, 0.2, 0.45, 0.25];
+/// The largest stake, as a part of the one that can lose all.
+const LARGEST: f64 = 0.9;
+/// How many times the allowed share of failures must be caught.
+const FAILING: f64 = 4.0;
 /// The observations over which the restarted bets keep to the false-alarm rate.
 const HORIZON: f64 = 2000.0;
-/// How the chance of a false alarm is divided: over the ratings and failures,
-/// and over the bets from the start and those restarted.
-const PARTS: f64 = 4.0;
+/// How the chance of a false alarm is divided: over bets on ratings and on
+/// failures, each from the start and restarted.
+const QUALITY_PART: f64 = 0.6;
+const FAILING_PART: f64 = 0.2;
+const RESTARTED_PART: f64 = 0.1;
 
 /// What tells a good version from a bad one.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -70,7 +78,8 @@
         self.answers += 1;
         self.failures += u64::from(failed);
         let x = if failed { 1.0 } else { 0.0 };
-        bet(&mut self.failing, x - bar.max_error, bar.max_error);
+        let best = best_stake(1.0 - bar.max_error, 1.0 - FAILING * bar.max_error);
+        bet(&mut self.failing, x - bar.max_error, bar.max_error, best);
     }
 
     /// Counts a rating between 0 and 1.
@@ -78,7 +87,8 @@
         let rating = rating.clamp(0.0, 1.0);
         self.ratings += 1;
         self.sum += rating;
-        bet(&mut self.quality, bar.floor - rating, 1.0 - bar.floor);
+        let best = best_stake(bar.floor, bar.bad);
+        bet(&mut self.quality, bar.floor - rating, 1.0 - bar.floor, best);
     }
 
     /// Adds what another process found.
@@ -104,20 +114,28 @@
     }
 }
 
+/// Returns the stake that gains most when ratings of 0 and 1 have a mean of
+/// `bad` though `floor` was claimed, known as the Kelly stake.
+fn best_stake(floor: f64, bad: f64) -> f64 {
+    (floor - bad.max(0.0)) / (floor * (1.0 - floor)).max(1e-3)
+}
+
 /// Adds the log of each stake's gain; `worst` is the largest possible loss of a
 /// unit stake.
-fn bet(logs: &mut [f64; STAKES], gain: f64, worst: f64) {
-    let largest = 1.0 / worst.max(1e-3);
-    for (log, part) in logs.iter_mut().zip(STAKE_PARTS) {
-        *log += (part * largest * gain).ln_1p();
+fn bet(logs: &mut [f64; STAKES], gain: f64, worst: f64, best: f64) {
+    let largest = LARGEST / worst.max(1e-3);
+    for (log, part) in logs.iter_mut().zip(STAKE_OF_BEST) {
+        let stake = (part * best).min(largest);
+        *log += (stake * gain).ln_1p();
     }
 }
 
-/// Returns the log of the mean capital over the stakes.
+/// Returns the log of the capital over all stakes.
 fn capital(logs: &[f64; STAKES]) -> f64 {
     let top = logs.iter().copied().fold(f64::MIN, f64::max);
-    let sum: f64 = logs.iter().map(|log| (log - top).exp()).sum();
-    top + (sum / STAKES as f64).ln()
+    let parts = logs.iter().zip(CAPITAL_OF);
+    let sum: f64 = parts.map(|(log, part)| part * (log - top).exp()).sum();
+    top + sum.ln()
 }
 
 /// Decides from growing evidence whether a version is bad.
@@ -140,11 +158,12 @@
         restart(&mut self.quality, &evidence.quality, &self.seen.quality);
         restart(&mut self.failing, &evidence.failing, &self.seen.failing);
         self.seen = evidence.clone();
-        let first = (PARTS / bar.false_alarm).ln();
-        let later = (PARTS * HORIZON / bar.false_alarm).ln();
-        let from_start = capital(&evidence.quality).max(capital(&evidence.failing));
-        let restarted = capital(&self.quality).max(capital(&self.failing));
-        self.bad |= from_start >= first || restarted >= later;
+        let level = |part: f64| (1.0 / (part * bar.false_alarm)).ln();
+        let later = level(RESTARTED_PART) + HORIZON.ln();
+        self.bad |= capital(&evidence.quality) >= level(QUALITY_PART)
+            || capital(&evidence.failing) >= level(FAILING_PART)
+            || capital(&self.quality) >= later
+            || capital(&self.failing) >= later;
         self.bad
     }
 
--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -24,7 +24,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 /// How much of a second's rate can be saved up.
-const BURST: f64 = 0.25;
+const BURST: f64 = 1.0;
 /// How often an entry reports its demand.
 pub const REPORT_EVERY: Span = Span::from_millis(500);
 /// How long a share holds that is not renewed.
@@ -32,8 +32,11 @@
 /// The part of a limit that is spread evenly, so that an entry whose traffic
 /// begins does not have to wait for its first share.
 const EVEN_PART: f64 = 0.06;
+/// How much more than its mean demand an entry is given where there is enough,
+/// since arrivals bunch.
+const HEADROOM: f64 = 1.05;
 /// The weight of the newest report in the running mean of the demand.
-const DEMAND_GAIN: f64 = 0.5;
+const DEMAND_GAIN: f64 = 0.25;
 
 /// A token bucket that may be overdrawn by charges known only afterwards.
 #[derive(Clone, Debug)]
@@ -379,7 +382,7 @@
     let mut own = even;
     for (i, (l, demand)) in open.iter().enumerate() {
         let fair = left / (open.len() - i) as f64;
-        let given = (demand - even).clamp(0.0, fair);
+        let given = (demand * HEADROOM - even).clamp(0.0, fair);
         left -= given;
         if *l == link {
             own += given;
--- a/crates/core/src/pick.rs
+++ b/crates/core/src/pick.rs
@@ -12,7 +12,7 @@
 //! let mut peers = Peers::default();
 //! let pool = "assistant".parse()?;
 //! peers.join(1, "u1".parse()?, &pool, Load { slots: 4, ..Load::default() });
-//! let wish = Wish { pool: &pool, tokens: 100, prefix: None, last: None, tried: &[] };
+//! let wish = Wish { pool: &pool, tokens: 100, urgent: false, prefix: None, last: None, tried: &[] };
 //! assert_eq!(peers.pick(&wish, Policy::FirstToken, Time(0), 0.5), Some(1));
 //! # Ok::<(), sorreldeck::Error>(())
 //! ```
@@ -74,6 +74,8 @@
     pub pool: &'a PoolId,
     /// The prompt tokens.
     pub tokens: u32,
+    /// Whether the request may take a place kept for the priority class.
+    pub urgent: bool,
     /// The first part of the prompt, if it is long enough to cache.
     pub prefix: Option<Prefix>,
     /// The upstream that answered the session last.
@@ -259,15 +261,18 @@
         };
         let fresh = u64::from(wish.tokens - cached) + u64::from(self.tokens_since);
         let work = fresh * 1_000_000 / u64::from(prefill);
-        self.queue(now) + work
+        self.queue(wish.urgent, now) + work
     }
 
     /// Returns the expected wait for a slot, in microseconds.
-    fn queue(&self, now: Time) -> u64 {
-        let reported = (self.load.wait.micros() as f64 * self.freshness(now)) as u64;
+    fn queue(&self, urgent: bool, now: Time) -> u64 {
+        let kept = if urgent { 0 } else { self.load.reserve };
+        // An urgent request passes by those that wait.
+        let waiting = if urgent { 0 } else { self.load.wait.micros() };
+        let reported = (waiting as f64 * self.freshness(now)) as u64;
         // The share of slots in use breaks ties between idle upstreams and
         // steers away from one that is about to fill up.
-        let slots = u64::from(self.load.slots.max(1));
+        let slots = u64::from(self.load.slots.saturating_sub(kept).max(1));
         let busy = u64::from(self.load.running.max(self.in_flight) + self.since_report);
         let over = (busy + 1).saturating_sub(slots);
         reported + busy * 1000 / slots + over * UNKNOWN_SERVICE.micros() / slots
--- a/crates/core/src/sidecar.rs
+++ b/crates/core/src/sidecar.rs
@@ -177,7 +177,6 @@
     since: Time,
     tokens: u32,
     parts: u32,
-    headed: bool,
     aborted: bool,
 }
 
@@ -252,6 +251,7 @@
         Load {
             running: self.ledger.running(),
             slots: self.ledger.slots(),
+            reserve: self.settings.reserve,
             queued: self.queue.len() as u32,
             wait: self.wait_for(self.queue.cost()),
             prefill: self.settings.prefill,
@@ -478,7 +478,6 @@
             since: now,
             tokens: start.tokens,
             parts: 0,
-            headed: false,
             aborted: false,
         };
         self.runs.insert(run, running);
@@ -532,15 +531,16 @@
     }
 
     fn head(&mut self, run: Run, status: u16, headers: Vec<Header>, out: &mut Outputs) {
-        let Some(running) = self.runs.get_mut(&run) else {
+        let Some(running) = self.runs.get(&run) else {
             return;
         };
-        running.headed = true;
         if let Some(link) = running.link {
+            let load = self.load();
             let frame = Frame::Head {
                 run,
                 status,
                 headers,
+                load,
             };
             out.push(Output::Send(link, frame));
         }
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -82,6 +82,8 @@
     pub running: u32,
     /// The most requests that may run at a time.
     pub slots: u32,
+    /// The places kept for the priority class.
+    pub reserve: u32,
     /// The requests waiting.
     pub queued: u32,
     /// The expected wait of a standard request that comes now.
@@ -208,6 +210,8 @@
         status: u16,
         /// The headers that are passed on.
         headers: Vec<Header>,
+        /// What runs there now.
+        load: Load,
     },
     /// A part of the answer.
     Data {
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -182,7 +182,8 @@
     );
     decisions.policy = settings.policy;
     decisions.sample = settings.sample;
-    decisions.hold = settings.hold;
+    decisions.judge = settings.judge;
+    decisions.even_limits = settings.even_limits;
     let room = Room {
         entry: Entry::new(decisions),
         config: Config::default(),
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -1,6 +1,7 @@
 //! The settings of a process: flags, each with an environment variable.
 
 use bpaf::Bpaf;
+use sorreldeck::entry::Judge;
 use sorreldeck::pick::Policy;
 use sorreldeck::session::Keyring;
 use sorreldeck::{Hall, InstanceId, PoolId, Share, Span, UpstreamId};
@@ -74,9 +75,12 @@
         display_fallback
     )]
     pub sample: Share,
-    /// Leave a version that turns bad to the operators (a baseline)
-    #[bpaf(long("no-hold"), switch, map(|off| !off))]
-    pub hold: bool,
+    /// How a new version is judged: sequential, or a baseline: window
+    #[bpaf(long, env("SORRELDECK_JUDGE"), argument("JUDGE"), fallback(Judge::Sequential))]
+    pub judge: Judge,
+    /// Divide limits evenly over the entries, whatever the demand (a baseline)
+    #[bpaf(long, switch)]
+    pub even_limits: bool,
     /// How long requests are still taken after SIGTERM, while the balancer notices
     #[bpaf(
         long,
--- a/crates/daemon/src/standalone.rs
+++ b/crates/daemon/src/standalone.rs
@@ -179,7 +179,8 @@
         sidecars: Vec::new(),
         policy: sorreldeck::pick::Policy::FirstToken,
         sample: sorreldeck::Share::ALL,
-        hold: true,
+        judge: sorreldeck::entry::Judge::Sequential,
+        even_limits: false,
         grace: sorreldeck::Span::from_millis(500),
         log: LogFormat::Text,
     })
--- a/crates/emulator/src/quality.rs
+++ b/crates/emulator/src/quality.rs
@@ -29,6 +29,19 @@
     Graded(f64),
 }
 
+impl Skill {
+    /// Returns the chance that an answer to a prompt is good.
+    fn chance(self, seed: u64) -> f64 {
+        match self {
+            Skill::Flat(chance) => chance,
+            Skill::Graded(skill) => {
+                let difficulty = text::unit("difficulty", seed);
+                1.0 / (1.0 + (-(skill - difficulty) * STEEPNESS).exp())
+            }
+        }
+    }
+}
+
 impl FromStr for Skill {
     type Err = String;
 
@@ -44,28 +57,37 @@
 
 /// The skills of all versions; copies share them.
 #[derive(Clone, Debug, Default)]
-pub struct Quality(Arc<Mutex<HashMap<String, Skill>>>);
+pub struct Quality(Arc<Mutex<HashMap<String, Known>>>);
+
+/// A version's skill, and the one by which it judges its own answers: a version
+/// that turns bad does not know it.
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    real: Skill,
+    believed: Skill,
+}
+
+const USUAL: Skill = Skill::Flat(0.95);
 
 impl Quality {
-    fn skills(&self) -> MutexGuard<'_, HashMap<String, Skill>> {
+    fn skills(&self) -> MutexGuard<'_, HashMap<String, Known>> {
         self.0.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    /// Sets how good a version is from now on.
+    /// Sets how good a version is from now on. The first skill set is the one
+    /// by which the version judges its own answers for good.
     pub fn set(&self, version: &str, skill: Skill) {
-        self.skills().insert(version.to_owned(), skill);
+        let first = Known {
+            real: skill,
+            believed: skill,
+        };
+        self.skills().entry(version.to_owned()).or_insert(first).real = skill;
     }
 
     /// Returns the chance that a version's answer to a prompt is good.
     pub fn chance(&self, version: &str, seed: u64) -> f64 {
-        let skill = self.skills().get(version).copied();
-        match skill.unwrap_or(Skill::Flat(0.95)) {
-            Skill::Flat(chance) => chance,
-            Skill::Graded(skill) => {
-                let difficulty = text::unit("difficulty", seed);
-                1.0 / (1.0 + (-(skill - difficulty) * STEEPNESS).exp())
-            }
-        }
+        let known = self.skills().get(version).copied();
+        known.map_or(USUAL, |k| k.real).chance(seed)
     }
 
     /// Returns the rating of a version's answer to a prompt: 1 or 0.
@@ -77,7 +99,9 @@
     /// Returns how sure a version is of its answer to a prompt.
     pub fn confidence(&self, version: &str, seed: u64) -> f64 {
         let noise = text::unit("confidence", seed) + text::unit("confidence too", seed) - 1.0;
-        let sure = self.chance(version, seed) + 2.0 * CONFIDENCE_NOISE * noise;
+        let known = self.skills().get(version).copied();
+        let chance = known.map_or(USUAL, |k| k.believed).chance(seed);
+        let sure = chance + 2.0 * CONFIDENCE_NOISE * noise;
         sure.clamp(0.01, 0.99)
     }
 }
