--- a/crates/bench/src/cascade.rs
+++ b/crates/bench/src/cascade.rs
@@ -102,7 +102,9 @@
     let outcomes = load::run(&target, &arrivals).or(shift).await;
     let bill = bill(&fleet, cheap).await?;
     let cases = cases(&options, &arrivals, &outcomes);
-    let (before, after): (Vec<_>, Vec<_>) = cases.into_iter().partition(|(at, _)| at.as_secs_f64() < half);
+    let (before, after): (Vec<_>, Vec<_>) = cases
+        .into_iter()
+        .partition(|(at, _)| at.as_secs_f64() < half);
     let summary = summarise(&options, &outcomes, &before, &after, bill);
     print_last(&summary);
     Ok(summary.wrong == 0)
@@ -113,7 +115,11 @@
     plan.stand.base = 1000;
     plan.stand.each = 20;
     let percent = round(options.target * 100.0);
-    plan.tree = crate::plan::replace(&plan.tree, "target = \"80%\"", &format!("target = \"{percent}%\""))?;
+    plan.tree = crate::plan::replace(
+        &plan.tree,
+        "target = \"80%\"",
+        &format!("target = \"{percent}%\""),
+    )?;
     let dear_in = format!("price_in = {}", 50 * options.price_ratio);
     let dear_out = format!("price_out = {}", 150 * options.price_ratio);
     plan.tree = plan.tree.replace("price_in = 500", &dear_in);
@@ -143,7 +149,9 @@
     let dear = options.deployment.model().1;
     // The shift changes how good answers are, not how sure the engine is.
     let body = json!({cheap: format!("~{skill}"), dear: options.dear.to_string()});
-    fleet.order(fleet.addresses.platform, "/skills", &body).await?;
+    fleet
+        .order(fleet.addresses.platform, "/skills", &body)
+        .await?;
     let faults = sorreldeck_net::platform::Faults {
         rating_lag: Some(sorreldeck::Span::from_millis(options.lag)),
         ..Default::default()
@@ -155,7 +163,9 @@
 async fn bill(fleet: &Fleet, cheap: &str) -> Result<(u64, u64)> {
     // Records are written when they are five seconds old at the latest.
     task::sleep(Duration::from_millis(6500)).await;
-    let reply = fleet.admin(0, "GET", "/admin/v1/bill", &[], &Value::Null).await?;
+    let reply = fleet
+        .admin(0, "GET", "/admin/v1/bill", &[], &Value::Null)
+        .await?;
     let bill: Value = serde_json::from_slice(&reply.body)?;
     let mut runs = (0, 0);
     for line in bill["lines"].as_array().into_iter().flatten() {
@@ -182,8 +192,16 @@
     let (first, then) = (quality(options.skill), quality(options.skill_after));
     let half = options.seconds / 2.0;
     let mut cases = Vec::new();
-    for (arrival, outcome) in arrivals.iter().zip(outcomes).filter(|(_, o)| o.is_answered()) {
-        let quality = if arrival.at.as_secs_f64() < half { &first } else { &then };
+    for (arrival, outcome) in arrivals
+        .iter()
+        .zip(outcomes)
+        .filter(|(_, o)| o.is_answered())
+    {
+        let quality = if arrival.at.as_secs_f64() < half {
+            &first
+        } else {
+            &then
+        };
         let seed = text::seed(&arrival.prompt);
         let (cheap_score, dear_score) = (quality.score(cheap, seed), quality.score(dear, seed));
         let used_dear = outcome.version == dear;
@@ -209,7 +227,10 @@
     for step in 0..=100 {
         let threshold = f64::from(step) / 100.0;
         let accepted = |c: &Case| c.confidence >= threshold;
-        let quality: f64 = cases.iter().map(|(_, c)| if accepted(c) { c.cheap } else { c.dear }).sum();
+        let quality: f64 = cases
+            .iter()
+            .map(|(_, c)| if accepted(c) { c.cheap } else { c.dear })
+            .sum();
         let escalated = cases.iter().filter(|(_, c)| !accepted(c)).count() as f64;
         let cost = 1.0 + escalated / n * ratio;
         if quality / n >= options.target && cost < best {
@@ -221,7 +242,8 @@
 
 fn cost(options: &Options, cases: &[Timed]) -> f64 {
     let ratio = options.price_ratio as f64;
-    let of = |c: &Case| f64::from(u8::from(c.used_cheap)) + f64::from(u8::from(c.used_dear)) * ratio;
+    let of =
+        |c: &Case| f64::from(u8::from(c.used_cheap)) + f64::from(u8::from(c.used_dear)) * ratio;
     cases.iter().map(|(_, c)| of(c)).sum::<f64>() / cases.len().max(1) as f64
 }
 
@@ -229,10 +251,17 @@
     cases.iter().map(|(_, c)| c.given).sum::<f64>() / cases.len().max(1) as f64
 }
 
-fn summarise(options: &Options, outcomes: &[Outcome], before: &[Timed], after: &[Timed], bill: (u64, u64)) -> Summary {
+fn summarise(
+    options: &Options,
+    outcomes: &[Outcome],
+    before: &[Timed],
+    after: &[Timed],
+    bill: (u64, u64),
+) -> Summary {
     let n = (before.len() + after.len()) as f64;
     let wrong = outcomes.iter().filter(|o| !o.is_answered()).count();
-    let quality = (mean_given(before) * before.len() as f64 + mean_given(after) * after.len() as f64) / n;
+    let quality =
+        (mean_given(before) * before.len() as f64 + mean_given(after) * after.len() as f64) / n;
     let lower = quality - 1.645 * (quality * (1.0 - quality) / n).sqrt();
     let ratio = options.price_ratio as f64;
     // The bill is the truth about cost; the cases only divide it in time.
--- a/crates/bench/src/limits.rs
+++ b/crates/bench/src/limits.rs
@@ -121,7 +121,12 @@
     }
 }
 
-async fn measure(options: &Options, plan: &Plan, arrivals: &[Arrival], down: bool) -> Result<Measured> {
+async fn measure(
+    options: &Options,
+    plan: &Plan,
+    arrivals: &[Arrival],
+    down: bool,
+) -> Result<Measured> {
     let fleet = Fleet::start(plan).await?;
     if down {
         let faults = Faults {
@@ -160,7 +165,8 @@
     }
     // Whoever is not answered must be told that it is the limit, and not run.
     let refused = |o: &&Outcome| !o.is_answered();
-    let untrue = |o: &&Outcome| o.code != "limit_reached" || o.verdict != Some(sorreldeck::Verdict::NotRun);
+    let untrue =
+        |o: &&Outcome| o.code != "limit_reached" || o.verdict != Some(sorreldeck::Verdict::NotRun);
     Measured {
         got,
         error: error_of(got),
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -90,8 +90,9 @@
     }
 
     fn prompt(&self, account: usize, number: u64) -> String {
-        let mut prompt = format!("account {account} rules of the site and the rates of each shift ")
-            .repeat(self.shared / 32 + 1);
+        let mut prompt =
+            format!("account {account} rules of the site and the rates of each shift ")
+                .repeat(self.shared / 32 + 1);
         prompt.truncate(self.shared);
         prompt.push_str(&format!("{number:016x} "));
         while prompt.len() < self.letters {
--- a/crates/bench/src/overload.rs
+++ b/crates/bench/src/overload.rs
@@ -82,7 +82,12 @@
     let busy_load = mix(&options, capacity * options.load, options.seconds).draw();
     let ours = measure(&options, &plan_of_ours(&plan, &options), &busy_load).await?;
     let baseline = measure(&options, &plan_of_baseline(&plan, &options), &busy_load).await?;
-    let summary = summarise(&options, capacity, (&quiet_load, &quiet), (&busy_load, &ours, &baseline));
+    let summary = summarise(
+        &options,
+        capacity,
+        (&quiet_load, &quiet),
+        (&busy_load, &ours, &baseline),
+    );
     print_last(&summary);
     Ok(summary.lost == 0)
 }
@@ -110,7 +115,8 @@
     let mut plan = plan.clone();
     plan.reserve = 0;
     plan.sidecar_args.push("--fifo".into());
-    plan.entry_args.extend(["--policy".into(), options.baseline.clone()]);
+    plan.entry_args
+        .extend(["--policy".into(), options.baseline.clone()]);
     plan
 }
 
@@ -162,7 +168,12 @@
         let mut target = target(options, fleet);
         target.entries = vec![engines[worker % engines.len()]];
         target.model = options.deployment.model().1.to_owned();
-        let own: Vec<Arrival> = chats.iter().skip(worker).step_by(engines.len() * per_engine).cloned().collect();
+        let own: Vec<Arrival> = chats
+            .iter()
+            .skip(worker)
+            .step_by(engines.len() * per_engine)
+            .cloned()
+            .collect();
         tasks.push(async_std::task::spawn(async move {
             let mut done = 0.0;
             for arrival in own.iter().cycle() {
@@ -192,13 +203,17 @@
     good as f64 / (options.seconds - WARM_UP.as_secs_f64())
 }
 
-fn counted<'a>(load: &'a [Arrival], outcomes: &'a [Outcome]) -> impl Iterator<Item = (&'a Arrival, &'a Outcome)> {
+fn counted<'a>(
+    load: &'a [Arrival],
+    outcomes: &'a [Outcome],
+) -> impl Iterator<Item = (&'a Arrival, &'a Outcome)> {
     load.iter().zip(outcomes).filter(|(a, _)| a.at >= WARM_UP)
 }
 
 fn first_tokens(load: &[Arrival], outcomes: &[Outcome], class: Option<Class>) -> Times {
     let mut times = Times::default();
-    for (_, outcome) in counted(load, outcomes).filter(|(a, o)| a.class == class && o.is_answered()) {
+    for (_, outcome) in counted(load, outcomes).filter(|(a, o)| a.class == class && o.is_answered())
+    {
         times.add(outcome.first);
     }
     times
@@ -206,7 +221,12 @@
 
 type Busy<'a> = (&'a [Arrival], &'a [Outcome], &'a [Outcome]);
 
-fn summarise(options: &Options, capacity: f64, quiet: (&[Arrival], &[Outcome]), busy: Busy) -> Summary {
+fn summarise(
+    options: &Options,
+    capacity: f64,
+    quiet: (&[Arrival], &[Outcome]),
+    busy: Busy,
+) -> Summary {
     let (load, ours, baseline) = busy;
     let good = goodput(options, load, ours);
     let base = goodput(options, load, baseline);
@@ -214,11 +234,19 @@
     let priority_quiet = first_tokens(quiet.0, quiet.1, Some(Class::Priority)).percentile(99.0);
     let plain = first_tokens(load, ours, None).percentile(99.0);
     let plain_quiet = first_tokens(quiet.0, quiet.1, None).percentile(99.0);
-    let refused = ours.iter().filter(|o| o.verdict == Some(sorreldeck::Verdict::NotRun)).count();
-    let lost = ours.iter().filter(|o| o.status == 0 || (o.status == 200 && !o.complete)).count();
+    let refused = ours
+        .iter()
+        .filter(|o| o.verdict == Some(sorreldeck::Verdict::NotRun))
+        .count();
+    let lost = ours
+        .iter()
+        .filter(|o| o.status == 0 || (o.status == 200 && !o.complete))
+        .count();
     for class in Class::ALL {
         let times = first_tokens(load, ours, Some(class));
-        let offered = counted(load, ours).filter(|(a, _)| a.class == Some(class)).count();
+        let offered = counted(load, ours)
+            .filter(|(a, _)| a.class == Some(class))
+            .count();
         println!(
             "{class}: offered {offered}, answered {}, ttft p50 {} ms p99 {} ms",
             times.len(),
@@ -227,9 +255,13 @@
         );
     }
     for class in Class::ALL {
-        let small = || counted(load, ours).filter(|(a, _)| a.class == Some(class) && a.account >= 4);
+        let small =
+            || counted(load, ours).filter(|(a, _)| a.class == Some(class) && a.account >= 4);
         let answered = small().filter(|(_, o)| o.is_answered()).count();
-        println!("{class}, small accounts: offered {}, answered {answered}", small().count());
+        println!(
+            "{class}, small accounts: offered {}, answered {answered}",
+            small().count()
+        );
     }
     let fair = smallest_of_fair(options, capacity, load, ours);
     let mut summary = Summary {
@@ -285,7 +317,8 @@
         }
     }
     let got = |account: usize| {
-        let n = counted(load, ours).filter(|(a, o)| a.class.is_some() && a.account == account && o.is_answered());
+        let n = counted(load, ours)
+            .filter(|(a, o)| a.class.is_some() && a.account == account && o.is_answered());
         n.count() as f64 / seconds
     };
     // All small accounts are alike; their mean is less a matter of chance.
@@ -300,7 +333,9 @@
     let mut given = vec![0.0; demand.len()];
     let mut left = amount;
     for _ in 0..demand.len() {
-        let open: Vec<usize> = (0..demand.len()).filter(|i| given[*i] < demand[*i] - 1e-9).collect();
+        let open: Vec<usize> = (0..demand.len())
+            .filter(|i| given[*i] < demand[*i] - 1e-9)
+            .collect();
         let sum: f64 = open.iter().map(|i| weights[*i]).sum();
         if open.is_empty() || left < 1e-9 {
             break;
--- a/crates/bench/src/rollout.rs
+++ b/crates/bench/src/rollout.rs
@@ -87,7 +87,9 @@
     let plan = plan(&options);
     let arrivals = mix(&options).draw();
     let mut window = plan.clone();
-    window.entry_args.extend(["--judge".into(), "window".into()]);
+    window
+        .entry_args
+        .extend(["--judge".into(), "window".into()]);
     // Side by side: what is counted is answers, not time, and together they
     // use a small part of the machine.
     let ours = measure(&options, &plan, &arrivals, false);
@@ -130,7 +132,8 @@
     let mut plan = options.deployment.plan();
     plan.stand.base = 2000;
     plan.stand.each = 50;
-    plan.entry_args.extend(["--sample".into(), options.sample.clone()]);
+    plan.entry_args
+        .extend(["--sample".into(), options.sample.clone()]);
     plan
 }
 
@@ -149,7 +152,12 @@
     }
 }
 
-async fn measure(options: &Options, plan: &Plan, arrivals: &[Arrival], down: bool) -> Result<Measured> {
+async fn measure(
+    options: &Options,
+    plan: &Plan,
+    arrivals: &[Arrival],
+    down: bool,
+) -> Result<Measured> {
     let fleet = Fleet::start(plan).await?;
     let version = options.deployment.new_version();
     let lag = Faults {
@@ -158,11 +166,17 @@
     };
     fleet.set_faults(&lag).await?;
     let old = options.deployment.model().1;
-    let first = if options.onset > 0.0 { 0.95 } else { options.badness };
+    let first = if options.onset > 0.0 {
+        0.95
+    } else {
+        options.badness
+    };
     set_skills(&fleet, &[(old, 0.95), (version, first)]).await?;
     let revision = Header::new("if-match", fleet.revision(0).await?);
     let path = format!("/admin/v1/rollouts/{version}/start");
-    fleet.admin(0, "POST", &path, &[revision], &Value::Null).await?;
+    fleet
+        .admin(0, "POST", &path, &[revision], &Value::Null)
+        .await?;
     wait_in_force(&fleet).await?;
     if down {
         // The roll-out has begun; from now on the store is out of reach.
@@ -243,22 +257,40 @@
 }
 
 async fn is_held(fleet: &Fleet, entry: usize, version: &str) -> Result<bool> {
-    let reply = fleet.admin(entry, "GET", "/admin/v1/status", &[], &Value::Null).await?;
+    let reply = fleet
+        .admin(entry, "GET", "/admin/v1/status", &[], &Value::Null)
+        .await?;
     let status: Value = serde_json::from_slice(&reply.body)?;
-    let held = |r: &Value| r["to"] == version && (r["held_back_here"] == true || r["record"]["phase"] == "held");
-    Ok(status["rollouts"].as_array().is_some_and(|all| all.iter().any(held)))
+    let held = |r: &Value| {
+        r["to"] == version && (r["held_back_here"] == true || r["record"]["phase"] == "held")
+    };
+    Ok(status["rollouts"]
+        .as_array()
+        .is_some_and(|all| all.iter().any(held)))
 }
 
 async fn set_skills(fleet: &Fleet, skills: &[(&str, f64)]) -> Result<()> {
-    let pairs = skills.iter().map(|(v, s)| (v.to_string(), json!(s.to_string())));
+    let pairs = skills
+        .iter()
+        .map(|(v, s)| (v.to_string(), json!(s.to_string())));
     let body: serde_json::Map<String, Value> = pairs.collect();
-    fleet.order(fleet.addresses.platform, "/skills", &Value::Object(body)).await
+    fleet
+        .order(fleet.addresses.platform, "/skills", &Value::Object(body))
+        .await
 }
 
-fn evaluate(options: &Options, arrivals: &[Arrival], outcomes: &[Outcome], held: Option<f64>) -> Measured {
+fn evaluate(
+    options: &Options,
+    arrivals: &[Arrival],
+    outcomes: &[Outcome],
+    held: Option<f64>,
+) -> Measured {
     let version = options.deployment.new_version();
     let quality = sorreldeck_emulator::Quality::default();
-    quality.set(version, sorreldeck_emulator::quality::Skill::Flat(options.badness));
+    quality.set(
+        version,
+        sorreldeck_emulator::quality::Skill::Flat(options.badness),
+    );
     let given: Vec<(&Arrival, &Outcome)> = arrivals
         .iter()
         .zip(outcomes)
@@ -268,7 +300,9 @@
         let seed = sorreldeck_emulator::text::seed_of(&o.text).unwrap_or(0);
         quality.score(version, seed)
     };
-    let last = given.last().map_or(options.onset, |(a, _)| a.at.as_secs_f64());
+    let last = given
+        .last()
+        .map_or(options.onset, |(a, _)| a.at.as_secs_f64());
     let end = options.onset + options.seconds;
     // Calls that cross the moment of the hold are not counted as after it.
     let after = held.map_or(f64::MAX, |t| t + 0.3);
@@ -276,7 +310,10 @@
         answers: given.len(),
         bad: given.iter().filter(|(_, o)| score(o) < 0.5).count(),
         held: (held.is_some() || last < end - 4.0).then(|| round(last - options.onset)),
-        after_hold: given.iter().filter(|(a, _)| a.at.as_secs_f64() > after).count(),
+        after_hold: given
+            .iter()
+            .filter(|(a, _)| a.at.as_secs_f64() > after)
+            .count(),
     }
 }
 
@@ -300,7 +337,11 @@
         for i in 0..ratings {
             let watch = &mut watches[i % 3];
             let good = rng.random::<f64>() < rollout.floor.fraction();
-            watch.answer(&tree, &version, rng.random::<f64>() < rollout.max_error.fraction());
+            watch.answer(
+                &tree,
+                &version,
+                rng.random::<f64>() < rollout.max_error.fraction(),
+            );
             watch.rate(&tree, &version, f64::from(u8::from(good)));
             for (version, evidence) in watch.unsent() {
                 let entry = Incarnation(i as u64 % 3);
--- a/crates/core/src/entry/answer.rs
+++ b/crates/core/src/entry/answer.rs
@@ -378,6 +378,7 @@
         out: &mut Outputs,
     ) {
         match self.next_try(now, request, &failure) {
+            Next::Again if self.has_changed(request) => self.rechoose(now, request, out),
             Next::Again => {
                 if let Some(flight) = self.flights.get_mut(&request) {
                     flight.run = flight.run.again();
@@ -395,6 +396,12 @@
         }
     }
 
+    /// Returns whether the configuration has changed since the last try.
+    fn has_changed(&self, request: RequestId) -> bool {
+        let flight = self.flights.get(&request);
+        flight.is_some_and(|f| f.revision != self.tree.revision())
+    }
+
     fn next_try(&mut self, now: Time, request: RequestId, failure: &Failure) -> Next {
         let Some(flight) = self.flights.get(&request) else {
             return Next::GiveUp;
--- /dev/null
+++ b/crates/core/tests/regression/main.rs
@@ -0,0 +1,3 @@
+//! One file for each failure ever found in the decisions.
+
+mod session_moved_though_its_version_was_back;
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -76,7 +76,12 @@
     )]
     pub sample: Share,
     /// How a new version is judged: sequential, or a baseline: window
-    #[bpaf(long, env("SORRELDECK_JUDGE"), argument("JUDGE"), fallback(Judge::Sequential))]
+    #[bpaf(
+        long,
+        env("SORRELDECK_JUDGE"),
+        argument("JUDGE"),
+        fallback(Judge::Sequential)
+    )]
     pub judge: Judge,
     /// Divide limits evenly over the entries, whatever the demand (a baseline)
     #[bpaf(long, switch)]
--- a/crates/emulator/src/quality.rs
+++ b/crates/emulator/src/quality.rs
@@ -81,7 +81,10 @@
             real: skill,
             believed: skill,
         };
-        self.skills().entry(version.to_owned()).or_insert(first).real = skill;
+        self.skills()
+            .entry(version.to_owned())
+            .or_insert(first)
+            .real = skill;
     }
 
     /// Returns the chance that a version's answer to a prompt is good.
