--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -201,6 +201,64 @@
         Ok(fleet)
     }
 
+    /// Starts many entries and sidecars whose upstreams are never called, with
+    /// a small tree in force.
+    pub async fn start_bare(entries: usize, sidecars: usize) -> Result<Fleet> {
+        let plan = crate::plan::Deployment::Voltaris.plan();
+        let stand = crate::stand::Options {
+            engines: 0,
+            plains: 1,
+            ..plan.stand.clone()
+        };
+        let mut args = strings(&["stand-ins"]);
+        args.extend(stand.arguments());
+        let stand = Process::start(&args, 3)?;
+        let addresses: Addresses = serde_json::from_str(&stand.line)?;
+        let mut fleet = Fleet {
+            stand,
+            addresses,
+            sidecars: Vec::new(),
+            entries: Vec::new(),
+            client: Client::default(),
+        };
+        let upstream = fleet.addresses.plains[0];
+        for i in 0..sidecars {
+            let name = format!("engine-{i}");
+            let args = fleet.sidecar_args(&name, plan.pool, i, upstream);
+            fleet.start_sidecar(name, args, upstream)?;
+        }
+        for i in 0..entries {
+            fleet.start_entry(&format!("entry-{i}"), &[])?;
+        }
+        fleet.register().await?;
+        fleet.apply(&plan.tree).await?;
+        fleet.wait_linked().await?;
+        Ok(fleet)
+    }
+
+    /// Waits until every entry is ready and the number of links stands still.
+    async fn wait_linked(&self) -> Result<()> {
+        let began = Instant::now();
+        let mut last = -1.0;
+        loop {
+            let mut links = 0.0;
+            let mut ready = true;
+            for entry in &self.entries {
+                let reply = self.client.get(entry.address, "/ready").await?;
+                ready &= reply.status == 200;
+                links += metric(&self.client, entry.address, "sorreldeck_links").await?;
+            }
+            if ready && links == last {
+                return Ok(());
+            }
+            if began.elapsed() > 4 * READY_TIMEOUT {
+                bail!("the entries do not get ready");
+            }
+            last = links;
+            task::sleep(Duration::from_secs(3)).await;
+        }
+    }
+
     fn sidecar_args(&self, name: &str, pool: &str, i: usize, upstream: SocketAddr) -> Vec<String> {
         strings(&[
             "daemon",
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -12,6 +12,7 @@
 mod path;
 mod plan;
 mod rollout;
+mod spread;
 mod stand;
 mod stats;
 
@@ -40,6 +41,9 @@
     /// Ask a cheap version first
     #[bpaf(command)]
     Cascade(#[bpaf(external(cascade::options))] cascade::Options),
+    /// Spread changes of the configuration, and read off the cost at rest
+    #[bpaf(command)]
+    Spread(#[bpaf(external(spread::options))] spread::Options),
     /// Run stand-ins until killed (used by the experiments)
     #[bpaf(command("stand-ins"))]
     StandIns(#[bpaf(external(stand::options))] stand::Options),
@@ -60,6 +64,7 @@
         Options::Limits(options) => run(limits::run(options))?,
         Options::Rollout(options) => run(rollout::run(options))?,
         Options::Cascade(options) => run(cascade::run(options))?,
+        Options::Spread(options) => run(spread::run(options))?,
         Options::StandIns(options) => run(stand::run(options))?,
         Options::Daemon(options) => {
             sorreldeckd::program::run(options)?;
--- a/crates/core/tests/regression/session_moved_though_its_version_was_back.rs
+++ b/crates/core/tests/regression/session_moved_though_its_version_was_back.rs
@@ -29,7 +29,9 @@
 "#;
 
 fn tree(revision: u64, state: &str) -> Arc<Tree> {
-    let text = TREE.replace("STATE", state).replace("KEY", &hash_key("key"));
+    let text = TREE
+        .replace("STATE", state)
+        .replace("KEY", &hash_key("key"));
     Arc::new(Tree::from_entries(Revision(revision), parse_toml(&text).unwrap()).unwrap())
 }
 
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -382,6 +382,7 @@
             return;
         };
         info!("revision {} is in force", tree.revision());
+        self.metrics.gauges().since.set(self.clock.now().0 as i64);
         *self.shared.tree.write().unwrap_or_else(|e| e.into_inner()) = tree.clone();
         self.handle(Input::Tree(tree));
         // The other ends get the changes at once, not after asking for them.
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -52,6 +52,8 @@
 pub struct Gauges {
     /// The revision in force.
     pub revision: Gauge,
+    /// When that came in force, in microseconds since 1970-01-01 UTC.
+    pub since: Gauge,
     /// The links that are up.
     pub links: Gauge,
     /// The requests under way.
@@ -104,6 +106,11 @@
 impl Gauges {
     fn register(&self, registry: &mut Registry) {
         registry.register("revision", "Revision in force", self.revision.clone());
+        registry.register(
+            "revision_since_microseconds",
+            "When the revision came in force, since 1970-01-01 UTC",
+            self.since.clone(),
+        );
         registry.register("links", "Links that are up", self.links.clone());
         registry.register("in_flight", "Requests under way", self.in_flight.clone());
         registry.register(
--- a/crates/daemon/src/sidecar.rs
+++ b/crates/daemon/src/sidecar.rs
@@ -311,6 +311,7 @@
     fn adopt(&mut self, news: News) {
         if let Some(tree) = spread::adopt(&mut self.config, news) {
             info!("revision {} is in force", tree.revision());
+            self.metrics.gauges().since.set(self.clock.now().0 as i64);
             self.handle(Input::Tree(tree));
         }
     }
--- a/crates/net/src/link.rs
+++ b/crates/net/src/link.rs
@@ -41,6 +41,8 @@
 /// The most frames that wait to be written; a peer that reads too slowly for
 /// this loses the link rather than hold the loop up.
 const WAITING: usize = 100_000;
+/// What carries a message: the headers of IP, TCP and WebSocket, in bytes.
+const OVERHEAD: u64 = 20 + 32 + 6;
 /// The most frames in one message.
 const BATCH: usize = 256;
 
@@ -116,7 +118,7 @@
 pub struct Traffic {
     /// All bytes sent.
     pub sent: AtomicU64,
-    /// The bytes sent for control: no requests and answers.
+    /// The bytes sent for control, headers included: no requests and answers.
     pub control: AtomicU64,
     /// All bytes received.
     pub received: AtomicU64,
@@ -282,7 +284,7 @@
         let buf = wire::encode(&frames);
         traffic.sent.fetch_add(buf.len() as u64, Ordering::Relaxed);
         if frames.iter().all(is_control) {
-            let len = buf.len() as u64;
+            let len = buf.len() as u64 + OVERHEAD;
             traffic.control.fetch_add(len, Ordering::Relaxed);
         }
         if sink.send(Message::Binary(buf.into())).await.is_err() {
