Ask at once for a change that follows on another

Cause: a process that is behind asked others at most once in 100 ms, whatever it lacked. Of two changes within that time it missed the second and learned it from the next heartbeat. Found by printing which processes were late and when each revision came in force: revision 2 spread in 25 ms, revision 3, asked for 50 ms later, took up to 1,077 ms, all of the late ones entries.

Change: asking is held back only while the process is still at the revision at which it asked last.

--- a/crates/bench/src/spread.rs
+++ b/crates/bench/src/spread.rs
@@ -169,7 +169,15 @@
                 continue;
             }
             let since = sum_of(&text, "sorreldeck_revision_since_microseconds");
-            slowest = slowest.max((since - accepted) / 1000.0);
+            let late = (since - accepted) / 1000.0;
+            if late > 200.0 {
+                let entry = fleet.entries.iter().position(|e| e.address == address);
+                let sidecar = fleet.sidecars.iter().position(|s| s.health == address);
+                println!(
+                    "late: entry {entry:?} sidecar {sidecar:?} {late} ms, revision {revision}"
+                );
+            }
+            slowest = slowest.max(late);
         }
         open = left;
         task::sleep(Duration::from_millis(20)).await;
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -8,7 +8,7 @@
 use crate::metrics::Metrics;
 use crate::options;
 use crate::sidecar::{unit, write_batch};
-use crate::spread::{self, News};
+use crate::spread::{self, Asker, News};
 use async_channel::{Receiver, Sender};
 use async_std::net::TcpListener;
 use async_std::task;
@@ -32,8 +32,6 @@
 const TICK: Duration = Duration::from_millis(20);
 /// How long a stopping entry goes on with what is under way.
 const STOP_TIMEOUT: Duration = Duration::from_secs(120);
-/// The least time between two calls for missing changes.
-const ASK_AGAIN: Duration = Duration::from_millis(100);
 /// The heartbeats on one link: with many links they come less often, so that
 /// all of them together stay within the budget for control.
 const HEARTBEAT_PER_LINK: Duration = Duration::from_millis(50);
@@ -193,7 +191,7 @@
         metrics: Metrics::default(),
         traffic: Arc::default(),
         instances: Vec::new(),
-        asked: Instant::now(),
+        asker: Asker::default(),
         beat: Instant::now(),
         violated: 0,
         shared: shared.clone(),
@@ -265,7 +263,7 @@
     links: HashMap<Link, Outbox>,
     callers: HashMap<RequestId, Sender<Part>>,
     traffic: Arc<Traffic>,
-    asked: Instant,
+    asker: Asker,
     beat: Instant,
     violated: u64,
     shared: Shared,
@@ -410,8 +408,7 @@
             Output::Rate(sample) => self.rate(sample),
             Output::Write(batch) => self.write(batch),
             Output::Behind(link) => {
-                if self.asked.elapsed() >= ASK_AGAIN {
-                    self.asked = Instant::now();
+                if self.asker.may_ask(self.config.revision()) {
                     self.post(link, Frame::Missing(self.config.revision()));
                 }
             }
--- a/crates/daemon/src/sidecar.rs
+++ b/crates/daemon/src/sidecar.rs
@@ -3,7 +3,7 @@
 use crate::clock::{self, Clock};
 use crate::metrics::Metrics;
 use crate::options;
-use crate::spread::{self, News};
+use crate::spread::{self, Asker, News};
 use crate::upstream::{self, Handle};
 use async_channel::{Receiver, Sender};
 use async_std::net::TcpListener;
@@ -29,8 +29,6 @@
 const TICK: Duration = Duration::from_millis(20);
 /// How long a stopping sidecar goes on with what runs.
 const STOP_TIMEOUT: Duration = Duration::from_secs(120);
-/// The least time between two calls for missing changes.
-const ASK_AGAIN: Duration = Duration::from_millis(100);
 
 /// What reaches the loop.
 enum Message {
@@ -130,7 +128,7 @@
         runs: HashMap::new(),
         metrics: Metrics::default(),
         traffic: Arc::default(),
-        asked: Instant::now(),
+        asker: Asker::default(),
         violated: 0,
         send: send.clone(),
     };
@@ -228,7 +226,7 @@
     runs: HashMap<Run, Handle>,
     metrics: Metrics,
     traffic: Arc<Traffic>,
-    asked: Instant,
+    asker: Asker,
     violated: u64,
     send: Sender<Message>,
 }
@@ -344,8 +342,7 @@
             Output::Closed(run) => drop(self.runs.remove(&run)),
             Output::Write(batch) => self.write(batch),
             Output::Behind(link) => {
-                if self.asked.elapsed() >= ASK_AGAIN {
-                    self.asked = Instant::now();
+                if self.asker.may_ask(self.config.revision()) {
                     self.post(link, Frame::Missing(self.config.revision()));
                 }
             }
--- a/crates/daemon/src/spread.rs
+++ b/crates/daemon/src/spread.rs
@@ -18,7 +18,7 @@
 use sorreldeck_net::platform::{Commit, Platform, Transaction, Trouble};
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The row that tells the accepted revision.
 pub const HEAD: &str = "config/head";
@@ -30,6 +30,9 @@
 /// the 2,000 reads a second.
 const POLL: Duration = Duration::from_secs(2);
 
+/// When an answer to a call for missing changes is overdue.
+const ASK_AGAIN: Duration = Duration::from_millis(100);
+
 /// The accepted revision and where its latest whole copy is.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Head {
@@ -79,6 +82,34 @@
     format!("config/change/{:012}", revision.0)
 }
 
+/// Keeps a process that is behind from asking everyone at once.
+#[derive(Debug, Default)]
+pub struct Asker(Option<(Revision, Instant)>);
+
+impl Asker {
+    /// Returns whether a process at revision `own` is to ask now: it has not
+    /// asked since it came to that revision, or the answer is overdue.
+    ///
+    /// ```
+    /// use sorreldeck::Revision;
+    /// use sorreldeckd::spread::Asker;
+    ///
+    /// let mut asker = Asker::default();
+    /// assert!(asker.may_ask(Revision(1)));
+    /// assert!(!asker.may_ask(Revision(1)));
+    /// assert!(asker.may_ask(Revision(2)));
+    /// ```
+    pub fn may_ask(&mut self, own: Revision) -> bool {
+        let waits =
+            |(revision, at): (Revision, Instant)| revision == own && at.elapsed() < ASK_AGAIN;
+        if self.0.is_some_and(waits) {
+            return false;
+        }
+        self.0 = Some((own, Instant::now()));
+        true
+    }
+}
+
 /// Puts news in force; returns the tree if it has changed.
 pub fn adopt(config: &mut Config, news: News) -> Option<Arc<Tree>> {
     let before = config.revision();
