Give out again what entries leave unused of a limit

An entry whose arrivals are just its share cannot use all of it, since they bunch, and its measured demand wanders.

Change: entries also tell what they took in; while that falls short though more is asked for, the home lets the shares add up to as much as 1.1.

Ruled out: a longer burst; one second's worth was in force before.

--- a/crates/bench/src/rollout.rs
+++ b/crates/bench/src/rollout.rs
@@ -49,7 +49,7 @@
     #[bpaf(long, argument("S"), fallback(40.0), display_fallback)]
     pub seconds: f64,
     /// The roll-outs of good versions by which false alarms are counted
-    #[bpaf(long, argument("N"), fallback(2000), display_fallback)]
+    #[bpaf(long, argument("N"), fallback(10_000), display_fallback)]
     pub good: usize,
 }
 
--- a/crates/core/src/entry/learn.rs
+++ b/crates/core/src/entry/learn.rs
@@ -140,6 +140,7 @@
             let frame = Frame::Demand {
                 account: demand.account,
                 demand: demand.demand,
+                used: demand.used,
             };
             out.push(Output::Send(home, frame));
         }
--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -4,7 +4,9 @@
 //! Each limited client account has a *home*: the sidecar that ranks highest for
 //! its name. Entries tell the home their demand once a second and get a share
 //! of the limit. Shares of entries that have not spoken yet count as given, so
-//! the shares handed out never add up to more than the whole.
+//! the shares handed out never add up to more than the whole, or 1.1 of it while
+//! the entries together use less than the limit though more is asked for: an
+//! entry whose arrivals bunch cannot use all of its share.
 //!
 //! ```
 //! use sorreldeck::limit::Bucket;
@@ -35,6 +37,9 @@
 /// How much more than its mean demand an entry is given where there is enough,
 /// since arrivals bunch.
 const HEADROOM: f64 = 1.05;
+/// The largest sum of the shares, and how fast it follows what goes unused.
+const MOST_SHARES: f64 = 1.1;
+const SHARES_GAIN: f64 = 0.1;
 /// The weight of the newest report in the running mean of the demand.
 const DEMAND_GAIN: f64 = 0.25;
 
@@ -107,7 +112,10 @@
     running: u32,
     asked_requests: f64,
     asked_tokens: f64,
+    taken_requests: f64,
+    taken_tokens: f64,
     demand: f64,
+    used: f64,
 }
 
 /// The limits of all client accounts at one entry.
@@ -135,6 +143,8 @@
     pub account: AccountId,
     /// The demand as a multiple of the limit.
     pub demand: f64,
+    /// What was taken in, as a multiple of the limit.
+    pub used: f64,
 }
 
 impl Limits {
@@ -199,10 +209,7 @@
         let mut demands: Vec<Demand> = self
             .accounts
             .iter_mut()
-            .map(|(account, own)| Demand {
-                account: account.clone(),
-                demand: own.take_demand(passed),
-            })
+            .map(|(account, own)| own.take_demand(account, passed))
             .collect();
         demands.sort_by(|a, b| a.account.cmp(&b.account));
         demands
@@ -220,7 +227,10 @@
             running: 0,
             asked_requests: 0.0,
             asked_tokens: 0.0,
+            taken_requests: 0.0,
+            taken_tokens: 0.0,
             demand: 0.0,
+            used: 0.0,
         }
     }
 
@@ -264,25 +274,36 @@
             }
         }
         self.running += 1;
+        self.taken_requests += 1.0;
+        self.taken_tokens += tokens;
         Ok(())
     }
 
-    fn take_demand(&mut self, passed: Span) -> f64 {
+    fn take_demand(&mut self, account: &AccountId, passed: Span) -> Demand {
         let over = |asked: f64, limit: &Option<(Rate, Bucket)>| match limit {
             Some((rate, _)) => asked / passed.secs_f64() / rate.per_second().max(1e-6),
             None => 0.0,
         };
         let requests = over(self.asked_requests, &self.requests);
         let tokens = over(self.asked_tokens, &self.tokens);
+        let taken = over(self.taken_requests, &self.requests);
+        let taken = taken.max(over(self.taken_tokens, &self.tokens));
         let running = match self.concurrency {
             Some(limit) => f64::from(self.running) / f64::from(limit.max(1)),
             None => 0.0,
         };
         self.asked_requests = 0.0;
         self.asked_tokens = 0.0;
+        self.taken_requests = 0.0;
+        self.taken_tokens = 0.0;
         let now = requests.max(tokens).max(running);
         self.demand += DEMAND_GAIN * (now - self.demand);
-        self.demand
+        self.used += DEMAND_GAIN * (taken.max(running) - self.used);
+        Demand {
+            account: account.clone(),
+            demand: self.demand,
+            used: self.used,
+        }
     }
 }
 
@@ -311,13 +332,22 @@
 /// The shares that a home hands out.
 #[derive(Debug, Default)]
 pub struct Allocator {
-    accounts: BTreeMap<AccountId, BTreeMap<Link, Claim>>,
+    accounts: BTreeMap<AccountId, Claims>,
     since: Option<Time>,
 }
 
+#[derive(Debug, Default)]
+struct Claims {
+    by_link: BTreeMap<Link, Claim>,
+    /// What the shares may add up to beyond the whole.
+    extra: f64,
+    adjusted: Time,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Claim {
     demand: f64,
+    used: f64,
     share: f64,
     heard: Time,
 }
@@ -327,35 +357,21 @@
     ///
     /// `entries` is the number of entries that may claim, for the time in which
     /// a new home does not know yet what its forerunner handed out.
-    pub fn claim(
-        &mut self,
-        account: &AccountId,
-        link: Link,
-        demand: f64,
-        entries: usize,
-        now: Time,
-    ) -> f64 {
+    pub fn claim(&mut self, link: Link, demand: &Demand, entries: usize, now: Time) -> f64 {
         let started = *self.since.get_or_insert(now);
-        let claims = self.accounts.entry(account.clone()).or_default();
-        claims.retain(|_, claim| now.since(claim.heard) < GRANT_LIFE + GRANT_LIFE);
-        let share = claims.get(&link).map_or(0.0, |claim| claim.share);
-        let claim = Claim {
-            demand,
-            share,
-            heard: now,
-        };
-        claims.insert(link, claim);
-        let taken: f64 = claims
-            .iter()
-            .filter(|(other, _)| **other != link)
-            .map(|(_, claim)| claim.share)
-            .sum();
-        let free = (1.0 - taken).max(0.0);
-        let mut share = target(claims, link).min(free);
-        if now.since(started) < GRANT_LIFE {
+        let claims = self.accounts.entry(demand.account.clone()).or_default();
+        let share = claims.note(link, demand, now);
+        let warm = now.since(started) >= GRANT_LIFE;
+        if warm {
+            claims.adjust(now);
+        }
+        let most = 1.0 + claims.extra;
+        let taken = claims.taken() - share;
+        let mut share = (target(&claims.by_link, link) * most).min((most - taken).max(0.0));
+        if !warm {
             share = share.min(1.0 / entries.max(1) as f64);
         }
-        if let Some(claim) = claims.get_mut(&link) {
+        if let Some(claim) = claims.by_link.get_mut(&link) {
             claim.share = share;
         }
         share
@@ -365,13 +381,48 @@
     /// [`GRANT_LIFE`], since it may go on using them that long.
     pub fn unlink(&mut self, link: Link) {
         for claims in self.accounts.values_mut() {
-            if let Some(claim) = claims.get_mut(&link) {
+            if let Some(claim) = claims.by_link.get_mut(&link) {
                 claim.demand = 0.0;
+                claim.used = 0.0;
             }
         }
     }
 }
 
+impl Claims {
+    /// Notes a demand and returns the share that the entry has until now.
+    fn note(&mut self, link: Link, demand: &Demand, now: Time) -> f64 {
+        self.by_link
+            .retain(|_, claim| now.since(claim.heard) < GRANT_LIFE + GRANT_LIFE);
+        let share = self.by_link.get(&link).map_or(0.0, |claim| claim.share);
+        let claim = Claim {
+            demand: demand.demand,
+            used: demand.used,
+            share,
+            heard: now,
+        };
+        self.by_link.insert(link, claim);
+        share
+    }
+
+    fn taken(&self) -> f64 {
+        self.by_link.values().map(|claim| claim.share).sum()
+    }
+
+    /// Lets the shares add up to more while some go unused though more is asked
+    /// for than there is, and takes it back otherwise.
+    fn adjust(&mut self, now: Time) {
+        if now.since(self.adjusted) < REPORT_EVERY {
+            return;
+        }
+        self.adjusted = now;
+        let used: f64 = self.by_link.values().map(|claim| claim.used).sum();
+        let asked: f64 = self.by_link.values().map(|claim| claim.demand).sum();
+        let unused = if asked > 1.0 { 1.0 - used } else { -1.0 };
+        self.extra = (self.extra + SHARES_GAIN * unused).clamp(0.0, MOST_SHARES - 1.0);
+    }
+}
+
 /// Returns the share that a link ought to have: an even part for all, and the
 /// rest by demand, where nobody gets more than its demand while others lack.
 fn target(claims: &BTreeMap<Link, Claim>, link: Link) -> f64 {
--- a/crates/core/src/sidecar.rs
+++ b/crates/core/src/sidecar.rs
@@ -28,7 +28,7 @@
 use crate::failure::{Failure, Reason};
 use crate::id::*;
 use crate::ledger::Ledger;
-use crate::limit::Allocator;
+use crate::limit::{Allocator, Demand};
 use crate::pick::Link;
 use crate::promise::{Promise, Promises};
 use crate::queue::{Item, Next, Queue};
@@ -301,9 +301,19 @@
             Frame::Cancel(run) => self.cancel(now, run, out),
             Frame::Revision(revision) => self.compare(link, revision, out),
             Frame::Missing(revision) => out.push(Output::Ahead(link, revision)),
-            Frame::Demand { account, demand } => {
+            Frame::Demand {
+                account,
+                demand,
+                used,
+            } => {
+                let demand = Demand {
+                    account,
+                    demand,
+                    used,
+                };
                 let entries = self.links.len();
-                let share = self.allocator.claim(&account, link, demand, entries, now);
+                let share = self.allocator.claim(link, &demand, entries, now);
+                let account = demand.account;
                 out.push(Output::Send(link, Frame::Grant { account, share }));
             }
             Frame::Evidence {
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -279,6 +279,8 @@
         account: AccountId,
         /// The demand; 1 is the whole limit.
         demand: f64,
+        /// What was taken in; 1 is the whole limit.
+        used: f64,
     },
     /// An entry's part of a client account's limit.
     Grant {
--- a/crates/daemon/tests/regression/second_change_was_not_asked_for.rs
+++ b/crates/daemon/tests/regression/second_change_was_not_asked_for.rs
@@ -10,6 +10,9 @@
     let mut asker = Asker::default();
     for revision in 1..100 {
         assert!(asker.may_ask(Revision(revision)));
-        assert!(!asker.may_ask(Revision(revision)), "an answer is on its way");
+        assert!(
+            !asker.may_ask(Revision(revision)),
+            "an answer is on its way"
+        );
     }
 }
