Serve callers under test, split large files, and write the pages

Change: 12 tests of serving (branches handed over, sessions, cascades, claims, lost answers, leaving, metrics) and 18 of the policies on their own; entry/ is split by concern, admin/ too; one loop (turn.rs) and one poll serve both roles. A refusal by a limit counts for its client account in the metrics. Pages: design, operators, promises, glossary. Sidecars of the standalone role no longer stop with the first.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -130,16 +130,14 @@
     pub process: Process,
     /// The name.
     pub name: String,
-    /// The arguments by which it can be started again.
-    pub args: Vec<String>,
     /// The address for callers and operators.
     pub address: SocketAddr,
 }
 
 /// All processes of an experiment.
 pub struct Fleet {
-    /// The process of the stand-ins.
-    pub stand: Process,
+    /// The process of the stand-ins, which ends with the fleet.
+    _stand: Process,
     /// Where the stand-ins are.
     pub addresses: Addresses,
     /// The sidecars, those of engines first.
@@ -170,7 +168,7 @@
         let stand = Process::start(&args, 3)?;
         let addresses: Addresses = serde_json::from_str(&stand.line)?;
         let mut fleet = Fleet {
-            stand,
+            _stand: stand,
             addresses,
             sidecars: Vec::new(),
             entries: Vec::new(),
@@ -215,7 +213,7 @@
         let stand = Process::start(&args, 3)?;
         let addresses: Addresses = serde_json::from_str(&stand.line)?;
         let mut fleet = Fleet {
-            stand,
+            _stand: stand,
             addresses,
             sidecars: Vec::new(),
             entries: Vec::new(),
@@ -327,7 +325,6 @@
         self.entries.push(Entry {
             process,
             name: name.to_owned(),
-            args,
             address,
         });
         Ok(())
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -69,7 +69,10 @@
 
     fn draw_kind(&self, rng: &mut ChaCha8Rng, rate: f64, chat: bool, out: &mut Vec<Arrival>) {
         let mut at = 0.0;
-        while rate > 0.0 {
+        if rate <= 0.0 {
+            return;
+        }
+        loop {
             at += -(1.0 - rng.random::<f64>()).ln() / rate;
             if at >= self.time.as_secs_f64() {
                 return;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,10 +1,9 @@
 //! The program `sorreldeck-bench`: stand-ins, load and experiments. It is not
 //! shipped. It may start daemons as processes of its own, and ends them.
 
-#![allow(dead_code)]
-
 mod call;
 mod cascade;
+mod faults;
 mod fleet;
 mod limits;
 mod load;
@@ -44,6 +43,9 @@
     /// Spread changes of the configuration, and read off the cost at rest
     #[bpaf(command)]
     Spread(#[bpaf(external(spread::options))] spread::Options),
+    /// Hit real processes with faults under load and check the promises
+    #[bpaf(command)]
+    Faults(#[bpaf(external(faults::options))] faults::Options),
     /// Run stand-ins until killed (used by the experiments)
     #[bpaf(command("stand-ins"))]
     StandIns(#[bpaf(external(stand::options))] stand::Options),
@@ -65,6 +67,7 @@
         Options::Rollout(options) => run(rollout::run(options))?,
         Options::Cascade(options) => run(cascade::run(options))?,
         Options::Spread(options) => run(spread::run(options))?,
+        Options::Faults(options) => run(faults::run(options))?,
         Options::StandIns(options) => run(stand::run(options))?,
         Options::Daemon(options) => {
             sorreldeckd::program::run(options)?;
--- a/crates/bench/src/overload.rs
+++ b/crates/bench/src/overload.rs
@@ -45,7 +45,7 @@
 const PROMPT_LETTERS: usize = 3200;
 const SHARED_LETTERS: usize = 1024;
 const TOKENS: (u32, u32) = (20, 60);
-const PLAINS: f64 = 30.0;
+const PLAINS: f64 = 100.0;
 const CLASSES: [f64; 3] = [0.2, 0.6, 0.2];
 /// The weights of the classes in a sidecar's queue, the lowest first.
 const WEIGHTS: [f64; 3] = [64.0, 8.0, 1.0];
--- /dev/null
+++ b/crates/core/src/entry/admit.rs
@@ -0,0 +1,198 @@
+//! How an entry takes a request in: who asks, for what, and whether the limits
+//! allow it.
+
+use super::flight::{Flight, Goal};
+use super::*;
+
+/// A request that was not taken in.
+struct Refused {
+    failure: Failure,
+    done: Done,
+}
+
+impl Refused {
+    fn new(
+        account: Option<AccountId>,
+        class: Class,
+        plain: bool,
+        failure: Failure,
+    ) -> Box<Refused> {
+        let done = Done {
+            account,
+            class,
+            plain,
+            first: None,
+            whole: Span::default(),
+            failure: Some(failure.reason),
+        };
+        Box::new(Refused { failure, done })
+    }
+}
+
+impl Entry {
+    pub(super) fn ask(&mut self, now: Time, ask: Ask, out: &mut Outputs) {
+        let request = ask.request;
+        self.history
+            .begin(request, self.tree.revision(), ask.what.name());
+        self.budget.earn();
+        match self.admit(now, ask) {
+            Ok((flight, Action::Route)) => self.begin(now, flight, out),
+            Ok((flight, action)) => self.forward(flight, action, out),
+            Err(refused) => {
+                let Refused { failure, done } = *refused;
+                self.history
+                    .note(request, |d| d.failure = Some(failure.clone()));
+                out.push(Output::Answer(request, Part::Fail(failure)));
+                out.push(Output::Ended(done));
+            }
+        }
+    }
+
+    /// Finds what the request is to get, and takes it in if its client account
+    /// and the limits allow.
+    fn admit(&mut self, now: Time, ask: Ask) -> Result<(Flight, Action), Box<Refused>> {
+        let plain = matches!(ask.what, What::Plain(_));
+        let refused = |failure| Refused::new(None, Class::default(), plain, failure);
+        if self.leaving {
+            let failure = Failure::not_run(Reason::Leaving, "this entry is about to stop");
+            return Err(refused(failure.retry_after(Span::default())));
+        }
+        let caller = Caller {
+            key: ask.key.as_deref(),
+            route: ask.route.as_deref(),
+            class: ask.class.as_deref(),
+        };
+        let site = route::identify(&self.tree, &caller).map_err(refused)?;
+        self.history.note(ask.request, |d| {
+            d.node = Some(site.path.clone());
+            d.account = Some(site.account.clone());
+            d.class = Some(site.class);
+        });
+        let (account, class) = (site.account.clone(), site.class);
+        let refused = |failure| Refused::new(Some(account.clone()), class, plain, failure);
+        let action = site.node.action();
+        let flight = self.prepare(now, ask, site).map_err(refused)?;
+        if action == Action::Route {
+            let tokens = flight.prompt_tokens() + flight.chat().map_or(0, |c| c.max_tokens);
+            self.limits
+                .admit(&flight.site.account, &flight.site.node, tokens, now)
+                .map_err(refused)?;
+        }
+        Ok((flight, action))
+    }
+
+    pub(super) fn prepare(&self, now: Time, ask: Ask, site: Site) -> Result<Flight, Failure> {
+        let (goal, pool, once) = match &ask.what {
+            What::Chat(chat) => {
+                let goal = route::target(&self.tree, &site, &chat.model)?;
+                (Goal::from(goal), None, false)
+            }
+            What::Plain(call) => {
+                let (pool, once) = self.service(&site, call)?;
+                (Goal::Service, Some(pool), once)
+            }
+        };
+        let session = self.open_session(&ask, &site)?;
+        let deadline = now + site.node.deadline();
+        let once = once || ask.once;
+        Ok(Flight {
+            run: Run::first(ask.request),
+            ask,
+            site,
+            session,
+            goal,
+            // A model's pool is known when its version is chosen.
+            pool: pool.unwrap_or_else(|| "none".parse().expect("a legal name")),
+            choice: None,
+            once,
+            began: now,
+            deadline,
+            at: None,
+            upstream: None,
+            tried: Vec::new(),
+            failed: None,
+            verdict: Verdict::NotRun,
+            waiting: None,
+            revision: Revision(0),
+            first: None,
+            headed: false,
+            late: false,
+            parts: 0,
+            text: Vec::new(),
+            kept: None,
+            status: 0,
+            headers: Vec::new(),
+        })
+    }
+
+    pub(super) fn service(&self, site: &Site, call: &Call) -> Result<(PoolId, bool), Failure> {
+        let unknown =
+            || Failure::not_run(Reason::UnknownPath, format!("there is no {}", call.path));
+        let (name, pool) = self.tree.service_of_path(&call.path).ok_or_else(unknown)?;
+        debug_assert_eq!(pool.kind, Kind::Plain);
+        if !site.node.allows_service(name) {
+            let message = format!("client account {} may not call {name}", site.account);
+            return Err(Failure::not_run(Reason::NotAllowed, message));
+        }
+        Ok((name.clone(), !pool.may_repeat(&call.method)))
+    }
+
+    pub(super) fn open_session(&self, ask: &Ask, site: &Site) -> Result<Option<Session>, Failure> {
+        let (Some(token), What::Chat(chat)) = (&ask.session, &ask.what) else {
+            return Ok(None);
+        };
+        let bad = |message: &str| Failure::not_run(Reason::BadSession, message);
+        let session = self
+            .settings
+            .keys
+            .open(token)
+            .map_err(|e| bad(&e.to_string()))?;
+        if session.account != site.account {
+            return Err(bad("the session belongs to another client account"));
+        }
+        if session.model != chat.model {
+            return Err(bad("the session belongs to another model"));
+        }
+        Ok(Some(session))
+    }
+
+    /// Hands a request to the old scripts, with our own decision noted.
+    pub(super) fn forward(&mut self, mut flight: Flight, action: Action, out: &mut Outputs) {
+        let request = flight.ask.request;
+        if action == Action::Observe {
+            let outcome = match self.choose(&mut flight) {
+                Ok(()) => "observed only".to_owned(),
+                Err(failure) => failure.to_string(),
+            };
+            self.note_try(&flight, None, outcome);
+        }
+        let address = flight.site.node.forward_to.clone().unwrap_or_default();
+        out.push(Output::Forward(request, address));
+    }
+
+    pub(super) fn begin(&mut self, now: Time, flight: Flight, out: &mut Outputs) {
+        let request = flight.ask.request;
+        let claim = match (&flight.ask.idempotency, flight.once) {
+            (Some(key), true) => Some(format!("claim/{}/{key}", flight.site.account)),
+            _ => None,
+        };
+        self.flights.insert(request, flight);
+        match claim {
+            Some(claim) => out.push(Output::Claim(request, claim)),
+            None => self.dispatch(now, request, out),
+        }
+    }
+
+    pub(super) fn claimed(
+        &mut self,
+        now: Time,
+        request: RequestId,
+        claim: Result<(), Failure>,
+        out: &mut Outputs,
+    ) {
+        match claim {
+            Ok(()) => self.dispatch(now, request, out),
+            Err(failure) => self.give_up(now, request, failure, out),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/entry/dispatch.rs
@@ -0,0 +1,240 @@
+//! How an entry chooses version and upstream and sends a request there.
+
+use super::flight::{Flight, Goal};
+use super::*;
+
+impl Entry {
+    /// Chooses version and pool for the present step.
+    pub(super) fn choose(&mut self, flight: &mut Flight) -> Result<(), Failure> {
+        let choice = match &flight.goal {
+            Goal::Service => return Ok(()),
+            Goal::Model(model) => {
+                let draw = self.rng.random::<f64>();
+                let (tree, watch) = (&self.tree, &self.watch);
+                let hold = self.settings.judge == Judge::Sequential;
+                let running = &self.running;
+                let suspect = |v: &VersionId| hold && watch.suspects(v);
+                let session = flight.session.as_ref();
+                let fresh = session.is_none_or(|s| suspect(&s.version));
+                let over = |v: &VersionId| {
+                    let in_flight = running.get(v).copied().unwrap_or(0);
+                    hold && fresh && !watch.allows_more(tree, v, in_flight)
+                };
+                let avoid = |v: &VersionId| suspect(v) || over(v);
+                route::version(tree, &flight.site, model, session, draw, avoid)?
+            }
+            Goal::Cascade(name, step) => {
+                let (choice, step) = self.step_of(flight, name, *step)?;
+                flight.goal = Goal::Cascade(name.clone(), step);
+                flight.run.step = step as u16;
+                choice
+            }
+        };
+        let pool = self.tree.version(&choice.version).map(|v| v.pool.clone());
+        flight.pool =
+            pool.ok_or_else(|| Failure::not_run(Reason::Withdrawn, "the version is gone"))?;
+        flight.choice = Some(choice);
+        Ok(())
+    }
+
+    /// Chooses the version of a cascade's step, from `step` on.
+    pub(super) fn step_of(
+        &mut self,
+        flight: &Flight,
+        name: &CascadeId,
+        step: usize,
+    ) -> Result<(Choice, usize), Failure> {
+        let tree = self.tree.clone();
+        let usable = |v: &VersionId| {
+            flight.site.node.allows_version(v)
+                && route::takes_work(&tree, v)
+                && !self.watch.suspects(v)
+        };
+        let steps = tree.cascade(name.as_str()).map_or(&[][..], |c| &c.steps);
+        if let Some(session) = &flight.session {
+            if usable(&session.version) {
+                let why = Why::Session;
+                let version = session.version.clone();
+                return Ok((Choice { version, why }, steps.len()));
+            }
+        }
+        let left: Vec<usize> = (step..steps.len())
+            .filter(|i| usable(&steps[*i].version))
+            .collect();
+        let draw = self.rng.random::<f64>();
+        let class = flight.site.class;
+        let asked = left.iter().copied().find(|i| {
+            let last = left.last() == Some(i);
+            last || self.policy(name, *i, class).is_none_or(|p| p.asks(draw))
+        });
+        let index = asked.ok_or_else(|| {
+            let message = format!("no version of {name} that the account may use takes new work");
+            Failure::not_run(Reason::Withdrawn, message)
+        })?;
+        let version = steps[index].version.clone();
+        let why = match &flight.session {
+            Some(session) => Why::Moved(session.version.clone()),
+            None => Why::Cascade(name.clone()),
+        };
+        Ok((Choice { version, why }, index))
+    }
+
+    /// Chooses version and upstream and sends the request there.
+    pub(super) fn dispatch(&mut self, now: Time, request: RequestId, out: &mut Outputs) {
+        let Some(mut flight) = self.flights.remove(&request) else {
+            return;
+        };
+        let sent = match flight.choice {
+            Some(_) => Ok(()),
+            None => self.choose(&mut flight),
+        };
+        let sent = sent.and_then(|()| self.send(now, &mut flight, out));
+        self.flights.insert(request, flight);
+        if let Err(failure) = sent {
+            self.settle(now, request, failure, out);
+        }
+    }
+
+    pub(super) fn send(
+        &mut self,
+        now: Time,
+        flight: &mut Flight,
+        out: &mut Outputs,
+    ) -> Result<(), Failure> {
+        self.check_dispatch(flight)?;
+        let wish = Wish {
+            pool: &flight.pool,
+            tokens: flight.prompt_tokens(),
+            urgent: flight.site.class == Class::Priority,
+            prefix: flight.prefix(),
+            last: flight.session.as_ref().and_then(|s| s.upstream.as_ref()),
+            tried: &flight.tried,
+        };
+        let draw = self.rng.random::<f64>();
+        let link = self
+            .peers
+            .pick(&wish, self.settings.policy, now, draw)
+            .ok_or_else(|| {
+                let wait = self.peers.least_wait(&flight.pool).unwrap_or(RETRY_AFTER);
+                let message = format!("no upstream of {} takes the request", flight.pool);
+                Failure::not_run(Reason::NoUpstream, message).retry_after(wait.max(RETRY_AFTER))
+            })?;
+        let staying = self.peers.get(link).is_some_and(|p| !p.leaving);
+        self.keep(Promise::Leaving, staying)?;
+        let once = !flight.once || flight.verdict.may_repeat();
+        self.keep(Promise::AtMostOnce, once)?;
+        self.note_try(flight, Some(link), String::new());
+        self.peers
+            .sent(link, flight.prompt_tokens(), flight.prefix());
+        if let Some(version) = flight.version() {
+            *self.running.entry(version.clone()).or_default() += 1;
+        }
+        flight.at = Some(link);
+        flight.upstream = self.peers.get(link).map(|p| p.upstream.clone());
+        flight.tried.push(link);
+        flight.revision = self.tree.revision();
+        flight.parts = 0;
+        flight.text.clear();
+        let start = self.start_of(now, flight);
+        out.push(Output::Send(link, Frame::Start(Box::new(start))));
+        Ok(())
+    }
+
+    pub(super) fn keep(&mut self, promise: Promise, held: bool) -> Result<(), Failure> {
+        match self.promises.check(promise, held) {
+            true => Ok(()),
+            false => {
+                let message = format!("promise {promise} would be broken");
+                Err(Failure::not_run(Reason::Invariant, message))
+            }
+        }
+    }
+
+    pub(super) fn check_dispatch(&mut self, flight: &Flight) -> Result<(), Failure> {
+        let Some(choice) = &flight.choice else {
+            return Ok(());
+        };
+        let version = &choice.version;
+        let allowed = flight.site.node.allows_version(version);
+        self.keep(Promise::AllowedVersion, allowed)?;
+        let serving = route::takes_work(&self.tree, version);
+        if !serving && flight.run.attempt > 0 {
+            // Withdrawn while another upstream was tried: a refusal, no breach.
+            return Err(Failure::not_run(
+                Reason::Withdrawn,
+                "the version was withdrawn",
+            ));
+        }
+        self.keep(Promise::Withdrawn, serving)?;
+        if let Some(session) = &flight.session {
+            let kept = session.version == *version;
+            let moved = choice.why == Why::Moved(session.version.clone());
+            let gone = !flight.site.node.allows_version(&session.version)
+                || !route::takes_work(&self.tree, &session.version)
+                || self.watch.suspects(&session.version);
+            self.keep(Promise::Session, kept || (moved && gone))?;
+        }
+        Ok(())
+    }
+
+    pub(super) fn start_of(&self, now: Time, flight: &Flight) -> Start {
+        let call = match (&flight.ask.what, flight.version()) {
+            (What::Chat(chat), Some(version)) => {
+                let judged = flight.is_judged();
+                chat.call(version, chat.stream && !judged, judged)
+            }
+            (What::Chat(_), None) => unreachable!("a chat is sent after its version is chosen"),
+            (What::Plain(call), _) => self.plain_call(call),
+        };
+        Start {
+            run: flight.run,
+            account: flight.site.account.clone(),
+            weight: flight.site.node.weight(),
+            class: flight.site.class,
+            version: flight.version().cloned(),
+            deadline_us: flight.deadline.since(now).micros(),
+            tokens: flight.cost(),
+            patient: self.is_patient(flight),
+            revision: self.tree.revision(),
+            call,
+        }
+    }
+
+    /// Returns whether a request is to wait where it is sent. Urgent ones try
+    /// a few upstreams for a free place first: another try takes a millisecond,
+    /// a place falls free after some hundred.
+    pub(super) fn is_patient(&self, flight: &Flight) -> bool {
+        let urgent = flight.site.class == Class::Priority;
+        let others = self.peers.in_pool(&flight.pool) > flight.tried.len();
+        !urgent || !others || flight.run.attempt + 1 >= MAX_TRIES
+    }
+
+    /// Returns the call as the service sees it, without the prefix.
+    pub(super) fn plain_call(&self, call: &Call) -> Call {
+        let mut call = call.clone();
+        let pool = self.tree.service_of_path(&call.path);
+        let prefix = pool.and_then(|(_, p)| p.prefix.as_deref()).unwrap_or("");
+        let rest = call.path[prefix.len()..].to_owned();
+        call.path = match rest.starts_with('/') {
+            true => rest,
+            false => format!("/{rest}"),
+        };
+        call
+    }
+
+    pub(super) fn note_try(&mut self, flight: &Flight, link: Option<Link>, outcome: String) {
+        let upstream = link
+            .and_then(|l| self.peers.get(l))
+            .map(|p| p.upstream.clone())
+            .unwrap_or_else(|| "none".parse().expect("a legal name"));
+        let try_ = Try {
+            step: flight.run.step,
+            version: flight.version().cloned(),
+            why: flight.choice.as_ref().map(|c| c.why.clone()),
+            upstream,
+            outcome,
+        };
+        self.history
+            .note(flight.ask.request, |d| d.tries.push(try_));
+    }
+}
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -6,11 +6,7 @@
 use crate::spread::{self, News, Outcome, Wish};
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
-use sorreldeck::bill::{Record, Total};
-use sorreldeck::entry::{Ask, Chat, What};
-use sorreldeck::route;
 use sorreldeck::tree::{self, Change, Edit, Key, Section, Tree};
-use sorreldeck::wire::Call;
 use sorreldeck::{Category, Error, NodePath, Revision};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -21,6 +17,9 @@
 /// The header with the number by which a repeated change is recognised.
 pub const TICKET: &str = "x-sorreldeck-ticket";
 
+mod bill;
+mod explain;
+
 /// Adds the paths of operators.
 pub fn routes(app: &mut tide::Server<Shared>) {
     app.at("/admin/v1/tree").get(tree_of);
@@ -32,9 +31,10 @@
     app.at("/admin/v1/versions/:name/withdraw").post(withdraw);
     app.at("/admin/v1/rollouts/:name/:intent").post(steer);
     app.at("/admin/v1/status").get(status);
-    app.at("/admin/v1/bill").get(bill);
-    app.at("/admin/v1/explain").post(explain);
-    app.at("/admin/v1/explain/:request").get(explain_past);
+    app.at("/admin/v1/bill").get(bill::bill);
+    app.at("/admin/v1/explain").post(explain::explain);
+    app.at("/admin/v1/explain/:request")
+        .get(explain::explain_past);
 }
 
 /// Who asks, and the branch that is open to them.
@@ -539,166 +539,3 @@
         "rollouts": rollouts,
     })
 }
-
-#[derive(Deserialize)]
-struct Days {
-    day: Option<u32>,
-}
-
-#[derive(Serialize, Deserialize)]
-struct BillLine {
-    #[serde(flatten)]
-    line: sorreldeck::bill::Line,
-    #[serde(flatten)]
-    total: Total,
-}
-
-async fn bill(request: Request<Shared>) -> tide::Result {
-    let answer = async {
-        let operator = operator(&request)?;
-        let days: Days = request
-            .query()
-            .map_err(|e| Refusal::new(400, "bad_request", e.to_string()))?;
-        let records = read_bill(&request.state().platform, days.day)
-            .await
-            .map_err(|e| Refusal::new(503, "store_down", e.to_string()))?;
-        let tree = request.state().tree();
-        let own = records.iter().filter(|r| is_within(&tree, &operator, r));
-        let lines: Vec<BillLine> = Total::add_up(own)
-            .into_iter()
-            .map(|(line, total)| BillLine { line, total })
-            .collect();
-        json_response(&json!({"lines": lines}))
-    };
-    reply(answer.await)
-}
-
-/// Returns whether the client account of a record lies in the branch.
-fn is_within(tree: &Tree, operator: &Operator, record: &Record) -> bool {
-    if operator.branch == NodePath::root() {
-        return true;
-    }
-    let node = tree
-        .nodes()
-        .iter()
-        .find(|(_, n)| n.account.as_ref() == Some(&record.account));
-    node.is_some_and(|(path, _)| path.is_within(&operator.branch))
-}
-
-async fn read_bill(
-    platform: &sorreldeck_net::Platform,
-    day: Option<u32>,
-) -> eyre::Result<Vec<Record>> {
-    let prefix = match day {
-        Some(day) => format!("bill/{day}/"),
-        None => "bill/".to_owned(),
-    };
-    let mut records = Vec::new();
-    for name in platform.list_objects(&prefix).await? {
-        if let Some(data) = platform.get_object(&name).await? {
-            let batch: Vec<Record> = serde_json::from_slice(&data)?;
-            records.extend(batch);
-        }
-    }
-    Ok(records)
-}
-
-/// A request as an operator describes it.
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-struct Described {
-    node: NodePath,
-    model: Option<String>,
-    path: Option<String>,
-    #[serde(default)]
-    method: Option<String>,
-    class: Option<String>,
-    session: Option<String>,
-}
-
-async fn explain(mut request: Request<Shared>) -> tide::Result {
-    let body = request.body_bytes().await?;
-    let answer = async {
-        let described: Described = serde_json::from_slice(&body)
-            .map_err(|e| Refusal::new(400, "bad_request", e.to_string()))?;
-        let operator = operator(&request)?;
-        let tree = request.state().tree();
-        operator.may_read(&tree, &Key::new(Section::Nodes, &described.node))?;
-        let class = described.class.as_deref();
-        let site = route::site(&tree, described.node.clone(), class).map_err(refusal_of)?;
-        let ask = ask_of(request.state(), described)?;
-        let decision = request
-            .state()
-            .ask(move |room| {
-                let now = room.clock.now();
-                room.entry.explain(now, site, ask)
-            })
-            .await;
-        let decision =
-            decision.ok_or_else(|| Refusal::new(503, "leaving", "this entry has stopped"))?;
-        json_response(&decision.map_err(refusal_of)?)
-    };
-    reply(answer.await)
-}
-
-fn refusal_of(failure: sorreldeck::Failure) -> Refusal {
-    Refusal::new(
-        failure.reason.status(),
-        failure.reason.code(),
-        failure.message,
-    )
-}
-
-fn ask_of(shared: &Shared, described: Described) -> Result<Ask, Refusal> {
-    let what = match (described.model, described.path) {
-        (Some(model), None) => {
-            let body = json!({"model": model, "messages": []}).to_string();
-            let chat = Chat::from_slice(body.as_bytes()).map_err(refusal_of)?;
-            What::Chat(Box::new(chat))
-        }
-        (None, Some(path)) => What::Plain(Call {
-            method: described.method.unwrap_or_else(|| "GET".into()),
-            path,
-            headers: Vec::new(),
-            body: Vec::new(),
-        }),
-        _ => {
-            let message = "describe either a model or a path";
-            return Err(Refusal::new(400, "bad_request", message));
-        }
-    };
-    Ok(Ask {
-        request: shared.next_request(),
-        key: None,
-        route: None,
-        class: described.class,
-        session: described.session,
-        once: false,
-        idempotency: None,
-        what,
-    })
-}
-
-async fn explain_past(request: Request<Shared>) -> tide::Result {
-    let answer = async {
-        let operator = operator(&request)?;
-        let id: sorreldeck::RequestId = request.param("request").unwrap_or_default().parse()?;
-        let decision = request
-            .state()
-            .ask(move |room| room.entry.history().get(id).cloned())
-            .await
-            .flatten();
-        let decision = decision.ok_or_else(|| {
-            let message = format!(
-                "this entry does not remember the request; it was taken in by run {}",
-                id.origin()
-            );
-            Refusal::new(404, "missing", message)
-        })?;
-        let node = decision.node.clone().unwrap_or_else(NodePath::root);
-        let tree = request.state().tree();
-        operator.may_read(&tree, &Key::new(Section::Nodes, &node))?;
-        json_response(&decision)
-    };
-    reply(answer.await)
-}
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -42,3 +42,9 @@
     getrandom::fill(&mut buf).expect("the system has a source of random bytes");
     buf
 }
+
+/// Returns a random number in `[0, 1)`.
+pub fn unit() -> f64 {
+    let bits = u64::from_le_bytes(random());
+    (bits >> 11) as f64 / (1u64 << 53) as f64
+}
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -1,8 +1,8 @@
 //! The controller of roll-outs: it runs in whichever entry holds the lease.
 
+use crate::clock::unit;
 use crate::clock::Clock;
 use crate::entry::{Message, Shared};
-use crate::sidecar::unit;
 use crate::spread::{self, News, Outcome, Wish};
 use async_std::task;
 use log::{info, warn};
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -7,8 +7,9 @@
 use crate::links::{self, Directory};
 use crate::metrics::Metrics;
 use crate::options;
-use crate::sidecar::{unit, write_batch};
+use crate::sidecar::write_batch;
 use crate::spread::{self, Asker, News};
+use crate::turn::{self, Next, Stop};
 use async_channel::{Receiver, Sender};
 use async_std::net::TcpListener;
 use async_std::task;
@@ -19,7 +20,7 @@
 use sorreldeck::pick::Link;
 use sorreldeck::store::Batch;
 use sorreldeck::wire::Frame;
-use sorreldeck::{Failure, Incarnation, Promise, Reason, RequestId, Revision, Tree};
+use sorreldeck::{Failure, Incarnation, Promise, Reason, RequestId, Tree};
 use sorreldeck_net::http;
 use sorreldeck_net::link::{Event, Outbox, Traffic};
 use sorreldeck_net::platform::{Answer, Commit, Instance, Platform, Transaction, Trouble};
@@ -29,7 +30,6 @@
 use std::sync::{Arc, RwLock};
 use std::time::{Duration, Instant};
 
-const TICK: Duration = Duration::from_millis(20);
 /// How long a stopping entry goes on with what is under way.
 const STOP_TIMEOUT: Duration = Duration::from_secs(120);
 /// The heartbeats on one link: with many links they come less often, so that
@@ -116,20 +116,8 @@
     pub address: SocketAddr,
     /// What handlers share with the loop.
     pub shared: Shared,
-    stop: Arc<AtomicBool>,
-    ended: Receiver<()>,
-}
-
-impl Running {
-    /// Starts a planned stop.
-    pub fn stop(&self) {
-        self.stop.store(true, Ordering::Relaxed);
-    }
-
-    /// Waits until the entry has ended.
-    pub async fn ended(&self) {
-        let _ = self.ended.recv().await;
-    }
+    /// The planned stop.
+    pub stop: Stop,
 }
 
 /// Runs an entry until it is told to stop by SIGTERM or SIGINT.
@@ -139,10 +127,10 @@
 /// Fails when the address cannot be listened on.
 pub async fn run(settings: options::Entry) -> Result<()> {
     let platform = Platform::connect(settings.platform);
-    let stop = crate::sidecar::stop_on_signal()?;
+    let stop = turn::on_signal()?;
     let running = start(settings, platform, stop).await?;
     println!("callers and operators on {}", running.address);
-    running.ended().await;
+    running.stop.ended().await;
     Ok(())
 }
 
@@ -161,7 +149,7 @@
     let incarnation = Incarnation(u64::from_le_bytes(clock::random()));
     info!("entry {} starts as {incarnation}", settings.name);
     let (send, receive) = async_channel::unbounded();
-    let (end, ended) = async_channel::bounded(1);
+    let (end, ended) = async_channel::bounded::<()>(1);
     let shared = Shared {
         send: send.clone(),
         tree: Arc::default(),
@@ -206,7 +194,7 @@
         traffic: room.traffic.clone(),
     };
     task::spawn(links::keep(directory));
-    task::spawn(poll(platform.clone(), send.clone()));
+    task::spawn(spread::poll(platform.clone(), send.clone(), Message::News));
     task::spawn(control::run(
         shared.clone(),
         Lease::new(&settings.name, incarnation),
@@ -216,13 +204,12 @@
     let grace = settings.grace.into();
     task::spawn(async move {
         room.work(receive, flag, grace).await;
-        let _ = end.send(()).await;
+        drop(end);
     });
     Ok(Running {
         address,
         shared,
-        stop,
-        ended,
+        stop: Stop::new(stop, ended),
     })
 }
 
@@ -233,21 +220,6 @@
     app
 }
 
-/// Reads the head row at jittered intervals for as long as the loop runs.
-async fn poll(platform: Platform, send: Sender<Message>) {
-    let mut known = Revision(0);
-    while !send.is_closed() {
-        if let Ok(Some(news)) = spread::fetch(&platform, known).await {
-            known = match &news {
-                News::Snapshot(snapshot) => snapshot.revision,
-                News::Changes(changes) => changes.last().map_or(known, |c| c.revision),
-            };
-            let _ = send.send(Message::News(news)).await;
-        }
-        task::sleep(spread::pause(unit())).await;
-    }
-}
-
 /// What the loop holds.
 pub struct Room {
     /// The decisions.
@@ -271,33 +243,19 @@
 
 impl Room {
     async fn work(mut self, receive: Receiver<Message>, stop: Arc<AtomicBool>, grace: Duration) {
-        let mut ticked = Instant::now();
         let mut stopping: Option<Instant> = None;
-        loop {
-            let wait = TICK.saturating_sub(ticked.elapsed());
-            if let Ok(Ok(message)) = async_std::future::timeout(wait, receive.recv()).await {
-                self.take(message);
-            }
-            // All that waits is dealt with before the next timer is set.
-            for _ in 0..256 {
-                match receive.try_recv() {
-                    Ok(message) => self.take(message),
-                    Err(_) => break,
-                }
-            }
-            if ticked.elapsed() < TICK {
-                continue;
-            }
-            ticked = Instant::now();
-            self.tick(stopping.is_some());
+        let tick = |room: &mut Room| {
+            room.tick(stopping.is_some());
             if stop.load(Ordering::Relaxed) && stopping.is_none() {
                 info!("the entry leaves");
                 stopping = Some(Instant::now());
             }
-            if stopping.is_some_and(|since| self.is_done(since, grace)) {
-                break;
+            match stopping.is_some_and(|since| room.is_done(since, grace)) {
+                true => Next::End,
+                false => Next::Go,
             }
-        }
+        };
+        turn::run(&mut self, receive, Room::take, tick).await;
         if !self.entry.stopped() {
             warn!("the stop cuts {} requests", self.entry.in_flight());
         }
@@ -305,6 +263,7 @@
         for outbox in self.links.values() {
             outbox.close();
         }
+        // What is in line still goes out.
         task::sleep(Duration::from_millis(50)).await;
     }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod sidecar;
 pub mod spread;
 pub mod standalone;
+pub mod turn;
 pub mod upstream;
 
 pub use options::Options;
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -1,8 +1,8 @@
 //! Which sidecars an entry keeps links to, and how it gets them back.
 
 use crate::clock;
+use crate::clock::unit;
 use crate::entry::Message;
-use crate::sidecar::unit;
 use async_channel::Sender;
 use async_std::sync::Mutex;
 use async_std::task;
--- a/crates/daemon/src/sidecar.rs
+++ b/crates/daemon/src/sidecar.rs
@@ -4,6 +4,7 @@
 use crate::metrics::Metrics;
 use crate::options;
 use crate::spread::{self, Asker, News};
+use crate::turn::{self, Next, Stop};
 use crate::upstream::{self, Handle};
 use async_channel::{Receiver, Sender};
 use async_std::net::TcpListener;
@@ -15,7 +16,7 @@
 use sorreldeck::sidecar::{Input, Output, Settings, Sidecar};
 use sorreldeck::store::Batch;
 use sorreldeck::wire::{Frame, Run};
-use sorreldeck::{Incarnation, Promise, Revision};
+use sorreldeck::{Incarnation, Promise};
 use sorreldeck_net::http::{self, Client};
 use sorreldeck_net::link::{self, Event, Keys, Outbox, Traffic};
 use sorreldeck_net::Platform;
@@ -26,7 +27,8 @@
 use std::time::{Duration, Instant};
 use tide::{Request, Response};
 
-const TICK: Duration = Duration::from_millis(20);
+/// The pause after a connection that could not be taken.
+const AFTER_FAILURE: Duration = Duration::from_millis(20);
 /// How long a stopping sidecar goes on with what runs.
 const STOP_TIMEOUT: Duration = Duration::from_secs(120);
 
@@ -46,20 +48,8 @@
     pub address: SocketAddr,
     /// The address for health checks and metrics.
     pub health: SocketAddr,
-    stop: Arc<AtomicBool>,
-    ended: Receiver<()>,
-}
-
-impl Running {
-    /// Starts a planned stop.
-    pub fn stop(&self) {
-        self.stop.store(true, Ordering::Relaxed);
-    }
-
-    /// Waits until the sidecar has ended.
-    pub async fn ended(&self) {
-        let _ = self.ended.recv().await;
-    }
+    /// The planned stop.
+    pub stop: Stop,
 }
 
 /// Runs a sidecar until it is told to stop by SIGTERM or SIGINT.
@@ -69,26 +59,13 @@
 /// Fails when an address cannot be listened on.
 pub async fn run(settings: options::Sidecar) -> Result<()> {
     let platform = Platform::connect(settings.platform);
-    let stop = stop_on_signal()?;
+    let stop = turn::on_signal()?;
     let running = start(settings, platform, stop).await?;
     println!("links on {}, health on {}", running.address, running.health);
-    running.ended().await;
+    running.stop.ended().await;
     Ok(())
 }
 
-/// Returns a flag that SIGTERM and SIGINT raise.
-///
-/// # Errors
-///
-/// Fails when the signals cannot be caught.
-pub fn stop_on_signal() -> Result<Arc<AtomicBool>> {
-    let stop = Arc::new(AtomicBool::new(false));
-    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-        signal_hook::flag::register(signal, stop.clone())?;
-    }
-    Ok(stop)
-}
-
 /// Starts a sidecar in this process.
 ///
 /// # Errors
@@ -104,7 +81,7 @@
     let health = TcpListener::bind(settings.health).await?;
     let health_address = health.local_addr()?;
     let (send, receive) = async_channel::unbounded();
-    let (end, ended) = async_channel::bounded(1);
+    let (end, ended) = async_channel::bounded::<()>(1);
     let incarnation = Incarnation(u64::from_le_bytes(clock::random()));
     info!("sidecar {} starts as {incarnation}", settings.name);
     let config = Config::default();
@@ -139,18 +116,17 @@
         send.clone(),
         traffic,
     ));
-    task::spawn(poll(platform, send.clone()));
+    task::spawn(spread::poll(platform, send.clone(), Message::News));
     task::spawn(http::serve(health, app(send)));
     let flag = stop.clone();
     task::spawn(async move {
         room.work(receive, flag).await;
-        let _ = end.send(()).await;
+        drop(end);
     });
     Ok(Running {
         address,
         health: health_address,
-        stop,
-        ended,
+        stop: Stop::new(stop, ended),
     })
 }
 
@@ -163,7 +139,7 @@
     let mut next: Link = 1;
     loop {
         let Ok((stream, _)) = listener.accept().await else {
-            task::sleep(TICK).await;
+            task::sleep(AFTER_FAILURE).await;
             continue;
         };
         let (keys, send, traffic) = (keys.clone(), send.clone(), traffic.clone());
@@ -188,32 +164,6 @@
     }
 }
 
-/// Reads the head row at jittered intervals for as long as the loop runs.
-async fn poll(platform: Platform, send: Sender<Message>) {
-    let mut known = Revision(0);
-    loop {
-        if let Ok(Some(news)) = spread::fetch(&platform, known).await {
-            known = match &news {
-                News::Snapshot(snapshot) => snapshot.revision,
-                News::Changes(changes) => changes.last().map_or(known, |c| c.revision),
-            };
-            if send.send(Message::News(news)).await.is_err() {
-                return;
-            }
-        }
-        if send.is_closed() {
-            return;
-        }
-        task::sleep(spread::pause(unit())).await;
-    }
-}
-
-/// Returns a random number in `[0, 1)`.
-pub fn unit() -> f64 {
-    let bits = u64::from_le_bytes(clock::random());
-    (bits >> 11) as f64 / (1u64 << 53) as f64
-}
-
 /// What the loop holds.
 struct Room {
     sidecar: Sidecar,
@@ -233,39 +183,30 @@
 
 impl Room {
     async fn work(mut self, receive: Receiver<Message>, stop: Arc<AtomicBool>) {
-        let mut ticked = Instant::now();
         let mut stopping: Option<Instant> = None;
-        loop {
-            let wait = TICK.saturating_sub(ticked.elapsed());
-            if let Ok(Ok(message)) = async_std::future::timeout(wait, receive.recv()).await {
-                self.take(message);
-            }
-            // All that waits is dealt with before the next timer is set.
-            for _ in 0..256 {
-                match receive.try_recv() {
-                    Ok(message) => self.take(message),
-                    Err(_) => break,
-                }
-            }
-            if ticked.elapsed() < TICK {
-                continue;
-            }
-            ticked = Instant::now();
-            self.handle(Input::Tick);
-            self.watch_promises();
+        let tick = |room: &mut Room| {
+            room.handle(Input::Tick);
+            room.watch_promises();
             if stop.load(Ordering::Relaxed) && stopping.is_none() {
                 info!("the sidecar leaves");
                 stopping = Some(Instant::now());
-                self.handle(Input::Leave);
+                room.handle(Input::Leave);
             }
-            if stopping.is_some_and(|since| self.is_done(since)) {
-                break;
+            match stopping.is_some_and(|since| room.is_done(since)) {
+                true => Next::End,
+                false => Next::Go,
             }
-        }
+        };
+        turn::run(&mut self, receive, Room::take, tick).await;
         info!("the sidecar has ended");
+        self.close_links().await;
+    }
+
+    async fn close_links(&self) {
         for outbox in self.links.values() {
             outbox.close();
         }
+        // What is in line still goes out.
         task::sleep(Duration::from_millis(50)).await;
     }
 
--- a/crates/daemon/src/spread.rs
+++ b/crates/daemon/src/spread.rs
@@ -6,8 +6,10 @@
 //! it lacks. So a change spreads also when the platform goes down just after,
 //! and an instance that starts empty during an outage learns it from others.
 
+use crate::clock::unit;
+use async_channel::Sender;
 use async_std::task;
-use eyre::{bail, eyre, Result, WrapErr};
+use eyre::{bail, eyre, Result};
 use log::warn;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -200,10 +202,21 @@
     Ok(changes)
 }
 
-/// Returns the pause before the next read of the head: between one half and
-/// one and a half of the mean, by a random number in `[0, 1)`.
-pub fn pause(draw: f64) -> Duration {
-    POLL.mul_f64(0.5 + draw)
+/// Reads the head at jittered intervals and sends the loop what is news, for as
+/// long as the loop runs.
+pub async fn poll<M>(platform: Platform, send: Sender<M>, message: fn(News) -> M) {
+    let mut known = Revision(0);
+    while !send.is_closed() {
+        if let Ok(Some(news)) = fetch(&platform, known).await {
+            known = match &news {
+                News::Snapshot(snapshot) => snapshot.revision,
+                News::Changes(changes) => changes.last().map_or(known, |c| c.revision),
+            };
+            // A loop that has ended wants no news.
+            let _ = send.send(message(news)).await;
+        }
+        task::sleep(POLL.mul_f64(0.5 + unit())).await;
+    }
 }
 
 /// What became of a change that an operator wanted.
@@ -331,21 +344,3 @@
     }
     Outcome::Unknown(format!("ticket {:016x}", change.ticket))
 }
-
-/// Reads the latest configuration at start, if the platform can be reached.
-///
-/// # Errors
-///
-/// Fails when the platform is out of reach or its copy is not understood.
-pub async fn start(platform: &Platform) -> Result<Config> {
-    let mut config = Config::default();
-    while let Some(news) = fetch(platform, config.revision())
-        .await
-        .wrap_err("the configuration could not be read")?
-    {
-        if adopt(&mut config, news).is_none() {
-            break;
-        }
-    }
-    Ok(config)
-}
--- a/crates/daemon/src/standalone.rs
+++ b/crates/daemon/src/standalone.rs
@@ -2,7 +2,7 @@
 //! process, so that a newcomer sees an answer after one command.
 
 use crate::options::{self, LogFormat};
-use crate::{entry, sidecar, spread};
+use crate::{entry, sidecar, spread, turn};
 use eyre::{eyre, Result};
 use sorreldeck::tree::{self, Edit, Tree};
 use sorreldeck_emulator::engine::Speed;
@@ -30,14 +30,14 @@
 ///
 /// Fails when the address cannot be listened on.
 pub async fn run(settings: options::Standalone) -> Result<()> {
-    let stop = sidecar::stop_on_signal()?;
+    let stop = turn::on_signal()?;
     let running = start(settings.listen, TREE, stop).await?.entry;
     let address = running.address;
     println!("sorreldeck answers on http://{address}, try:");
     println!("  curl -N http://{address}/v1/chat/completions -H 'authorization: Bearer {KEY}' \\");
     println!("    -d '{{\"model\": \"scribe\", \"stream\": true, \"messages\": [{{\"role\": \"user\", \"content\": \"hello\"}}]}}'");
     println!("  sorreldeck --server {address} --token {TOKEN} status");
-    running.ended().await;
+    running.stop.ended().await;
     Ok(())
 }
 
@@ -77,7 +77,7 @@
         }
         let settings =
             sidecar_settings(&format!("engine-{i}"), "assistant", engine.serve().await?)?;
-        let (instance, running) = start_sidecar(settings, &platform, &stop).await?;
+        let (instance, running) = start_sidecar(settings, &platform).await?;
         instances.push(instance);
         sidecars.push(running);
         engines.push(engine);
@@ -86,7 +86,7 @@
         let plain = Plain::new("clock", Duration::from_millis(5));
         let mut settings = sidecar_settings(&format!("clock-{i}"), "clock", plain.serve().await?)?;
         settings.plain = true;
-        let (instance, running) = start_sidecar(settings, &platform, &stop).await?;
+        let (instance, running) = start_sidecar(settings, &platform).await?;
         instances.push(instance);
         sidecars.push(running);
         plains.push(plain);
@@ -153,11 +153,11 @@
 async fn start_sidecar(
     settings: options::Sidecar,
     platform: &Platform,
-    stop: &Arc<AtomicBool>,
 ) -> Result<(Instance, sidecar::Running)> {
     let name = settings.name.as_str().parse()?;
     let hall = settings.hall.clone();
-    let running = sidecar::start(settings, platform.clone(), stop.clone()).await?;
+    // Each has a stop of its own; what lasts here ends with the process.
+    let running = sidecar::start(settings, platform.clone(), Arc::default()).await?;
     let instance = Instance {
         name,
         role: Role::Sidecar,
--- /dev/null
+++ b/crates/daemon/src/turn.rs
@@ -0,0 +1,90 @@
+//! The loop of a process: one thread, messages in, a tick every 20 ms.
+
+use async_channel::Receiver;
+use async_std::future::timeout;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// The time between two ticks.
+const TICK: Duration = Duration::from_millis(20);
+/// The messages that are taken before the clock is looked at again.
+const AT_ONCE: usize = 256;
+
+/// What a loop does next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Go on.
+    Go,
+    /// End.
+    End,
+}
+
+/// Runs a loop until a tick ends it: `take` deals with a message, `tick` with
+/// the passing of time.
+pub async fn run<R, M>(
+    room: &mut R,
+    receive: Receiver<M>,
+    take: fn(&mut R, M),
+    mut tick: impl FnMut(&mut R) -> Next,
+) {
+    let mut ticked = Instant::now();
+    loop {
+        let wait = TICK.saturating_sub(ticked.elapsed());
+        if let Ok(Ok(message)) = timeout(wait, receive.recv()).await {
+            take(room, message);
+        }
+        // What waits already is dealt with before the next timer is set.
+        for _ in 0..AT_ONCE {
+            match receive.try_recv() {
+                Ok(message) => take(room, message),
+                Err(_) => break,
+            }
+        }
+        if ticked.elapsed() < TICK {
+            continue;
+        }
+        ticked = Instant::now();
+        if tick(room) == Next::End {
+            return;
+        }
+    }
+}
+
+/// The planned stop of a loop, as seen from outside.
+#[derive(Clone, Debug)]
+pub struct Stop {
+    wanted: Arc<AtomicBool>,
+    ended: Receiver<()>,
+}
+
+impl Stop {
+    /// Creates the handle of a loop that looks at `wanted` and closes `ended`.
+    pub fn new(wanted: Arc<AtomicBool>, ended: Receiver<()>) -> Stop {
+        Stop { wanted, ended }
+    }
+
+    /// Starts a planned stop.
+    pub fn start(&self) {
+        self.wanted.store(true, Ordering::Relaxed);
+    }
+
+    /// Waits until the loop has ended.
+    pub async fn ended(&self) {
+        // The channel carries nothing; it is closed by the loop's end.
+        let _ = self.ended.recv().await;
+    }
+}
+
+/// Returns a flag that SIGTERM and SIGINT raise.
+///
+/// # Errors
+///
+/// Fails when the signals cannot be caught.
+pub fn on_signal() -> std::io::Result<Arc<AtomicBool>> {
+    let stop = Arc::new(AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        signal_hook::flag::register(signal, stop.clone())?;
+    }
+    Ok(stop)
+}
