--- a/crates/core/src/sidecar.rs
+++ b/crates/core/src/sidecar.rs
@@ -41,8 +41,11 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
-/// How often an unprompted report of load goes to every link.
-const REPORT_EVERY: Span = Span::from_millis(1000);
+/// How often an unprompted report of load goes to every link: with many links
+/// less often, so that all of them together stay within the budget for control.
+const REPORT_PER_LINK: Span = Span::from_millis(75);
+const REPORT_MIN: Span = Span::from_millis(1000);
+const REPORT_MAX: Span = Span::from_millis(2500);
 /// The weight of the newest sample in the running mean of service times.
 const SERVICE_GAIN: f64 = 0.1;
 /// The service time of one token assumed until one was measured.
@@ -696,7 +699,7 @@
         if let Some(batch) = self.held.due(now, self.leaving) {
             out.push(Output::Write(batch));
         }
-        if now.since(self.reported) >= REPORT_EVERY {
+        if now.since(self.reported) >= self.report_every() {
             self.reported = now;
             let load = self.load();
             for link in &self.links {
@@ -705,6 +708,11 @@
         }
     }
 
+    fn report_every(&self) -> Span {
+        let micros = REPORT_PER_LINK.micros() * self.links.len() as u64;
+        Span::from_micros(micros).clamp(REPORT_MIN, REPORT_MAX)
+    }
+
     /// New work is refused from now on; what waits or runs is finished.
     fn leave(&mut self, now: Time, out: &mut Outputs) {
         if self.leaving {
