--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -176,7 +176,11 @@
         };
         for (i, upstream) in fleet.addresses.engines.clone().into_iter().enumerate() {
             let mut args = fleet.sidecar_args(&format!("engine-{i}"), plan.pool, i, upstream);
-            args.extend(strings(&["--slots", &plan.stand.slots.to_string()]));
+            let slots = match plan.ledger {
+                0 => plan.stand.slots,
+                counted => counted,
+            };
+            args.extend(strings(&["--slots", &slots.to_string()]));
             args.extend(strings(&["--reserve", &plan.reserve.to_string()]));
             args.extend(strings(&[
                 "--prefill",
--- a/crates/bench/src/overload.rs
+++ b/crates/bench/src/overload.rs
@@ -36,6 +36,9 @@
     /// Give ours the baseline's plain queue, to see what choosing alone brings
     #[bpaf(long, switch)]
     pub fifo: bool,
+    /// Take the sidecars' ledgers out of ours: entries choose, and what they send starts at once
+    #[bpaf(long, switch)]
+    pub coarse: bool,
 }
 
 /// The time within which an answer must begin: what comes later is worth nothing.
@@ -110,6 +113,10 @@
         plan.reserve = 0;
         plan.sidecar_args.push("--fifo".into());
     }
+    if options.coarse {
+        // No engine ever has so many requests.
+        plan.ledger = 100_000;
+    }
     plan
 }
 
--- a/crates/bench/src/plan.rs
+++ b/crates/bench/src/plan.rs
@@ -51,6 +51,8 @@
     pub entry_args: Vec<String>,
     /// More arguments of every sidecar of an engine.
     pub sidecar_args: Vec<String>,
+    /// The slots that a sidecar's ledger counts; 0 for those of the engine.
+    pub ledger: usize,
     /// The slots of an engine that are kept for the priority class.
     pub reserve: u32,
 }
@@ -89,6 +91,7 @@
             tree: tree.to_owned(),
             entry_args: Vec::new(),
             sidecar_args: Vec::new(),
+            ledger: 0,
             reserve: 1,
         }
     }
