Return the sample process only when its tree is in force; mend repetitions

Cause: a last run of the checks failed once: of 18 command cases one asked for the tree before the sample's entry had read it, so that the operator's token was not known yet and the first listing was empty. A newcomer's first command could meet the same. Besides, the bench's fleet started the stand-ins in two places, and Ledger::knows and Held::orphans had no caller.

Change: standalone::start waits until the tree is in force at its entry. Fleet::stand_ins serves both starts; the two methods are gone.

Ruled out: the refused change itself; the listing after it was whole.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -161,19 +161,24 @@
 }
 
 impl Fleet {
-    /// Starts the processes of a plan and waits until all entries are ready.
-    pub async fn start(plan: &Plan) -> Result<Fleet> {
+    /// Starts the stand-ins, with no daemon yet.
+    fn stand_ins(options: &crate::stand::Options) -> Result<Fleet> {
         let mut args = strings(&["stand-ins"]);
-        args.extend(plan.stand.arguments());
+        args.extend(options.arguments());
         let stand = Process::start(&args, 3)?;
         let addresses: Addresses = serde_json::from_str(&stand.line)?;
-        let mut fleet = Fleet {
+        Ok(Fleet {
             _stand: stand,
             addresses,
             sidecars: Vec::new(),
             entries: Vec::new(),
             client: Client::default(),
-        };
+        })
+    }
+
+    /// Starts the processes of a plan and waits until all entries are ready.
+    pub async fn start(plan: &Plan) -> Result<Fleet> {
+        let mut fleet = Fleet::stand_ins(&plan.stand)?;
         for (i, upstream) in fleet.addresses.engines.clone().into_iter().enumerate() {
             let mut args = fleet.sidecar_args(&format!("engine-{i}"), plan.pool, i, upstream);
             let slots = match plan.ledger {
@@ -212,17 +217,7 @@
             plains: 1,
             ..plan.stand.clone()
         };
-        let mut args = strings(&["stand-ins"]);
-        args.extend(stand.arguments());
-        let stand = Process::start(&args, 3)?;
-        let addresses: Addresses = serde_json::from_str(&stand.line)?;
-        let mut fleet = Fleet {
-            _stand: stand,
-            addresses,
-            sidecars: Vec::new(),
-            entries: Vec::new(),
-            client: Client::default(),
-        };
+        let mut fleet = Fleet::stand_ins(&stand)?;
         let upstream = fleet.addresses.plains[0];
         for i in 0..sidecars {
             let name = format!("engine-{i}");
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -63,11 +63,6 @@
         self.running() + kept < self.slots
     }
 
-    /// Returns whether the run was ever taken or refused here.
-    pub fn knows(&self, run: Run) -> bool {
-        self.known.contains(&run)
-    }
-
     /// Notes a run that was taken in; returns whether it is the first time.
     pub fn note(&mut self, run: Run) -> bool {
         if !self.known.insert(run) {
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -136,11 +136,6 @@
         }
     }
 
-    /// Returns the records whose link is gone, to be written by this process.
-    pub fn orphans(&self) -> usize {
-        self.waiting.values().filter(|e| e.link.is_none()).count()
-    }
-
     /// Returns a batch that is to be written now: all that waits, if enough
     /// waits, or long enough, or `hurry` is set. One write goes at a time.
     pub fn due(&mut self, now: Time, hurry: bool) -> Option<Batch> {
--- a/crates/daemon/src/standalone.rs
+++ b/crates/daemon/src/standalone.rs
@@ -3,8 +3,10 @@
 
 use crate::options::{self, LogFormat};
 use crate::{entry, sidecar, spread, turn};
+use async_std::task;
 use eyre::{eyre, Result};
 use sorreldeck::tree::{self, Edit, Tree};
+use sorreldeck::Revision;
 use sorreldeck_emulator::engine::Speed;
 use sorreldeck_emulator::{server, Engine, Plain, Quality};
 use sorreldeck_net::platform::{Instance, Memory, Platform, Role};
@@ -100,6 +102,10 @@
         leaving: false,
     });
     memory.set_instances(instances);
+    // Until then no key and no token is known to the entry.
+    while running.shared.tree().revision() == Revision(0) {
+        task::sleep(Duration::from_millis(5)).await;
+    }
     Ok(Sample {
         entry: running,
         sidecars,
