--- a/crates/core/src/entry/admit.rs
+++ b/crates/core/src/entry/admit.rs
@@ -12,12 +12,14 @@
 
 impl Refused {
     fn new(
+        request: RequestId,
         account: Option<AccountId>,
         class: Class,
         plain: bool,
         failure: Failure,
     ) -> Box<Refused> {
         let done = Done {
+            request,
             account,
             class,
             plain,
@@ -51,12 +53,16 @@
     /// Finds what the request is to get, and takes it in if its client account
     /// and the limits allow.
     fn admit(&mut self, now: Time, ask: Ask) -> Result<(Flight, Action), Box<Refused>> {
+        let request = ask.request;
         let plain = matches!(ask.what, What::Plain(_));
-        let refused = |failure| Refused::new(None, Class::default(), plain, failure);
+        let refused = |failure| Refused::new(request, None, Class::default(), plain, failure);
         if self.leaving {
             let failure = Failure::not_run(Reason::Leaving, "this entry is about to stop");
             return Err(refused(failure.retry_after(Span::default())));
         }
+        if matches!(ask.what, What::Routed(_)) {
+            return self.admit_routed(now, ask);
+        }
         let caller = Caller {
             key: ask.key.as_deref(),
             route: ask.route.as_deref(),
@@ -69,7 +75,7 @@
             d.class = Some(site.class);
         });
         let (account, class) = (site.account.clone(), site.class);
-        let refused = |failure| Refused::new(Some(account.clone()), class, plain, failure);
+        let refused = |failure| Refused::new(request, Some(account.clone()), class, plain, failure);
         let action = site.node.action();
         let flight = self.prepare(now, ask, site).map_err(refused)?;
         if action == Action::Route {
@@ -81,12 +87,36 @@
         Ok((flight, action))
     }
 
+    /// Takes in a request that a route describes.
+    fn admit_routed(&mut self, now: Time, ask: Ask) -> Result<(Flight, Action), Box<Refused>> {
+        let request = ask.request;
+        let refused = |failure| Refused::new(request, None, Class::default(), false, failure);
+        let What::Routed(routed) = &ask.what else {
+            unreachable!("only routed requests come here");
+        };
+        let located = self.locate(routed, ask.key.as_deref());
+        let (site, terms) = located.map_err(refused)?;
+        self.history.note(ask.request, |d| {
+            d.account = Some(site.account.clone());
+            d.class = Some(site.class);
+        });
+        let timeout = terms.route.timeout;
+        let left = routed.left.map_or(timeout, |left| left.min(timeout));
+        let once = !terms.route.may_repeat();
+        let mut flight = Flight::new(ask, site, now, now + left);
+        flight.goal = Goal::Routed;
+        flight.once = once;
+        flight.terms = Some(terms);
+        Ok((flight, Action::Route))
+    }
+
     pub(super) fn prepare(&self, now: Time, ask: Ask, site: Site) -> Result<Flight, Failure> {
         let (goal, pool, once) = match &ask.what {
             What::Chat(chat) => {
                 let goal = route::target(&self.tree, &site, &chat.model)?;
                 (Goal::from(goal), None, false)
             }
+            What::Routed(_) => (Goal::Routed, None, false),
             What::Plain(call) => {
                 let (pool, once) = self.service(&site, call)?;
                 (Goal::Service, Some(pool), once)
@@ -95,34 +125,14 @@
         let session = self.open_session(&ask, &site)?;
         let deadline = now + site.node.deadline();
         let once = once || ask.once;
-        Ok(Flight {
-            run: Run::first(ask.request),
-            ask,
-            site,
-            session,
-            goal,
-            // A model's pool is known when its version is chosen.
-            pool: pool.unwrap_or_else(|| "none".parse().expect("a legal name")),
-            choice: None,
-            once,
-            began: now,
-            deadline,
-            at: None,
-            upstream: None,
-            tried: Vec::new(),
-            failed: None,
-            verdict: Verdict::NotRun,
-            waiting: None,
-            revision: Revision(0),
-            first: None,
-            headed: false,
-            late: false,
-            parts: 0,
-            text: Vec::new(),
-            kept: None,
-            status: 0,
-            headers: Vec::new(),
-        })
+        let mut flight = Flight::new(ask, site, now, deadline);
+        flight.session = session;
+        flight.goal = goal;
+        flight.once = once;
+        if let Some(pool) = pool {
+            flight.pool = pool;
+        }
+        Ok(flight)
     }
 
     pub(super) fn service(&self, site: &Site, call: &Call) -> Result<(PoolId, bool), Failure> {
--- a/crates/core/src/entry/answer.rs
+++ b/crates/core/src/entry/answer.rs
@@ -63,7 +63,9 @@
                     out.push(Output::Suspect(version));
                 }
             }
-            Frame::Start(_)
+            Frame::Want(_)
+            | Frame::Tables(_)
+            | Frame::Start(_)
             | Frame::Cancel(_)
             | Frame::Changes(_)
             | Frame::Snapshot { .. }
@@ -110,7 +112,7 @@
     }
 
     /// Notes that the run under way is no longer at its upstream.
-    fn landed(&mut self, request: RequestId) {
+    pub(super) fn landed(&mut self, request: RequestId) {
         let Some(flight) = self.flights.get_mut(&request) else {
             return;
         };
@@ -126,7 +128,7 @@
     }
 
     /// Returns the flight whose present run this is.
-    fn flight(&mut self, run: Run) -> Option<&mut Flight> {
+    pub(super) fn flight(&mut self, run: Run) -> Option<&mut Flight> {
         self.flights.get_mut(&run.request).filter(|f| f.run == run)
     }
 
@@ -377,6 +379,9 @@
         failure: Failure,
         out: &mut Outputs,
     ) {
+        if self.flights.get(&request).is_some_and(|f| f.terms.is_some()) {
+            return self.give_up(now, request, failure, out);
+        }
         match self.next_try(now, request, &failure) {
             Next::Again if self.has_changed(request) => self.rechoose(now, request, out),
             Next::Again => {
@@ -539,11 +544,12 @@
     GiveUp,
 }
 
-fn done(flight: &Flight, now: Time, failure: Option<Reason>) -> Done {
+pub(super) fn done(flight: &Flight, now: Time, failure: Option<Reason>) -> Done {
     Done {
+        request: flight.ask.request,
         account: Some(flight.site.account.clone()),
         class: flight.site.class,
-        plain: flight.chat().is_none(),
+        plain: matches!(flight.ask.what, What::Plain(_)),
         first: flight.first.map(|t| t.since(flight.began)),
         whole: now.since(flight.began),
         failure,
--- a/crates/core/src/entry/ask.rs
+++ b/crates/core/src/entry/ask.rs
@@ -8,6 +8,7 @@
 //! assert_eq!(chat.max_tokens, 20);
 //! ```
 
+use crate::entry::Routed;
 use crate::failure::{Failure, Reason};
 use crate::id::{RequestId, VersionId};
 use crate::pick::Prefix;
@@ -49,6 +50,8 @@
     Chat(Box<Chat>),
     /// A call of a plain service.
     Plain(Call),
+    /// A request that a route describes.
+    Routed(Box<Routed>),
 }
 
 /// A chat completion.
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -7,7 +7,7 @@
     /// Chooses version and pool for the present step.
     pub(super) fn choose(&mut self, flight: &mut Flight) -> Result<(), Failure> {
         let choice = match &flight.goal {
-            Goal::Service => return Ok(()),
+            Goal::Service | Goal::Routed => return Ok(()),
             Goal::Model(model) => {
                 let draw = self.rng.random::<f64>();
                 let (tree, watch) = (&self.tree, &self.watch);
@@ -84,11 +84,13 @@
         let Some(mut flight) = self.flights.remove(&request) else {
             return;
         };
-        let sent = match flight.choice {
-            Some(_) => Ok(()),
-            None => self.choose(&mut flight),
+        let sent = match (&flight.goal, &flight.choice) {
+            (Goal::Routed, _) => self.send_routed(now, &mut flight, out),
+            (_, Some(_)) => self.send(now, &mut flight, out),
+            (_, None) => self
+                .choose(&mut flight)
+                .and_then(|()| self.send(now, &mut flight, out)),
         };
-        let sent = sent.and_then(|()| self.send(now, &mut flight, out));
         self.flights.insert(request, flight);
         if let Err(failure) = sent {
             self.settle(now, request, failure, out);
@@ -106,9 +108,10 @@
             pool: &flight.pool,
             tokens: flight.prompt_tokens(),
             urgent: flight.site.class == Class::Priority,
-            prefix: flight.prefix(),
+            chain: flight.chain(),
             last: flight.session.as_ref().and_then(|s| s.upstream.as_ref()),
             tried: &flight.tried,
+            near: Near::default(),
         };
         let draw = self.rng.random::<f64>();
         let link = self
@@ -125,7 +128,7 @@
         self.keep(Promise::AtMostOnce, once)?;
         self.note_try(flight, Some(link), String::new());
         self.peers
-            .sent(link, flight.prompt_tokens(), flight.prefix());
+            .sent(link, flight.prompt_tokens(), flight.chain());
         if let Some(version) = flight.version() {
             *self.running.entry(version.clone()).or_default() += 1;
         }
@@ -185,6 +188,7 @@
             }
             (What::Chat(_), None) => unreachable!("a chat is sent after its version is chosen"),
             (What::Plain(call), _) => self.plain_call(call),
+            (What::Routed(routed), _) => routed.call.clone(),
         };
         Start {
             run: flight.run,
@@ -197,6 +201,7 @@
             patient: self.is_patient(flight),
             revision: self.tree.revision(),
             call,
+            order: None,
         }
     }
 
--- a/crates/core/src/entry/flight.rs
+++ b/crates/core/src/entry/flight.rs
@@ -1,6 +1,7 @@
 //! A request under way at an entry.
 
 use crate::entry::ask::{Ask, Chat, What};
+use crate::entry::routed::Terms;
 use crate::failure::Failure;
 use crate::id::*;
 use crate::pick::{Link, Prefix};
@@ -38,6 +39,7 @@
     pub kept: Option<Whole>,
     pub status: u16,
     pub headers: Vec<Header>,
+    pub terms: Option<Terms>,
 }
 
 /// What a request is to get.
@@ -49,6 +51,8 @@
     Model(ModelId),
     /// An answer of a cascade; the step is the index in its list.
     Cascade(CascadeId, usize),
+    /// What a route of the tree describes.
+    Routed,
 }
 
 /// A whole answer that is kept until it is known whether it is given.
@@ -72,10 +76,43 @@
 }
 
 impl Flight {
+    /// Creates the flight of a request that has gone nowhere yet.
+    pub fn new(ask: Ask, site: Site, began: Time, deadline: Time) -> Flight {
+        Flight {
+            run: Run::first(ask.request),
+            ask,
+            site,
+            session: None,
+            goal: Goal::Service,
+            // A model's pool is known when its version is chosen.
+            pool: "none".parse().expect("a legal name"),
+            choice: None,
+            once: false,
+            began,
+            deadline,
+            at: None,
+            upstream: None,
+            tried: Vec::new(),
+            failed: None,
+            verdict: Verdict::NotRun,
+            waiting: None,
+            revision: Revision(0),
+            first: None,
+            headed: false,
+            late: false,
+            parts: 0,
+            text: Vec::new(),
+            kept: None,
+            status: 0,
+            headers: Vec::new(),
+            terms: None,
+        }
+    }
+
     pub fn chat(&self) -> Option<&Chat> {
         match &self.ask.what {
             What::Chat(chat) => Some(chat),
-            What::Plain(_) => None,
+            What::Plain(_) | What::Routed(_) => None,
         }
     }
 
@@ -84,11 +121,20 @@
     }
 
     pub fn prompt_tokens(&self) -> u32 {
-        self.chat().map_or(0, |c| c.prompt_tokens)
+        match &self.ask.what {
+            What::Chat(chat) => chat.prompt_tokens,
+            What::Plain(_) => 0,
+            What::Routed(routed) => routed.tokens,
+        }
     }
 
-    pub fn prefix(&self) -> Option<Prefix> {
-        self.chat().and_then(|c| c.prefix)
+    /// Returns the beginnings of the prompt that may be cached.
+    pub fn chain(&self) -> &[Prefix] {
+        match &self.ask.what {
+            What::Chat(chat) => chat.prefix.as_slice(),
+            What::Plain(_) => &[],
+            What::Routed(routed) => &routed.chain,
+        }
     }
 
     /// Returns the expected cost at an upstream.
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -19,10 +19,12 @@
 mod dispatch;
 mod flight;
 mod learn;
+mod routed;
 mod watch;
 
 pub use ask::{Ask, Chat, Part, What};
 pub use decision::{Decision, History, Try};
+pub use routed::{Member, Reply, Routed};
 pub use watch::{bar, rollout_of, Judge, Pool, Watch};
 
 use crate::bill::Record;
@@ -30,9 +32,11 @@
 use crate::failure::{Failure, Reason};
 use crate::id::*;
 use crate::limit::Limits;
-use crate::pick::{Link, Peers, Policy, Wish};
+use crate::pick::{Link, Near, Peers, Policy, Wish};
 use crate::promise::{Promise, Promises};
+use crate::release::{self, Releases};
 use crate::retry::Budget;
+use crate::retry;
 use crate::route::{self, Caller, Choice, Site, Target, Why};
 use crate::session::{Keyring, Session};
 use crate::store::{Batch, Held};
@@ -70,6 +74,10 @@
     pub judge: Judge,
     /// Whether a limit is divided evenly, whatever the demand: a baseline.
     pub even_limits: bool,
+    /// The data hall of this process, where that matters.
+    pub hall: Option<Hall>,
+    /// The share of requests that may be sent once more.
+    pub retries: Share,
 }
 
 impl Settings {
@@ -84,6 +92,8 @@
             sample: Share::ALL,
             judge: Judge::Sequential,
             even_limits: false,
+            hall: None,
+            retries: retry::SHARE,
         }
     }
 }
@@ -101,6 +111,14 @@
     LinkDown(Link),
     /// A configuration is in force.
     Tree(Arc<Tree>),
+    /// An upstream can be called directly.
+    Join(Link, Box<Member>),
+    /// An upstream takes no new work; what runs there goes on.
+    Retire(Link),
+    /// What an upstream that is called directly does with a run.
+    Reply(Link, Run, Reply),
+    /// A move to another release, and what is recorded of it.
+    Move(release::Order, Option<release::State>, Option<Time>),
     /// The number of entries that share the limits.
     Entries(usize),
     /// The claim of an idempotency key succeeded or failed.
@@ -173,6 +191,8 @@
 /// A request that has ended.
 #[derive(Clone, Debug)]
 pub struct Done {
+    /// The request.
+    pub request: RequestId,
     /// The client account, or `None` if it was not found.
     pub account: Option<AccountId>,
     /// The class.
@@ -200,6 +220,8 @@
     budget: Budget,
     watch: Watch,
     cascades: HashMap<(CascadeId, usize, Class), cascade::Policy>,
+    releases: Releases,
+    ticked: Time,
     held: Held,
     history: History,
     promises: Promises,
@@ -217,20 +239,22 @@
         Entry {
             rng: ChaCha8Rng::seed_from_u64(settings.seed),
             held: Held::new(settings.incarnation),
-            settings,
             tree: Arc::default(),
             peers: Peers::default(),
             flights: HashMap::new(),
             running: BTreeMap::new(),
             limits: Limits::default(),
-            budget: Budget::default(),
+            budget: Budget::new(settings.retries),
             watch,
             cascades: HashMap::new(),
+            releases: Releases::default(),
+            ticked: Time::default(),
             history: History::default(),
             promises: Promises::default(),
             reported: Time::default(),
             resent: Time::default(),
             leaving: false,
+            settings,
         }
     }
 
@@ -243,6 +267,10 @@
             Input::Frame(link, frame) => self.frame(now, link, frame, &mut out),
             Input::LinkDown(link) => self.link_down(now, link, &mut out),
             Input::Tree(tree) => self.adopt(now, tree, &mut out),
+            Input::Join(link, member) => self.join(link, *member, now),
+            Input::Retire(link) => self.peers.retire(link),
+            Input::Reply(link, run, reply) => self.reply(now, link, run, reply, &mut out),
+            Input::Move(order, state, began) => self.releases.order(order, state, began),
             Input::Entries(n) => self.set_entries(n),
             Input::Claimed(request, claim) => self.claimed(now, request, claim, &mut out),
             Input::Rated(rating) => self.rated(rating, &mut out),
@@ -371,9 +399,10 @@
             pool: &flight.pool,
             tokens: flight.prompt_tokens(),
             urgent: flight.site.class == Class::Priority,
-            prefix: flight.prefix(),
+            chain: flight.chain(),
             last: None,
             tried: &[],
+            near: Near::default(),
         };
         let link = self.peers.pick(&wish, self.settings.policy, now, 0.0);
         self.history.begin(request, self.tree.revision(), asked);
@@ -400,6 +429,7 @@
         match self {
             What::Chat(chat) => chat.model.clone(),
             What::Plain(call) => format!("{} {}", call.method, call.path),
+            What::Routed(routed) => format!("{} {}", routed.call.method, routed.call.path),
         }
     }
 }
--- a/crates/core/src/failure.rs
+++ b/crates/core/src/failure.rs
@@ -68,6 +68,12 @@
     Overloaded, "overloaded", 503;
     /// No upstream that could answer is in reach.
     NoUpstream, "no_upstream", 503;
+    /// The route chooses the model; the caller must not name one.
+    ModelNamed, "model_named", 421;
+    /// No configuration is known yet.
+    NotReady, "not_ready", 503;
+    /// The time that the caller or the route allows has passed.
+    TimedOut, "timed_out", 504;
     /// The version asked for takes no new work.
     Withdrawn, "withdrawn", 409;
     /// The sender knew an older configuration than the receiver.
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -110,6 +110,11 @@
     RolloutId,
     "roll-out name"
 );
+name!(
+    /// The name of a route.
+    RouteId,
+    "route name"
+);
 name!(
     /// The name of an upstream: a model engine or a plain service instance.
     UpstreamId,
--- a/crates/core/src/pick.rs
+++ b/crates/core/src/pick.rs
@@ -5,22 +5,22 @@
 //! since, and the prefill of the prompt tokens that are not in its cache.
 //!
 //! ```
-//! use sorreldeck::pick::{Peers, Policy, Wish};
+//! use sorreldeck::pick::{Near, Peers, Policy, Wish};
 //! use sorreldeck::wire::Load;
 //! use sorreldeck::Time;
 //!
 //! let mut peers = Peers::default();
 //! let pool = "assistant".parse()?;
 //! peers.join(1, "u1".parse()?, &pool, Load { slots: 4, ..Load::default() });
-//! let wish = Wish { pool: &pool, tokens: 100, urgent: false, prefix: None, last: None, tried: &[] };
+//! let wish = Wish { pool: &pool, tokens: 100, urgent: false, chain: &[], last: None, tried: &[], near: Near::default() };
 //! assert_eq!(peers.pick(&wish, Policy::FirstToken, Time(0), 0.5), Some(1));
 //! # Ok::<(), sorreldeck::Error>(())
 //! ```
 
-use crate::id::{PoolId, UpstreamId};
+use crate::id::{Hall, PoolId, UpstreamId, VersionId};
 use crate::unit::{Span, Time};
 use crate::wire::Load;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// The number of a link, unique in one run of a process.
 pub type Link = u64;
@@ -58,7 +58,7 @@
     }
 }
 
-/// The first part of a prompt, which requests may share.
+/// A beginning of a prompt, which requests may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Prefix {
     /// The hash of the text.
@@ -67,6 +67,24 @@
     pub tokens: u32,
 }
 
+/// Where an upstream is and what it runs.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Place {
+    /// The data hall.
+    pub hall: Option<Hall>,
+    /// The release of its software.
+    pub release: Option<VersionId>,
+}
+
+/// What a request wants of an upstream's place.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Near<'a> {
+    /// The data hall that is cheap to reach.
+    pub hall: Option<&'a Hall>,
+    /// The release that must answer.
+    pub release: Option<&'a VersionId>,
+}
+
 /// What a request wants of an upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct Wish<'a> {
@@ -76,16 +94,28 @@
     pub tokens: u32,
     /// Whether the request may take a place kept for the priority class.
     pub urgent: bool,
-    /// The first part of the prompt, if it is long enough to cache.
-    pub prefix: Option<Prefix>,
+    /// The beginnings of the prompt that may be cached, the shortest first.
+    pub chain: &'a [Prefix],
     /// The upstream that answered the session last.
     pub last: Option<&'a UpstreamId>,
     /// The links already tried.
     pub tried: &'a [Link],
+    /// Where the upstream ought to be.
+    pub near: Near<'a>,
 }
 
-/// The prefixes that this entry remembers for each upstream.
-const PREFIXES: usize = 64;
+/// The prefixes that this entry remembers for each upstream: some 500 prompts
+/// of a few thousand tokens fill the memory of an engine.
+const PREFIXES: usize = 512;
+/// What crossing to another data hall is taken to cost: so much longer may the
+/// wait in the own hall be. Bytes between halls are dear, a prompt of 12 kB
+/// costs about 3% of what its answer is worth.
+const CROSSING: Span = Span::from_millis(60);
+/// How long an upstream is passed over after its first failure in a row; each
+/// further one doubles it.
+const AVOID: Span = Span::from_millis(250);
+/// The most doublings: 4 s, a little longer than a lapsed heartbeat takes.
+const AVOID_DOUBLINGS: u32 = 4;
 /// The prompt tokens a second assumed until an upstream reports its own.
 const PREFILL: u32 = 8000;
 /// How long a report of load counts in full; it fades over the same time again.
@@ -111,7 +141,16 @@
     pub tokens_since: u32,
     /// Whether it said goodbye.
     pub leaving: bool,
-    prefixes: VecDeque<Prefix>,
+    /// Where it is and what it runs.
+    pub place: Place,
+    /// When anything came from it last.
+    pub heard: Time,
+    /// Until when it is passed over, since it failed.
+    pub avoided: Time,
+    strikes: u32,
+    retired: bool,
+    prefixes: HashMap<u64, u64>,
+    stamp: u64,
 }
 
 /// The upstreams in reach of an entry, by pool.
@@ -133,7 +172,13 @@
             since_report: 0,
             tokens_since: 0,
             leaving: false,
-            prefixes: VecDeque::new(),
+            place: Place::default(),
+            heard: Time::default(),
+            avoided: Time::default(),
+            strikes: 0,
+            retired: false,
+            prefixes: HashMap::new(),
+            stamp: 0,
         };
         self.peers.insert(link, peer);
         let links = self.pools.entry(pool.clone()).or_default();
@@ -182,23 +227,85 @@
         }
     }
 
+    /// Notes that the upstream takes no new work; it is forgotten when nothing
+    /// of this entry runs there any more.
+    pub fn retire(&mut self, link: Link) {
+        match self.peers.get_mut(&link) {
+            Some(peer) if peer.in_flight > 0 => {
+                peer.leaving = true;
+                peer.retired = true;
+            }
+            _ => self.leave(link),
+        }
+    }
+
     /// Notes a request sent.
-    pub fn sent(&mut self, link: Link, tokens: u32, prefix: Option<Prefix>) {
+    pub fn sent(&mut self, link: Link, tokens: u32, chain: &[Prefix]) {
         let Some(peer) = self.peers.get_mut(&link) else {
             return;
         };
         peer.in_flight += 1;
         peer.since_report += 1;
         peer.tokens_since += tokens;
-        if let Some(prefix) = prefix {
-            peer.remember(prefix);
+        for prefix in chain {
+            peer.remember(*prefix);
+        }
+    }
+
+    /// Sets where an upstream is and what it runs.
+    pub fn settle(&mut self, link: Link, place: Place) {
+        if let Some(peer) = self.peers.get_mut(&link) {
+            peer.place = place;
+        }
+    }
+
+    /// Notes that something came from an upstream.
+    pub fn heard(&mut self, link: Link, now: Time) {
+        if let Some(peer) = self.peers.get_mut(&link) {
+            peer.heard = now;
+        }
+    }
+
+    /// Notes that something came from every upstream, as far as can be known
+    /// after this process itself stood still.
+    pub fn heard_all(&mut self, now: Time) {
+        for peer in self.peers.values_mut() {
+            peer.heard = now;
+        }
+    }
+
+    /// Notes a good answer.
+    pub fn succeeded(&mut self, link: Link) {
+        if let Some(peer) = self.peers.get_mut(&link) {
+            peer.strikes = 0;
+            peer.avoided = Time::default();
+        }
+    }
+
+    /// Notes a failure: the upstream is passed over for a while.
+    pub fn struck(&mut self, link: Link, now: Time) {
+        if let Some(peer) = self.peers.get_mut(&link) {
+            let span = AVOID.micros() << peer.strikes.min(AVOID_DOUBLINGS);
+            peer.avoided = now + Span::from_micros(span);
+            peer.strikes += 1;
         }
     }
 
+    /// Returns the releases that the upstreams of a pool run, without those
+    /// that are leaving.
+    pub fn releases(&self, pool: &PoolId) -> BTreeSet<&VersionId> {
+        let links = self.pools.get(pool).map_or(&[][..], Vec::as_slice);
+        let staying = links.iter().map(|l| &self.peers[l]).filter(|p| !p.leaving);
+        staying.filter_map(|p| p.place.release.as_ref()).collect()
+    }
+
     /// Notes the end of a request.
     pub fn ended(&mut self, link: Link) {
         if let Some(peer) = self.peers.get_mut(&link) {
             peer.in_flight = peer.in_flight.saturating_sub(1);
+            if peer.retired && peer.in_flight == 0 {
+                self.leave(link);
+            }
         }
     }
 
@@ -207,11 +314,15 @@
     /// `draw` is a random number in `[0, 1)`.
     pub fn pick(&mut self, wish: &Wish, policy: Policy, now: Time, draw: f64) -> Option<Link> {
         let links = self.pools.get(wish.pool)?;
-        let usable: Vec<Link> = links
+        let mut usable: Vec<Link> = links
             .iter()
             .copied()
-            .filter(|l| !self.peers[l].leaving && !wish.tried.contains(l))
+            .filter(|l| !wish.tried.contains(l) && self.peers[l].suits(wish))
             .collect();
+        let sound = |l: &Link| self.peers[l].avoided <= now;
+        if usable.iter().any(sound) {
+            usable.retain(sound);
+        }
         if usable.is_empty() {
             return None;
         }
@@ -253,20 +364,41 @@
 }
 
 impl Peer {
+    /// Returns whether the upstream may be given the request at all.
+    fn suits(&self, wish: &Wish) -> bool {
+        let release = wish.near.release;
+        !self.leaving && release.is_none_or(|r| self.place.release.as_ref() == Some(r))
+    }
+
+    /// Returns what crossing to the upstream's data hall costs, in microseconds.
+    fn crossing(&self, wish: &Wish) -> u64 {
+        let there = wish.near.hall.zip(self.place.hall.as_ref());
+        match there.is_some_and(|(own, hall)| own != hall) {
+            true => CROSSING.micros(),
+            false => 0,
+        }
+    }
+
+    /// Returns the tokens of the prompt that are cached, as far as this entry
+    /// knows.
+    fn cached(&self, wish: &Wish) -> u32 {
+        if wish.last == Some(&self.upstream) {
+            return wish.tokens;
+        }
+        let known = wish.chain.iter().rev();
+        let mut known = known.filter(|p| self.prefixes.contains_key(&p.hash));
+        known.next().map_or(0, |p| p.tokens.min(wish.tokens))
+    }
+
     /// Returns the expected time to the first token, in microseconds.
     fn first_token(&self, wish: &Wish, now: Time) -> u64 {
         let prefill = match self.load.prefill {
             0 => PREFILL,
             known => known,
         };
-        let cached = match wish.prefix {
-            _ if wish.last == Some(&self.upstream) => wish.tokens,
-            Some(prefix) if self.prefixes.contains(&prefix) => prefix.tokens.min(wish.tokens),
-            _ => 0,
-        };
-        let fresh = u64::from(wish.tokens - cached) + u64::from(self.tokens_since);
+        let fresh = u64::from(wish.tokens - self.cached(wish)) + u64::from(self.tokens_since);
         let work = fresh * 1_000_000 / u64::from(prefill);
-        self.queue(wish.urgent, now) + work
+        self.queue(wish.urgent, now) + work + self.crossing(wish)
     }
 
     /// Returns the expected wait for a slot, in microseconds.
@@ -289,10 +421,12 @@
     }
 
     fn remember(&mut self, prefix: Prefix) {
-        self.prefixes.retain(|p| *p != prefix);
-        self.prefixes.push_back(prefix);
+        self.stamp += 1;
+        self.prefixes.insert(prefix.hash, self.stamp);
         if self.prefixes.len() > PREFIXES {
-            self.prefixes.pop_front();
+            // Half at a time, so that most additions cost nothing.
+            let oldest = self.stamp.saturating_sub(PREFIXES as u64 / 2);
+            self.prefixes.retain(|_, stamp| *stamp > oldest);
         }
     }
 }
--- /dev/null
+++ b/crates/core/src/release.rs
@@ -0,0 +1,403 @@
+//! Which release of an upstream's software answers while one replaces another.
+//!
+//! Upstreams of a pool may run different releases. An operator orders a move to
+//! a new one; until half of the given time has passed, only a small share of
+//! new sessions goes there and every session stays where it is. Then, unless
+//! the release was found bad, everything moves, and the move is recorded as
+//! completed when nothing runs on the old release any more. The sequential test
+//! of [`evidence`](crate::evidence) tells a bad release from a good one.
+//!
+//! All entries know the order and when it was first recorded, so each works out
+//! the phase by itself; what they must agree on is a row in the platform's
+//! store, which any of them may change under a condition.
+//!
+//! ```
+//! use sorreldeck::release::{Order, Releases, State};
+//! use sorreldeck::{Span, Time};
+//!
+//! let (old, new) = ("v1".parse()?, "v2".parse()?);
+//! let mut releases = Releases::default();
+//! let pool: sorreldeck::PoolId = "assistant".parse()?;
+//! let order = Order { pool: pool.clone(), to: new, duration: Span::from_millis(24_000), number: 7 };
+//! releases.order(order, Some(State::Running), Some(Time(0)));
+//! let present = [&old].into_iter().collect();
+//! assert_eq!(releases.choose(&pool, None, 0.99, Time(1), &present), Some(old.clone()));
+//! # Ok::<(), sorreldeck::Error>(())
+//! ```
+
+use crate::evidence::{Bar, Detector, Evidence};
+use crate::id::{PoolId, RouteId, UpstreamId, VersionId};
+use crate::unit::{Span, Time};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// The share of new sessions on a release on trial: well below the 0.15 that
+/// the sites allow a bad one over the whole time.
+const TRIAL: f64 = 0.08;
+/// The part of the time given after which sessions may move; they must not
+/// move in the first half, and clocks differ a little.
+const MOVE_AT: f64 = 0.53;
+/// The part of the time after which a move may be recorded as completed: by
+/// then the old release has had a few seconds to finish what it had.
+const COMPLETE_AT: f64 = 0.72;
+/// The part of the time at which a good release is recorded as completed even
+/// though the old one still runs something: later the order would be missed.
+const COMPLETE_BY: f64 = 0.86;
+/// The good answers that a release must have given here to be moved to.
+const PROVEN: u64 = 4;
+/// The part of the time after which a release that nothing speaks against is
+/// moved to all the same.
+const MOVE_BY: f64 = 0.62;
+/// How long a session is remembered after its last request; the sites count
+/// requests within 5 s as one session.
+const SESSION_LIFE: Span = Span::from_millis(6_000);
+/// The sessions remembered before old ones are looked for.
+const SESSIONS: usize = 4096;
+/// The share of failures that a good release may have. Crashes and resets are
+/// not counted as failures of a release.
+const MAX_FAILING: f64 = 0.04;
+/// The chance that a good release is found bad.
+const FALSE_ALARM: f64 = 0.001;
+/// How many times the usual time to the first event, and how much beyond it,
+/// makes an answer count as slow. A bad release is several times slower.
+const SLOW_TIMES: u64 = 3;
+const SLOW_BEYOND: Span = Span::from_millis(250);
+/// The answers that the usual time must rest on.
+const USUAL: u32 = 5;
+/// The answers that the running mean of the usual time looks back on.
+const USUAL_OVER: u64 = 16;
+/// The upstreams on which a release must fail before it is found bad, since one
+/// upstream may fail by itself.
+const FAILING_UPSTREAMS: usize = 2;
+
+/// What was recorded of a move to a release.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// The new release is on trial or is being moved to.
+    Running,
+    /// Everything moved to the new release; the old upstreams are stopped.
+    Completed,
+    /// The new release was found bad; it gets no more work.
+    RolledBack,
+}
+
+/// An operator's order to move a pool to a release.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// The pool.
+    pub pool: PoolId,
+    /// The release to move to.
+    pub to: VersionId,
+    /// The time given.
+    pub duration: Span,
+    /// The number of the order; a later order has a higher one.
+    pub number: u64,
+}
+
+/// What an answer tells about the release that gave it.
+#[derive(Clone, Copy, Debug)]
+pub struct Answer<'a> {
+    /// The pool.
+    pub pool: &'a PoolId,
+    /// The release.
+    pub release: &'a VersionId,
+    /// The upstream.
+    pub upstream: &'a UpstreamId,
+    /// The route, and the place of the model among its sizes.
+    pub kind: (&'a RouteId, usize),
+    /// The time to its beginning, or `None` if it failed.
+    pub first: Option<Span>,
+}
+
+#[derive(Clone, Debug)]
+struct Move {
+    order: Order,
+    state: Option<State>,
+    began: Option<Time>,
+    evidence: Evidence,
+    detector: Detector,
+    failing: BTreeSet<UpstreamId>,
+    serving: BTreeSet<UpstreamId>,
+    bad: bool,
+}
+
+/// Where a move stands.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Phase {
+    /// A share of new sessions gets the new release.
+    Trial(f64),
+    /// Everything gets the new release.
+    Moved,
+    /// Nothing gets the new release.
+    Off,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Usual {
+    answers: u32,
+    micros: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Kept {
+    release: VersionId,
+    last: Time,
+}
+
+/// Which release of each pool answers.
+#[derive(Clone, Debug, Default)]
+pub struct Releases {
+    moves: BTreeMap<PoolId, Move>,
+    settled: BTreeMap<PoolId, BTreeSet<VersionId>>,
+    usual: HashMap<(RouteId, usize), Usual>,
+    sessions: HashMap<u64, Kept>,
+}
+
+impl Releases {
+    /// Takes in an order and what was recorded of it, with the time at which
+    /// the first record was made, on this process's clock.
+    pub fn order(&mut self, order: Order, state: Option<State>, began: Option<Time>) {
+        let known = self.moves.get(&order.pool);
+        if known.is_some_and(|m| m.order.number > order.number) {
+            return;
+        }
+        let pool = order.pool.clone();
+        if known.is_none_or(|m| m.order != order) {
+            let fresh = Move {
+                order,
+                state: None,
+                began: None,
+                evidence: Evidence::default(),
+                detector: Detector::default(),
+                failing: BTreeSet::new(),
+                serving: BTreeSet::new(),
+                bad: false,
+            };
+            self.moves.insert(pool.clone(), fresh);
+        }
+        let Some(known) = self.moves.get_mut(&pool) else {
+            return;
+        };
+        known.state = state.or(known.state);
+        known.began = began.or(known.began);
+        if known.state == Some(State::Completed) {
+            let only = BTreeSet::from([known.order.to.clone()]);
+            self.settled.insert(pool, only);
+        }
+    }
+
+    /// Notes the releases present when a pool is first seen: all but one that
+    /// is being moved to are taken for sound. Releases that come later without
+    /// an order get work only where nothing else is left.
+    pub fn settle<'a>(&mut self, pool: &PoolId, present: impl IntoIterator<Item = &'a VersionId>) {
+        if self.settled.get(pool).is_some_and(|known| !known.is_empty()) {
+            return;
+        }
+        let to = self.moves.get(pool).map(|m| &m.order.to);
+        let sound = present.into_iter().filter(|v| Some(*v) != to).cloned();
+        self.settled.insert(pool.clone(), sound.collect());
+    }
+
+    /// Chooses the release that answers, of those present.
+    ///
+    /// `draw` is a random number in `[0, 1)`, used where there is no session.
+    pub fn choose(
+        &mut self,
+        pool: &PoolId,
+        session: Option<u64>,
+        draw: f64,
+        now: Time,
+        present: &BTreeSet<&VersionId>,
+    ) -> Option<VersionId> {
+        let draw = session.map_or(draw, unit);
+        let kept = session.and_then(|s| self.sessions.get(&s));
+        let kept = kept.filter(|k| now.since(k.last) < SESSION_LIFE);
+        let wanted = match self.moves.get(pool) {
+            Some(moving) => moving.wanted(kept.map(|k| &k.release), draw, now),
+            None => Wanted::Old,
+        };
+        let to = self.moves.get(pool).map(|m| &m.order.to);
+        let is_new = |v: &VersionId| Some(v) == to;
+        if wanted == Wanted::New {
+            if let Some(to) = to.filter(|to| present.contains(to)) {
+                return Some(to.clone());
+            }
+        }
+        if let Some(kept) = kept.filter(|k| !is_new(&k.release)) {
+            if present.contains(&kept.release) {
+                return Some(kept.release.clone());
+            }
+        }
+        self.old(pool, draw, present)
+    }
+
+    /// Chooses among the releases that are not on trial, or takes what is left.
+    fn old(&self, pool: &PoolId, draw: f64, present: &BTreeSet<&VersionId>) -> Option<VersionId> {
+        let to = self.moves.get(pool).map(|m| &m.order.to);
+        let settled = self.settled.get(pool);
+        let sound = |v: &&&VersionId| settled.is_some_and(|s| s.contains(**v)) && Some(**v) != to;
+        let mut among: Vec<&&VersionId> = present.iter().filter(sound).collect();
+        if among.is_empty() {
+            among = present.iter().filter(|v| Some(**v) != to).collect();
+        }
+        if among.is_empty() {
+            among = present.iter().collect();
+        }
+        let at = (draw * among.len() as f64) as usize;
+        among.get(at.min(among.len().saturating_sub(1))).map(|v| (**v).clone())
+    }
+
+    /// Notes that a request of a session is at a release.
+    pub fn keep(&mut self, session: u64, release: &VersionId, now: Time) {
+        if self.sessions.len() >= SESSIONS {
+            self.sessions.retain(|_, k| now.since(k.last) < SESSION_LIFE);
+        }
+        let kept = Kept {
+            release: release.clone(),
+            last: now,
+        };
+        self.sessions.insert(session, kept);
+    }
+
+    /// Takes in what an answer tells; returns whether its release has just been
+    /// found bad.
+    pub fn learn(&mut self, answer: &Answer) -> bool {
+        let usual = self.usual.get(&(answer.kind.0.clone(), answer.kind.1)).copied();
+        let slow = answer.first.is_some_and(|first| is_slow(first, usual));
+        let Some(moving) = self.moves.get_mut(answer.pool) else {
+            self.note_usual(answer);
+            return false;
+        };
+        if moving.order.to != *answer.release {
+            self.note_usual(answer);
+            return false;
+        }
+        if moving.state == Some(State::Completed) {
+            return false;
+        }
+        let failed = answer.first.is_none() || slow;
+        moving.learn(answer.upstream, failed)
+    }
+
+    fn note_usual(&mut self, answer: &Answer) {
+        let Some(first) = answer.first else {
+            return;
+        };
+        let kind = (answer.kind.0.clone(), answer.kind.1);
+        let usual = self.usual.entry(kind).or_default();
+        usual.answers += 1;
+        let over = u64::from(usual.answers).min(USUAL_OVER);
+        usual.micros = (usual.micros * (over - 1) + first.micros()) / over;
+    }
+
+    /// Returns what ought to be recorded of each move, where it is not recorded
+    /// already. `running` tells how many requests of this entry are at a release.
+    pub fn propose(
+        &self,
+        now: Time,
+        running: impl Fn(&PoolId, &VersionId) -> u64,
+    ) -> Vec<(Order, State)> {
+        let proposals = self.moves.iter().filter_map(|(pool, moving)| {
+            let others = self.settled.get(pool).into_iter().flatten();
+            let others = others.filter(|v| **v != moving.order.to);
+            let old: u64 = others.map(|v| running(pool, v)).sum();
+            let state = moving.proposal(now, old)?;
+            Some((moving.order.clone(), state))
+        });
+        proposals.collect()
+    }
+
+    /// Returns whether a release was found bad here.
+    pub fn is_bad(&self, pool: &PoolId) -> bool {
+        self.moves.get(pool).is_some_and(|m| m.bad)
+    }
+}
+
+/// Which side of a move a request goes to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Wanted {
+    Old,
+    New,
+}
+
+impl Move {
+    fn phase(&self, now: Time) -> Phase {
+        let state = match self.state {
+            Some(State::Completed) => return Phase::Moved,
+            Some(State::RolledBack) => return Phase::Off,
+            state => state,
+        };
+        if self.bad || state.is_none() {
+            return Phase::Off;
+        }
+        let part = self.part(now);
+        let proven = self.evidence.answers.saturating_sub(self.evidence.failures) >= PROVEN;
+        match part >= MOVE_AT && (proven || part >= MOVE_BY) {
+            true => Phase::Moved,
+            false => Phase::Trial(TRIAL),
+        }
+    }
+
+    /// Returns the part of the time given that has passed.
+    fn part(&self, now: Time) -> f64 {
+        let began = self.began.unwrap_or(now);
+        now.since(began).secs_f64() / self.order.duration.secs_f64().max(1e-3)
+    }
+
+    fn wanted(&self, kept: Option<&VersionId>, draw: f64, now: Time) -> Wanted {
+        match (self.phase(now), kept) {
+            (Phase::Off, _) => Wanted::Old,
+            (Phase::Moved, _) => Wanted::New,
+            (Phase::Trial(_), Some(kept)) if *kept == self.order.to => Wanted::New,
+            (Phase::Trial(_), Some(_)) => Wanted::Old,
+            (Phase::Trial(share), None) if draw < share => Wanted::New,
+            (Phase::Trial(_), None) => Wanted::Old,
+        }
+    }
+
+    fn learn(&mut self, upstream: &UpstreamId, failed: bool) -> bool {
+        let bar = Bar {
+            floor: 1.0 - MAX_FAILING,
+            bad: 1.0 - 4.0 * MAX_FAILING,
+            max_error: MAX_FAILING,
+            false_alarm: FALSE_ALARM,
+        };
+        self.serving.insert(upstream.clone());
+        if failed {
+            self.failing.insert(upstream.clone());
+        }
+        self.evidence.answer(failed, &bar);
+        let found = self.detector.update(&self.evidence, &bar);
+        let wide = self.failing.len() >= FAILING_UPSTREAMS.min(self.serving.len());
+        let before = self.bad;
+        self.bad |= found && wide;
+        self.bad && !before
+    }
+
+    fn proposal(&self, now: Time, old: u64) -> Option<State> {
+        match self.state {
+            None => Some(State::Running),
+            Some(State::Running) if self.bad => Some(State::RolledBack),
+            Some(State::Running) if self.phase(now) != Phase::Moved => None,
+            Some(State::Running) => {
+                let part = self.part(now);
+                let done = (part >= COMPLETE_AT && old == 0) || part >= COMPLETE_BY;
+                (done && !self.serving.is_empty()).then_some(State::Completed)
+            }
+            Some(State::Completed | State::RolledBack) => None,
+        }
+    }
+}
+
+fn is_slow(first: Span, usual: Option<Usual>) -> bool {
+    let usual = usual.filter(|u| u.answers >= USUAL);
+    usual.is_some_and(|u| first.micros() > u.micros * SLOW_TIMES + SLOW_BEYOND.micros())
+}
+
+/// Returns a number in `[0, 1)` that a session always gets.
+fn unit(session: u64) -> f64 {
+    // Mixes the bits, so that sessions named alike spread evenly.
+    let mut x = session ^ (session >> 33);
+    x = x.wrapping_mul(0xff51_afd7_ed55_8ccd);
+    x ^= x >> 33;
+    (x >> 11) as f64 / (1u64 << 53) as f64
+}
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -12,33 +12,47 @@
 //! assert!(!budget.spend());
 //! ```
 
-/// What each request adds to the budget, in retries.
-const EARNED: f64 = 0.2;
+use crate::unit::Share;
+
+/// What each request adds to the budget, in retries, unless set otherwise.
+pub const SHARE: Share = Share::FIFTH;
 /// The most retries that can be saved up.
 const CAP: f64 = 20.0;
 
 /// A budget of retries, filled by requests.
 #[derive(Clone, Debug)]
-pub struct Budget(f64);
+pub struct Budget {
+    saved: f64,
+    earned: f64,
+}
 
 impl Default for Budget {
     fn default() -> Self {
-        Budget(CAP)
+        Budget::new(SHARE)
     }
 }
 
 impl Budget {
+    /// Creates a full budget that allows this share of requests to be sent once
+    /// more.
+    pub fn new(share: Share) -> Budget {
+        Budget {
+            saved: CAP,
+            earned: share.fraction(),
+        }
+    }
+
     /// Counts a request.
     pub fn earn(&mut self) {
-        self.0 = (self.0 + EARNED).min(CAP);
+        self.saved = (self.saved + self.earned).min(CAP);
     }
 
     /// Takes a retry from the budget; returns whether there was one.
     pub fn spend(&mut self) -> bool {
-        // The sums of EARNED are inexact, so one retry may fall a hair short.
-        let enough = self.0 >= 1.0 - 1e-9;
+        // The sums of shares are inexact, so one retry may fall a hair short.
+        let enough = self.saved >= 1.0 - 1e-9;
         if enough {
-            self.0 -= 1.0;
+            self.saved -= 1.0;
         }
         enough
     }
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -15,7 +15,7 @@
 use crate::failure::{Failure, Reason};
 use crate::id::*;
 use crate::session::Session;
-use crate::tree::{Class, Intent, Node, Phase, State, Tree};
+use crate::tree::{Class, Intent, Node, Phase, Route, State, Tree};
 use crate::unit::Share;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -95,6 +95,31 @@
     site(tree, path, caller.class)
 }
 
+/// Finds the client account of a request that a route describes.
+///
+/// # Errors
+///
+/// Fails, not run, when the route needs an API key and this one is not known.
+pub fn guest(tree: &Tree, route: &Route, key: Option<&str>) -> Result<Site, Failure> {
+    let path = match key.and_then(|key| tree.node_of_key(key)) {
+        Some(path) => path.clone(),
+        None if route.public || !tree.has_keys() => NodePath::root(),
+        None if key.is_none() => {
+            let message = "send the API key as a bearer token";
+            return Err(Failure::not_run(Reason::NoKey, message));
+        }
+        None => return Err(Failure::not_run(Reason::BadKey, "the API key is not known")),
+    };
+    let node = tree.effective(&path).unwrap_or_default();
+    let nobody = || "nobody".parse().expect("a legal name");
+    Ok(Site {
+        account: node.account.clone().unwrap_or_else(nobody),
+        class: route.class(),
+        path,
+        node,
+    })
+}
+
 /// Returns the site of a request at a node, with the class asked for.
 ///
 /// # Errors
--- a/crates/core/src/tree/check.rs
+++ b/crates/core/src/tree/check.rs
@@ -28,6 +28,7 @@
     check_cascades(tree)?;
     check_operators(tree)?;
     check_progress(tree)?;
+    super::route::check_routes(tree)?;
     check_nodes(tree)
 }
 
@@ -66,7 +67,10 @@
             (Kind::Engine, Some(_)) => {
                 return Err(Error::at(at, "only a plain pool has a prefix"));
             }
-            (Kind::Plain, None) => return Err(Error::at(at, "a plain pool needs a prefix")),
+            (Kind::Plain, None) if is_routed(tree, name) => {}
+            (Kind::Plain, None) => {
+                return Err(Error::at(at, "a plain pool needs a prefix or a route"));
+            }
             (Kind::Plain, Some(prefix)) => {
                 check_prefix(&at, prefix)?;
                 if let Some(other) = prefixes.insert(prefix, name) {
@@ -78,6 +82,10 @@
     Ok(())
 }
 
+fn is_routed(tree: &Tree, pool: &PoolId) -> bool {
+    tree.routes.values().any(|r| r.pools.contains_key(pool))
+}
+
 fn check_prefix(at: &str, prefix: &str) -> Result<()> {
     let reserved = ["/v1", "/admin", "/health", "/ready", "/metrics"];
     let bad = !prefix.starts_with('/') || prefix.len() < 2 || prefix.ends_with('/');
--- a/crates/core/src/tree/entry.rs
+++ b/crates/core/src/tree/entry.rs
@@ -330,6 +330,10 @@
     /// Splits that replace those of the models.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub splits: Option<BTreeMap<ModelId, BTreeMap<VersionId, Share>>>,
+    /// The order in which waiting requests of routes are served, 0 first; it
+    /// goes before the rank of the route.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rank: Option<u8>,
 }
 
 /// The default of [`Node::deadline`].
--- a/crates/core/src/tree/key.rs
+++ b/crates/core/src/tree/key.rs
@@ -32,13 +32,15 @@
     Operators,
     /// Client accounts, services and routes.
     Nodes,
+    /// Which pool answers a host and path.
+    Routes,
     /// The record of roll-outs, written by their controller only.
     Progress,
 }
 
 impl Section {
     /// Every section.
-    pub const ALL: [Section; 8] = [
+    pub const ALL: [Section; 9] = [
         Section::Pools,
         Section::Models,
         Section::Versions,
@@ -46,6 +48,7 @@
         Section::Cascades,
         Section::Operators,
         Section::Nodes,
+        Section::Routes,
         Section::Progress,
     ];
 
@@ -59,6 +62,7 @@
             Section::Cascades => "cascades",
             Section::Operators => "operators",
             Section::Nodes => "nodes",
+            Section::Routes => "routes",
             Section::Progress => "progress",
         }
     }
--- a/crates/core/src/tree/mod.rs
+++ b/crates/core/src/tree/mod.rs
@@ -20,10 +20,12 @@
 mod check;
 mod entry;
 mod key;
+mod route;
 
 pub use change::{Change, Edit};
 pub use entry::*;
 pub use key::{Key, Section};
+pub use route::{Repeat, Route};
 
 use crate::error::{Category, Error, Result};
 use crate::id::*;
@@ -45,7 +47,9 @@
     cascades: BTreeMap<CascadeId, Cascade>,
     operators: BTreeMap<OperatorId, Operator>,
     nodes: BTreeMap<NodePath, Node>,
+    routes: BTreeMap<RouteId, Route>,
     progress: BTreeMap<RolloutId, Progress>,
+    by_host: route::Index,
     in_force: HashMap<NodePath, Arc<Node>>,
     by_key: HashMap<String, NodePath>,
     allowed: HashSet<(AccountId, VersionId)>,
@@ -137,6 +141,7 @@
             Section::Cascades => put(&mut self.cascades, key, value),
             Section::Operators => put(&mut self.operators, key, value),
             Section::Nodes => put(&mut self.nodes, key, value),
+            Section::Routes => put(&mut self.routes, key, value),
             Section::Progress => put(&mut self.progress, key, value),
         }
     }
@@ -156,6 +161,9 @@
                 self.by_key.insert(key.clone(), path.clone());
             }
         }
+        for (name, route) in &self.routes {
+            self.by_host.insert(name, route);
+        }
     }
 
     /// Notes which account may use which version at any of its nodes.
@@ -219,6 +227,11 @@
         self.by_key.get(hash_key(key).as_str())
     }
 
+    /// Returns whether any API key is known.
+    pub fn has_keys(&self) -> bool {
+        !self.by_key.is_empty()
+    }
+
     /// Returns the operator whose token this is.
     pub fn operator_of_token(&self, token: &str) -> Option<(&OperatorId, &Operator)> {
         let hash = hash_key(token);
@@ -299,6 +312,8 @@
     rollout, rollouts, RolloutId, Rollout;
     /// Returns a node as it was written.
     node, nodes, NodePath, Node;
+    /// Returns a route.
+    route, routes, RouteId, Route;
     /// Returns the record of a roll-out.
     record, progress, RolloutId, Progress;
 }
@@ -391,6 +406,7 @@
         action: own.action.or(above.action),
         forward_to: own.forward_to.or(above.forward_to),
         splits: own.splits.or(above.splits),
+        rank: own.rank.or(above.rank),
     }
 }
 
--- a/crates/core/src/unit.rs
+++ b/crates/core/src/unit.rs
@@ -245,6 +245,8 @@
 pub struct Share(f64);
 
 impl Share {
+    /// A fifth.
+    pub const FIFTH: Share = Share(0.2);
     /// Everything.
     pub const ALL: Share = Share(1.0);
     /// Nothing.
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -180,8 +180,44 @@
     pub revision: Revision,
     /// The call itself.
     pub call: Call,
+    /// What an upstream that is called directly is told besides.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub order: Option<Box<Order>>,
 }
 
+/// A table of the platform's store as one entry gives it to another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TableCopy {
+    /// The number of the table among those that entries follow.
+    pub number: usize,
+    /// The version of the store that the copy shows.
+    pub version: u64,
+    /// Keys, versions and values.
+    pub rows: Vec<(String, u64, serde_bytes::ByteBuf)>,
+}
+
+/// What an upstream that is called directly is told besides the call.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Order {
+    /// The caller's name for the request, which the answer must carry.
+    pub label: String,
+    /// The client account, if the request belongs to one.
+    pub account: Option<AccountId>,
+    /// The upstream that must answer; any other refuses the call.
+    pub upstream: Option<UpstreamId>,
+    /// The release that must answer.
+    pub release: Option<VersionId>,
+    /// The model that must answer.
+    pub model: Option<ModelId>,
+    /// The order among waiting requests, 0 first.
+    pub rank: u8,
+    /// The last event that the caller has already.
+    pub last: Option<u64>,
+    /// Whether the answer is a stream of events.
+    pub stream: bool,
+}
+
+
 /// What a run used.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Usage {
@@ -201,6 +237,10 @@
 /// A message between an entry and a sidecar.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
+    /// An entry's request for tables that are newer than these versions.
+    Want(Vec<u64>),
+    /// The tables that were asked for.
+    Tables(Vec<TableCopy>),
     /// The sidecar presents itself; its first frame on a link.
     Welcome(Welcome),
     /// Run a request.
--- /dev/null
+++ b/crates/daemon/src/hosted/feed.rs
@@ -0,0 +1,139 @@
+//! Follows the tables of the platform's store.
+//!
+//! Each table is read whole once and followed from there. The operator's table
+//! is asked often, which also shows in time that the store is out of reach; the
+//! others wait long and begin anew when it was.
+
+use super::room::{Message, Shared};
+use async_channel::{Receiver, Sender};
+use async_std::task;
+use futures_lite::FutureExt;
+use sorreldeck_platform::store::{Page, Trouble};
+use sorreldeck_platform::{Store, Table};
+use std::time::Duration;
+
+/// How long the operator's table is waited on: a configuration must be in force
+/// within 2 s even when a wait hangs on a connection that is dead.
+const WAIT_OPERATOR: Duration = Duration::from_millis(2_000);
+/// How long the other tables are waited on; every call is priced.
+const WAIT_OTHERS: Duration = Duration::from_millis(20_000);
+/// The pauses after failures: from the first to the most.
+const PAUSE_FIRST: Duration = Duration::from_millis(150);
+const PAUSE_MOST: Duration = Duration::from_millis(600);
+
+/// What a follower tells.
+pub enum Told {
+    /// Rows; `true` says that they are the whole table.
+    Page(Page, bool),
+    /// The table could not be read.
+    Failed(Trouble),
+}
+
+/// Starts the followers of all tables.
+pub fn start(store: &Store, shared: &Shared) {
+    let others = Table::ALL.iter().filter(|t| **t != Table::Operator);
+    let mut bells = Vec::new();
+    for table in others {
+        let (ring, rung) = async_channel::bounded(1);
+        bells.push(ring);
+        let follower = Follower::new(store, shared, *table, WAIT_OTHERS);
+        task::spawn(follower.work(Some(rung), Vec::new()));
+    }
+    let follower = Follower::new(store, shared, Table::Operator, WAIT_OPERATOR);
+    task::spawn(follower.work(None, bells));
+}
+
+struct Follower {
+    store: Store,
+    shared: Shared,
+    table: Table,
+    wait: Duration,
+    version: Option<u64>,
+    failures: u32,
+}
+
+impl Follower {
+    fn new(store: &Store, shared: &Shared, table: Table, wait: Duration) -> Follower {
+        Follower {
+            store: store.clone(),
+            shared: shared.clone(),
+            table,
+            wait,
+            version: None,
+            failures: 0,
+        }
+    }
+
+    /// Follows the table until the process ends. `rung` begins the wait anew;
+    /// `bells` are rung when the store comes back.
+    async fn work(mut self, rung: Option<Receiver<()>>, bells: Vec<Sender<()>>) {
+        loop {
+            let told = match &rung {
+                Some(rung) => {
+                    let stopped = async {
+                        // The ringing end lives as long as the process.
+                        let _ = rung.recv().await;
+                        None
+                    };
+                    let next = async { Some(self.next().await) };
+                    next.or(stopped).await
+                }
+                None => Some(self.next().await),
+            };
+            let Some(told) = told else {
+                continue;
+            };
+            if !self.tell(told, &bells).await {
+                return;
+            }
+        }
+    }
+
+    async fn next(&self) -> Result<(Page, bool), Trouble> {
+        match self.version {
+            None => self.store.read(self.table).await.map(|page| (page, true)),
+            Some(version) => {
+                let page = self.store.follow(self.table, version, self.wait).await?;
+                Ok((page, false))
+            }
+        }
+    }
+
+    /// Passes on what was read; returns whether the process still runs.
+    async fn tell(&mut self, told: Result<(Page, bool), Trouble>, bells: &[Sender<()>]) -> bool {
+        let told = match told {
+            Ok((page, whole)) => {
+                self.version = Some(page.version);
+                if self.failures > 0 {
+                    self.failures = 0;
+                    for bell in bells {
+                        // A bell that has not been heard yet rings already.
+                        let _ = bell.try_send(());
+                    }
+                }
+                if page.rows.is_empty() && !whole {
+                    Told::Page(page, false)
+                } else {
+                    Told::Page(page, whole)
+                }
+            }
+            Err(Trouble::Forgotten) => {
+                self.version = None;
+                return true;
+            }
+            Err(trouble) => {
+                self.failures += 1;
+                Told::Failed(trouble)
+            }
+        };
+        let message = Message::Store(self.table, told);
+        if self.shared.send.send(message).await.is_err() {
+            return false;
+        }
+        if self.failures > 0 {
+            let pause = PAUSE_FIRST * self.failures.min(4);
+            task::sleep(pause.min(PAUSE_MOST)).await;
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/hosted/log.rs
@@ -0,0 +1,97 @@
+//! Log lines on standard output, bounded and never waited for.
+//!
+//! A thread of its own writes them; what comes while it is behind is counted
+//! and dropped, and the count is written when it has caught up.
+
+use logforth::append::Append;
+use logforth::layout::{JsonLayout, Layout};
+use logforth::record::{Level, LevelFilter, Record};
+use logforth::{Diagnostic, Error};
+use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
+
+/// The lines that may wait to be written.
+const WAITING: usize = 1024;
+/// The lines a second, on average, and how many more at once: some three for
+/// each request of a busy entry.
+const RATE: f64 = 300.0;
+const BURST: f64 = 900.0;
+
+/// Starts the log of a hosted entry.
+pub fn start() {
+    let appender: Box<dyn Append> = Box::new(Bounded::start());
+    logforth::starter_log::builder()
+        .dispatch(|d| {
+            d.filter(LevelFilter::MoreSevereEqual(Level::Info))
+                .append(appender)
+        })
+        .apply();
+}
+
+#[derive(Debug)]
+struct Bounded {
+    layout: JsonLayout,
+    lines: SyncSender<Vec<u8>>,
+    dropped: Arc<AtomicU64>,
+    tokens: Mutex<(f64, Instant)>,
+}
+
+impl Bounded {
+    fn start() -> Bounded {
+        let (lines, inbox) = sync_channel(WAITING);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let counted = dropped.clone();
+        std::thread::spawn(move || write(&inbox, &counted));
+        Bounded {
+            layout: JsonLayout::default(),
+            lines,
+            dropped,
+            tokens: Mutex::new((BURST, Instant::now())),
+        }
+    }
+
+    fn has_token(&self) -> bool {
+        let mut tokens = self.tokens.lock().unwrap_or_else(|e| e.into_inner());
+        let (left, since) = *tokens;
+        let filled = (left + since.elapsed().as_secs_f64() * RATE).min(BURST);
+        let has = filled >= 1.0;
+        let left = if has { filled - 1.0 } else { filled };
+        *tokens = (left, Instant::now());
+        has
+    }
+}
+
+impl Append for Bounded {
+    fn append(&self, record: &Record, diags: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
+        let line = match self.has_token() {
+            true => Some(self.layout.format(record, diags)?),
+            false => None,
+        };
+        if line.is_none_or(|line| self.lines.try_send(line).is_err()) {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> Result<(), Error> {
+        Ok(())
+    }
+}
+
+fn write(inbox: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
+    let mut out = std::io::stdout();
+    while let Ok(mut line) = inbox.recv() {
+        line.push(b'\n');
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            line.extend_from_slice(format!("{{\"dropped_lines\":{lost}}}\n").as_bytes());
+        }
+        if out.write_all(&line).is_err() {
+            // Nobody reads: there is nowhere left to say so.
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/hosted/mirror.rs
@@ -0,0 +1,323 @@
+//! What this process knows of the tables in the platform's store, and what a
+//! change of them means.
+//!
+//! Pages come from the store or, while it is out of reach, from other entries;
+//! an older page never replaces a newer one.
+
+use sorreldeck::release::{Order, State};
+use sorreldeck::{Span, Time, UpstreamId};
+use sorreldeck_platform::config::{self, Configuration};
+use sorreldeck_platform::member::{self, Listed};
+use sorreldeck_platform::store::{Page, Row, CONFIG, MOVE};
+use sorreldeck_platform::{release, Table};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// The beginning of the keys of rows in which entries tell where they are.
+pub const ENTRY: &str = "entry/";
+/// How long after the store was out of reach rows that vanish may come back:
+/// upstreams whose leases lapsed meanwhile renew them within about 2 s, and an
+/// upstream that left must get nothing more after 2 s.
+const COMES_BACK: Span = Span::from_millis(1_800);
+/// How long after trouble with the store vanished rows are held for lapsed.
+const AFTER_TROUBLE: Span = Span::from_millis(3_000);
+/// The upstreams that vanish in one page from which on their leases are taken
+/// to have lapsed; those that leave do so one after another.
+const MANY: usize = 3;
+
+/// What a change of the tables means.
+#[derive(Debug)]
+pub enum News {
+    /// A newer configuration.
+    Config(Box<Configuration>),
+    /// An upstream can be called.
+    Joined(Box<Listed>),
+    /// An upstream takes no new work.
+    Retired(UpstreamId),
+    /// A move to another release, its record and when that was made.
+    Move(Order, Option<State>, Option<Time>),
+    /// Where another entry can be asked.
+    Entry(String, SocketAddr),
+}
+
+/// What cannot be understood, for the log.
+#[derive(Debug)]
+pub struct Trouble {
+    /// The table.
+    pub table: Table,
+    /// The key of the row.
+    pub key: String,
+    /// A sentence for people.
+    pub message: String,
+}
+
+/// One table as it was known last.
+#[derive(Clone, Debug, Default)]
+struct Copy {
+    version: u64,
+    rows: BTreeMap<String, Row>,
+    failing: bool,
+    trouble: Option<Time>,
+}
+
+/// What this process knows of the tables.
+#[derive(Debug, Default)]
+pub struct Mirror {
+    tables: BTreeMap<Table, Copy>,
+    listed: BTreeMap<String, bool>,
+    missing: BTreeMap<String, Time>,
+    /// How far this process's clock is ahead of the store's, in microseconds.
+    ahead: Option<i64>,
+    troubles: Vec<Trouble>,
+}
+
+impl Mirror {
+    /// Returns the version up to which a table is known.
+    pub fn version(&self, table: Table) -> u64 {
+        self.tables.get(&table).map_or(0, |t| t.version)
+    }
+
+    /// Returns the version of a row, or 0 if there is none.
+    pub fn row_version(&self, table: Table, key: &str) -> u64 {
+        self.row(table, key).map_or(0, |row| row.version)
+    }
+
+    /// Returns a row.
+    pub fn row(&self, table: Table, key: &str) -> Option<&Row> {
+        self.tables.get(&table)?.rows.get(key)
+    }
+
+    /// Returns a whole table, for another entry.
+    pub fn page(&self, table: Table) -> Option<Page> {
+        let copy = self.tables.get(&table)?;
+        Some(Page {
+            rows: copy.rows.values().cloned().collect(),
+            version: copy.version,
+            now: std::time::Duration::ZERO,
+        })
+    }
+
+    /// Returns what could not be understood since the last call.
+    pub fn troubles(&mut self) -> Vec<Trouble> {
+        std::mem::take(&mut self.troubles)
+    }
+
+    /// Returns the time on the store's clock, if one was heard.
+    pub fn store_time(&self, now: Time) -> Option<u64> {
+        let ahead = self.ahead?;
+        Some((now.0 as i64 - ahead).max(0) as u64)
+    }
+
+    /// Notes that a table could not be read.
+    pub fn failed(&mut self, table: Table, now: Time) {
+        let copy = self.tables.entry(table).or_default();
+        copy.failing = true;
+        copy.trouble = Some(now);
+    }
+
+    /// Returns whether the last read of a table failed.
+    pub fn is_failing(&self, table: Table) -> bool {
+        self.tables.get(&table).is_some_and(|t| t.failing)
+    }
+
+    /// Takes in a page; `whole` says that rows which are not in it are gone.
+    pub fn apply(&mut self, table: Table, page: Page, whole: bool, now: Time) -> Vec<News> {
+        self.note_clock(&page, now);
+        let copy = self.tables.entry(table).or_default();
+        copy.failing = false;
+        let trouble = copy.trouble;
+        if page.version < copy.version {
+            return Vec::new();
+        }
+        copy.version = page.version;
+        let changed = merge(&mut copy.rows, page.rows, whole);
+        match table {
+            Table::Operator | Table::Progress => self.operator_news(table, &changed),
+            Table::Own => self.own_news(&changed),
+            Table::Upstreams => self.upstream_news(&changed, trouble, now),
+        }
+    }
+
+    /// Takes in a page from another entry, which may know less or more.
+    pub fn apply_copy(&mut self, table: Table, page: Page, now: Time) -> Vec<News> {
+        if page.version <= self.version(table) {
+            return Vec::new();
+        }
+        let failing = self.is_failing(table);
+        let news = self.apply(table, page, true, now);
+        if let Some(copy) = self.tables.get_mut(&table) {
+            copy.failing = failing;
+        }
+        news
+    }
+
+    /// Returns the upstreams whose rows have not come back in time.
+    pub fn tick(&mut self, now: Time) -> Vec<News> {
+        let due = self.missing.iter().filter(|(_, at)| now >= **at);
+        let due: Vec<String> = due.map(|(id, _)| id.clone()).collect();
+        due.iter().filter_map(|id| self.retire(id)).collect()
+    }
+
+    fn note_clock(&mut self, page: &Page, now: Time) {
+        if page.now.is_zero() {
+            return;
+        }
+        let ahead = now.0 as i64 - page.now.as_micros() as i64;
+        // The quickest answer tells the clock best.
+        self.ahead = Some(self.ahead.map_or(ahead, |known| known.min(ahead)));
+    }
+
+    fn understand<T>(
+        &mut self,
+        table: Table,
+        key: &str,
+        read: sorreldeck::Result<T>,
+    ) -> Option<T> {
+        let message = match read {
+            Ok(value) => return Some(value),
+            Err(e) => e.to_string(),
+        };
+        self.troubles.push(Trouble {
+            table,
+            key: key.to_owned(),
+            message,
+        });
+        None
+    }
+
+    fn operator_news(&mut self, table: Table, changed: &[String]) -> Vec<News> {
+        let mut news = Vec::new();
+        for key in changed {
+            if table == Table::Operator && key == CONFIG {
+                let row = self.row(table, key).and_then(|row| row.value.clone());
+                let read = row.map(|buf| config::decode(&buf));
+                let config = read.and_then(|read| self.understand(table, key, read));
+                news.extend(config.map(|c| News::Config(Box::new(c))));
+            }
+            if key.starts_with(MOVE) {
+                news.extend(self.move_news(key));
+            }
+        }
+        news
+    }
+
+    /// Puts together what three tables tell of a move.
+    fn move_news(&mut self, key: &str) -> Option<News> {
+        let order = self.row(Table::Operator, key)?.clone();
+        let read = release::decode(order.value.as_deref()?, order.version);
+        let read = self.understand(Table::Operator, key, read)?;
+        let told = self.row(Table::Progress, key).cloned();
+        // What was told before the order belongs to an earlier one.
+        let told = told.filter(|row| row.version > order.version);
+        let state = told.and_then(|row| {
+            let state = release::decode_state(row.value.as_deref()?);
+            self.understand(Table::Progress, key, state)
+        });
+        let state = state.filter(|(to, _)| *to == read.to).map(|(_, s)| s);
+        let began = state.and_then(|_| self.began(key));
+        Some(News::Move(read, state, began))
+    }
+
+    /// Returns when the record of a move was begun, on this process's clock.
+    fn began(&self, key: &str) -> Option<Time> {
+        let row = self.row(Table::Own, key)?.value.as_deref()?;
+        let micros: i64 = std::str::from_utf8(row).ok()?.parse().ok()?;
+        Some(Time((micros + self.ahead?).max(0) as u64))
+    }
+
+    fn own_news(&mut self, changed: &[String]) -> Vec<News> {
+        let mut news = Vec::new();
+        for key in changed {
+            if key.starts_with(MOVE) {
+                news.extend(self.move_news(key));
+            }
+            let Some(name) = key.strip_prefix(ENTRY) else {
+                continue;
+            };
+            let value = self.row(Table::Own, key).and_then(|r| r.value.as_deref());
+            let text = value.and_then(|v| std::str::from_utf8(v).ok());
+            let address = text.and_then(|t| t.parse().ok());
+            news.extend(address.map(|a| News::Entry(name.to_owned(), a)));
+        }
+        news
+    }
+
+    fn upstream_news(
+        &mut self,
+        changed: &[String],
+        trouble: Option<Time>,
+        now: Time,
+    ) -> Vec<News> {
+        let mut news = Vec::new();
+        let gone: Vec<&String> = changed
+            .iter()
+            .filter(|id| self.row(Table::Upstreams, id).is_none())
+            .collect();
+        let after_trouble = trouble.is_some_and(|t| now.since(t) < AFTER_TROUBLE);
+        let lapsed = after_trouble || gone.len() >= MANY;
+        for id in gone {
+            match lapsed && self.listed.get(id) == Some(&true) {
+                true => {
+                    self.missing.entry(id.clone()).or_insert(now + COMES_BACK);
+                }
+                false => news.extend(self.retire(id)),
+            }
+        }
+        for id in changed {
+            let row = self.row(Table::Upstreams, id).cloned();
+            let Some(buf) = row.and_then(|row| row.value) else {
+                continue;
+            };
+            let read = member::decode(id, &buf);
+            if let Some(listed) = self.understand(Table::Upstreams, id, read) {
+                news.extend(self.list(id, listed));
+            }
+        }
+        news
+    }
+
+    fn list(&mut self, id: &str, listed: Listed) -> Option<News> {
+        self.missing.remove(id);
+        if listed.leaving {
+            return self.retire(id);
+        }
+        match self.listed.insert(id.to_owned(), true) {
+            Some(true) => None,
+            _ => Some(News::Joined(Box::new(listed))),
+        }
+    }
+
+    fn retire(&mut self, id: &str) -> Option<News> {
+        self.missing.remove(id);
+        match self.listed.remove(id) {
+            Some(true) => Some(News::Retired(id.parse().ok()?)),
+            _ => None,
+        }
+    }
+}
+
+/// Takes rows in and returns the keys that changed.
+fn merge(known: &mut BTreeMap<String, Row>, rows: Vec<Row>, whole: bool) -> Vec<String> {
+    let mut changed = Vec::new();
+    if whole {
+        let present: std::collections::BTreeSet<&str> =
+            rows.iter().map(|r| r.key.as_str()).collect();
+        let gone = known.keys().filter(|k| !present.contains(k.as_str()));
+        changed.extend(gone.cloned().collect::<Vec<_>>());
+        known.retain(|k, _| present.contains(k.as_str()));
+    }
+    for row in rows {
+        let before = known.get(&row.key);
+        if before.is_some_and(|b| b.version >= row.version) {
+            continue;
+        }
+        if !changed.contains(&row.key) {
+            changed.push(row.key.clone());
+        }
+        match row.value {
+            Some(_) => drop(known.insert(row.key.clone(), row)),
+            None => drop(known.remove(&row.key)),
+        }
+    }
+    changed
+}
--- /dev/null
+++ b/crates/daemon/src/hosted/mod.rs
@@ -0,0 +1,135 @@
+//! The hosted role: an entry that calls upstreams itself, on a platform that
+//! runs the instances and keeps what must last.
+//!
+//! The decisions are those of every entry ([`sorreldeck::entry`]). Around them
+//! stand the door for callers, one driver for each run at an upstream, the
+//! followers of the platform's store, and links to other hosted entries, which
+//! are asked when the store is out of reach. One loop holds the state.
+
+mod door;
+mod feed;
+mod log;
+mod mirror;
+mod mover;
+mod peer;
+mod room;
+mod run;
+
+pub use log::start as start_log;
+pub use mirror::{Mirror, News, Trouble};
+pub use room::{Message, Room, Shared};
+
+use crate::clock::{self, Clock};
+use crate::options;
+use crate::turn::Stop;
+use ::log::info;
+use async_std::net::TcpListener;
+use async_std::task;
+use eyre::{eyre, Result, WrapErr};
+use sorreldeck::Incarnation;
+use sorreldeck_net::h1::Door;
+use sorreldeck_net::http;
+use sorreldeck_platform::{Settings, Store};
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
+
+/// A running hosted entry.
+pub struct Running {
+    /// The address for callers.
+    pub callers: SocketAddr,
+    /// The address that tells whether callers may come.
+    pub ready: SocketAddr,
+    /// The planned stop.
+    pub stop: Stop,
+}
+
+/// Runs a hosted entry until it is told to stop by SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Fails when the settings are not understood or an address cannot be listened
+/// on.
+pub async fn run(options: options::Hosted) -> Result<()> {
+    let path = options
+        .settings
+        .clone()
+        .or_else(Settings::path)
+        .ok_or_else(|| eyre!("no settings file: give --settings"))?;
+    let text = std::fs::read_to_string(&path).wrap_err("the settings file cannot be read")?;
+    let settings = Settings::from_json(&text)?;
+    let stop = crate::turn::on_signal()?;
+    let reload = crate::turn::on_reload()?;
+    task::spawn(watch_settings(path, settings.clone(), reload));
+    let running = start(options, settings, stop).await?;
+    running.stop.ended().await;
+    info!("event=stop");
+    Ok(())
+}
+
+/// How often the flag of SIGHUP is looked at.
+const RELOAD_EVERY: std::time::Duration = std::time::Duration::from_millis(500);
+
+/// Reads the settings again when told to. What they hold is fixed for the life
+/// of a process, so a change is only told.
+async fn watch_settings(path: std::path::PathBuf, known: Settings, reload: Arc<AtomicBool>) {
+    loop {
+        task::sleep(RELOAD_EVERY).await;
+        if !reload.swap(false, std::sync::atomic::Ordering::Relaxed) {
+            continue;
+        }
+        let read = std::fs::read_to_string(&path);
+        let read = read.map_err(|e| e.to_string());
+        match read.and_then(|text| Settings::from_json(&text).map_err(|e| e.to_string())) {
+            Ok(settings) => info!("event=reload changed={}", settings != known),
+            Err(e) => ::log::error!("event=reload error={e:?}"),
+        }
+    }
+}
+
+/// Starts a hosted entry in this process.
+///
+/// # Errors
+///
+/// Fails when an address cannot be listened on.
+pub async fn start(
+    options: options::Hosted,
+    settings: Settings,
+    stop: Arc<AtomicBool>,
+) -> Result<Running> {
+    let callers = TcpListener::bind(settings.callers).await?;
+    let ready = TcpListener::bind(settings.ready).await?;
+    let (callers_at, ready_at) = (callers.local_addr()?, ready.local_addr()?);
+    let incarnation = Incarnation(u64::from_le_bytes(clock::random()));
+    info!(
+        "event=start instance={} hall={} incarnation={incarnation} callers={callers_at}",
+        settings.instance, settings.hall
+    );
+    let (send, receive) = async_channel::unbounded();
+    let (end, ended) = async_channel::bounded::<()>(1);
+    let shared = Shared::new(send, incarnation, &settings);
+    let door = Arc::new(Door::default());
+    let store = Store::new(settings.store);
+    feed::start(&store, &shared);
+    task::spawn(door::listen(callers, shared.clone(), door.clone()));
+    task::spawn(http::serve(ready, room::health(shared.clone())));
+    if let Some(port) = options.metrics {
+        let metrics = TcpListener::bind((settings.ip, port)).await?;
+        task::spawn(http::serve(metrics, room::metrics(shared.clone())));
+    }
+    if let Some(links) = settings.links {
+        let links = TcpListener::bind(links).await?;
+        task::spawn(peer::listen(links, options.link_keys.clone(), shared.clone()));
+    }
+    let room = Room::new(&options, &settings, shared, store, door, Clock::start());
+    let flag = stop.clone();
+    task::spawn(async move {
+        room.work(receive, flag).await;
+        drop(end);
+    });
+    Ok(Running {
+        callers: callers_at,
+        ready: ready_at,
+        stop: Stop::new(stop, ended),
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/hosted/mover.rs
@@ -0,0 +1,128 @@
+//! Writes the records of moves to other releases.
+//!
+//! Any entry may write; the row's version is the condition, so of several that
+//! try at once one succeeds. Each waits a moment of its own first, so that
+//! mostly one tries.
+
+use super::mirror::Mirror;
+use super::room::Message;
+use async_channel::Sender;
+use async_std::task;
+use log::{info, warn};
+use sorreldeck::release::{Order, State};
+use sorreldeck::{InstanceId, Span, Time};
+use sorreldeck_platform::store::{Change, MOVE};
+use sorreldeck_platform::{release, Store, Table};
+use std::collections::HashMap;
+
+/// The most that an entry waits before it writes.
+const SPREAD: Span = Span::from_millis(300);
+/// How long an entry waits after it has written, for the feed to bring it.
+const AGAIN: Span = Span::from_millis(700);
+
+/// Writes the records of moves.
+#[derive(Debug)]
+pub struct Mover {
+    offset: Span,
+    wanted: HashMap<String, Wanted>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Wanted {
+    state: State,
+    due: Time,
+    writing: bool,
+}
+
+impl Mover {
+    /// Creates the writer of an instance.
+    pub fn new(instance: &InstanceId) -> Mover {
+        let hash = sorreldeck::tree::hash_key(instance.as_str());
+        let number = u64::from_str_radix(&hash[..8], 16).unwrap_or(0);
+        Mover {
+            offset: Span::from_micros(number * SPREAD.micros() / u64::from(u32::MAX)),
+            wanted: HashMap::new(),
+        }
+    }
+
+    /// Writes a record when this entry's moment has come.
+    pub fn propose(
+        &mut self,
+        order: &Order,
+        state: State,
+        now: Time,
+        mirror: &Mirror,
+        store: &Store,
+        tell: &Sender<Message>,
+    ) {
+        let Some(key) = key_of(order, mirror) else {
+            return;
+        };
+        let fresh = Wanted {
+            state,
+            due: now + self.offset,
+            writing: false,
+        };
+        let wanted = self.wanted.entry(key.clone()).or_insert(fresh);
+        if wanted.state != state {
+            *wanted = fresh;
+        }
+        if wanted.writing || now < wanted.due {
+            return;
+        }
+        let Some(change) = change_of(&key, state, now, mirror) else {
+            return;
+        };
+        wanted.writing = true;
+        wanted.due = now + AGAIN;
+        info!(
+            "event=record pool={} to={} state={state:?} row_version={}",
+            order.pool,
+            order.to,
+            mirror.row_version(Table::Progress, &key)
+        );
+        let (store, tell) = (store.clone(), tell.clone());
+        task::spawn(async move {
+            let written = store.change(&change).await;
+            let result = written.map(drop).map_err(|trouble| trouble.to_string());
+            // The loop ends only with the process.
+            let _ = tell.send(Message::Moved(key, result)).await;
+        });
+    }
+
+    /// Takes in what came of a write; the row itself comes with the feed.
+    pub fn written(&mut self, key: &str, result: Result<(), String>) {
+        if let Err(trouble) = result {
+            warn!("event=record-failed key={key} error={trouble}");
+        }
+        if let Some(wanted) = self.wanted.get_mut(key) {
+            wanted.writing = false;
+        }
+    }
+}
+
+/// Returns the key of the row that holds an order.
+fn key_of(order: &Order, mirror: &Mirror) -> Option<String> {
+    let page = mirror.page(Table::Operator)?;
+    let mut rows = page.rows.into_iter();
+    let row = rows.find(|row| row.key.starts_with(MOVE) && row.version == order.number)?;
+    Some(row.key)
+}
+
+/// Returns the change that records a state. The first record of a move says
+/// when it was made, on the store's clock.
+fn change_of(key: &str, state: State, now: Time, mirror: &Mirror) -> Option<Change> {
+    let row = mirror.row(Table::Operator, key)?;
+    let buf = release::encode_for(row.value.as_deref()?, state)?;
+    let version = mirror.row_version(Table::Progress, key);
+    let change = Change::default()
+        .expect(Table::Progress, key, version)
+        .put(Table::Progress, key, &buf);
+    match state {
+        State::Running => {
+            let began = mirror.store_time(now)?.to_string();
+            Some(change.put(Table::Own, key, began.as_bytes()))
+        }
+        _ => Some(change),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/hosted/room.rs
@@ -0,0 +1,513 @@
+//! The loop of a hosted entry and what feeds it.
+
+use super::feed::Told;
+use super::mirror::{Mirror, News, ENTRY};
+use super::mover::Mover;
+use super::peer::{self, Peering};
+use super::run::{self, Caller};
+use crate::clock::{self, Clock};
+use crate::metrics::Metrics;
+use crate::options;
+use crate::turn::{self, Next};
+use async_channel::{Receiver, Sender};
+use async_std::task;
+use log::{info, warn};
+use sorreldeck::entry::{Ask, Done, Entry, Input, Output, Part, Reply, Settings as Decisions};
+use sorreldeck::pick::Link;
+use sorreldeck::wire::{Frame, Run};
+use sorreldeck::{Failure, Incarnation, InstanceId, RequestId, Revision, Time, UpstreamId};
+use sorreldeck_net::h1::Door;
+use sorreldeck_net::link::Event;
+use sorreldeck_platform::config::Limits;
+use sorreldeck_platform::member::Listed;
+use sorreldeck_platform::{Settings, Store, Table};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, RwLock};
+use std::time::{Duration, Instant};
+
+/// How long a stopping entry goes on taking connections: the balancer asks each
+/// second and gives up after two misses.
+const LINGER: Duration = Duration::from_millis(2_600);
+/// How long before the process is killed it ends by itself.
+const SPARE: Duration = Duration::from_millis(250);
+/// The memory that request bodies may take, as a part of all: the rest is for
+/// answers under way and for what the process needs at rest.
+const BODIES_PART: u64 = 5;
+/// The memory assumed where the settings name none, in bytes.
+const MEMORY: u64 = 128 * 1024 * 1024;
+/// How long the store is out of reach before other entries are asked, and how
+/// often they are asked then.
+const ASK_AFTER: Duration = Duration::from_millis(300);
+const ASK_EVERY: Duration = Duration::from_millis(500);
+
+/// What reaches the loop.
+pub enum Message {
+    /// A request and where its answer goes.
+    Ask(Box<Ask>, Sender<Part>),
+    /// A caller went away.
+    Gone(RequestId),
+    /// What an upstream does with a run.
+    Reply(Link, Run, Reply),
+    /// What a follower of the store tells.
+    Store(Table, Told),
+    /// What another entry knows.
+    Copies(Vec<peer::Copy>),
+    /// Something happened on a link to another entry.
+    Link(Event),
+    /// A link that another entry opened.
+    LinkUp(Link, sorreldeck_net::link::Outbox),
+    /// A record of a move was written, or not.
+    Moved(String, Result<(), String>),
+    /// Something that only the loop can do.
+    With(Box<dyn FnOnce(&mut Room) + Send>),
+}
+
+/// What tasks share with the loop.
+#[derive(Clone)]
+pub struct Shared {
+    /// The way to the loop.
+    pub send: Sender<Message>,
+    /// The run of this process.
+    pub incarnation: Incarnation,
+    limits: Arc<RwLock<Limits>>,
+    ready: Arc<AtomicBool>,
+    next: Arc<AtomicU64>,
+    buffered: Arc<AtomicUsize>,
+    room_for_bodies: usize,
+}
+
+impl Shared {
+    /// Creates what tasks share.
+    pub fn new(send: Sender<Message>, incarnation: Incarnation, settings: &Settings) -> Shared {
+        let memory = match settings.memory.bytes() {
+            0 => MEMORY,
+            known => known,
+        };
+        Shared {
+            send,
+            incarnation,
+            limits: Arc::default(),
+            ready: Arc::default(),
+            next: Arc::new(AtomicU64::new(1)),
+            buffered: Arc::default(),
+            room_for_bodies: (memory / BODIES_PART) as usize,
+        }
+    }
+
+    /// Returns the identity of the next request.
+    pub fn next_request(&self) -> RequestId {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        RequestId::new(self.incarnation.0, number)
+    }
+
+    /// Returns what callers may send.
+    pub fn limits(&self) -> Limits {
+        *self.limits.read().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Sets memory aside for a part of a body; returns whether there was room.
+    pub fn set_aside(&self, bytes: usize) -> bool {
+        let before = self.buffered.fetch_add(bytes, Ordering::Relaxed);
+        let fits = before + bytes <= self.room_for_bodies;
+        if !fits {
+            self.give_back(bytes);
+        }
+        fits
+    }
+
+    /// Gives memory back.
+    pub fn give_back(&self, bytes: usize) {
+        self.buffered.fetch_sub(bytes, Ordering::Relaxed);
+    }
+}
+
+/// Returns the application that tells whether callers may come.
+pub fn health(shared: Shared) -> tide::Server<Shared> {
+    let mut app = tide::with_state(shared);
+    app.at("/ready").get(|request: tide::Request<Shared>| async move {
+        let ready = request.state().ready.load(Ordering::Relaxed);
+        Ok(tide::Response::new(if ready { 200 } else { 503 }))
+    });
+    app
+}
+
+/// Returns the application that tells the metrics.
+pub fn metrics(shared: Shared) -> tide::Server<Shared> {
+    let mut app = tide::with_state(shared);
+    app.at("/metrics").get(|request: tide::Request<Shared>| async move {
+        let (reply, text) = async_channel::bounded(1);
+        let with = move |room: &mut Room| {
+            // The caller may have gone; then nobody wants the text.
+            let _ = reply.try_send(room.metrics_text());
+        };
+        let message = Message::With(Box::new(with));
+        if request.state().send.send(message).await.is_err() {
+            return Ok(tide::Response::new(503));
+        }
+        let text = text.recv().await.unwrap_or_default();
+        let response = tide::Response::builder(200).body(text);
+        Ok(response.content_type("text/plain; version=0.0.4").build())
+    });
+    app
+}
+
+/// What the loop holds.
+pub struct Room {
+    entry: Entry,
+    clock: Clock,
+    metrics: Metrics,
+    mirror: Mirror,
+    mover: Mover,
+    peering: Peering,
+    caller: Caller,
+    runs: HashMap<Run, run::Handle>,
+    callers: HashMap<RequestId, Sender<Part>>,
+    labels: HashMap<RequestId, String>,
+    upstreams: HashMap<UpstreamId, Link>,
+    addresses: HashMap<Link, SocketAddr>,
+    next_link: Link,
+    instance: InstanceId,
+    links_at: Option<SocketAddr>,
+    announced: bool,
+    store: Store,
+    door: Arc<Door>,
+    grace: Duration,
+    failing_since: Option<Instant>,
+    asked: Instant,
+    shared: Shared,
+}
+
+impl Room {
+    /// Creates the loop's state.
+    pub fn new(
+        options: &options::Hosted,
+        settings: &Settings,
+        shared: Shared,
+        store: Store,
+        door: Arc<Door>,
+        clock: Clock,
+    ) -> Room {
+        let seed = u64::from_le_bytes(clock::random());
+        let mut decisions = Decisions::new(
+            settings.instance.clone(),
+            shared.incarnation,
+            options.session_keys.clone(),
+            seed,
+        );
+        decisions.policy = options.policy;
+        decisions.hall = Some(settings.hall.clone());
+        decisions.retries = settings.retries;
+        Room {
+            entry: Entry::new(decisions),
+            clock,
+            metrics: Metrics::default(),
+            mirror: Mirror::default(),
+            mover: Mover::new(&settings.instance),
+            peering: Peering::new(options.link_keys.clone(), settings),
+            caller: Caller::new(shared.send.clone()),
+            runs: HashMap::new(),
+            callers: HashMap::new(),
+            labels: HashMap::new(),
+            upstreams: HashMap::new(),
+            addresses: HashMap::new(),
+            next_link: 1,
+            instance: settings.instance.clone(),
+            links_at: settings.links,
+            announced: false,
+            store,
+            door,
+            grace: settings.grace.into(),
+            failing_since: None,
+            asked: Instant::now(),
+            shared,
+        }
+    }
+
+    /// Runs the loop until the process is told to stop and has finished.
+    pub async fn work(mut self, receive: Receiver<Message>, stop: Arc<AtomicBool>) {
+        let mut stopping: Option<Instant> = None;
+        let tick = |room: &mut Room| {
+            if stop.load(Ordering::Relaxed) && stopping.is_none() {
+                stopping = Some(Instant::now());
+                info!("event=leave in_flight={}", room.entry.in_flight());
+                room.door.close();
+            }
+            room.tick(stopping.is_some());
+            match stopping.is_some_and(|since| room.is_done(since)) {
+                true => Next::End,
+                false => Next::Go,
+            }
+        };
+        turn::run(&mut self, receive, Room::take, tick).await;
+        info!("event=ended in_flight={}", self.entry.in_flight());
+        // What was answered last still goes out.
+        task::sleep(Duration::from_millis(60)).await;
+    }
+
+    fn is_done(&self, since: Instant) -> bool {
+        let waited = since.elapsed();
+        let idle = self.entry.is_idle() && self.callers.is_empty();
+        (waited >= LINGER && idle) || waited >= self.grace.saturating_sub(SPARE)
+    }
+
+    fn tick(&mut self, stopping: bool) {
+        self.handle(Input::Tick);
+        let now = self.clock.now();
+        for news in self.mirror.tick(now) {
+            self.note(news);
+        }
+        let ready = self.entry.is_ready() && !stopping;
+        if self.shared.ready.swap(ready, Ordering::Relaxed) != ready {
+            info!("event=ready ready={ready}");
+        }
+        self.announce();
+        self.ask_others();
+        for (order, state) in self.entry.propose_moves(now) {
+            self.mover
+                .propose(&order, state, now, &self.mirror, &self.store, &self.shared.send);
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Ask(ask, parts) => {
+                if let sorreldeck::entry::What::Routed(routed) = &ask.what {
+                    self.labels.insert(ask.request, routed.label.clone());
+                }
+                self.callers.insert(ask.request, parts);
+                self.handle(Input::Ask(ask));
+            }
+            Message::Gone(request) => {
+                self.callers.remove(&request);
+                self.handle(Input::Gone(request));
+            }
+            Message::Reply(link, run, reply) => {
+                if matches!(reply, Reply::End | Reply::Fail(_)) {
+                    self.runs.remove(&run);
+                }
+                self.handle(Input::Reply(link, run, reply));
+            }
+            Message::Store(table, Told::Page(page, whole)) => {
+                let now = self.clock.now();
+                self.note_reached(table);
+                let news = self.mirror.apply(table, page, whole, now);
+                self.note_all(news);
+            }
+            Message::Store(table, Told::Failed(trouble)) => {
+                let now = self.clock.now();
+                if !self.mirror.is_failing(table) {
+                    warn!("event=store-lost table={table:?} error={trouble}");
+                }
+                self.mirror.failed(table, now);
+                if table == Table::Operator {
+                    self.failing_since.get_or_insert_with(Instant::now);
+                }
+            }
+            Message::Copies(copies) => self.take_copies(copies),
+            Message::Link(event) => self.peering.event(event, &self.mirror),
+            Message::LinkUp(link, outbox) => self.peering.up(link, outbox),
+            Message::Moved(key, result) => self.mover.written(&key, result),
+            Message::With(with) => with(self),
+        }
+    }
+
+    fn note_reached(&mut self, table: Table) {
+        if self.mirror.is_failing(table) {
+            info!("event=store-regained table={table:?}");
+        }
+        if table == Table::Operator {
+            self.failing_since = None;
+        }
+    }
+
+    fn take_copies(&mut self, copies: Vec<peer::Copy>) {
+        let now = self.clock.now();
+        for copy in copies {
+            let table = copy.table;
+            let before = self.mirror.version(table);
+            let news = self.mirror.apply_copy(table, copy.page(), now);
+            let version = self.mirror.version(table);
+            if version > before {
+                info!("event=learned-from-entry table={table:?} version={version} before={before}");
+            }
+            self.note_all(news);
+        }
+    }
+
+    fn note_all(&mut self, news: Vec<News>) {
+        for news in news {
+            self.note(news);
+        }
+        for trouble in self.mirror.troubles() {
+            warn!(
+                "event=not-understood table={:?} key={} error={:?}",
+                trouble.table, trouble.key, trouble.message
+            );
+        }
+    }
+
+    fn note(&mut self, news: News) {
+        match news {
+            News::Config(config) => self.adopt(*config),
+            News::Joined(listed) => self.join(*listed),
+            News::Retired(upstream) => {
+                info!("event=retired upstream={upstream}");
+                if let Some(link) = self.upstreams.remove(&upstream) {
+                    self.addresses.remove(&link);
+                    self.handle(Input::Retire(link));
+                }
+            }
+            News::Move(order, state, began) => {
+                info!(
+                    "event=move pool={} to={} number={} state={state:?} began={began:?}",
+                    order.pool, order.to, order.number
+                );
+                self.handle(Input::Move(order, state, began));
+            }
+            News::Entry(name, address) => self.peering.learn(name, address),
+        }
+    }
+
+    fn adopt(&mut self, config: sorreldeck_platform::Configuration) {
+        let revision = config.tree.revision();
+        if revision <= self.entry.tree().revision() && revision > Revision(0) {
+            return;
+        }
+        info!(
+            "event=config revision={revision} before={} routes={}",
+            self.entry.tree().revision(),
+            config.tree.routes().len()
+        );
+        let limits = &self.shared.limits;
+        *limits.write().unwrap_or_else(|e| e.into_inner()) = config.limits;
+        self.handle(Input::Tree(Arc::new(config.tree)));
+    }
+
+    fn join(&mut self, listed: Listed) {
+        let link = self.next_link;
+        self.next_link += 1;
+        let member = &listed.member;
+        info!(
+            "event=joined upstream={} pool={} address={} hall={:?} release={:?}",
+            member.upstream, member.pool, listed.address, member.place.hall, member.place.release
+        );
+        self.upstreams.insert(member.upstream.clone(), link);
+        self.addresses.insert(link, listed.address);
+        self.handle(Input::Join(link, Box::new(listed.member)));
+    }
+
+    /// Tells other entries where this one is, once the store can be written.
+    fn announce(&mut self) {
+        let Some(address) = self.links_at.filter(|_| !self.announced) else {
+            return;
+        };
+        if self.mirror.version(Table::Own) == 0 {
+            return;
+        }
+        self.announced = true;
+        let key = format!("{ENTRY}{}", self.instance);
+        let known = self.mirror.row(Table::Own, &key);
+        let text = address.to_string();
+        if known.and_then(|row| row.value.as_deref()) == Some(text.as_bytes()) {
+            return;
+        }
+        let (store, send) = (self.store.clone(), self.shared.send.clone());
+        task::spawn(async move {
+            let change = sorreldeck_platform::store::Change::default();
+            let change = change.put(Table::Own, &key, text.as_bytes());
+            if let Err(trouble) = store.change(&change).await {
+                warn!("event=announce-failed error={trouble}");
+                task::sleep(ASK_EVERY * 4).await;
+                let again = |room: &mut Room| room.announced = false;
+                // The loop ends only with the process.
+                let _ = send.send(Message::With(Box::new(again))).await;
+            }
+        });
+    }
+
+    /// Asks another entry while the store is out of reach.
+    fn ask_others(&mut self) {
+        let Some(since) = self.failing_since else {
+            return;
+        };
+        if since.elapsed() < ASK_AFTER || self.asked.elapsed() < ASK_EVERY {
+            return;
+        }
+        self.asked = Instant::now();
+        self.peering.ask(&self.mirror, &self.shared);
+    }
+
+    /// Gives the decisions an input and does what they say.
+    pub fn handle(&mut self, input: Input) {
+        let now = self.clock.now();
+        for output in self.entry.handle(now, input) {
+            self.execute(output, now);
+        }
+    }
+
+    fn execute(&mut self, output: Output, now: Time) {
+        match output {
+            Output::Send(link, Frame::Start(start)) => {
+                let (run, address) = (start.run, self.addresses.get(&link).copied());
+                let handle = self.caller.open(link, address, *start, now);
+                self.runs.insert(run, handle);
+            }
+            Output::Send(_, Frame::Cancel(run)) => drop(self.runs.remove(&run)),
+            Output::Answer(request, part) => self.answer(request, part),
+            Output::Ended(done) => {
+                self.metrics.ended(&done);
+                self.finished(&done);
+            }
+            // Nothing else is asked for where upstreams are called directly.
+            other => log::debug!("nothing is done about {other:?}"),
+        }
+    }
+
+    fn answer(&mut self, request: RequestId, part: Part) {
+        let last = matches!(part, Part::End | Part::Fail(_));
+        if let Some(caller) = self.callers.get(&request) {
+            // A caller that went away is told of by its own message.
+            let _ = caller.try_send(part);
+        }
+        if last {
+            self.callers.remove(&request);
+        }
+    }
+
+    /// Writes the one line of a request that has ended.
+    fn finished(&mut self, done: &Done) {
+        let request = done.request;
+        let label = self.labels.remove(&request).unwrap_or_default();
+        let Some(decision) = self.entry.history().get(request) else {
+            return;
+        };
+        let tries: Vec<String> = decision
+            .tries
+            .iter()
+            .map(|t| {
+                let version = t.version.as_ref().map_or("-", |v| v.as_str());
+                format!("{}/{version}: {}", t.upstream, t.outcome)
+            })
+            .collect();
+        let failure = decision.failure.as_ref().map_or_else(String::new, Failure::to_string);
+        info!(
+            "event=request id={label} asked={:?} revision={} account={} first_ms={} whole_ms={} tries={tries:?} failure={failure:?}",
+            decision.asked,
+            decision.revision,
+            done.account.as_ref().map_or("-", |a| a.as_str()),
+            done.first.map_or(-1, |s| s.millis() as i64),
+            done.whole.millis(),
+        );
+    }
+
+    fn metrics_text(&mut self) -> String {
+        self.metrics.set_promises(self.entry.promises());
+        let gauges = self.metrics.gauges();
+        gauges.revision.set(self.entry.tree().revision().0 as i64);
+        gauges.in_flight.set(self.entry.in_flight() as i64);
+        gauges.links.set(self.upstreams.len() as i64);
+        self.metrics.text()
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod clock;
 pub mod control;
 pub mod entry;
+pub mod hosted;
 pub mod links;
 pub mod metrics;
 pub mod options;
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -26,6 +26,32 @@
     /// Serve a sample of everything in one process
     #[bpaf(command)]
     Standalone(#[bpaf(external(standalone))] Standalone),
+    /// Face callers and call upstreams directly, on a platform that runs the instances
+    #[bpaf(command)]
+    Hosted(#[bpaf(external(hosted))] Hosted),
+}
+
+/// The settings of a hosted entry besides those that the platform tells.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Hosted {
+    /// The settings file of the platform; the platform names it otherwise
+    #[bpaf(long, argument("FILE"), optional)]
+    pub settings: Option<std::path::PathBuf>,
+    /// Keys of links between processes, ID:HEX,..., the one in use first
+    #[bpaf(long, env("SORRELDECK_LINK_KEYS"), argument("KEYS"))]
+    pub link_keys: Keys,
+    /// Keys of session tokens, ID:HEX,..., the one in use first
+    #[bpaf(long, env("SORRELDECK_SESSION_KEYS"), argument("KEYS"))]
+    pub session_keys: Keyring,
+    /// The port of the metrics; none are told otherwise
+    #[bpaf(long, argument("PORT"), optional)]
+    pub metrics: Option<u16>,
+    /// How an upstream is chosen: first-token, or a baseline: round-robin, least-in-flight, two-choices
+    #[bpaf(long, argument("POLICY"), fallback(Policy::FirstToken))]
+    pub policy: Policy,
+    /// Logs as text or json
+    #[bpaf(external(log_format))]
+    pub log: LogFormat,
 }
 
 /// The settings of an entry.
@@ -231,6 +257,7 @@
             Options::Entry(entry) => entry.log,
             Options::Sidecar(sidecar) => sidecar.log,
             Options::Standalone(standalone) => standalone.log,
+            Options::Hosted(hosted) => hosted.log,
         }
     }
 }
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -1,7 +1,7 @@
 //! The program around the roles: arguments, logs and the one thread.
 
 use crate::options::{LogFormat, Options};
-use crate::{entry, sidecar, standalone};
+use crate::{entry, hosted, sidecar, standalone};
 use async_std::task;
 use eyre::Result;
 use logforth::append::{self, Append};
@@ -16,12 +16,16 @@
 pub fn run(options: Options) -> Result<()> {
     // One thread runs all tasks; the loop that decides is one of them.
     std::env::set_var("ASYNC_STD_THREAD_COUNT", "1");
-    start_log(options.log_format());
+    match options {
+        Options::Hosted(_) => hosted::start_log(),
+        _ => start_log(options.log_format()),
+    }
     task::block_on(async {
         match options {
             Options::Entry(settings) => entry::run(settings).await,
             Options::Sidecar(settings) => sidecar::run(settings).await,
             Options::Standalone(settings) => standalone::run(settings).await,
+            Options::Hosted(settings) => hosted::run(settings).await,
         }
     })
 }
--- a/crates/daemon/src/turn.rs
+++ b/crates/daemon/src/turn.rs
@@ -76,6 +76,17 @@
     }
 }
 
+/// Returns a flag that SIGHUP raises.
+///
+/// # Errors
+///
+/// Fails when the signal cannot be caught.
+pub fn on_reload() -> std::io::Result<Arc<AtomicBool>> {
+    let reload = Arc::new(AtomicBool::new(false));
+    signal_hook::flag::register(signal_hook::consts::SIGHUP, reload.clone())?;
+    Ok(reload)
+}
+
 /// Returns a flag that SIGTERM and SIGINT raise.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/net/src/h1.rs
@@ -0,0 +1,393 @@
+//! HTTP/1.1 on hyper, for requests that pass through.
+//!
+//! hyper notices at once when the other side leaves, and tells the end of a body
+//! from a connection that broke; `async-h1`, which the rest of the HTTP layer
+//! uses, does neither.
+//!
+//! ```no_run
+//! # async_std::task::block_on(async {
+//! use sorreldeck_net::h1::Channel;
+//!
+//! let channel = Channel::open("127.0.0.1:8080".parse().unwrap()).await?;
+//! assert!(channel.is_open());
+//! # Ok::<(), std::io::Error>(())
+//! # }).unwrap();
+//! ```
+
+use async_std::future::timeout;
+use async_std::net::TcpStream;
+use async_std::task::{self, JoinHandle};
+use futures_util::future::{select, Either};
+use futures_lite::{AsyncRead, AsyncWrite};
+use http_body_util::Full;
+use hyper::body::{Body, Bytes, Incoming};
+use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use smol_hyper::rt::FuturesIo;
+use sorreldeck::wire::Header;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::{pin, Pin};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+/// How long a connection may take to open: halls are a millisecond or so apart,
+/// and a full queue of connections drops the first packet for a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+/// How often a connection is looked at for having been idle too long.
+const LOOK_EVERY: Duration = Duration::from_millis(1000);
+
+/// What a caller's connection may do.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// The largest head of a request, in bytes.
+    pub head: usize,
+    /// The longest time for a head to come in.
+    pub head_timeout: Duration,
+    /// The longest time that a connection may be idle.
+    pub idle_timeout: Duration,
+}
+
+/// What all connections of a listener share.
+#[derive(Debug)]
+pub struct Door {
+    closing: AtomicBool,
+    open: AtomicUsize,
+    start: Instant,
+}
+
+impl Default for Door {
+    fn default() -> Self {
+        Door {
+            closing: AtomicBool::new(false),
+            open: AtomicUsize::new(0),
+            start: Instant::now(),
+        }
+    }
+}
+
+impl Door {
+    /// Closes connections after the answer under way, and idle ones soon.
+    pub fn close(&self) {
+        self.closing.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether connections are being closed.
+    pub fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many connections are open.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    fn now(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64
+    }
+}
+
+/// What happens on one connection, in milliseconds of its door's clock.
+#[derive(Debug, Default)]
+struct Activity {
+    busy: AtomicUsize,
+    /// When a request ended last, or the connection opened.
+    free_since: AtomicU64,
+    /// When the first byte after that came in; 0 while none has.
+    head_since: AtomicU64,
+}
+
+impl Activity {
+    fn begin(&self) {
+        self.busy.fetch_add(1, Ordering::Relaxed);
+        self.head_since.store(0, Ordering::Relaxed);
+    }
+
+    fn end(&self, now: u64) {
+        self.free_since.store(now, Ordering::Relaxed);
+        self.head_since.store(0, Ordering::Relaxed);
+        self.busy.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    fn has_read(&self, now: u64) {
+        if self.busy.load(Ordering::Relaxed) == 0 && self.head_since.load(Ordering::Relaxed) == 0 {
+            self.head_since.store(now.max(1), Ordering::Relaxed);
+        }
+    }
+
+    /// Returns what is to become of the connection.
+    fn verdict(&self, now: u64, limits: &Limits) -> Idle {
+        if self.busy.load(Ordering::Relaxed) > 0 {
+            return Idle::Busy;
+        }
+        let head = self.head_since.load(Ordering::Relaxed);
+        let free = now.saturating_sub(self.free_since.load(Ordering::Relaxed));
+        match head {
+            0 if u128::from(free) > limits.idle_timeout.as_millis() => Idle::Expired,
+            0 => Idle::Waiting,
+            _ if u128::from(now.saturating_sub(head)) > limits.head_timeout.as_millis() => {
+                Idle::Stuck
+            }
+            _ => Idle::Busy,
+        }
+    }
+}
+
+/// How idle a connection is.
+#[derive(Debug, PartialEq, Eq)]
+enum Idle {
+    /// A request is under way or coming in.
+    Busy,
+    /// No request is under way.
+    Waiting,
+    /// No request has come for too long.
+    Expired,
+    /// The head of a request has not come in whole for too long.
+    Stuck,
+}
+
+/// Notes when bytes come in.
+struct Watched {
+    stream: TcpStream,
+    activity: Arc<Activity>,
+    door: Arc<Door>,
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if let Poll::Ready(Ok(n)) = &read {
+            if *n > 0 {
+                self.activity.has_read(self.door.now());
+            }
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(cx)
+    }
+}
+
+/// A body that notes when it has ended or was given up.
+pub struct Tracked<B> {
+    body: B,
+    _end: Ending,
+}
+
+struct Ending {
+    activity: Arc<Activity>,
+    door: Arc<Door>,
+}
+
+impl Drop for Ending {
+    fn drop(&mut self) {
+        self.activity.end(self.door.now());
+    }
+}
+
+impl<B: Body + Unpin> Body for Tracked<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<hyper::body::Frame<B::Data>, B::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> hyper::body::SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Serves the requests of one connection until it ends.
+///
+/// The future of `answer` is dropped when the caller leaves.
+pub async fn serve<F, A, B>(stream: TcpStream, door: Arc<Door>, limits: Limits, answer: F)
+where
+    F: Fn(Request<Incoming>) -> A,
+    A: Future<Output = Response<B>>,
+    B: Body + Unpin + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    door.open.fetch_add(1, Ordering::Relaxed);
+    let activity = Arc::new(Activity::default());
+    activity.free_since.store(door.now(), Ordering::Relaxed);
+    let io = Watched {
+        stream,
+        activity: activity.clone(),
+        door: door.clone(),
+    };
+    let service = service_fn(|request| {
+        activity.begin();
+        let end = Ending {
+            activity: activity.clone(),
+            door: door.clone(),
+        };
+        let answered = answer(request);
+        let door = door.clone();
+        async move {
+            let mut response = answered.await.map(|body| Tracked { body, _end: end });
+            if door.is_closing() {
+                let close = hyper::header::HeaderValue::from_static("close");
+                response.headers_mut().insert(hyper::header::CONNECTION, close);
+            }
+            Ok::<_, std::convert::Infallible>(response)
+        }
+    });
+    let mut builder = Builder::new();
+    builder.max_header_size(limits.head);
+    builder.auto_date_header(false);
+    let mut connection = pin!(builder.serve_connection(FuturesIo::new(io), service));
+    loop {
+        let look = pin!(task::sleep(LOOK_EVERY));
+        match select(connection.as_mut(), look).await {
+            // A connection that breaks ends only itself.
+            Either::Left(_) => break,
+            Either::Right(_) => match activity.verdict(door.now(), &limits) {
+                Idle::Busy => {}
+                Idle::Waiting if !door.is_closing() => {}
+                Idle::Waiting | Idle::Expired => connection.as_mut().graceful_shutdown(),
+                Idle::Stuck => break,
+            },
+        }
+    }
+    door.open.fetch_sub(1, Ordering::Relaxed);
+}
+
+/// A connection to a server that carries one request at a time; dropping it
+/// closes the connection at once.
+pub struct Channel {
+    send: SendRequest<Full<Bytes>>,
+    task: Option<JoinHandle<()>>,
+    /// When the last request ended.
+    pub free_since: Instant,
+}
+
+/// Why a request got no answer, and whether it may have left.
+#[derive(Debug)]
+pub struct Unsent {
+    /// Whether nothing of the request left this process.
+    pub unsent: bool,
+    /// A sentence for people.
+    pub message: String,
+}
+
+impl Channel {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no connection in time.
+    pub async fn open(address: SocketAddr) -> io::Result<Channel> {
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        stream.set_nodelay(true)?;
+        let (send, connection) = handshake(FuturesIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
+        let task = task::spawn(async move {
+            // Whoever waits for an answer is told of the error.
+            let _ = connection.await;
+        });
+        Ok(Channel {
+            send,
+            task: Some(task),
+            free_since: Instant::now(),
+        })
+    }
+
+    /// Returns whether the next request can be sent.
+    pub fn is_open(&self) -> bool {
+        self.send.is_ready() && !self.send.is_closed()
+    }
+
+    /// Waits until the connection can carry the next request.
+    pub async fn ready(&mut self) -> bool {
+        self.send.ready().await.is_ok()
+    }
+
+    /// Sends a request and returns the answer once its head is there.
+    ///
+    /// # Errors
+    ///
+    /// The error says whether anything may have left.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Unsent> {
+        let sent = self.send.try_send_request(request).await;
+        sent.map_err(|mut e| Unsent {
+            unsent: e.take_message().is_some(),
+            message: e.error().to_string(),
+        })
+    }
+}
+
+impl Drop for Channel {
+    fn drop(&mut self) {
+        if let Some(task) = self.task.take() {
+            // Cancelling drops the socket; the task ends by itself otherwise.
+            task::spawn(task.cancel());
+        }
+    }
+}
+
+/// Returns headers with their names in lower case. Values that are no ASCII are
+/// kept byte by byte, each as the character of its number.
+pub fn headers_of(map: &hyper::HeaderMap) -> Vec<Header> {
+    let text = |bytes: &[u8]| bytes.iter().map(|b| *b as char).collect::<String>();
+    map.iter()
+        .map(|(name, value)| Header {
+            name: name.as_str().to_owned(),
+            value: text(value.as_bytes()),
+        })
+        .collect()
+}
+
+/// Returns the value of a header as [`headers_of`] gave it, as it goes out, or
+/// `None` if it cannot be sent.
+pub fn value_of(value: &str) -> Option<hyper::header::HeaderValue> {
+    let bytes: Option<Vec<u8>> = value.chars().map(|c| u8::try_from(c).ok()).collect();
+    hyper::header::HeaderValue::from_bytes(&bytes?).ok()
+}
