--- a/crates/daemon/src/hosted/door.rs
+++ b/crates/daemon/src/hosted/door.rs
@@ -5,6 +5,7 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use bytes::{Bytes, BytesMut};
+use futures_lite::FutureExt;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::{Request, Response, StatusCode};
@@ -23,8 +24,13 @@
 /// What is added to the largest head for the request line and our reading.
 const LINE: usize = 8 * 1024;
 
-/// Takes connections until the process ends.
+/// Takes connections until the door is shut.
 pub async fn listen(listener: TcpListener, shared: Shared, door: Arc<Door>) {
+    let shut = door.clone();
+    take_in(listener, shared, door).or(shut.wait_shut()).await;
+}
+
+async fn take_in(listener: TcpListener, shared: Shared, door: Arc<Door>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -28,8 +28,9 @@
 use std::time::{Duration, Instant};
 
 /// How long a stopping entry goes on taking connections: the balancer asks each
-/// second and gives up after two misses.
-const LINGER: Duration = Duration::from_millis(2_600);
+/// second and gives up after two misses. What is taken later might not end in
+/// the time that is left.
+const LINGER: Duration = Duration::from_millis(2_400);
 /// How long before the process is killed it ends by itself.
 const SPARE: Duration = Duration::from_millis(250);
 /// The memory that request bodies may take, as a part of all: the rest is for
@@ -234,6 +235,10 @@
                 info!("event=leave in_flight={}", room.entry.in_flight());
                 room.door.close();
             }
+            if stopping.is_some_and(|since| since.elapsed() >= LINGER) && !room.door.is_shut() {
+                info!("event=door-shut in_flight={}", room.entry.in_flight());
+                room.door.shut();
+            }
             room.tick(stopping.is_some());
             match stopping.is_some_and(|since| room.is_done(since)) {
                 true => Next::End,
@@ -249,7 +254,7 @@
     fn is_done(&self, since: Instant) -> bool {
         let waited = since.elapsed();
         let idle = self.entry.is_idle() && self.callers.is_empty();
-        (waited >= LINGER && idle) || waited >= self.grace.saturating_sub(SPARE)
+        (self.door.is_shut() && idle) || waited >= self.grace.saturating_sub(SPARE)
     }
 
     fn tick(&mut self, stopping: bool) {
--- a/crates/net/src/h1.rs
+++ b/crates/net/src/h1.rs
@@ -57,6 +57,7 @@
 #[derive(Debug)]
 pub struct Door {
     closing: AtomicBool,
+    shut: (async_channel::Sender<()>, async_channel::Receiver<()>),
     open: AtomicUsize,
     start: Instant,
 }
@@ -65,6 +66,7 @@
     fn default() -> Self {
         Door {
             closing: AtomicBool::new(false),
+            shut: async_channel::bounded(1),
             open: AtomicUsize::new(0),
             start: Instant::now(),
         }
@@ -77,6 +79,22 @@
         self.closing.store(true, Ordering::Relaxed);
     }
 
+    /// Takes no more connections.
+    pub fn shut(&self) {
+        self.shut.0.close();
+    }
+
+    /// Returns whether no more connections are taken.
+    pub fn is_shut(&self) -> bool {
+        self.shut.0.is_closed()
+    }
+
+    /// Waits until no more connections are to be taken.
+    pub async fn wait_shut(&self) {
+        // The channel carries nothing; it is closed when the door is shut.
+        let _ = self.shut.1.recv().await;
+    }
+
     /// Returns whether connections are being closed.
     pub fn is_closing(&self) -> bool {
         self.closing.load(Ordering::Relaxed)
