--- a/crates/core/src/entry/answer.rs
+++ b/crates/core/src/entry/answer.rs
@@ -379,7 +379,11 @@
         failure: Failure,
         out: &mut Outputs,
     ) {
-        if self.flights.get(&request).is_some_and(|f| f.terms.is_some()) {
+        if self
+            .flights
+            .get(&request)
+            .is_some_and(|f| f.terms.is_some())
+        {
             return self.give_up(now, request, failure, out);
         }
         match self.next_try(now, request, &failure) {
--- a/crates/core/src/entry/routed.rs
+++ b/crates/core/src/entry/routed.rs
@@ -120,12 +120,21 @@
         self.peers.settle(link, member.place);
         self.peers.report(link, member.load, now);
         self.peers.heard(link, now);
-        let present: Vec<VersionId> = self.peers.releases(&member.pool).into_iter().cloned().collect();
+        let present: Vec<VersionId> = self
+            .peers
+            .releases(&member.pool)
+            .into_iter()
+            .cloned()
+            .collect();
         self.releases.settle(&member.pool, &present);
     }
 
     /// Finds the route and client account of a request.
-    pub(super) fn locate(&self, routed: &Routed, key: Option<&str>) -> Result<(Site, Terms), Failure> {
+    pub(super) fn locate(
+        &self,
+        routed: &Routed,
+        key: Option<&str>,
+    ) -> Result<(Site, Terms), Failure> {
         if self.tree.revision() == Revision(0) {
             let failure = Failure::not_run(Reason::NotReady, "no configuration is known yet");
             return Err(failure.retry_after(COME_BACK));
@@ -258,7 +267,14 @@
     }
 
     /// Takes in what an upstream that is called directly does with a run.
-    pub(super) fn reply(&mut self, now: Time, link: Link, run: Run, reply: Reply, out: &mut Outputs) {
+    pub(super) fn reply(
+        &mut self,
+        now: Time,
+        link: Link,
+        run: Run,
+        reply: Reply,
+        out: &mut Outputs,
+    ) {
         self.peers.heard(link, now);
         match reply {
             Reply::Head {
@@ -308,16 +324,25 @@
             return;
         };
         flight.verdict = Verdict::Ran;
-        if flight.headed {
+        if flight.headed && status < 300 {
             // A stream that goes on elsewhere keeps the head of its first run.
             return;
         }
+        if flight.headed {
+            let message = format!("the stream could not go on: {status}");
+            let failure = Failure::new(Reason::UpstreamFailed, Verdict::Ran, message);
+            self.learn_release(now, run.request, false);
+            self.peers.struck(link, now);
+            self.drop_run(link, run, out);
+            return self.routed_failed(now, run.request, failure, out);
+        }
         flight.status = status;
         flight.headers = headers;
         self.learn_release(now, run.request, status < 500);
         match self.judge_head(now, run.request, status, confidence) {
             Judgement::Give => {
-                self.history.outcome(run.request, format!("answered {status}"));
+                self.history
+                    .outcome(run.request, format!("answered {status}"));
                 self.give_plain_head(now, run.request, out);
             }
             Judgement::Larger => self.ask_larger(now, link, run, confidence, out),
@@ -475,7 +500,13 @@
     }
 
     /// Sends a request on after a run that failed, or ends it.
-    fn routed_failed(&mut self, now: Time, request: RequestId, failure: Failure, out: &mut Outputs) {
+    fn routed_failed(
+        &mut self,
+        now: Time,
+        request: RequestId,
+        failure: Failure,
+        out: &mut Outputs,
+    ) {
         match self.may_go_on(now, request, &failure) {
             true => {
                 if let Some(flight) = self.flights.get_mut(&request) {
--- a/crates/core/src/release.rs
+++ b/crates/core/src/release.rs
@@ -189,7 +189,11 @@
     /// is being moved to are taken for sound. Releases that come later without
     /// an order get work only where nothing else is left.
     pub fn settle<'a>(&mut self, pool: &PoolId, present: impl IntoIterator<Item = &'a VersionId>) {
-        if self.settled.get(pool).is_some_and(|known| !known.is_empty()) {
+        if self
+            .settled
+            .get(pool)
+            .is_some_and(|known| !known.is_empty())
+        {
             return;
         }
         let to = self.moves.get(pool).map(|m| &m.order.to);
@@ -243,13 +247,16 @@
             among = present.iter().collect();
         }
         let at = (draw * among.len() as f64) as usize;
-        among.get(at.min(among.len().saturating_sub(1))).map(|v| (**v).clone())
+        among
+            .get(at.min(among.len().saturating_sub(1)))
+            .map(|v| (**v).clone())
     }
 
     /// Notes that a request of a session is at a release.
     pub fn keep(&mut self, session: u64, release: &VersionId, now: Time) {
         if self.sessions.len() >= SESSIONS {
-            self.sessions.retain(|_, k| now.since(k.last) < SESSION_LIFE);
+            self.sessions
+                .retain(|_, k| now.since(k.last) < SESSION_LIFE);
         }
         let kept = Kept {
             release: release.clone(),
@@ -261,7 +268,10 @@
     /// Takes in what an answer tells; returns whether its release has just been
     /// found bad.
     pub fn learn(&mut self, answer: &Answer) -> bool {
-        let usual = self.usual.get(&(answer.kind.0.clone(), answer.kind.1)).copied();
+        let usual = self
+            .usual
+            .get(&(answer.kind.0.clone(), answer.kind.1))
+            .copied();
         let slow = answer.first.is_some_and(|first| is_slow(first, usual));
         let Some(moving) = self.moves.get_mut(answer.pool) else {
             self.note_usual(answer);
--- a/crates/core/src/tree/route.rs
+++ b/crates/core/src/tree/route.rs
@@ -152,7 +152,10 @@
             return Err(Error::at(at("prefix"), message));
         }
         if let Some(other) = places.insert((&route.host, &route.prefix), name) {
-            return Err(Error::at(at("prefix"), format!("route {other} has the same")));
+            return Err(Error::at(
+                at("prefix"),
+                format!("route {other} has the same"),
+            ));
         }
         if route.pools.values().all(|weight| *weight == 0) {
             return Err(Error::at(at("pools"), "no pool has a weight"));
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -217,7 +217,6 @@
     pub stream: bool,
 }
 
-
 /// What a run used.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Usage {
--- a/crates/core/tests/regression/main.rs
+++ b/crates/core/tests/regression/main.rs
@@ -1,3 +1,4 @@
 //! One file for each failure ever found in the decisions.
 
+mod failed_continuation_looked_whole;
 mod session_moved_though_its_version_was_back;
--- /dev/null
+++ b/crates/core/tests/routed.rs
@@ -0,0 +1,373 @@
+//! Requests that a route describes, from the caller's call to the upstreams.
+
+use sorreldeck::entry::{Ask, Entry, Input, Member, Output, Part, Reply, Routed, Settings, What};
+use sorreldeck::pick::{Link, Place};
+use sorreldeck::tree::parse_toml;
+use sorreldeck::wire::{Call, Confidence, Frame, Load, Order, Run};
+use sorreldeck::{Failure, Incarnation, Reason, RequestId, Revision, Span, Time, Tree, Verdict};
+use std::sync::Arc;
+use test_case::test_case;
+
+const TREE: &str = r#"
+    [pools.engines]
+    kind = "engine"
+    [pools.clock]
+    kind = "plain"
+    [nodes."/"]
+    [nodes."/a"]
+    account = "a"
+    keys = ["@"]
+    rank = 1
+    [routes.drafts]
+    host = "pay.example"
+    prefix = "/drafts/"
+    pools = { engines = 1 }
+    timeout = "5s"
+    tries = 3
+    rank = 1
+    repeat = "resume"
+    stream = true
+    sizes = ["small", "large"]
+    [routes.once]
+    host = "pay.example"
+    prefix = "/clock/"
+    pools = { clock = 1 }
+    timeout = "2s"
+    tries = 1
+    [routes.look]
+    host = "pay.example"
+    prefix = "/clock/look/"
+    pools = { clock = 1 }
+    timeout = "2s"
+    tries = 2
+    repeat = "always"
+    public = true
+"#;
+
+/// An entry with two engines (links 1 and 2) and two plain services (3 and 4).
+struct Stand {
+    entry: Entry,
+    now: Time,
+    next: u64,
+}
+
+/// A run as the upstream gets it.
+#[derive(Debug, Clone)]
+struct Sent {
+    link: Link,
+    run: Run,
+    order: Order,
+    left: Span,
+}
+
+fn member(name: &str, pool: &str, release: &str) -> Input {
+    let member = Member {
+        upstream: name.parse().unwrap(),
+        pool: pool.parse().unwrap(),
+        place: Place {
+            hall: None,
+            release: Some(release.parse().unwrap()),
+        },
+        load: Load {
+            slots: 4,
+            prefill: 100_000,
+            ..Load::default()
+        },
+    };
+    let link = name[1..].parse().unwrap();
+    Input::Join(link, Box::new(member))
+}
+
+impl Stand {
+    fn new() -> Stand {
+        let keys = format!("1:{}", "42".repeat(32)).parse().unwrap();
+        let settings = Settings::new("e1".parse().unwrap(), Incarnation(1), keys, 7);
+        let mut stand = Stand {
+            entry: Entry::new(settings),
+            now: Time(1_000_000),
+            next: 1,
+        };
+        let text = TREE.replace('@', &sorreldeck::tree::hash_key("key"));
+        let tree = Tree::from_entries(Revision(1), parse_toml(&text).unwrap()).unwrap();
+        stand.tell(Input::Tree(Arc::new(tree)));
+        for (name, pool) in [
+            ("u1", "engines"),
+            ("u2", "engines"),
+            ("u3", "clock"),
+            ("u4", "clock"),
+        ] {
+            stand.tell(member(name, pool, "v1"));
+        }
+        stand
+    }
+
+    fn tell(&mut self, input: Input) -> Vec<Output> {
+        self.entry.handle(self.now, input)
+    }
+
+    fn ask(&mut self, path: &str, key: Option<&str>) -> (RequestId, Vec<Output>) {
+        let request = RequestId::new(1, self.next);
+        self.next += 1;
+        let routed = Routed {
+            label: format!("r{}", self.next),
+            host: "pay.example".into(),
+            call: Call {
+                method: "POST".into(),
+                path: path.into(),
+                headers: Vec::new(),
+                body: Vec::new(),
+            },
+            left: Some(Span::from_millis(4_000)),
+            any_model: true,
+            tokens: 100,
+            chain: Vec::new(),
+            session: None,
+        };
+        let ask = Ask {
+            request,
+            key: key.map(str::to_owned),
+            route: None,
+            class: None,
+            session: None,
+            once: false,
+            idempotency: None,
+            what: What::Routed(Box::new(routed)),
+        };
+        let outputs = self.tell(Input::Ask(Box::new(ask)));
+        (request, outputs)
+    }
+
+    fn head(&mut self, sent: &Sent, status: u16, confidence: Option<f64>) -> Vec<Output> {
+        let head = Reply::Head {
+            status,
+            headers: Vec::new(),
+            confidence: confidence.map(Confidence),
+            load: None,
+        };
+        self.tell(Input::Reply(sent.link, sent.run, head))
+    }
+
+    fn events(&mut self, sent: &Sent, last: u64) -> Vec<Output> {
+        let data = Reply::Data {
+            data: format!("id: {last}\n\n").into_bytes(),
+            last: Some(last),
+        };
+        self.tell(Input::Reply(sent.link, sent.run, data))
+    }
+
+    fn fail(&mut self, sent: &Sent, verdict: Verdict) -> Vec<Output> {
+        let failure = Failure::new(Reason::UpstreamFailed, verdict, "broken");
+        self.tell(Input::Reply(sent.link, sent.run, Reply::Fail(failure)))
+    }
+
+    fn pass(&mut self, ms: u64) -> Vec<Output> {
+        let mut outputs = Vec::new();
+        for _ in 0..ms / 20 {
+            self.now = self.now + Span::from_millis(20);
+            outputs.extend(self.tell(Input::Tick));
+        }
+        outputs
+    }
+}
+
+fn sent(outputs: &[Output]) -> Option<Sent> {
+    outputs.iter().find_map(|output| match output {
+        Output::Send(link, Frame::Start(start)) => Some(Sent {
+            link: *link,
+            run: start.run,
+            order: start.order.as_deref().cloned()?,
+            left: Span::from_micros(start.deadline_us),
+        }),
+        _ => None,
+    })
+}
+
+fn answer(outputs: &[Output]) -> Option<&Part> {
+    outputs.iter().find_map(|output| match output {
+        Output::Answer(_, part) => Some(part),
+        _ => None,
+    })
+}
+
+fn failure(outputs: &[Output]) -> Option<&Failure> {
+    outputs.iter().find_map(|output| match output {
+        Output::Answer(_, Part::Fail(failure)) => Some(failure),
+        _ => None,
+    })
+}
+
+fn cancelled(outputs: &[Output], run: Run) -> bool {
+    let cancels = |o: &Output| matches!(o, Output::Send(_, Frame::Cancel(r)) if *r == run);
+    outputs.iter().any(cancels)
+}
+
+#[test_case("/drafts/1", Some("key"), None; "a known key")]
+#[test_case("/drafts/1", None, Some(Reason::NoKey); "no key")]
+#[test_case("/drafts/1", Some("other"), Some(Reason::BadKey); "an unknown key")]
+#[test_case("/clock/look/1", None, None; "a public route needs no key")]
+#[test_case("/clock/1", None, Some(Reason::NoKey); "the longest prefix decides")]
+#[test_case("/elsewhere/1", Some("key"), Some(Reason::UnknownPath); "no route")]
+#[test_case("/drafts", Some("key"), Some(Reason::UnknownPath); "a prefix ends with its slash")]
+fn only_what_the_configuration_allows_is_sent(
+    path: &str,
+    key: Option<&str>,
+    refused: Option<Reason>,
+) {
+    let mut stand = Stand::new();
+    let (_, outputs) = stand.ask(path, key);
+    assert_eq!(sent(&outputs).is_none(), refused.is_some());
+    assert_eq!(failure(&outputs).map(|f| f.reason), refused);
+}
+
+#[test]
+fn without_a_configuration_nothing_is_denied() {
+    let keys = format!("1:{}", "42".repeat(32)).parse().unwrap();
+    let settings = Settings::new("e1".parse().unwrap(), Incarnation(1), keys, 7);
+    let mut stand = Stand::new();
+    stand.entry = Entry::new(settings);
+    let (_, outputs) = stand.ask("/drafts/1", Some("key"));
+    let failure = failure(&outputs).unwrap();
+    assert_eq!(failure.reason, Reason::NotReady);
+    assert_eq!(failure.verdict, Verdict::NotRun);
+    assert!(failure.retry_after.is_some());
+}
+
+#[test]
+fn the_account_and_its_rank_go_with_the_call() {
+    let mut stand = Stand::new();
+    let (_, outputs) = stand.ask("/drafts/1", Some("key"));
+    let sent = sent(&outputs).unwrap();
+    assert_eq!(sent.order.account.unwrap().as_str(), "a");
+    assert_eq!(sent.order.rank, 4);
+    assert_eq!(sent.order.model.unwrap().as_str(), "small");
+    assert_eq!(sent.left, Span::from_millis(4_000));
+}
+
+#[test_case(0.8, false; "sure")]
+#[test_case(0.2, true; "unsure")]
+fn an_unsure_answer_of_the_small_model_is_dropped(confidence: f64, dropped: bool) {
+    let mut stand = Stand::new();
+    let (_, outputs) = stand.ask("/drafts/1", Some("key"));
+    let first = sent(&outputs).unwrap();
+    let outputs = stand.head(&first, 200, Some(confidence));
+    assert_eq!(answer(&outputs).is_none(), dropped);
+    assert_eq!(cancelled(&outputs, first.run), dropped);
+    let model = sent(&outputs).and_then(|s| s.order.model);
+    assert_eq!(model.is_some_and(|m| m.as_str() == "large"), dropped);
+}
+
+#[test]
+fn a_stream_that_breaks_off_goes_on_elsewhere() {
+    let mut stand = Stand::new();
+    let (_, outputs) = stand.ask("/drafts/1", Some("key"));
+    let first = sent(&outputs).unwrap();
+    stand.head(&first, 200, Some(0.9));
+    stand.events(&first, 3);
+    let outputs = stand.fail(&first, Verdict::MayHaveRun);
+    let second = sent(&outputs).unwrap();
+    assert_ne!(second.link, first.link);
+    assert_eq!(second.order.last, Some(3));
+    assert!(answer(&outputs).is_none());
+    assert!(
+        answer(&stand.head(&second, 200, None)).is_none(),
+        "one head is enough"
+    );
+    assert!(answer(&stand.events(&second, 4)).is_some());
+}
+
+#[test]
+fn what_may_run_once_is_not_sent_again() {
+    let mut stand = Stand::new();
+    let (_, outputs) = stand.ask("/clock/1", Some("key"));
+    let first = sent(&outputs).unwrap();
+    let outputs = stand.fail(&first, Verdict::MayHaveRun);
+    assert!(sent(&outputs).is_none());
+    assert_eq!(failure(&outputs).unwrap().verdict, Verdict::MayHaveRun);
+}
+
+#[test]
+fn what_did_not_run_is_sent_elsewhere() {
+    let mut stand = Stand::new();
+    let (_, outputs) = stand.ask("/clock/1", Some("key"));
+    let first = sent(&outputs).unwrap();
+    let second = sent(&stand.fail(&first, Verdict::NotRun)).unwrap();
+    assert_ne!(second.link, first.link);
+}
+
+#[test]
+fn when_nothing_is_left_the_refusal_is_true_and_says_when_to_come_back() {
+    let mut stand = Stand::new();
+    let (_, outputs) = stand.ask("/clock/1", Some("key"));
+    let first = sent(&outputs).unwrap();
+    let second = sent(&stand.fail(&first, Verdict::NotRun)).unwrap();
+    let outputs = stand.fail(&second, Verdict::NotRun);
+    assert_eq!(failure(&outputs).unwrap().verdict, Verdict::NotRun);
+}
+
+#[test]
+fn a_request_ends_when_its_time_has_passed() {
+    let mut stand = Stand::new();
+    let (_, outputs) = stand.ask("/clock/1", Some("key"));
+    let first = sent(&outputs).unwrap();
+    assert!(failure(&stand.pass(1_900)).is_none());
+    let outputs = stand.pass(200);
+    let failure = failure(&outputs).unwrap();
+    assert_eq!(failure.reason, Reason::TimedOut);
+    assert_eq!(failure.verdict, Verdict::MayHaveRun);
+    assert!(cancelled(&outputs, first.run));
+}
+
+#[test]
+fn a_stream_leaves_an_upstream_that_falls_silent() {
+    let mut stand = Stand::new();
+    let (_, outputs) = stand.ask("/drafts/1", Some("key"));
+    let first = sent(&outputs).unwrap();
+    stand.head(&first, 200, Some(0.9));
+    stand.events(&first, 1);
+    let outputs = stand.pass(1_000);
+    assert!(cancelled(&outputs, first.run), "the first run is stopped");
+    assert_eq!(sent(&outputs).unwrap().order.last, Some(1));
+}
+
+#[test]
+fn a_pause_of_this_process_does_not_look_like_silence() {
+    let mut stand = Stand::new();
+    let (_, outputs) = stand.ask("/drafts/1", Some("key"));
+    let first = sent(&outputs).unwrap();
+    stand.head(&first, 200, Some(0.9));
+    stand.events(&first, 1);
+    stand.pass(20);
+    stand.now = stand.now + Span::from_millis(3_000);
+    let outputs = stand.tell(Input::Tick);
+    assert!(!cancelled(&outputs, first.run));
+}
+
+#[test]
+fn a_caller_that_leaves_stops_the_run() {
+    let mut stand = Stand::new();
+    let (request, outputs) = stand.ask("/drafts/1", Some("key"));
+    let first = sent(&outputs).unwrap();
+    let outputs = stand.tell(Input::Gone(request));
+    assert!(cancelled(&outputs, first.run));
+    assert!(stand.entry.is_idle());
+}
+
+#[test]
+fn a_retired_upstream_gets_nothing_new() {
+    let mut stand = Stand::new();
+    stand.tell(Input::Retire(3));
+    for _ in 0..8 {
+        let (_, outputs) = stand.ask("/clock/1", Some("key"));
+        assert_eq!(sent(&outputs).unwrap().link, 4);
+    }
+}
+
+#[test]
+fn an_upstream_of_a_release_that_nobody_ordered_gets_nothing() {
+    let mut stand = Stand::new();
+    stand.tell(member("u5", "engines", "v2"));
+    for _ in 0..20 {
+        let (_, outputs) = stand.ask("/drafts/1", Some("key"));
+        assert_ne!(sent(&outputs).unwrap().link, 5);
+    }
+}
--- a/crates/daemon/src/hosted/door.rs
+++ b/crates/daemon/src/hosted/door.rs
@@ -199,7 +199,10 @@
 }
 
 fn too_large(most: usize) -> Failure {
-    Failure::not_run(Reason::TooLarge, format!("the body is larger than {most} bytes"))
+    Failure::not_run(
+        Reason::TooLarge,
+        format!("the body is larger than {most} bytes"),
+    )
 }
 
 /// Returns the status that tells a failure: one that promises that nothing ran
@@ -326,6 +329,7 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.length.map_or_else(SizeHint::default, SizeHint::with_exact)
+        self.length
+            .map_or_else(SizeHint::default, SizeHint::with_exact)
     }
 }
--- a/crates/daemon/src/hosted/mirror.rs
+++ b/crates/daemon/src/hosted/mirror.rs
@@ -167,12 +167,7 @@
         self.ahead = Some(self.ahead.map_or(ahead, |known| known.min(ahead)));
     }
 
-    fn understand<T>(
-        &mut self,
-        table: Table,
-        key: &str,
-        read: sorreldeck::Result<T>,
-    ) -> Option<T> {
+    fn understand<T>(&mut self, table: Table, key: &str, read: sorreldeck::Result<T>) -> Option<T> {
         let message = match read {
             Ok(value) => return Some(value),
             Err(e) => e.to_string(),
@@ -242,12 +237,7 @@
         news
     }
 
-    fn upstream_news(
-        &mut self,
-        changed: &[String],
-        trouble: Option<Time>,
-        now: Time,
-    ) -> Vec<News> {
+    fn upstream_news(&mut self, changed: &[String], trouble: Option<Time>, now: Time) -> Vec<News> {
         let mut news = Vec::new();
         let gone: Vec<&String> = changed
             .iter()
--- a/crates/daemon/src/hosted/mod.rs
+++ b/crates/daemon/src/hosted/mod.rs
@@ -119,7 +119,11 @@
     }
     if let Some(links) = settings.links {
         let links = TcpListener::bind(links).await?;
-        task::spawn(peer::listen(links, options.link_keys.clone(), shared.clone()));
+        task::spawn(peer::listen(
+            links,
+            options.link_keys.clone(),
+            shared.clone(),
+        ));
     }
     let room = Room::new(&options, &settings, shared, store, door, Clock::start());
     let flag = stop.clone();
--- a/crates/daemon/src/hosted/mover.rs
+++ b/crates/daemon/src/hosted/mover.rs
@@ -115,9 +115,10 @@
     let row = mirror.row(Table::Operator, key)?;
     let buf = release::encode_for(row.value.as_deref()?, state)?;
     let version = mirror.row_version(Table::Progress, key);
-    let change = Change::default()
-        .expect(Table::Progress, key, version)
-        .put(Table::Progress, key, &buf);
+    let change =
+        Change::default()
+            .expect(Table::Progress, key, version)
+            .put(Table::Progress, key, &buf);
     match state {
         State::Running => {
             let began = mirror.store_time(now)?.to_string();
--- a/crates/daemon/src/hosted/peer.rs
+++ b/crates/daemon/src/hosted/peer.rs
@@ -203,7 +203,13 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let number = numbers.fetch_add(1, Ordering::Relaxed);
-                task::spawn(accept(stream, keys.clone(), number, send.clone(), shared.clone()));
+                task::spawn(accept(
+                    stream,
+                    keys.clone(),
+                    number,
+                    send.clone(),
+                    shared.clone(),
+                ));
             }
             // Out of descriptors, say: the open connections will free some.
             Err(_) => task::sleep(Duration::from_millis(50)).await,
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -127,30 +127,32 @@
 /// Returns the application that tells whether callers may come.
 pub fn health(shared: Shared) -> tide::Server<Shared> {
     let mut app = tide::with_state(shared);
-    app.at("/ready").get(|request: tide::Request<Shared>| async move {
-        let ready = request.state().ready.load(Ordering::Relaxed);
-        Ok(tide::Response::new(if ready { 200 } else { 503 }))
-    });
+    app.at("/ready")
+        .get(|request: tide::Request<Shared>| async move {
+            let ready = request.state().ready.load(Ordering::Relaxed);
+            Ok(tide::Response::new(if ready { 200 } else { 503 }))
+        });
     app
 }
 
 /// Returns the application that tells the metrics.
 pub fn metrics(shared: Shared) -> tide::Server<Shared> {
     let mut app = tide::with_state(shared);
-    app.at("/metrics").get(|request: tide::Request<Shared>| async move {
-        let (reply, text) = async_channel::bounded(1);
-        let with = move |room: &mut Room| {
-            // The caller may have gone; then nobody wants the text.
-            let _ = reply.try_send(room.metrics_text());
-        };
-        let message = Message::With(Box::new(with));
-        if request.state().send.send(message).await.is_err() {
-            return Ok(tide::Response::new(503));
-        }
-        let text = text.recv().await.unwrap_or_default();
-        let response = tide::Response::builder(200).body(text);
-        Ok(response.content_type("text/plain; version=0.0.4").build())
-    });
+    app.at("/metrics")
+        .get(|request: tide::Request<Shared>| async move {
+            let (reply, text) = async_channel::bounded(1);
+            let with = move |room: &mut Room| {
+                // The caller may have gone; then nobody wants the text.
+                let _ = reply.try_send(room.metrics_text());
+            };
+            let message = Message::With(Box::new(with));
+            if request.state().send.send(message).await.is_err() {
+                return Ok(tide::Response::new(503));
+            }
+            let text = text.recv().await.unwrap_or_default();
+            let response = tide::Response::builder(200).body(text);
+            Ok(response.content_type("text/plain; version=0.0.4").build())
+        });
     app
 }
 
@@ -270,8 +272,14 @@
         self.announce();
         self.ask_others();
         for (order, state) in self.entry.propose_moves(now) {
-            self.mover
-                .propose(&order, state, now, &self.mirror, &self.store, &self.shared.send);
+            self.mover.propose(
+                &order,
+                state,
+                now,
+                &self.mirror,
+                &self.store,
+                &self.shared.send,
+            );
         }
     }
 
@@ -496,7 +504,10 @@
                 format!("{}/{version}: {}", t.upstream, t.outcome)
             })
             .collect();
-        let failure = decision.failure.as_ref().map_or_else(String::new, Failure::to_string);
+        let failure = decision
+            .failure
+            .as_ref()
+            .map_or_else(String::new, Failure::to_string);
         info!(
             "event=request id={label} asked={:?} revision={} account={} first_ms={} whole_ms={} tries={tries:?} failure={failure:?}",
             decision.asked,
--- a/crates/net/src/h1.rs
+++ b/crates/net/src/h1.rs
@@ -17,8 +17,8 @@
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use async_std::task::{self, JoinHandle};
-use futures_util::future::{select, Either};
 use futures_lite::{AsyncRead, AsyncWrite};
+use futures_util::future::{select, Either};
 use http_body_util::Full;
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::client::conn::http1::{handshake, SendRequest};
@@ -288,7 +288,9 @@
             let mut response = answered.await.map(|body| Tracked { body, _end: end });
             if door.is_closing() {
                 let close = hyper::header::HeaderValue::from_static("close");
-                response.headers_mut().insert(hyper::header::CONNECTION, close);
+                response
+                    .headers_mut()
+                    .insert(hyper::header::CONNECTION, close);
             }
             Ok::<_, std::convert::Infallible>(response)
         }
@@ -302,10 +304,11 @@
         match select(connection.as_mut(), look).await {
             // A connection that breaks ends only itself.
             Either::Left(_) => break,
+            // The answer under way is the last one of its connection.
+            Either::Right(_) if door.is_closing() => connection.as_mut().graceful_shutdown(),
             Either::Right(_) => match activity.verdict(door.now(), &limits) {
-                Idle::Busy => {}
-                Idle::Waiting if !door.is_closing() => {}
-                Idle::Waiting | Idle::Expired => connection.as_mut().graceful_shutdown(),
+                Idle::Busy | Idle::Waiting => {}
+                Idle::Expired => connection.as_mut().graceful_shutdown(),
                 Idle::Stuck => break,
             },
         }
--- a/crates/net/tests/regression/main.rs
+++ b/crates/net/tests/regression/main.rs
@@ -1,3 +1,4 @@
 //! One file for each failure ever found in the links and the platform.
 
 mod outbox_took_thirty_megabytes;
+mod stream_kept_its_connection_past_the_stop;
