--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -32,7 +32,7 @@
 /// the time that is left.
 const LINGER: Duration = Duration::from_millis(2_400);
 /// How long before the process is killed it ends by itself.
-const SPARE: Duration = Duration::from_millis(250);
+const SPARE: Duration = Duration::from_millis(500);
 /// The memory that request bodies may take, as a part of all: the rest is for
 /// answers under way and for what the process needs at rest.
 const BODIES_PART: u64 = 5;
@@ -42,6 +42,9 @@
 /// often they are asked then.
 const ASK_AFTER: Duration = Duration::from_millis(300);
 const ASK_EVERY: Duration = Duration::from_millis(500);
+/// How often they are asked when they knew nothing newer the last times: all may
+/// have lost the store. A change must be learned of within some 7 s.
+const ASK_SELDOM: Duration = Duration::from_millis(2_000);
 
 /// What reaches the loop.
 pub enum Message {
@@ -179,6 +182,7 @@
     grace: Duration,
     failing_since: Option<Instant>,
     asked: Instant,
+    in_vain: u32,
     shared: Shared,
 }
 
@@ -224,6 +228,7 @@
             grace: settings.grace.into(),
             failing_since: None,
             asked: Instant::now(),
+            in_vain: 0,
             shared,
         }
     }
@@ -332,6 +337,7 @@
         }
         if table == Table::Operator {
             self.failing_since = None;
+            self.in_vain = 0;
         }
     }
 
@@ -343,6 +349,7 @@
             let news = self.mirror.apply_copy(table, copy.page(), now);
             let version = self.mirror.version(table);
             if version > before {
+                self.in_vain = 0;
                 info!("event=learned-from-entry table={table:?} version={version} before={before}");
             }
             self.note_all(news);
@@ -445,10 +452,15 @@
         let Some(since) = self.failing_since else {
             return;
         };
-        if since.elapsed() < ASK_AFTER || self.asked.elapsed() < ASK_EVERY {
+        let pause = match self.in_vain {
+            0..=2 => ASK_EVERY,
+            _ => ASK_SELDOM,
+        };
+        if since.elapsed() < ASK_AFTER || self.asked.elapsed() < pause {
             return;
         }
         self.asked = Instant::now();
+        self.in_vain += 1;
         self.peering.ask(&self.mirror, &self.shared);
     }
 
--- a/crates/daemon/src/hosted/run.rs
+++ b/crates/daemon/src/hosted/run.rs
@@ -26,6 +26,8 @@
 const KEPT_FOR: Duration = Duration::from_millis(800);
 /// The connections kept to one upstream.
 const KEPT: usize = 16;
+/// The turns that the connection gets to note the end of an answer.
+const TURNS: usize = 4;
 /// The most of a refusal's body that is read to keep its connection.
 const REFUSAL: usize = 4096;
 
@@ -173,9 +175,14 @@
     }
 
     async fn keep(&self, address: SocketAddr, mut channel: Channel) {
-        // The connection is told of the end of the answer a moment later.
-        let ready = async_std::future::timeout(Duration::from_millis(5), channel.ready());
-        if !ready.await.unwrap_or(false) {
+        // The connection's task notes the end of the answer at its next turn.
+        for _ in 0..TURNS {
+            if channel.is_open() {
+                break;
+            }
+            futures_lite::future::yield_now().await;
+        }
+        if !channel.is_open() {
             return;
         }
         channel.free_since = Instant::now();
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -20,7 +20,7 @@
         Options::Hosted(_) => hosted::start_log(),
         _ => start_log(options.log_format()),
     }
-    task::block_on(async {
+    on_one_thread(async {
         match options {
             Options::Entry(settings) => entry::run(settings).await,
             Options::Sidecar(settings) => sidecar::run(settings).await,
@@ -30,6 +30,17 @@
     })
 }
 
+/// Runs a future on the executor's one thread. That thread waits for sockets by
+/// itself; if this one waited for them too, each event would wake both.
+fn on_one_thread(work: impl std::future::Future<Output = Result<()>> + Send + 'static) -> Result<()> {
+    let (send, ended) = std::sync::mpsc::channel();
+    task::spawn(async move {
+        // The receiver waits below.
+        let _ = send.send(work.await);
+    });
+    ended.recv()?
+}
+
 fn start_log(format: LogFormat) {
     let stderr = append::Stderr::default();
     let appender: Box<dyn Append> = match format {
--- a/crates/daemon/src/turn.rs
+++ b/crates/daemon/src/turn.rs
@@ -1,7 +1,8 @@
 //! The loop of a process: one thread, messages in, a tick every 20 ms.
 
 use async_channel::Receiver;
-use async_std::future::timeout;
+use async_std::stream::{interval, StreamExt};
+use futures_util::future::{select, Either};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -29,12 +30,14 @@
     mut tick: impl FnMut(&mut R) -> Next,
 ) {
     let mut ticked = Instant::now();
+    // One timer for all turns: setting one for each message costs more than
+    // most messages do.
+    let mut ticks = interval(TICK);
     loop {
-        let wait = TICK.saturating_sub(ticked.elapsed());
-        if let Ok(Ok(message)) = timeout(wait, receive.recv()).await {
+        let message = std::pin::pin!(receive.recv());
+        if let Either::Left((Ok(message), _)) = select(message, ticks.next()).await {
             take(room, message);
         }
-        // What waits already is dealt with before the next timer is set.
         for _ in 0..AT_ONCE {
             match receive.try_recv() {
                 Ok(message) => take(room, message),
