End the followers of the store with the process

Cause: a follower whose bell is gone took that for a ring and began its wait anew without end, so that a stopping process kept its processor busy until it was killed. Found by a run without charged processor time, which never ended; perf showed TimeoutFuture under Or in the follower.

--- a/crates/daemon/src/hosted/feed.rs
+++ b/crates/daemon/src/hosted/feed.rs
@@ -43,6 +43,24 @@
     task::spawn(follower.work(None, bells));
 }
 
+/// What a follower does next.
+enum Turn {
+    /// Pass on what was read.
+    Read(Result<(Page, bool), Trouble>),
+    /// Begin the wait anew.
+    Anew,
+    /// End, as the process does.
+    End,
+}
+
+/// Waits for the bell, or for the end of the follower that rings it.
+async fn wait(rung: &Receiver<()>) -> Turn {
+    match rung.recv().await {
+        Ok(()) => Turn::Anew,
+        Err(_) => Turn::End,
+    }
+}
+
 struct Follower {
     store: Store,
     shared: Shared,
@@ -68,22 +86,17 @@
     /// `bells` are rung when the store comes back.
     async fn work(mut self, rung: Option<Receiver<()>>, bells: Vec<Sender<()>>) {
         loop {
-            let told = match &rung {
-                Some(rung) => {
-                    let stopped = async {
-                        // The ringing end lives as long as the process.
-                        let _ = rung.recv().await;
-                        None
-                    };
-                    let next = async { Some(self.next().await) };
-                    next.or(stopped).await
-                }
-                None => Some(self.next().await),
+            let next = async { Turn::Read(self.next().await) };
+            let turn = match &rung {
+                Some(rung) => next.or(wait(rung)).await,
+                None => next.await,
             };
-            let Some(told) = told else {
-                continue;
+            let goes_on = match turn {
+                Turn::Read(read) => self.tell(read, &bells).await,
+                Turn::Anew => true,
+                Turn::End => false,
             };
-            if !self.tell(told, &bells).await {
+            if !goes_on {
                 return;
             }
         }
