Escalate less when runs begin late

The threshold of confidence now falls as runs take longer to begin, in parts of the route's objective.

--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -40,6 +40,7 @@
 use crate::route::{self, Caller, Choice, Site, Target, Why};
 use crate::session::{Keyring, Session};
 use crate::store::{Batch, Held};
+use crate::strain::Strains;
 use crate::tree::{Action, Class, Kind, Tree};
 use crate::unit::*;
 use crate::verdict::Verdict;
@@ -221,6 +222,7 @@
     watch: Watch,
     cascades: HashMap<(CascadeId, usize, Class), cascade::Policy>,
     releases: Releases,
+    strains: Strains,
     ticked: Time,
     held: Held,
     history: History,
@@ -248,6 +250,7 @@
             watch,
             cascades: HashMap::new(),
             releases: Releases::default(),
+            strains: Strains::default(),
             ticked: Time::default(),
             history: History::default(),
             promises: Promises::default(),
--- a/crates/core/src/entry/routed.rs
+++ b/crates/core/src/entry/routed.rs
@@ -339,6 +339,7 @@
         flight.status = status;
         flight.headers = headers;
         self.learn_release(now, run.request, status < 500);
+        self.note_strain(now, run.request);
         match self.judge_head(now, run.request, status, confidence) {
             Judgement::Give => {
                 self.history
@@ -379,6 +380,18 @@
         }
     }
 
+    /// Notes how long a run took to begin, or has been waited for.
+    fn note_strain(&mut self, now: Time, request: RequestId) {
+        let Some(flight) = self.flights.get(&request) else {
+            return;
+        };
+        if let Some(terms) = flight.terms.as_ref().filter(|t| t.route.stream) {
+            let waited = now.since(terms.sent);
+            self.strains
+                .note(&flight.pool, waited, terms.route.objective);
+        }
+    }
+
     fn judge_head(
         &mut self,
         now: Time,
@@ -398,7 +411,8 @@
             let failure = Failure::new(Reason::UpstreamFailed, Verdict::Ran, message);
             return Judgement::Elsewhere(failure);
         }
-        let unsure = confidence.is_some_and(|c| c < ACCEPTED);
+        let wanted = Confidence(ACCEPTED.0 * self.strains.spare(&flight.pool));
+        let unsure = confidence.is_some_and(|c| c < wanted);
         let larger = terms.size + 1 < terms.route.sizes.len();
         match status < 300 && unsure && larger && more && self.budget.spend() {
             true => Judgement::Larger,
@@ -605,6 +619,7 @@
         if !self.budget.spend() {
             return;
         }
+        self.note_strain(now, request);
         self.peers.struck(link, now);
         self.drop_run(link, run, out);
         self.history.outcome(request, failure.to_string());
@@ -625,6 +640,9 @@
         let failure = timed_out(flight);
         if let Some(link) = flight.at {
             let run = flight.run;
+            if !flight.headed {
+                self.note_strain(now, request);
+            }
             self.drop_run(link, run, out);
         }
         self.give_up(now, request, failure, out);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod session;
 pub mod sidecar;
 pub mod store;
+pub mod strain;
 pub mod subset;
 pub mod tree;
 pub mod wire;
--- /dev/null
+++ b/crates/core/src/strain.rs
@@ -0,0 +1,59 @@
+//! How close the upstreams of a pool are to being overloaded, as callers feel it.
+//!
+//! The measure is the time that runs take to begin, in parts of the time within
+//! which they ought to. While there is spare capacity an unsure answer of a small
+//! model is worth asking a larger one; when there is none, the larger model's
+//! work is what makes everybody late.
+//!
+//! ```
+//! use sorreldeck::strain::Strains;
+//! use sorreldeck::Span;
+//!
+//! let mut strains = Strains::default();
+//! let pool: sorreldeck::PoolId = "assistant".parse()?;
+//! assert_eq!(strains.spare(&pool), 1.0);
+//! for _ in 0..200 {
+//!     strains.note(&pool, Span::from_millis(3_000), Span::from_millis(2_000));
+//! }
+//! assert_eq!(strains.spare(&pool), 0.0);
+//! # Ok::<(), sorreldeck::Error>(())
+//! ```
+
+use crate::id::PoolId;
+use crate::unit::Span;
+use std::collections::BTreeMap;
+
+/// The part of the objective that runs take to begin up to which nothing is
+/// strained: on quiet days of both sites the mean is 0.1 to 0.2.
+const CALM: f64 = 0.25;
+/// The part from which on nothing is spare.
+const FULL: f64 = 0.75;
+/// How much one run counts: an entry sees some 40 a second.
+const WEIGHT: f64 = 1.0 / 32.0;
+/// The most that one run counts as, so that one that waited for its whole
+/// deadline does not outweigh all others.
+const MOST: f64 = 2.0;
+
+/// How strained each pool is.
+#[derive(Clone, Debug, Default)]
+pub struct Strains(BTreeMap<PoolId, f64>);
+
+impl Strains {
+    /// Notes how long a run took to begin.
+    pub fn note(&mut self, pool: &PoolId, waited: Span, objective: Span) {
+        let part = waited.secs_f64() / objective.secs_f64().max(1e-3);
+        let part = part.min(MOST);
+        let mean = self.0.entry(pool.clone()).or_default();
+        *mean += WEIGHT * (part - *mean);
+    }
+
+    /// Returns the mean part of the objective that runs take to begin.
+    pub fn of(&self, pool: &PoolId) -> f64 {
+        self.0.get(pool).copied().unwrap_or(0.0)
+    }
+
+    /// Returns how much is spare, from 0 to 1.
+    pub fn spare(&self, pool: &PoolId) -> f64 {
+        ((FULL - self.of(pool)) / (FULL - CALM)).clamp(0.0, 1.0)
+    }
+}
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -32,7 +32,9 @@
 
 /// Runs a future on the executor's one thread. That thread waits for sockets by
 /// itself; if this one waited for them too, each event would wake both.
-fn on_one_thread(work: impl std::future::Future<Output = Result<()>> + Send + 'static) -> Result<()> {
+fn on_one_thread(
+    work: impl std::future::Future<Output = Result<()>> + Send + 'static,
+) -> Result<()> {
     let (send, ended) = std::sync::mpsc::channel();
     task::spawn(async move {
         // The receiver waits below.
