Judge releases by what all entries see, by failures, beginnings and pace

Entries now tell each other of failures of a release on trial, and compare its failures with those of the old one at the same time. Tried and not kept: moving at 0.80 to 0.87 and completing at 0.93 to 0.96 of the time.

--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -24,7 +24,7 @@
 
 pub use ask::{Ask, Chat, Part, What};
 pub use decision::{Decision, History, Try};
-pub use routed::{Member, Reply, Routed};
+pub use routed::{Member, Reply, Routed, ACCEPTED};
 pub use watch::{bar, rollout_of, Judge, Pool, Watch};
 
 use crate::bill::Record;
@@ -79,6 +79,9 @@
     pub hall: Option<Hall>,
     /// The share of requests that may be sent once more.
     pub retries: Share,
+    /// From what confidence the answer of a smaller model is given, by the rank
+    /// of the route.
+    pub accepted: [Share; 3],
 }
 
 impl Settings {
@@ -95,6 +98,7 @@
             even_limits: false,
             hall: None,
             retries: retry::SHARE,
+            accepted: routed::ACCEPTED,
         }
     }
 }
@@ -120,6 +124,8 @@
     Reply(Link, Run, Reply),
     /// A move to another release, and what is recorded of it.
     Move(release::Order, Option<release::State>, Option<Time>),
+    /// What another entry tells of a move.
+    Told(PoolId, InstanceId, release::Report),
     /// The number of entries that share the limits.
     Entries(usize),
     /// The claim of an idempotency key succeeded or failed.
@@ -274,6 +280,11 @@
             Input::Retire(link) => self.peers.retire(link),
             Input::Reply(link, run, reply) => self.reply(now, link, run, reply, &mut out),
             Input::Move(order, state, began) => self.releases.order(order, state, began),
+            Input::Told(pool, entry, report) => {
+                if self.releases.told(&pool, entry, report) {
+                    log::warn!("event=release-bad pool={pool} by=others");
+                }
+            }
             Input::Entries(n) => self.set_entries(n),
             Input::Claimed(request, claim) => self.claimed(now, request, claim, &mut out),
             Input::Rated(rating) => self.rated(rating, &mut out),
--- a/crates/core/src/entry/routed.rs
+++ b/crates/core/src/entry/routed.rs
@@ -11,9 +11,10 @@
 use crate::tree::{Repeat, Route};
 use crate::wire::{Confidence, Header, Load, Order};
 
-/// From what confidence the answer of a smaller model is given: measured on
-/// quiet days of both sites, where 50 of 100 earned most.
-const ACCEPTED: Confidence = Confidence(0.5);
+/// From what confidence the answer of a smaller model is given, by the rank of
+/// the route, where the settings say nothing: measured on quiet days of both
+/// sites, where 50 of 100 earned most over all ranks.
+pub const ACCEPTED: [Share; 3] = [Share::HALF; 3];
 /// How long an upstream may be silent in the middle of a stream before the
 /// request goes on elsewhere: events come some 40 ms apart, and an answer is
 /// late after a pause of 1.2 s.
@@ -348,6 +349,8 @@
             }
             Judgement::Larger => self.ask_larger(now, link, run, confidence, out),
             Judgement::Elsewhere(failure) => {
+                self.history
+                    .outcome(run.request, format!("answered {status}, not given"));
                 self.peers.struck(link, now);
                 self.drop_run(link, run, out);
                 self.routed_failed(now, run.request, failure, out);
@@ -374,7 +377,7 @@
         };
         if self.releases.learn(&answer) {
             log::warn!(
-                "release {release} of {} is found bad, the last answer from {upstream}",
+                "event=release-bad pool={} release={release} upstream={upstream} by=own",
                 flight.pool
             );
         }
@@ -392,6 +395,39 @@
         }
     }
 
+    /// Tells the releases how far apart the events of a whole stream were.
+    fn learn_pace(&mut self, now: Time, request: RequestId) {
+        let Some(flight) = self.flights.get(&request) else {
+            return;
+        };
+        let (Some(terms), Some(release), Some(upstream), Some(first)) = (
+            &flight.terms,
+            flight.version(),
+            &flight.upstream,
+            flight.first,
+        ) else {
+            return;
+        };
+        // A stream that went on elsewhere paused for a reason of its own.
+        if !terms.route.stream || terms.sent > first {
+            return;
+        }
+        let answer = crate::release::Answer {
+            pool: &flight.pool,
+            release,
+            upstream,
+            kind: (&terms.name, terms.size),
+            first: None,
+        };
+        let events = u64::from(flight.parts);
+        if self.releases.paced(&answer, events, now.since(first)) {
+            log::warn!(
+                "event=release-bad pool={} release={release} upstream={upstream} by=pace",
+                flight.pool
+            );
+        }
+    }
+
     fn judge_head(
         &mut self,
         now: Time,
@@ -411,7 +447,8 @@
             let failure = Failure::new(Reason::UpstreamFailed, Verdict::Ran, message);
             return Judgement::Elsewhere(failure);
         }
-        let wanted = Confidence(ACCEPTED.0 * self.strains.spare(&flight.pool));
+        let wanted = self.accepted(&terms.route) * self.strains.spare(&flight.pool);
+        let wanted = Confidence(wanted);
         let unsure = confidence.is_some_and(|c| c < wanted);
         let larger = terms.size + 1 < terms.route.sizes.len();
         match status < 300 && unsure && larger && more && self.budget.spend() {
@@ -420,6 +457,13 @@
         }
     }
 
+    /// Returns the confidence from which a smaller model's answer is given.
+    fn accepted(&self, route: &Route) -> f64 {
+        let ranks = &self.settings.accepted;
+        let rank = usize::from(route.rank).min(ranks.len() - 1);
+        ranks[rank].fraction()
+    }
+
     /// Drops the answer of a smaller model and asks the largest.
     fn ask_larger(
         &mut self,
@@ -480,6 +524,7 @@
         }
         self.landed(run.request);
         self.peers.succeeded(link);
+        self.learn_pace(now, run.request);
         let Some(flight) = self.flights.remove(&run.request) else {
             return;
         };
@@ -648,6 +693,11 @@
         self.give_up(now, request, failure, out);
     }
 
+    /// Returns what other entries are to be told of moves.
+    pub fn move_reports(&mut self) -> Vec<(PoolId, crate::release::Report)> {
+        self.releases.reports()
+    }
+
     /// Returns what ought to be recorded about moves to other releases.
     pub fn propose_moves(&self, now: Time) -> Vec<(crate::release::Order, crate::release::State)> {
         let running = |_: &PoolId, v: &VersionId| self.running.get(v).copied().unwrap_or(0);
--- a/crates/core/src/release.rs
+++ b/crates/core/src/release.rs
@@ -26,8 +26,9 @@
 //! ```
 
 use crate::evidence::{Bar, Detector, Evidence};
-use crate::id::{PoolId, RouteId, UpstreamId, VersionId};
+use crate::id::{InstanceId, PoolId, RouteId, UpstreamId, VersionId};
 use crate::unit::{Span, Time};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// The share of sessions on a release on trial. Sessions roam between entries,
@@ -36,21 +37,34 @@
 /// where more than three break the rule. A hunt at 0.08 found that in one of 70
 /// days.
 const TRIAL: f64 = 0.025;
-/// The part of the time given after which sessions may move; they must not
-/// move in the first half, and clocks differ a little.
-const MOVE_AT: f64 = 0.53;
-/// The part of the time after which a move may be recorded as completed: by
-/// then the old release has had a few seconds to finish what it had.
-const COMPLETE_AT: f64 = 0.72;
+/// The part of the time given after which everything moves. Sessions may move
+/// after half of it; a while later, the trial has shown more, and less reaches a
+/// release that proves bad only then.
+const MOVE_AT: f64 = 0.70;
+/// The part of the time after which a move may be recorded as completed. The old
+/// upstreams are stopped then, so what they run must have ended, and failures of
+/// the new release must have had time to show.
+const COMPLETE_AT: f64 = 0.88;
 /// The part of the time at which a good release is recorded as completed even
 /// though the old one still runs something: later the order would be missed.
-const COMPLETE_BY: f64 = 0.86;
+const COMPLETE_BY: f64 = 0.94;
+/// How unlikely as many failures must be, were the release as good as the old
+/// one, for it to be found worse.
+const CHANCE: f64 = 0.002;
+/// How many times the old release's share of failures counts as being as good.
+const AS_GOOD: f64 = 1.5;
+/// What is added to the old release's failures and slow answers: a good release
+/// fails next to never by itself, while now and then an answer is slow.
+const PRIOR_FAILED: f64 = 0.1;
+const PRIOR_SLOW: f64 = 0.5;
+/// The answers of the old release that its share must rest on.
+const COMPARED: u64 = 50;
 /// The failures, and the share of answers that they are, from which on a release
 /// is doubtful: it is not moved to, though it is not found bad yet.
 const DOUBTFUL: u64 = 2;
 const DOUBTFUL_SHARE: f64 = 0.15;
 /// The part of the time after which a release that is still doubtful is given up.
-const GIVE_UP_AT: f64 = 0.7;
+const GIVE_UP_AT: f64 = 0.8;
 /// A release is moved to only where its upstreams are this part of the others.
 const ENOUGH: f64 = 0.5;
 /// How long a session is remembered after its last request; the sites count
@@ -67,6 +81,11 @@
 /// makes an answer count as slow. A bad release is several times slower.
 const SLOW_TIMES: u64 = 3;
 const SLOW_BEYOND: Span = Span::from_millis(250);
+/// How many times the usual time between events makes a stream count as slow: a
+/// release that is eight times slower made events 2.6 times as far apart.
+const PACE_TIMES: f64 = 1.8;
+/// The events that a stream must have for its pace to tell anything.
+const PACED: u64 = 8;
 /// The answers that the usual time must rest on.
 const USUAL: u32 = 5;
 /// The answers that the running mean of the usual time looks back on.
@@ -121,11 +140,47 @@
     began: Option<Time>,
     evidence: Evidence,
     detector: Detector,
+    old: Tally,
+    new: Tally,
     failing: BTreeSet<UpstreamId>,
     serving: BTreeSet<UpstreamId>,
+    others: BTreeMap<InstanceId, Report>,
+    told: u64,
     bad: bool,
 }
 
+/// The answers of a release while another is on trial.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct Tally {
+    answers: u64,
+    failed: u64,
+    slow: u64,
+}
+
+/// What one entry tells the others of a move, when the new release has failed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// The number of the order.
+    number: u64,
+    old: Tally,
+    new: Tally,
+    failing: BTreeSet<UpstreamId>,
+}
+
+impl Tally {
+    fn add(&mut self, other: &Tally) {
+        self.answers += other.answers;
+        self.failed += other.failed;
+        self.slow += other.slow;
+    }
+
+    fn note(&mut self, failed: bool, slow: bool) {
+        self.answers += 1;
+        self.failed += u64::from(failed);
+        self.slow += u64::from(slow);
+    }
+}
+
 /// Where a move stands.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Phase {
@@ -143,6 +198,14 @@
     micros: u64,
 }
 
+impl Usual {
+    fn note(&mut self, span: Span) {
+        self.answers += 1;
+        let over = u64::from(self.answers).min(USUAL_OVER);
+        self.micros = (self.micros * (over - 1) + span.micros()) / over;
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Kept {
     release: VersionId,
@@ -155,6 +218,7 @@
     moves: BTreeMap<PoolId, Move>,
     settled: BTreeMap<PoolId, BTreeSet<VersionId>>,
     usual: HashMap<(RouteId, usize), Usual>,
+    paces: HashMap<(RouteId, usize), Usual>,
     sessions: HashMap<u64, Kept>,
 }
 
@@ -174,8 +238,12 @@
                 began: None,
                 evidence: Evidence::default(),
                 detector: Detector::default(),
+                old: Tally::default(),
+                new: Tally::default(),
                 failing: BTreeSet::new(),
                 serving: BTreeSet::new(),
+                others: BTreeMap::new(),
+                told: 0,
                 bad: false,
             };
             self.moves.insert(pool.clone(), fresh);
@@ -264,6 +332,33 @@
             .map(|v| (**v).clone())
     }
 
+    /// Takes in how far apart the events of a whole stream were; returns whether
+    /// its release has just been found bad.
+    pub fn paced(&mut self, answer: &Answer, events: u64, span: Span) -> bool {
+        if events < PACED {
+            return false;
+        }
+        let pace = Span::from_micros(span.micros() / events);
+        let kind = (answer.kind.0.clone(), answer.kind.1);
+        let usual = self.paces.get(&kind).copied();
+        let known = usual.filter(|u| u.answers >= USUAL);
+        let limit = known.map(|u| u.micros as f64 * PACE_TIMES);
+        let slow = limit.is_some_and(|limit| pace.micros() as f64 > limit);
+        match self.moves.get_mut(answer.pool) {
+            Some(moving) if moving.order.to == *answer.release => {
+                moving.new.note(false, slow);
+                moving.state != Some(State::Completed) && moving.learn(answer.upstream, slow)
+            }
+            moving => {
+                if let Some(moving) = moving {
+                    moving.old.note(false, slow);
+                }
+                self.paces.entry(kind).or_default().note(pace);
+                false
+            }
+        }
+    }
+
     /// Notes that a request of a session is at a release.
     pub fn keep(&mut self, session: u64, release: &VersionId, now: Time) {
         if self.sessions.len() >= SESSIONS {
@@ -290,14 +385,15 @@
             return false;
         };
         if moving.order.to != *answer.release {
+            moving.old.note(answer.first.is_none(), slow);
             self.note_usual(answer);
             return false;
         }
         if moving.state == Some(State::Completed) {
             return false;
         }
-        let failed = answer.first.is_none() || slow;
-        moving.learn(answer.upstream, failed)
+        moving.new.note(answer.first.is_none(), slow);
+        moving.learn(answer.upstream, answer.first.is_none() || slow)
     }
 
     fn note_usual(&mut self, answer: &Answer) {
@@ -305,10 +401,7 @@
             return;
         };
         let kind = (answer.kind.0.clone(), answer.kind.1);
-        let usual = self.usual.entry(kind).or_default();
-        usual.answers += 1;
-        let over = u64::from(usual.answers).min(USUAL_OVER);
-        usual.micros = (usual.micros * (over - 1) + first.micros()) / over;
+        self.usual.entry(kind).or_default().note(first);
     }
 
     /// Returns what ought to be recorded of each move, where it is not recorded
@@ -328,6 +421,28 @@
         proposals.collect()
     }
 
+    /// Returns what other entries are to be told: of each move whose release has
+    /// failed here since the last time.
+    pub fn reports(&mut self) -> Vec<(PoolId, Report)> {
+        let moves = self.moves.iter_mut();
+        moves
+            .filter_map(|(pool, moving)| Some((pool.clone(), moving.report()?)))
+            .collect()
+    }
+
+    /// Takes in what another entry tells; returns whether the release has just
+    /// been found bad.
+    pub fn told(&mut self, pool: &PoolId, entry: InstanceId, report: Report) -> bool {
+        let Some(moving) = self.moves.get_mut(pool) else {
+            return false;
+        };
+        if report.number != moving.order.number || moving.state == Some(State::Completed) {
+            return false;
+        }
+        moving.others.insert(entry, report);
+        moving.judge(false)
+    }
+
     /// Returns whether a release was found bad here.
     pub fn is_bad(&self, pool: &PoolId) -> bool {
         self.moves.get(pool).is_some_and(|m| m.bad)
@@ -408,11 +523,49 @@
         self.evidence.answer(failed, &bar);
         let found = self.detector.update(&self.evidence, &bar);
         let wide = self.failing.len() >= FAILING_UPSTREAMS.min(self.serving.len());
+        self.judge(found && wide)
+    }
+
+    /// Notes whether the release is bad; returns whether that is new.
+    fn judge(&mut self, found: bool) -> bool {
         let before = self.bad;
-        self.bad |= found && wide;
+        self.bad |= found || self.is_worse();
         self.bad && !before
     }
 
+    fn report(&mut self) -> Option<Report> {
+        let failures = self.new.failed + self.new.slow;
+        let news = failures > self.told && self.state == Some(State::Running);
+        self.told = failures;
+        news.then(|| Report {
+            number: self.order.number,
+            old: self.old,
+            new: self.new,
+            failing: self.failing.clone(),
+        })
+    }
+
+    /// Returns whether the new release fails, or is slow, clearly more often than
+    /// the old one did at the same time, as all entries saw it.
+    fn is_worse(&self) -> bool {
+        let (mut old, mut new) = (self.old, self.new);
+        let mut failing: BTreeSet<&UpstreamId> = self.failing.iter().collect();
+        for report in self.others.values() {
+            old.add(&report.old);
+            new.add(&report.new);
+            failing.extend(&report.failing);
+        }
+        if old.answers < COMPARED || failing.len() < FAILING_UPSTREAMS {
+            return false;
+        }
+        let clear = |old_count: u64, count: u64, prior: f64| {
+            let share = (old_count as f64 + prior) / (old.answers as f64 + 1.0);
+            let expected = share * AS_GOOD * new.answers as f64;
+            count >= DOUBTFUL && chance_of(count, expected) < CHANCE
+        };
+        clear(old.failed, new.failed, PRIOR_FAILED) || clear(old.slow, new.slow, PRIOR_SLOW)
+    }
+
     fn proposal(&self, now: Time, old: u64) -> Option<State> {
         match self.state {
             None => Some(State::Running),
@@ -431,6 +584,17 @@
     }
 }
 
+/// Returns how likely at least `count` events are where `expected` are.
+fn chance_of(count: u64, expected: f64) -> f64 {
+    let mut term = (-expected).exp();
+    let mut below = 0.0;
+    for i in 0..count {
+        below += term;
+        term *= expected / (i + 1) as f64;
+    }
+    (1.0 - below).max(0.0)
+}
+
 fn is_slow(first: Span, usual: Option<Usual>) -> bool {
     let usual = usual.filter(|u| u.answers >= USUAL);
     usual.is_some_and(|u| first.micros() > u.micros * SLOW_TIMES + SLOW_BEYOND.micros())
--- a/crates/core/src/unit.rs
+++ b/crates/core/src/unit.rs
@@ -245,6 +245,8 @@
 pub struct Share(f64);
 
 impl Share {
+    /// A half.
+    pub const HALF: Share = Share(0.5);
     /// A fifth.
     pub const FIFTH: Share = Share(0.2);
     /// Everything.
--- a/crates/daemon/src/hosted/mirror.rs
+++ b/crates/daemon/src/hosted/mirror.rs
@@ -4,8 +4,8 @@
 //! Pages come from the store or, while it is out of reach, from other entries;
 //! an older page never replaces a newer one.
 
-use sorreldeck::release::{Order, State};
-use sorreldeck::{Span, Time, UpstreamId};
+use sorreldeck::release::{Order, Report, State};
+use sorreldeck::{InstanceId, PoolId, Span, Time, UpstreamId};
 use sorreldeck_platform::config::{self, Configuration};
 use sorreldeck_platform::member::{self, Listed};
 use sorreldeck_platform::store::{Page, Row, CONFIG, MOVE};
@@ -15,6 +15,9 @@
 
 /// The beginning of the keys of rows in which entries tell where they are.
 pub const ENTRY: &str = "entry/";
+/// The beginning of the keys of rows in which entries tell of moves:
+/// `told/POOL/ENTRY`.
+pub const TOLD: &str = "told/";
 /// How long after the store was out of reach rows that vanish may come back:
 /// upstreams whose leases lapsed meanwhile renew them within about 2 s, and an
 /// upstream that left must get nothing more after 2 s.
@@ -36,6 +39,8 @@
     Retired(UpstreamId),
     /// A move to another release, its record and when that was made.
     Move(Order, Option<State>, Option<Time>),
+    /// What another entry tells of a move.
+    Told(PoolId, InstanceId, Report),
     /// Where another entry can be asked.
     Entry(String, SocketAddr),
 }
@@ -226,6 +231,7 @@
             if key.starts_with(MOVE) {
                 news.extend(self.move_news(key));
             }
+            news.extend(self.told_news(key));
             let Some(name) = key.strip_prefix(ENTRY) else {
                 continue;
             };
@@ -237,6 +243,17 @@
         news
     }
 
+    fn told_news(&mut self, key: &str) -> Option<News> {
+        let (pool, entry) = key.strip_prefix(TOLD)?.split_once('/')?;
+        let value = self.row(Table::Own, key)?.value.clone()?;
+        let read = serde_json::from_slice(&value).map_err(|e| {
+            let message = format!("a report: {e}");
+            sorreldeck::Error::new(sorreldeck::Category::Invalid, message)
+        });
+        let report = self.understand(Table::Own, key, read)?;
+        Some(News::Told(pool.parse().ok()?, entry.parse().ok()?, report))
+    }
+
     fn upstream_news(&mut self, changed: &[String], trouble: Option<Time>, now: Time) -> Vec<News> {
         let mut news = Vec::new();
         let gone: Vec<&String> = changed
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -1,7 +1,7 @@
 //! The loop of a hosted entry and what feeds it.
 
 use super::feed::Told;
-use super::mirror::{Mirror, News, ENTRY};
+use super::mirror::{Mirror, News, ENTRY, TOLD};
 use super::mover::Mover;
 use super::peer::{self, Peering};
 use super::run::{self, Caller};
@@ -44,6 +44,8 @@
 /// often they are asked then.
 const ASK_AFTER: Duration = Duration::from_millis(300);
 const ASK_EVERY: Duration = Duration::from_millis(500);
+/// How often other entries are told of failures of a release on trial.
+const TELL_EVERY: Duration = Duration::from_millis(200);
 /// How often they are asked when they knew nothing newer the last times: all may
 /// have lost the store. A change must be learned of within some 7 s.
 const ASK_SELDOM: Duration = Duration::from_millis(2_000);
@@ -184,6 +186,7 @@
     door: Arc<Door>,
     grace: Duration,
     failing_since: Option<Instant>,
+    told: Instant,
     asked: Instant,
     in_vain: u32,
     shared: Shared,
@@ -209,6 +212,7 @@
         decisions.policy = options.policy;
         decisions.hall = Some(settings.hall.clone());
         decisions.retries = settings.retries;
+        decisions.accepted = options.accept.0;
         Room {
             entry: Entry::new(decisions),
             clock,
@@ -230,6 +234,7 @@
             door,
             grace: settings.grace.into(),
             failing_since: None,
+            told: Instant::now(),
             asked: Instant::now(),
             in_vain: 0,
             shared,
@@ -279,6 +284,7 @@
         }
         self.announce();
         self.ask_others();
+        self.tell_of_moves();
         for (order, state) in self.entry.propose_moves(now) {
             self.mover.propose(
                 &order,
@@ -391,6 +397,12 @@
                 );
                 self.handle(Input::Move(order, state, began));
             }
+            News::Told(pool, entry, report) => {
+                if entry != self.instance {
+                    info!("event=told pool={pool} entry={entry} report={report:?}");
+                    self.handle(Input::Told(pool, entry, report));
+                }
+            }
             News::Entry(name, address) => self.peering.learn(name, address),
         }
     }
@@ -452,6 +464,28 @@
         });
     }
 
+    /// Tells other entries that a release on trial has failed here.
+    fn tell_of_moves(&mut self) {
+        if self.told.elapsed() < TELL_EVERY {
+            return;
+        }
+        for (pool, report) in self.entry.move_reports() {
+            self.told = Instant::now();
+            let key = format!("{TOLD}{pool}/{}", self.instance);
+            let Ok(text) = serde_json::to_vec(&report) else {
+                continue;
+            };
+            let store = self.store.clone();
+            task::spawn(async move {
+                let change = sorreldeck_platform::store::Change::default();
+                let change = change.put(Table::Own, &key, &text);
+                if let Err(trouble) = store.change(&change).await {
+                    warn!("event=not-told key={key} error={trouble}");
+                }
+            });
+        }
+    }
+
     /// Asks another entry while the store is out of reach.
     fn ask_others(&mut self) {
         let Some(since) = self.failing_since else {
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -1,7 +1,7 @@
 //! The settings of a process: flags, each with an environment variable.
 
 use bpaf::Bpaf;
-use sorreldeck::entry::Judge;
+use sorreldeck::entry::{Judge, ACCEPTED};
 use sorreldeck::pick::Policy;
 use sorreldeck::session::Keyring;
 use sorreldeck::{Hall, InstanceId, PoolId, Share, Span, UpstreamId};
@@ -49,6 +49,9 @@
     /// How an upstream is chosen: first-token, or a baseline: round-robin, least-in-flight, two-choices
     #[bpaf(long, argument("POLICY"), fallback(Policy::FirstToken))]
     pub policy: Policy,
+    /// The confidence from which a small model's answer is given, for routes of rank 0, 1, and 2 and more
+    #[bpaf(long, argument("SHARE,SHARE,SHARE"), fallback(Accepted(ACCEPTED)))]
+    pub accept: Accepted,
     /// Logs as text or json
     #[bpaf(external(log_format))]
     pub log: LogFormat,
@@ -229,6 +232,23 @@
     Json,
 }
 
+/// Confidences by the rank of routes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Accepted(pub [Share; 3]);
+
+impl std::str::FromStr for Accepted {
+    type Err = String;
+
+    fn from_str(s: &str) -> Result<Self, String> {
+        let shares: Result<Vec<Share>, _> = s.split(',').map(str::parse).collect();
+        let shares = shares.map_err(|e| e.to_string())?;
+        let three = <[Share; 3]>::try_from(shares);
+        three
+            .map(Accepted)
+            .map_err(|_| format!("{s:?} must name three shares, such as 50%,50%,50%"))
+    }
+}
+
 impl std::str::FromStr for LogFormat {
     type Err = String;
 
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -10,7 +10,7 @@
 use serde_json::{json, Value};
 use sorreldeck_platform::Settings;
 use sorreldeckd::hosted::{self, Running};
-use sorreldeckd::options::{Hosted, LogFormat};
+use sorreldeckd::options::{self, Hosted, LogFormat};
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
@@ -88,6 +88,7 @@
         session_keys: keys.parse().unwrap(),
         metrics: None,
         policy: Default::default(),
+        accept: options::Accepted(sorreldeck::entry::ACCEPTED),
         log: LogFormat::Json,
     };
     let stop = Arc::new(AtomicBool::new(false));
