Take an answer that is whole by its length for ended

Cause: hyper does not ask a body with a length for its end, so its ticket told the loop that the caller had left. The race with the upstream's own end did not show over loopback, so no test failed first; the new test of kept connections passed before, too.

--- a/crates/daemon/src/hosted/door.rs
+++ b/crates/daemon/src/hosted/door.rs
@@ -246,6 +246,7 @@
         rest: Some(Rest {
             parts: Box::pin(parts),
             ticket,
+            given: 0,
             _room: room,
         }),
     });
@@ -279,6 +280,8 @@
 struct Rest {
     parts: Pin<Box<Receiver<Part>>>,
     ticket: Ticket,
+    /// The bytes given so far.
+    given: u64,
     /// The body of the request may be sent again until the answer is whole.
     _room: Room,
 }
@@ -305,7 +308,8 @@
         if let Some(first) = self.first.take() {
             return Poll::Ready(Some(Ok(Frame::data(first))));
         }
-        let Some(rest) = &mut self.rest else {
+        let this = &mut *self;
+        let Some(rest) = &mut this.rest else {
             return Poll::Ready(None);
         };
         let part = match rest.parts.as_mut().poll_next(cx) {
@@ -313,16 +317,23 @@
             Poll::Ready(part) => part,
         };
         match part {
-            Some(Part::Data(data)) => Poll::Ready(Some(Ok(Frame::data(data.into())))),
+            Some(Part::Data(data)) => {
+                rest.given += data.len() as u64;
+                if this.length.is_some_and(|length| rest.given >= length) {
+                    // What is whole by its length is not asked for its end.
+                    rest.ticket.done = true;
+                }
+                Poll::Ready(Some(Ok(Frame::data(data.into()))))
+            }
             Some(Part::End) => {
                 rest.ticket.done = true;
-                self.rest = None;
+                this.rest = None;
                 Poll::Ready(None)
             }
             // An answer that breaks off must not look whole.
             Some(Part::Fail(_) | Part::Head { .. }) | None => {
                 rest.ticket.done = true;
-                self.rest = None;
+                this.rest = None;
                 Poll::Ready(Some(Err(std::io::ErrorKind::ConnectionAborted.into())))
             }
         }
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -356,6 +356,18 @@
     });
 }
 
+#[test]
+fn connections_to_runners_are_kept() {
+    task::block_on(async {
+        let stand = Stand::start().await;
+        for _ in 0..5 {
+            assert_eq!(status(&stand.call("/look/body").await), 200);
+        }
+        let connections: u32 = stand.runners.iter().map(Runner::connections).sum();
+        assert!(connections <= 2, "{connections} connections for five calls");
+    });
+}
+
 #[test]
 fn a_newer_configuration_comes_in_force() {
     task::block_on(async {
--- a/crates/daemon/tests/hosted/runner.rs
+++ b/crates/daemon/tests/hosted/runner.rs
@@ -23,6 +23,7 @@
     pub address: SocketAddr,
     seen: Arc<Mutex<Vec<Seen>>>,
     left: Arc<Mutex<u32>>,
+    connections: Arc<Mutex<u32>>,
     refused: Refused,
 }
 
@@ -37,11 +38,13 @@
             address: listener.local_addr().unwrap(),
             seen: Arc::default(),
             left: Arc::default(),
+            connections: Arc::default(),
             refused: refused.clone(),
         };
         let serving = runner.clone();
         task::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                *serving.connections.lock().unwrap() += 1;
                 task::spawn(serving.clone().serve(stream));
             }
         });
@@ -53,6 +56,11 @@
         self.seen.lock().unwrap().clone()
     }
 
+    /// Returns how many connections were opened so far.
+    pub fn connections(&self) -> u32 {
+        *self.connections.lock().unwrap()
+    }
+
     /// Returns how many callers left while their request ran.
     pub fn left(&self) -> u32 {
         *self.left.lock().unwrap()
