--- a/crates/daemon/src/hosted/door.rs
+++ b/crates/daemon/src/hosted/door.rs
@@ -72,12 +72,12 @@
 }
 
 /// Memory set aside for a body.
-struct Room {
+struct Reserve {
     shared: Shared,
     bytes: usize,
 }
 
-impl Room {
+impl Reserve {
     fn grow(&mut self, bytes: usize) -> bool {
         let fits = self.shared.set_aside(bytes);
         if fits {
@@ -87,18 +87,18 @@
     }
 }
 
-impl Drop for Room {
+impl Drop for Reserve {
     fn drop(&mut self) {
         self.shared.give_back(self.bytes);
     }
 }
 
 async fn answer(request: Request<Incoming>, shared: Shared) -> Response<Parts> {
-    let mut room = Room {
+    let mut reserve = Reserve {
         shared: shared.clone(),
         bytes: 0,
     };
-    let ask = match read(request, &shared, &mut room).await {
+    let ask = match read(request, &shared, &mut reserve).await {
         Ok(ask) => ask,
         Err(failure) => return refusal(&failure, None),
     };
@@ -114,7 +114,7 @@
         return refusal(&failure, Some(ticket));
     }
     match parts.recv().await {
-        Ok(Part::Head { status, headers }) => begun(status, headers, parts, ticket, room),
+        Ok(Part::Head { status, headers }) => begun(status, headers, parts, ticket, reserve),
         Ok(Part::Fail(failure)) => refusal(&failure, Some(ticket)),
         Ok(Part::Data(_) | Part::End) | Err(_) => {
             let message = "the answer has no beginning";
@@ -128,7 +128,7 @@
 async fn read(
     request: Request<Incoming>,
     shared: &Shared,
-    room: &mut Room,
+    reserve: &mut Reserve,
 ) -> Result<Ask, Failure> {
     let limits = shared.limits();
     let (head, mut body) = request.into_parts();
@@ -155,7 +155,7 @@
         if buf.len() + data.len() > most {
             return Err(too_large(most));
         }
-        if !room.grow(data.len()) {
+        if !reserve.grow(data.len()) {
             let message = "no memory is left for bodies";
             return Err(Failure::not_run(Reason::Overloaded, message).retry_after(COME_BACK));
         }
@@ -239,7 +239,7 @@
     headers: Vec<Header>,
     parts: Receiver<Part>,
     ticket: Ticket,
-    room: Room,
+    reserve: Reserve,
 ) -> Response<Parts> {
     let mut response = Response::new(Parts {
         first: None,
@@ -248,7 +248,7 @@
             parts: Box::pin(parts),
             ticket,
             given: 0,
-            _room: room,
+            _reserve: reserve,
         }),
     });
     let status = StatusCode::from_u16(status);
@@ -284,7 +284,7 @@
     /// The bytes given so far.
     given: u64,
     /// The body of the request may be sent again until the answer is whole.
-    _room: Room,
+    _reserve: Reserve,
 }
 
 impl Parts {
--- a/crates/daemon/src/hosted/feed.rs
+++ b/crates/daemon/src/hosted/feed.rs
@@ -31,7 +31,7 @@
 const PAUSE_MOST: Duration = Duration::from_millis(600);
 
 /// What a follower tells.
-pub enum Told {
+pub enum Update {
     /// Rows; `true` says that they are the whole table.
     Page(Page, bool),
     /// The table could not be read.
@@ -143,7 +143,7 @@
                         let _ = bell.try_send(());
                     }
                 }
-                Told::Page(page, whole)
+                Update::Page(page, whole)
             }
             Err(Trouble::Forgotten) => {
                 self.version = None;
@@ -151,7 +151,7 @@
             }
             Err(trouble) => {
                 self.failures += 1;
-                Told::Failed(trouble)
+                Update::Failed(trouble)
             }
         };
         let message = Message::Store(self.table, told);
--- a/crates/daemon/src/hosted/mirror.rs
+++ b/crates/daemon/src/hosted/mirror.rs
@@ -61,7 +61,7 @@
 
 /// One table as it was known last.
 #[derive(Clone, Debug, Default)]
-struct Copy {
+struct Replica {
     version: u64,
     rows: BTreeMap<String, Row>,
     failing: bool,
@@ -71,7 +71,7 @@
 /// What this process knows of the tables.
 #[derive(Debug, Default)]
 pub struct Mirror {
-    tables: BTreeMap<Table, Copy>,
+    tables: BTreeMap<Table, Replica>,
     listed: BTreeMap<String, bool>,
     missing: BTreeMap<String, Time>,
     /// How far this process's clock is ahead of the store's, in microseconds.
@@ -147,7 +147,7 @@
 
     /// Returns whether any table could not be read a moment ago.
     fn had_trouble(&self, now: Time) -> bool {
-        let recent = |t: &Copy| t.trouble.is_some_and(|at| now.since(at) < AFTER_TROUBLE);
+        let recent = |t: &Replica| t.trouble.is_some_and(|at| now.since(at) < AFTER_TROUBLE);
         self.tables.values().any(recent)
     }
 
--- a/crates/daemon/src/hosted/peer.rs
+++ b/crates/daemon/src/hosted/peer.rs
@@ -33,14 +33,14 @@
 
 /// A table as another entry knows it.
 #[derive(Clone, Debug)]
-pub struct Copy {
+pub struct Snapshot {
     /// Which table.
     pub table: Table,
     version: u64,
     rows: Vec<Row>,
 }
 
-impl Copy {
+impl Snapshot {
     /// Returns the copy as a page of the store.
     pub fn page(self) -> Page {
         Page {
@@ -93,7 +93,7 @@
             task::spawn(async move {
                 match timeout(ANSWER_TIMEOUT, fetch(address, &keys, &shared, have)).await {
                     // The loop ends only with the process.
-                    Ok(Ok(copies)) => drop(shared.send.send(Message::Copies(copies)).await),
+                    Ok(Ok(copies)) => drop(shared.send.send(Message::Snapshots(copies)).await),
                     Ok(Err(e)) => warn!("event=entry-not-asked address={address} error={e:?}"),
                     Err(_) => warn!("event=entry-not-asked address={address} error=\"no answer\""),
                 }
@@ -150,13 +150,13 @@
     copies
 }
 
-fn copy_of(copy: TableCopy) -> Option<Copy> {
+fn snapshot_of(copy: TableCopy) -> Option<Snapshot> {
     let row = |(key, version, value): (String, u64, serde_bytes::ByteBuf)| Row {
         key,
         value: Some(value.into_vec()),
         version,
     };
-    Some(Copy {
+    Some(Snapshot {
         table: *Table::ALL.get(copy.number)?,
         version: copy.version,
         rows: copy.rows.into_iter().map(row).collect(),
@@ -168,7 +168,7 @@
     keys: &Keys,
     shared: &Shared,
     have: Vec<u64>,
-) -> eyre::Result<Vec<Copy>> {
+) -> eyre::Result<Vec<Snapshot>> {
     let open = link::connect(address, keys, shared.incarnation, clock::random()).await?;
     let (send, events) = async_channel::unbounded();
     let outbox = open.run(0, send, Arc::default());
@@ -180,7 +180,7 @@
         for frame in frames {
             if let Frame::Tables(copies) = frame {
                 outbox.close();
-                return Ok(copies.into_iter().filter_map(copy_of).collect());
+                return Ok(copies.into_iter().filter_map(snapshot_of).collect());
             }
         }
     }
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -1,6 +1,6 @@
 //! The loop of a hosted entry and what feeds it.
 
-use super::feed::Told;
+use super::feed::Update;
 use super::mirror::{Mirror, News, ENTRY, TOLD};
 use super::mover::Mover;
 use super::peer::{self, Peering};
@@ -54,9 +54,9 @@
     /// What an upstream does with a run.
     Reply(Link, Run, Reply),
     /// What a follower of the store tells.
-    Store(Table, Told),
+    Store(Table, Update),
     /// What another entry knows.
-    Copies(Vec<peer::Copy>),
+    Snapshots(Vec<peer::Snapshot>),
     /// Something happened on a link to another entry.
     Link(Event),
     /// A link that another entry opened.
@@ -222,13 +222,13 @@
                 }
                 self.handle(Input::Reply(link, run, reply));
             }
-            Message::Store(table, Told::Page(page, whole)) => {
+            Message::Store(table, Update::Page(page, whole)) => {
                 let now = self.clock.now();
                 self.note_reached(table);
                 let news = self.mirror.apply(table, page, whole, now);
                 self.note_all(news);
             }
-            Message::Store(table, Told::Failed(trouble)) => {
+            Message::Store(table, Update::Failed(trouble)) => {
                 let now = self.clock.now();
                 if !self.mirror.is_failing(table) {
                     warn!("event=store-lost table={table:?} error={trouble}");
@@ -238,7 +238,7 @@
                     self.failing_since.get_or_insert_with(Instant::now);
                 }
             }
-            Message::Copies(copies) => self.take_copies(copies),
+            Message::Snapshots(copies) => self.take_snapshots(copies),
             Message::Link(event) => self.peering.event(event, &self.mirror),
             Message::LinkUp(link, outbox) => self.peering.up(link, outbox),
             Message::Moved(key, result) => self.mover.written(&key, result),
@@ -256,7 +256,7 @@
         }
     }
 
-    fn take_copies(&mut self, copies: Vec<peer::Copy>) {
+    fn take_snapshots(&mut self, copies: Vec<peer::Snapshot>) {
         let now = self.clock.now();
         for copy in copies {
             let table = copy.table;
