--- a/crates/daemon/src/hosted/door.rs
+++ b/crates/daemon/src/hosted/door.rs
@@ -10,6 +10,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::{Request, Response, StatusCode};
+use log::warn;
 use sorreldeck::entry::{Ask, Part, Routed, What};
 use sorreldeck::wire::{Call, Header};
 use sorreldeck::{Failure, Reason, RequestId, Span, Verdict};
@@ -38,7 +39,10 @@
                 task::spawn(connection(stream, shared.clone(), door.clone()));
             }
             // Out of descriptors, say: the open connections will free some.
-            Err(_) => task::sleep(Duration::from_millis(20)).await,
+            Err(e) => {
+                warn!("event=accept-failed at=door error={e}");
+                task::sleep(Duration::from_millis(20)).await;
+            }
         }
     }
 }
--- a/crates/daemon/src/hosted/peer.rs
+++ b/crates/daemon/src/hosted/peer.rs
@@ -213,7 +213,10 @@
                 ));
             }
             // Out of descriptors, say: the open connections will free some.
-            Err(_) => task::sleep(Duration::from_millis(50)).await,
+            Err(e) => {
+                warn!("event=accept-failed at=links error={e}");
+                task::sleep(Duration::from_millis(50)).await;
+            }
         }
     }
 }
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -375,9 +375,7 @@
         for (pool, report) in self.entry.move_reports() {
             self.told = Instant::now();
             let key = format!("{TOLD}{pool}/{}", self.instance);
-            let Ok(text) = serde_json::to_vec(&report) else {
-                continue;
-            };
+            let text = serde_json::to_vec(&report).expect("a report is always JSON");
             let store = self.store.clone();
             task::spawn(async move {
                 let change = sorreldeck_platform::store::Change::default();
--- a/crates/daemon/src/hosted/run.rs
+++ b/crates/daemon/src/hosted/run.rs
@@ -290,8 +290,9 @@
     let kept = kept.filter(|h| !call::replaces(order, &h.name));
     let added = call::headers(order, left);
     for Header { name, value } in kept.chain(&added) {
-        if let Some(value) = h1::value_of(value) {
-            builder = builder.header(name.as_str(), value);
+        match h1::value_of(value) {
+            Some(value) => builder = builder.header(name.as_str(), value),
+            None => log::warn!("event=header-left-out id={} name={name}", order.label),
         }
     }
     builder
