Say once what stood twice in the routed path

Read again as a whole; behaviour on the platform stays as it is. - Both ways to send a request note a run by one function (begin_run); the routed one now also checks that the upstream stays, which its choice saw to already. - One place makes what an answer tells of its release, and one logs it. - The time to come back is added when a request is given up, and no longer before. - A pending record of a move copied the operator's whole table, with the configuration, at every tick of 20 ms; rows are looked at in place. Tables that another entry knows already are not copied to find that out. - Gone: a release in calls that nobody set, a share in a phase that was always the same, a time passed on for one debug line. - Corrected: the page and the module said that calls which may run once use a new connection. They do so only at upstreams that announce no release, which is none on the platform.

--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -122,6 +122,14 @@
                 let message = format!("no upstream of {} takes the request", flight.pool);
                 Failure::not_run(Reason::NoUpstream, message).retry_after(wait.max(RETRY_AFTER))
             })?;
+        self.begin_run(flight, link)?;
+        let start = self.start_of(now, flight);
+        out.push(Output::Send(link, Frame::Start(Box::new(start))));
+        Ok(())
+    }
+
+    /// Checks that a request may go to an upstream and notes that it goes there.
+    pub(super) fn begin_run(&mut self, flight: &mut Flight, link: Link) -> Result<(), Failure> {
         let staying = self.peers.get(link).is_some_and(|p| !p.leaving);
         self.keep(Promise::Leaving, staying)?;
         let once = !flight.once || flight.verdict.may_repeat();
@@ -138,8 +146,6 @@
         flight.revision = self.tree.revision();
         flight.parts = 0;
         flight.text.clear();
-        let start = self.start_of(now, flight);
-        out.push(Output::Send(link, Frame::Start(Box::new(start))));
         Ok(())
     }
 
--- a/crates/core/src/entry/routed/learn.rs
+++ b/crates/core/src/entry/routed/learn.rs
@@ -23,23 +23,13 @@
         let Some(flight) = self.flights.get(&request) else {
             return;
         };
-        let (Some(terms), Some(release), Some(upstream)) =
-            (&flight.terms, flight.version(), &flight.upstream)
-        else {
+        let sent = flight.terms.as_ref().map(|t| t.sent);
+        let first = sent.filter(|_| good).map(|sent| now.since(sent));
+        let Some(answer) = flight.tells(first) else {
             return;
         };
-        let answer = crate::release::Answer {
-            pool: &flight.pool,
-            release,
-            upstream,
-            kind: (&terms.name, terms.size),
-            first: good.then(|| now.since(terms.sent)),
-        };
         if self.releases.learn(&answer) {
-            log::warn!(
-                "event=release-bad pool={} release={release} upstream={upstream} by=own",
-                flight.pool
-            );
+            warn_of(&answer, "own");
         }
     }
 
@@ -48,31 +38,18 @@
         let Some(flight) = self.flights.get(&request) else {
             return;
         };
-        let (Some(terms), Some(release), Some(upstream), Some(first)) = (
-            &flight.terms,
-            flight.version(),
-            &flight.upstream,
-            flight.first,
-        ) else {
+        let (Some(terms), Some(first), Some(answer)) =
+            (&flight.terms, flight.first, flight.tells(None))
+        else {
             return;
         };
         // A stream that went on elsewhere paused for a reason of its own.
         if !terms.route.stream || terms.sent > first {
             return;
         }
-        let answer = crate::release::Answer {
-            pool: &flight.pool,
-            release,
-            upstream,
-            kind: (&terms.name, terms.size),
-            first: None,
-        };
         let events = u64::from(flight.parts);
         if self.releases.paced(&answer, events, now.since(first)) {
-            log::warn!(
-                "event=release-bad pool={} release={release} upstream={upstream} by=pace",
-                flight.pool
-            );
+            warn_of(&answer, "pace");
         }
     }
 
@@ -89,6 +66,15 @@
     }
 }
 
+fn warn_of(answer: &release::Answer, by: &str) {
+    log::warn!(
+        "event=release-bad pool={} release={} upstream={} by={by}",
+        answer.pool,
+        answer.release,
+        answer.upstream
+    );
+}
+
 /// Returns the expected wait behind the requests that are queued.
 fn waiting(queued: u32, slots: u32) -> Span {
     /// How long a request holds a slot, about.
--- a/crates/core/src/entry/routed/mod.rs
+++ b/crates/core/src/entry/routed/mod.rs
@@ -152,18 +152,31 @@
     }
 
     /// Returns what other entries are to be told of moves.
-    pub fn move_reports(&mut self) -> Vec<(PoolId, crate::release::Report)> {
+    pub fn move_reports(&mut self) -> Vec<(PoolId, release::Report)> {
         self.releases.reports()
     }
 
     /// Returns what ought to be recorded about moves to other releases.
-    pub fn propose_moves(&self, now: Time) -> Vec<(crate::release::Order, crate::release::State)> {
+    pub fn propose_moves(&self, now: Time) -> Vec<(release::Order, release::State)> {
         let running = |_: &PoolId, v: &VersionId| self.running.get(v).copied().unwrap_or(0);
         self.releases.propose(now, running)
     }
 }
 
 impl Flight {
+    /// Returns what the present run tells about the release that answers, with
+    /// the time to its beginning.
+    fn tells(&self, first: Option<Span>) -> Option<release::Answer<'_>> {
+        let terms = self.terms.as_ref()?;
+        Some(release::Answer {
+            pool: &self.pool,
+            release: self.version()?,
+            upstream: self.upstream.as_ref()?,
+            kind: (&terms.name, terms.size),
+            first,
+        })
+    }
+
     pub(super) fn routed(&self) -> Option<&Routed> {
         match &self.ask.what {
             What::Routed(routed) => Some(routed),
@@ -172,16 +185,14 @@
     }
 }
 
+// That a request which did not run may come back is added when it is given up.
+
 pub(super) fn none_left(pool: &PoolId) -> Failure {
     let message = format!("no upstream of {pool} takes the request");
-    Failure::not_run(Reason::NoUpstream, message).retry_after(COME_BACK)
+    Failure::not_run(Reason::NoUpstream, message)
 }
 
 pub(super) fn timed_out(flight: &Flight) -> Failure {
     let verdict = flight.known_verdict();
-    let failure = Failure::new(Reason::TimedOut, verdict, "the time allowed has passed");
-    match verdict {
-        Verdict::NotRun => failure.retry_after(COME_BACK),
-        _ => failure,
-    }
+    Failure::new(Reason::TimedOut, verdict, "the time allowed has passed")
 }
--- a/crates/core/src/entry/routed/send.rs
+++ b/crates/core/src/entry/routed/send.rs
@@ -59,19 +59,7 @@
             .peers
             .pick(&wish, self.settings.policy, now, draw)
             .ok_or_else(|| none_left(&flight.pool))?;
-        let once = !flight.once || flight.verdict.may_repeat();
-        self.keep(Promise::AtMostOnce, once)?;
-        self.note_try(flight, Some(link), String::new());
-        let (tokens, chain) = (flight.prompt_tokens(), flight.chain());
-        self.peers.sent(link, tokens, chain);
-        if let Some(version) = flight.version() {
-            *self.running.entry(version.clone()).or_default() += 1;
-        }
-        flight.at = Some(link);
-        flight.upstream = self.peers.get(link).map(|p| p.upstream.clone());
-        flight.tried.push(link);
-        flight.revision = self.tree.revision();
-        flight.parts = 0;
+        self.begin_run(flight, link)?;
         if let Some(terms) = &mut flight.terms {
             terms.sent = now;
             terms.runs += 1;
@@ -90,7 +78,6 @@
             label: routed.label.clone(),
             account: flight.site.node.account.is_some().then(|| account.clone()),
             upstream: flight.upstream.clone(),
-            release: None,
             model: terms.route.sizes.get(terms.size).cloned(),
             rank: rank(&flight.site, &terms.route),
             last: terms.last,
--- a/crates/core/src/release.rs
+++ b/crates/core/src/release.rs
@@ -184,8 +184,8 @@
 /// Where a move stands.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Phase {
-    /// A share of new sessions gets the new release.
-    Trial(f64),
+    /// A small share of sessions gets the new release.
+    Trial,
     /// Everything gets the new release.
     Moved,
     /// Nothing gets the new release.
@@ -469,7 +469,7 @@
         // All entries must move at the same time, so little but the time decides.
         match self.part(now) >= MOVE_AT && !self.is_doubtful() {
             true => Phase::Moved,
-            false => Phase::Trial(TRIAL),
+            false => Phase::Trial,
         }
     }
 
@@ -502,10 +502,10 @@
         match (self.phase(now), kept) {
             (Phase::Off, _) => Wanted::Old,
             (Phase::Moved, _) if self.has_enough(present) => Wanted::New,
-            (Phase::Moved | Phase::Trial(_), Some(kept)) if *kept == self.order.to => Wanted::New,
-            (Phase::Moved | Phase::Trial(_), Some(_)) => Wanted::Old,
-            (Phase::Trial(share), None) if draw < share => Wanted::New,
-            (Phase::Moved | Phase::Trial(_), None) => Wanted::Old,
+            (Phase::Moved | Phase::Trial, Some(kept)) if *kept == self.order.to => Wanted::New,
+            (Phase::Moved | Phase::Trial, Some(_)) => Wanted::Old,
+            (Phase::Trial, None) if draw < TRIAL => Wanted::New,
+            (Phase::Moved | Phase::Trial, None) => Wanted::Old,
         }
     }
 
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -205,8 +205,6 @@
     pub account: Option<AccountId>,
     /// The upstream that must answer; any other refuses the call.
     pub upstream: Option<UpstreamId>,
-    /// The release that must answer.
-    pub release: Option<VersionId>,
     /// The model that must answer.
     pub model: Option<ModelId>,
     /// The order among waiting requests, 0 first.
--- a/crates/daemon/src/hosted/mirror.rs
+++ b/crates/daemon/src/hosted/mirror.rs
@@ -95,14 +95,10 @@
         self.tables.get(&table)?.rows.get(key)
     }
 
-    /// Returns a whole table, for another entry.
-    pub fn page(&self, table: Table) -> Option<Page> {
-        let copy = self.tables.get(&table)?;
-        Some(Page {
-            rows: copy.rows.values().cloned().collect(),
-            version: copy.version,
-            now: std::time::Duration::ZERO,
-        })
+    /// Returns the rows of a table.
+    pub fn rows(&self, table: Table) -> impl Iterator<Item = &Row> {
+        let replica = self.tables.get(&table);
+        replica.into_iter().flat_map(|t| t.rows.values())
     }
 
     /// Returns what could not be understood since the last call.
--- a/crates/daemon/src/hosted/mover.rs
+++ b/crates/daemon/src/hosted/mover.rs
@@ -108,10 +108,9 @@
 
 /// Returns the key of the row that holds an order.
 fn key_of(order: &Order, mirror: &Mirror) -> Option<String> {
-    let page = mirror.page(Table::Operator)?;
-    let mut rows = page.rows.into_iter();
+    let mut rows = mirror.rows(Table::Operator);
     let row = rows.find(|row| row.key.starts_with(MOVE) && row.version == order.number)?;
-    Some(row.key)
+    Some(row.key.clone())
 }
 
 /// Returns the change that records a state. The first record of a move says
--- a/crates/daemon/src/hosted/peer.rs
+++ b/crates/daemon/src/hosted/peer.rs
@@ -137,14 +137,18 @@
     let mut copies = Vec::new();
     for (number, table) in Table::ALL.iter().enumerate() {
         let theirs = have.get(number).copied().unwrap_or(0);
-        let Some(page) = mirror.page(*table).filter(|p| p.version > theirs) else {
+        let version = mirror.version(*table);
+        if version <= theirs {
             continue;
+        }
+        let row = |row: &Row| {
+            let value = serde_bytes::ByteBuf::from(row.value.clone()?);
+            Some((row.key.clone(), row.version, value))
         };
-        let row = |row: Row| Some((row.key, row.version, serde_bytes::ByteBuf::from(row.value?)));
         copies.push(TableCopy {
             number,
-            version: page.version,
-            rows: page.rows.into_iter().filter_map(row).collect(),
+            version,
+            rows: mirror.rows(*table).filter_map(row).collect(),
         });
     }
     copies
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -18,7 +18,7 @@
 };
 use sorreldeck::pick::Link;
 use sorreldeck::wire::{Frame, Run};
-use sorreldeck::{Failure, InstanceId, RequestId, Revision, Time, UpstreamId};
+use sorreldeck::{Failure, InstanceId, RequestId, Revision, UpstreamId};
 use sorreldeck_net::h1::Door;
 use sorreldeck_net::link::Event;
 use sorreldeck_platform::member::Listed;
@@ -408,15 +408,15 @@
     pub fn handle(&mut self, input: Input) {
         let now = self.clock.now();
         for output in self.entry.handle(now, input) {
-            self.execute(output, now);
+            self.execute(output);
         }
     }
 
-    fn execute(&mut self, output: Output, now: Time) {
+    fn execute(&mut self, output: Output) {
         match output {
             Output::Send(link, Frame::Start(start)) => {
                 let (run, address) = (start.run, self.addresses.get(&link).copied());
-                let handle = self.caller.open(link, address, *start, now);
+                let handle = self.caller.open(link, address, *start);
                 self.runs.insert(run, handle);
             }
             Output::Send(_, Frame::Cancel(run)) => drop(self.runs.remove(&run)),
--- a/crates/daemon/src/hosted/run.rs
+++ b/crates/daemon/src/hosted/run.rs
@@ -1,7 +1,7 @@
 //! One run of a request at an upstream that is called directly.
 //!
-//! A call that may not be repeated goes over a new connection, since a kept one
-//! may break just as the call is sent; others use kept connections.
+//! Connections are kept for a moment. A call to an upstream that announces no
+//! release goes over a new one.
 
 use super::room::Message;
 use async_channel::Sender;
@@ -13,7 +13,7 @@
 use sorreldeck::entry::{Head, Reply};
 use sorreldeck::pick::Link;
 use sorreldeck::wire::{Header, Order, Run, Start};
-use sorreldeck::{Failure, Reason, Span, Time, Verdict};
+use sorreldeck::{Failure, Reason, Span, Verdict};
 use sorreldeck_net::h1::{self, Channel};
 use sorreldeck_platform::call;
 use std::collections::HashMap;
@@ -60,7 +60,7 @@
     }
 
     /// Starts a run; what the upstream does is told to the loop.
-    pub fn open(&self, link: Link, address: Option<SocketAddr>, start: Start, now: Time) -> Handle {
+    pub fn open(&self, link: Link, address: Option<SocketAddr>, start: Start) -> Handle {
         let job = Job {
             kept: self.kept.clone(),
             tell: self.tell.clone(),
@@ -70,7 +70,6 @@
             began: Instant::now(),
             left: Span::from_micros(start.deadline_us),
         };
-        log::debug!("run {} starts at {now:?}", start.run);
         Handle(Some(task::spawn(job.work(address, start))))
     }
 }
@@ -118,7 +117,7 @@
         let gone = || Failure::not_run(Reason::Leaving, "the upstream has just left");
         let address = address.ok_or_else(gone)?;
         let order = self.order.as_ref().ok_or_else(gone)?;
-        let fresh = start.patient && start.version.is_none();
+        let fresh = start.version.is_none();
         let mut channel = self.channel(address, fresh).await?;
         let left = self.left_now()?;
         let request = request_of(start, order, left)?;
