--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -79,6 +79,8 @@
     pub hall: Option<Hall>,
     /// The share of requests that may be sent once more.
     pub retries: Share,
+    /// The share of requests that an unproven release may get while it is moved to.
+    pub exposure: Share,
     /// From what confidence the answer of a smaller model is given, by the rank
     /// of the route.
     pub accepted: [Share; 3],
@@ -98,6 +100,7 @@
             even_limits: false,
             hall: None,
             retries: retry::SHARE,
+            exposure: release::EXPOSURE,
             accepted: routed::ACCEPTED,
         }
     }
@@ -255,7 +258,7 @@
             budget: Budget::new(settings.retries),
             watch,
             cascades: HashMap::new(),
-            releases: Releases::default(),
+            releases: Releases::new(settings.exposure),
             strains: Strains::default(),
             ticked: Time::default(),
             history: History::default(),
--- a/crates/core/src/entry/routed/learn.rs
+++ b/crates/core/src/entry/routed/learn.rs
@@ -33,6 +33,15 @@
         }
     }
 
+    /// Tells the releases that a run did not begin in the time for which it was
+    /// waited: a slow release shows in what is not waited for any longer, too.
+    pub(super) fn learn_waited(&mut self, now: Time, request: RequestId) {
+        let waits = self.flights.get(&request).is_some_and(|f| !f.headed);
+        if waits {
+            self.learn_release(now, request, true);
+        }
+    }
+
     /// Tells the releases how far apart the events of a whole stream were.
     pub(super) fn learn_pace(&mut self, now: Time, request: RequestId) {
         let Some(flight) = self.flights.get(&request) else {
--- a/crates/core/src/entry/routed/mod.rs
+++ b/crates/core/src/entry/routed/mod.rs
@@ -173,6 +173,7 @@
             release: self.version()?,
             upstream: self.upstream.as_ref()?,
             kind: (&terms.name, terms.size),
+            sent: terms.sent,
             first,
         })
     }
--- a/crates/core/src/entry/routed/overdue.rs
+++ b/crates/core/src/entry/routed/overdue.rs
@@ -79,6 +79,7 @@
             return;
         }
         self.note_strain(now, request);
+        self.learn_waited(now, request);
         self.peers.struck(link, now);
         self.drop_run(link, run, out);
         self.history.outcome(request, failure.to_string());
@@ -101,6 +102,7 @@
             let run = flight.run;
             if !flight.headed {
                 self.note_strain(now, request);
+                self.learn_waited(now, request);
             }
             self.drop_run(link, run, out);
         }
--- a/crates/core/src/entry/routed/send.rs
+++ b/crates/core/src/entry/routed/send.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::pick::Near;
+use crate::release::Few;
 use crate::wire::Order;
 
 impl Entry {
@@ -52,6 +53,7 @@
             near: Near {
                 hall: self.settings.hall.as_ref(),
                 release: flight.version(),
+                few: self.few_of(flight, now),
             },
         };
         let draw = self.rng.random::<f64>();
@@ -70,6 +72,13 @@
         Ok(())
     }
 
+    /// Returns the few upstreams to which a release on trial is held.
+    fn few_of(&self, flight: &Flight, now: Time) -> Option<Few> {
+        let present = self.peers.releases(&flight.pool);
+        self.releases
+            .few(&flight.pool, flight.version()?, now, &present)
+    }
+
     fn routed_start(&self, now: Time, flight: &Flight) -> Option<Start> {
         let (routed, terms) = (flight.routed()?, flight.terms.as_ref()?);
         let left = flight.deadline.since(now);
--- a/crates/core/src/pick.rs
+++ b/crates/core/src/pick.rs
@@ -18,6 +18,8 @@
 //! ```
 
 use crate::id::{Hall, PoolId, UpstreamId, VersionId};
+use crate::release::Few;
+use crate::subset;
 use crate::unit::{Span, Time};
 use crate::wire::Load;
 use std::collections::{BTreeMap, HashMap};
@@ -83,6 +85,8 @@
     pub hall: Option<&'a Hall>,
     /// The release that must answer.
     pub release: Option<&'a VersionId>,
+    /// Which few of the upstreams that run it may answer, if not all.
+    pub few: Option<Few>,
 }
 
 /// What a request wants of an upstream.
@@ -323,6 +327,9 @@
             .copied()
             .filter(|l| !wish.tried.contains(l) && self.peers[l].suits(wish))
             .collect();
+        if let Some(few) = wish.near.few {
+            self.keep_few(&mut usable, few);
+        }
         let sound = |l: &Link| self.peers[l].avoided <= now;
         if usable.iter().any(sound) {
             usable.retain(sound);
@@ -345,6 +352,14 @@
         }
     }
 
+    /// Keeps the links that rank highest for a turn.
+    fn keep_few(&self, links: &mut Vec<Link>, few: Few) {
+        let subject = few.turn.to_string();
+        links.sort_by_cached_key(|l| subset::score(&subject, &self.peers[l].upstream));
+        links.reverse();
+        links.truncate(few.count);
+    }
+
     /// Returns the link with the least score; ties go to the first after `start`.
     fn least(&self, links: &[Link], start: usize, score: impl Fn(&Peer) -> u64) -> Option<Link> {
         let (after, before) = (&links[start..], &links[..start]);
--- a/crates/core/src/release.rs
+++ b/crates/core/src/release/mod.rs
@@ -2,10 +2,12 @@
 //!
 //! Upstreams of a pool may run different releases. An operator orders a move to
 //! a new one; until half of the given time has passed, only a small share of
-//! new sessions goes there and every session stays where it is. Then, unless
-//! the release was found bad, everything moves, and the move is recorded as
+//! new sessions goes there and every session stays where it is. Near the end,
+//! unless the release was found bad, everything moves, and the move is recorded as
 //! completed when nothing runs on the old release any more. The sequential test
-//! of [`evidence`](crate::evidence) tells a bad release from a good one.
+//! of [`evidence`](crate::evidence) tells a bad release from a good one; what it
+//! cannot tell, because it fails only under a load that a trial does not bring, is
+//! bounded by moving so late that no more than a set share is exposed in the time.
 //!
 //! All entries know the order and when it was first recorded, so each works out
 //! the phase by itself; what they must agree on is a row in the platform's
@@ -25,29 +27,20 @@
 //! # Ok::<(), sorreldeck::Error>(())
 //! ```
 
+pub mod schedule;
+mod tally;
+
 use crate::evidence::{Bar, Detector, Evidence};
 use crate::id::{InstanceId, PoolId, RouteId, UpstreamId, VersionId};
-use crate::unit::{Span, Time};
+use crate::unit::{Share, Span, Time};
+use schedule::{Schedule, Stage};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
-
-/// The share of sessions on a release on trial. Sessions roam between entries,
-/// which do not tell each other of them, so a session that another entry has just
-/// served on the old release may be drawn: on saa-kazi some 17 times the share,
-/// where more than three break the rule. A hunt at 0.08 found that in one of 70
-/// days.
-const TRIAL: f64 = 0.025;
-/// The part of the time given after which everything moves. Sessions may move
-/// after half of it; a while later, the trial has shown more, and less reaches a
-/// release that proves bad only then.
-const MOVE_AT: f64 = 0.70;
-/// The part of the time after which a move may be recorded as completed. The old
-/// upstreams are stopped then, so what they run must have ended, and failures of
-/// the new release must have had time to show.
-const COMPLETE_AT: f64 = 0.88;
-/// The part of the time at which a good release is recorded as completed even
-/// though the old one still runs something: later the order would be missed.
-const COMPLETE_BY: f64 = 0.94;
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use tally::{chance_of, Tally, Usual};
+
+/// The share of a pool's requests that an unproven release may get over the time
+/// given, where the settings name none: that of both sites.
+pub const EXPOSURE: Share = Share::percent(15);
 /// How unlikely as many failures must be, were the release as good as the old
 /// one, for it to be found worse.
 const CHANCE: f64 = 0.002;
@@ -77,19 +70,18 @@
 const MAX_FAILING: f64 = 0.04;
 /// The chance that a good release is found bad.
 const FALSE_ALARM: f64 = 0.001;
-/// How many times the usual time to the first event, and how much beyond it,
-/// makes an answer count as slow. A bad release is several times slower.
-const SLOW_TIMES: u64 = 3;
-const SLOW_BEYOND: Span = Span::from_millis(250);
 /// How many times the usual time between events makes a stream count as slow: a
 /// release that is eight times slower made events 2.6 times as far apart.
 const PACE_TIMES: f64 = 1.8;
 /// The events that a stream must have for its pace to tell anything.
 const PACED: u64 = 8;
-/// The answers that the usual time must rest on.
-const USUAL: u32 = 5;
-/// The answers that the running mean of the usual time looks back on.
-const USUAL_OVER: u64 = 16;
+/// How many times the usual load the few upstreams of a trial get: a release that
+/// fails only under load is to show it before everything moves there.
+const STRESS: f64 = 2.0;
+/// The latest answers of a release that are looked at, and how many of them one
+/// upstream must have given to be alone on trial.
+const RECENT: usize = 16;
+const ALONE: usize = 14;
 /// The upstreams on which a release must fail before it is found bad, since one
 /// upstream may fail by itself.
 const FAILING_UPSTREAMS: usize = 2;
@@ -129,6 +121,8 @@
     pub upstream: &'a UpstreamId,
     /// The route, and the place of the model among its sizes.
     pub kind: (&'a RouteId, usize),
+    /// When it was asked for.
+    pub sent: Time,
     /// The time to its beginning, or `None` if it failed.
     pub first: Option<Span>,
 }
@@ -136,6 +130,7 @@
 #[derive(Clone, Debug)]
 struct Move {
     order: Order,
+    schedule: Schedule,
     state: Option<State>,
     began: Option<Time>,
     evidence: Evidence,
@@ -144,19 +139,13 @@
     new: Tally,
     failing: BTreeSet<UpstreamId>,
     serving: BTreeSet<UpstreamId>,
+    /// The upstreams that gave the latest answers of the new release.
+    recent: VecDeque<UpstreamId>,
     others: BTreeMap<InstanceId, Report>,
     told: u64,
     bad: bool,
 }
 
-/// The answers of a release while another is on trial.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
-struct Tally {
-    answers: u64,
-    failed: u64,
-    slow: u64,
-}
-
 /// What one entry tells the others of a move, when the new release has failed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Report {
@@ -167,43 +156,26 @@
     failing: BTreeSet<UpstreamId>,
 }
 
-impl Tally {
-    fn add(&mut self, other: &Tally) {
-        self.answers += other.answers;
-        self.failed += other.failed;
-        self.slow += other.slow;
-    }
-
-    fn note(&mut self, failed: bool, slow: bool) {
-        self.answers += 1;
-        self.failed += u64::from(failed);
-        self.slow += u64::from(slow);
-    }
-}
-
 /// Where a move stands.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Phase {
-    /// A small share of sessions gets the new release.
-    Trial,
+    /// A share of sessions gets the new release.
+    Trial(Stage),
+    /// Only sessions that are at the new release already get it.
+    Held,
     /// Everything gets the new release.
     Moved,
     /// Nothing gets the new release.
     Off,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct Usual {
-    answers: u32,
-    micros: u64,
-}
-
-impl Usual {
-    fn note(&mut self, span: Span) {
-        self.answers += 1;
-        let over = u64::from(self.answers).min(USUAL_OVER);
-        self.micros = (self.micros * (over - 1) + span.micros()) / over;
-    }
+/// Few upstreams of all that run a release on trial, the same at every entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Few {
+    /// How many.
+    pub count: usize,
+    /// Which choice of them it is: each stage has others.
+    pub turn: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -213,8 +185,9 @@
 }
 
 /// Which release of each pool answers.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Releases {
+    exposure: Share,
     moves: BTreeMap<PoolId, Move>,
     settled: BTreeMap<PoolId, BTreeSet<VersionId>>,
     usual: HashMap<(RouteId, usize), Usual>,
@@ -222,7 +195,26 @@
     sessions: HashMap<u64, Kept>,
 }
 
+impl Default for Releases {
+    fn default() -> Self {
+        Releases::new(EXPOSURE)
+    }
+}
+
 impl Releases {
+    /// Creates the releases of an installation where an unproven release may get
+    /// this share of the requests over the time given.
+    pub fn new(exposure: Share) -> Releases {
+        Releases {
+            exposure,
+            moves: BTreeMap::new(),
+            settled: BTreeMap::new(),
+            usual: HashMap::new(),
+            paces: HashMap::new(),
+            sessions: HashMap::new(),
+        }
+    }
+
     /// Takes in an order and what was recorded of it, with the time at which
     /// the first record was made, on this process's clock.
     pub fn order(&mut self, order: Order, state: Option<State>, began: Option<Time>) {
@@ -233,6 +225,7 @@
         let pool = order.pool.clone();
         if known.is_none_or(|m| m.order != order) {
             let fresh = Move {
+                schedule: Schedule::new(self.exposure, order.duration),
                 order,
                 state: None,
                 began: None,
@@ -242,6 +235,7 @@
                 new: Tally::default(),
                 failing: BTreeSet::new(),
                 serving: BTreeSet::new(),
+                recent: VecDeque::new(),
                 others: BTreeMap::new(),
                 told: 0,
                 bad: false,
@@ -332,6 +326,19 @@
             .map(|v| (**v).clone())
     }
 
+    /// Returns the few upstreams that a release on trial runs on.
+    pub fn few(
+        &self,
+        pool: &PoolId,
+        release: &VersionId,
+        now: Time,
+        present: &BTreeMap<&VersionId, usize>,
+    ) -> Option<Few> {
+        let moving = self.moves.get(pool)?;
+        let on_trial = moving.order.to == *release;
+        on_trial.then(|| moving.few(now, present)).flatten()
+    }
+
     /// Takes in how far apart the events of a whole stream were; returns whether
     /// its release has just been found bad.
     pub fn paced(&mut self, answer: &Answer, events: u64, span: Span) -> bool {
@@ -341,11 +348,13 @@
         let pace = Span::from_micros(span.micros() / events);
         let kind = (answer.kind.0.clone(), answer.kind.1);
         let usual = self.paces.get(&kind).copied();
-        let known = usual.filter(|u| u.answers >= USUAL);
-        let limit = known.map(|u| u.micros as f64 * PACE_TIMES);
+        let limit = usual
+            .and_then(|u| u.known())
+            .map(|us| us as f64 * PACE_TIMES);
         let slow = limit.is_some_and(|limit| pace.micros() as f64 > limit);
         match self.moves.get_mut(answer.pool) {
             Some(moving) if moving.order.to == *answer.release => {
+                let slow = slow && moving.tells_slowness(answer.sent);
                 moving.new.note(false, slow);
                 moving.state != Some(State::Completed) && moving.learn(answer.upstream, slow)
             }
@@ -379,7 +388,10 @@
             .usual
             .get(&(answer.kind.0.clone(), answer.kind.1))
             .copied();
-        let slow = answer.first.is_some_and(|first| is_slow(first, usual));
+        let slow = answer
+            .first
+            .zip(usual)
+            .is_some_and(|(first, usual)| usual.is_slow(first));
         let Some(moving) = self.moves.get_mut(answer.pool) else {
             self.note_usual(answer);
             return false;
@@ -392,6 +404,7 @@
         if moving.state == Some(State::Completed) {
             return false;
         }
+        let slow = slow && moving.tells_slowness(answer.sent);
         moving.new.note(answer.first.is_none(), slow);
         moving.learn(answer.upstream, answer.first.is_none() || slow)
     }
@@ -467,9 +480,10 @@
             return Phase::Off;
         }
         // All entries must move at the same time, so little but the time decides.
-        match self.part(now) >= MOVE_AT && !self.is_doubtful() {
-            true => Phase::Moved,
-            false => Phase::Trial,
+        match (self.schedule.stage(self.passed(now)), self.is_doubtful()) {
+            (Stage::All, false) => Phase::Moved,
+            (Stage::All, true) => Phase::Held,
+            (stage, _) => Phase::Trial(stage),
         }
     }
 
@@ -486,10 +500,14 @@
         self.state == Some(State::Completed) || new as f64 >= old as f64 * ENOUGH
     }
 
+    /// Returns how much of the time given has passed.
+    fn passed(&self, now: Time) -> Span {
+        now.since(self.began.unwrap_or(now))
+    }
+
     /// Returns the part of the time given that has passed.
     fn part(&self, now: Time) -> f64 {
-        let began = self.began.unwrap_or(now);
-        now.since(began).secs_f64() / self.order.duration.secs_f64().max(1e-3)
+        self.schedule.part(self.passed(now))
     }
 
     fn wanted(
@@ -499,16 +517,39 @@
         now: Time,
         present: &BTreeMap<&VersionId, usize>,
     ) -> Wanted {
+        let stays = |kept: &VersionId| match *kept == self.order.to {
+            true => Wanted::New,
+            false => Wanted::Old,
+        };
         match (self.phase(now), kept) {
             (Phase::Off, _) => Wanted::Old,
             (Phase::Moved, _) if self.has_enough(present) => Wanted::New,
-            (Phase::Moved | Phase::Trial, Some(kept)) if *kept == self.order.to => Wanted::New,
-            (Phase::Moved | Phase::Trial, Some(_)) => Wanted::Old,
-            (Phase::Trial, None) if draw < TRIAL => Wanted::New,
-            (Phase::Moved | Phase::Trial, None) => Wanted::Old,
+            (Phase::Moved | Phase::Held, kept) => kept.map_or(Wanted::Old, stays),
+            (Phase::Trial(Stage::Small), Some(kept)) => stays(kept),
+            (Phase::Trial(stage), _) if draw < self.schedule.share(stage) => Wanted::New,
+            (Phase::Trial(_), kept) => kept.map_or(Wanted::Old, stays),
         }
     }
 
+    /// Returns the few upstreams that a trial runs on, so that they work under the
+    /// load that all will have.
+    fn few(&self, now: Time, present: &BTreeMap<&VersionId, usize>) -> Option<Few> {
+        let Phase::Trial(stage) = self.phase(now) else {
+            return None;
+        };
+        let new = present.get(&self.order.to).copied().unwrap_or(0);
+        let old = present.values().sum::<usize>() - new;
+        let usual = self.schedule.share(stage) * old as f64;
+        let count = match stage {
+            Stage::Loaded => (usual / STRESS) as usize,
+            _ => (usual.round() as usize).max(FAILING_UPSTREAMS),
+        };
+        Some(Few {
+            count: count.max(1),
+            turn: stage as u64,
+        })
+    }
+
     fn learn(&mut self, upstream: &UpstreamId, failed: bool) -> bool {
         let bar = Bar {
             floor: 1.0 - MAX_FAILING,
@@ -520,10 +561,34 @@
         if failed {
             self.failing.insert(upstream.clone());
         }
+        self.recent.push_back(upstream.clone());
+        if self.recent.len() > RECENT {
+            self.recent.pop_front();
+        }
         self.evidence.answer(failed, &bar);
         let found = self.detector.update(&self.evidence, &bar);
-        let wide = self.failing.len() >= FAILING_UPSTREAMS.min(self.serving.len());
-        self.judge(found && wide)
+        self.judge(found && self.is_wide(self.failing.len()))
+    }
+
+    /// Returns whether an answer that is slow says something about its release: not
+    /// while its upstreams are loaded more than those of the old one.
+    fn tells_slowness(&self, sent: Time) -> bool {
+        self.schedule.stage(self.passed(sent)) != Stage::Loaded
+    }
+
+    /// Returns whether failures at so many upstreams are the release's: at two, or
+    /// at one that gives next to all answers of the trial.
+    fn is_wide(&self, failing: usize) -> bool {
+        failing >= FAILING_UPSTREAMS.min(self.serving.len()) || (failing > 0 && self.is_alone())
+    }
+
+    /// Returns whether one upstream gave next to all of the latest answers.
+    fn is_alone(&self) -> bool {
+        let Some(last) = self.recent.back() else {
+            return false;
+        };
+        let same = self.recent.iter().filter(|u| *u == last).count();
+        self.recent.len() == RECENT && same >= ALONE
     }
 
     /// Notes whether the release is bad; returns whether that is new.
@@ -555,7 +620,7 @@
             new.add(&report.new);
             failing.extend(&report.failing);
         }
-        if old.answers < COMPARED || failing.len() < FAILING_UPSTREAMS {
+        if old.answers < COMPARED || !self.is_wide(failing.len()) {
             return false;
         }
         let clear = |old_count: u64, count: u64, prior: f64| {
@@ -575,8 +640,7 @@
             }
             Some(State::Running) if self.phase(now) != Phase::Moved => None,
             Some(State::Running) => {
-                let part = self.part(now);
-                let done = (part >= COMPLETE_AT && old == 0) || part >= COMPLETE_BY;
+                let done = self.schedule.completes(self.passed(now), old == 0);
                 (done && !self.serving.is_empty()).then_some(State::Completed)
             }
             Some(State::Completed | State::RolledBack) => None,
@@ -584,22 +648,6 @@
     }
 }
 
-/// Returns how likely at least `count` events are where `expected` are.
-fn chance_of(count: u64, expected: f64) -> f64 {
-    let mut term = (-expected).exp();
-    let mut below = 0.0;
-    for i in 0..count {
-        below += term;
-        term *= expected / (i + 1) as f64;
-    }
-    (1.0 - below).max(0.0)
-}
-
-fn is_slow(first: Span, usual: Option<Usual>) -> bool {
-    let usual = usual.filter(|u| u.answers >= USUAL);
-    usual.is_some_and(|u| first.micros() > u.micros * SLOW_TIMES + SLOW_BEYOND.micros())
-}
-
 /// Returns a number in `[0, 1)` that a session always gets.
 fn unit(session: u64) -> f64 {
     // Mixes the bits, so that sessions named alike spread evenly.
--- a/crates/core/src/subset.rs
+++ b/crates/core/src/subset.rs
@@ -67,7 +67,8 @@
     upstreams.into_iter().max_by_key(|u| score(subject, u))
 }
 
-fn score(left: &str, upstream: &UpstreamId) -> u64 {
+/// Returns how high an upstream ranks for a subject; the same everywhere.
+pub fn score(left: &str, upstream: &UpstreamId) -> u64 {
     let mut hasher = blake3::Hasher::new();
     hasher.update(left.as_bytes());
     hasher.update(&[0]);
--- a/crates/core/src/unit.rs
+++ b/crates/core/src/unit.rs
@@ -254,6 +254,11 @@
     /// Nothing.
     pub const NONE: Share = Share(0.0);
 
+    /// Creates a share of so many hundredths, 100 at most.
+    pub const fn percent(n: u8) -> Share {
+        Share(if n < 100 { n as f64 / 100.0 } else { 1.0 })
+    }
+
     /// Creates a share from a fraction, held between 0 and 1.
     pub fn from_fraction(x: f64) -> Share {
         Share(x.clamp(0.0, 1.0))
--- a/crates/core/tests/release.rs
+++ b/crates/core/tests/release.rs
@@ -1,7 +1,7 @@
 //! Moves to another release, as one entry sees them.
 
 use sorreldeck::release::{Answer, Order, Releases, State};
-use sorreldeck::{PoolId, RouteId, Span, Time, UpstreamId, VersionId};
+use sorreldeck::{PoolId, RouteId, Share, Span, Time, UpstreamId, VersionId};
 use std::collections::BTreeMap;
 use test_case::test_case;
 
@@ -71,6 +71,7 @@
             release: &release,
             upstream: &upstream,
             kind: (&route, 0),
+            sent: at(1_000),
             first: None,
         };
         self.releases.paced(&answer, 20, Span::from_millis(20 * ms))
@@ -88,6 +89,7 @@
             release: &release,
             upstream: &upstream,
             kind: (&route, 0),
+            sent: at(1_000),
             first: first.map(Span::from_millis),
         })
     }
@@ -101,23 +103,83 @@
 
 #[test_case(100, 0.0..0.05; "a small share at first")]
 #[test_case(DURATION / 2 - 10, 0.0..0.05; "no more in the first half")]
-#[test_case(DURATION * 75 / 100, 0.99..1.1; "everything in the second half")]
+#[test_case(DURATION * 60 / 100, 0.05..0.16; "a larger trial in the second half")]
+#[test_case(DURATION * 94 / 100, 0.05..0.16; "no more until near the end")]
+#[test_case(DURATION * 96 / 100, 0.99..1.1; "everything at the end")]
 fn the_share_follows_the_time(ms: u64, expected: std::ops::Range<f64>) {
     let share = Stand::running().share(ms, 6);
     assert!(expected.contains(&share), "{share}");
 }
 
 #[test]
-fn a_session_stays_in_the_first_half_and_moves_in_the_second() {
+fn a_session_stays_in_the_first_half_and_moves_at_the_end() {
     let mut stand = Stand::running();
     for session in 0..400 {
         stand.releases.keep(session, &stand.old.clone(), at(1_000));
         assert_eq!(stand.choose(Some(session), 0.0, 2_000, 6), stand.old);
-        stand.releases.keep(session, &stand.old.clone(), at(20_300));
-        assert_eq!(stand.choose(Some(session), 0.0, 20_500, 6), stand.new);
+        stand.releases.keep(session, &stand.old.clone(), at(22_800));
+        assert_eq!(stand.choose(Some(session), 0.0, 22_900, 6), stand.new);
     }
 }
 
+/// Found by the day `rollout-load` of deploy/days on voltaris-zrh: a release that
+/// fails only under a load that did not come showed nothing, and got 336 of 1,295
+/// requests in the time given, where 15 of 100 and 30 are allowed.
+#[test_case(24_000; "the time that the standard days give")]
+#[test_case(16_000; "a shorter time")]
+fn a_release_that_shows_nothing_gets_no_more_than_may_be_exposed(duration: u64) {
+    let mut stand = Stand::running();
+    let order = Order {
+        pool: stand.pool.clone(),
+        to: stand.new.clone(),
+        duration: Span::from_millis(duration),
+        number: 8,
+    };
+    stand
+        .releases
+        .order(order, Some(State::Running), Some(at(0)));
+    let mut exposed = 0;
+    for ms in 0..duration {
+        let draw = (ms * 7919 % 1000) as f64 / 1000.0;
+        exposed += u64::from(stand.choose(None, draw, ms, 6) == stand.new);
+    }
+    assert!(exposed * 100 <= duration * 15, "{exposed} of {duration}");
+}
+
+#[test]
+fn where_less_may_be_exposed_the_second_trial_is_smaller() {
+    let mut stand = Stand::running();
+    stand.releases = Releases::new(Share::percent(8));
+    stand.releases.settle(&stand.pool, [&stand.old]);
+    stand.tell(State::Running);
+    assert!(stand.share(DURATION * 60 / 100, 6) < 0.05);
+}
+
+#[test]
+fn a_session_that_the_second_trial_draws_is_at_the_new_release_at_every_entry() {
+    let (mut one, mut other) = (Stand::running(), Stand::running());
+    let mut moved = 0;
+    for session in 0..2_000 {
+        one.releases.keep(session, &one.old.clone(), at(14_900));
+        let first = one.choose(Some(session), 0.3, 15_000, 6);
+        assert_eq!(first, other.choose(Some(session), 0.9, 15_001, 6));
+        moved += usize::from(first == one.new);
+    }
+    assert!((200..400).contains(&moved), "{moved}");
+}
+
+#[test_case(2_000, Some(2); "the least at first")]
+#[test_case(15_000, Some(3); "as many as the share of the old ones in the second half")]
+#[test_case(19_000, Some(1); "so few that they are loaded more before the end")]
+#[test_case(23_000, None; "all when everything moves")]
+fn a_trial_runs_on_few_upstreams(ms: u64, expected: Option<usize>) {
+    let stand = Stand::running();
+    let present = BTreeMap::from([(&stand.old, 18), (&stand.new, 18)]);
+    let few = |v| stand.releases.few(&stand.pool, v, at(ms), &present);
+    assert_eq!(few(&stand.new).map(|f| f.count), expected);
+    assert_eq!(few(&stand.old), None);
+}
+
 #[test]
 fn all_entries_draw_the_same_sessions() {
     let (mut one, mut other) = (Stand::running(), Stand::running());
@@ -130,7 +192,7 @@
 #[test]
 fn too_few_new_upstreams_are_not_flooded() {
     let mut stand = Stand::running();
-    assert!(stand.share(DURATION * 88 / 100, 1) < 0.05);
+    assert!(stand.share(DURATION * 96 / 100, 1) < 0.05);
 }
 
 #[test]
@@ -182,16 +244,10 @@
 fn a_good_release_is_completed_when_the_old_one_is_empty_or_time_runs_out() {
     let mut stand = Stand::running();
     stand.answer("a", Some(80));
-    assert_eq!(stand.proposed(DURATION * 80 / 100, 0), None);
-    assert_eq!(stand.proposed(DURATION * 90 / 100, 3), None);
-    assert_eq!(
-        stand.proposed(DURATION * 90 / 100, 0),
-        Some(State::Completed)
-    );
-    assert_eq!(
-        stand.proposed(DURATION * 95 / 100, 3),
-        Some(State::Completed)
-    );
+    assert_eq!(stand.proposed(DURATION - 1_100, 0), None);
+    assert_eq!(stand.proposed(DURATION - 1_000, 3), None);
+    assert_eq!(stand.proposed(DURATION - 1_000, 0), Some(State::Completed));
+    assert_eq!(stand.proposed(DURATION - 800, 3), Some(State::Completed));
     stand.tell(State::Completed);
     assert_eq!(stand.proposed(DURATION * 97 / 100, 0), None);
     assert_eq!(stand.share(DURATION * 97 / 100, 1), 1.0);
@@ -200,10 +256,10 @@
 #[test]
 fn a_release_found_bad_after_the_move_is_left_at_once() {
     let mut stand = Stand::running();
-    assert_eq!(stand.share(DURATION * 88 / 100, 6), 1.0);
+    assert_eq!(stand.share(DURATION * 96 / 100, 6), 1.0);
     let found = (0..40).any(|i| stand.answer(["a", "b"][i % 2], None));
     assert!(found);
-    assert_eq!(stand.share(DURATION * 88 / 100, 6), 0.0);
+    assert_eq!(stand.share(DURATION * 96 / 100, 6), 0.0);
 }
 
 /// Found by the day `rollout-load` of deploy/days on saa-kazi: a release that
@@ -232,6 +288,46 @@
     }
 }
 
+/// Found by the day `rollout-load` of deploy/days on saa-kazi: a release that failed
+/// in half of the cases where half of an upstream's slots were taken, and never else,
+/// was completed, since no upstream on trial was loaded so much.
+#[test]
+fn failures_at_the_one_upstream_that_is_loaded_condemn_a_release() {
+    let mut stand = Stand::running();
+    for _ in 0..200 {
+        stand.answer("old-1", Some(100));
+    }
+    for i in 0..30 {
+        assert!(!stand.answer(["a", "b"][i % 2], Some(100)));
+    }
+    for _ in 0..16 {
+        assert!(!stand.answer("c", Some(100)));
+    }
+    let found = (0..8).any(|_| stand.answer("c", None));
+    assert!(found);
+}
+
+#[test]
+fn slow_answers_of_loaded_upstreams_say_nothing() {
+    let mut stand = Stand::running();
+    for _ in 0..200 {
+        stand.answer("old-1", Some(100));
+    }
+    let route: RouteId = "drafts".parse().unwrap();
+    for name in ["c", "d"].repeat(20) {
+        let upstream: UpstreamId = name.parse().unwrap();
+        let answer = Answer {
+            pool: &stand.pool,
+            release: &stand.new,
+            upstream: &upstream,
+            kind: (&route, 0),
+            sent: at(19_000),
+            first: Some(Span::from_millis(2_000)),
+        };
+        assert!(!stand.releases.learn(&answer));
+    }
+}
+
 #[test]
 fn a_later_order_begins_anew() {
     let mut stand = Stand::running();
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -116,6 +116,7 @@
         decisions.policy = options.policy;
         decisions.hall = Some(settings.hall.clone());
         decisions.retries = settings.retries;
+        decisions.exposure = settings.exposure;
         decisions.accepted = options.accept.0;
         Room {
             entry: Entry::new(decisions),
