--- a/crates/daemon/src/hosted/feed.rs
+++ b/crates/daemon/src/hosted/feed.rs
@@ -25,7 +25,11 @@
 /// left sooner.
 const GATHER_UPSTREAMS: Duration = Duration::from_millis(600);
 const GATHER_OPERATOR: Duration = Duration::from_millis(250);
-const GATHER_OTHERS: Duration = Duration::from_millis(250);
+const GATHER_PROGRESS: Duration = Duration::from_millis(250);
+/// What entries tell one another of a trial comes from all of them at once: 32
+/// entries paid 775 of 2,434 calls of a quiet day for it at 250 ms. The first of
+/// it comes at once.
+const GATHER_OWN: Duration = Duration::from_millis(1_000);
 /// The pauses after failures: from the first to the most.
 const PAUSE_FIRST: Duration = Duration::from_millis(150);
 const PAUSE_MOST: Duration = Duration::from_millis(600);
@@ -57,7 +61,8 @@
     match table {
         Table::Upstreams => GATHER_UPSTREAMS,
         Table::Operator => GATHER_OPERATOR,
-        Table::Progress | Table::Own => GATHER_OTHERS,
+        Table::Progress => GATHER_PROGRESS,
+        Table::Own => GATHER_OWN,
     }
 }
 
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -39,8 +39,9 @@
 /// often they are asked then.
 const ASK_AFTER: Duration = Duration::from_millis(300);
 const ASK_EVERY: Duration = Duration::from_millis(500);
-/// How often other entries are told of failures of a release on trial.
-const TELL_EVERY: Duration = Duration::from_millis(200);
+/// How often other entries are told of failures of a release on trial: each time
+/// is a priced call here and one at every entry.
+const TELL_EVERY: Duration = Duration::from_millis(700);
 /// How often they are asked when they knew nothing newer the last times: all may
 /// have lost the store. A change must be learned of within some 7 s.
 const ASK_SELDOM: Duration = Duration::from_millis(2_000);
