--- a/crates/core/src/entry/answer.rs
+++ b/crates/core/src/entry/answer.rs
@@ -500,6 +500,9 @@
     }
 
     pub(super) fn gone(&mut self, now: Time, request: RequestId, out: &mut Outputs) {
+        if self.forget_early(now, request, out) {
+            return;
+        }
         let Some(flight) = self.flights.get(&request) else {
             return;
         };
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -109,6 +109,7 @@
             tokens: flight.prompt_tokens(),
             urgent: flight.site.class == Class::Priority,
             chain: flight.chain(),
+            shared: None,
             last: flight.session.as_ref().and_then(|s| s.upstream.as_ref()),
             tried: &flight.tried,
             near: Near::default(),
@@ -122,21 +123,26 @@
                 let message = format!("no upstream of {} takes the request", flight.pool);
                 Failure::not_run(Reason::NoUpstream, message).retry_after(wait.max(RETRY_AFTER))
             })?;
-        self.begin_run(flight, link)?;
+        self.begin_run(now, flight, link)?;
         let start = self.start_of(now, flight);
         out.push(Output::Send(link, Frame::Start(Box::new(start))));
         Ok(())
     }
 
     /// Checks that a request may go to an upstream and notes that it goes there.
-    pub(super) fn begin_run(&mut self, flight: &mut Flight, link: Link) -> Result<(), Failure> {
+    pub(super) fn begin_run(
+        &mut self,
+        now: Time,
+        flight: &mut Flight,
+        link: Link,
+    ) -> Result<(), Failure> {
         let staying = self.peers.get(link).is_some_and(|p| !p.leaving);
         self.keep(Promise::Leaving, staying)?;
         let once = !flight.once || flight.verdict.may_repeat();
         self.keep(Promise::AtMostOnce, once)?;
         self.note_try(flight, Some(link), String::new());
         self.peers
-            .sent(link, flight.prompt_tokens(), flight.chain());
+            .sent(link, flight.prompt_tokens(), flight.chain(), now);
         if let Some(version) = flight.version() {
             *self.running.entry(version.clone()).or_default() += 1;
         }
--- a/crates/core/src/entry/flight.rs
+++ b/crates/core/src/entry/flight.rs
@@ -130,13 +130,36 @@
 
     /// Returns the beginnings of the prompt that may be cached.
     pub fn chain(&self) -> &[Prefix] {
-        match &self.ask.what {
-            What::Chat(chat) => chat.prefix.as_slice(),
-            What::Plain(_) => &[],
-            What::Routed(routed) => &routed.chain,
+        match (&self.ask.what, &self.terms) {
+            (What::Chat(chat), _) => chat.prefix.as_slice(),
+            (What::Plain(_), _) => &[],
+            (What::Routed(_), Some(terms)) => &terms.chain,
+            (What::Routed(routed), None) => &routed.chain,
         }
     }
 
+    /// Names the beginnings of the prompt for the present model: what one model has
+    /// read is nothing to another.
+    pub fn name_chain(&mut self) {
+        let (What::Routed(routed), Some(terms)) = (&self.ask.what, &mut self.terms) else {
+            return;
+        };
+        let size = terms.size as u32;
+        let named = |p: &Prefix| Prefix {
+            hash: p.hash.rotate_left(size) ^ u64::from(size),
+            tokens: p.tokens,
+        };
+        terms.chain = routed.chain.iter().map(named).collect();
+    }
+
+    /// Returns the longest beginning of the prompt that other requests share: all
+    /// but the last part, which is the request's or its session's own.
+    pub fn shared(&self) -> Option<Prefix> {
+        let chain = self.chain();
+        let before_last = chain.len().checked_sub(2)?;
+        chain.get(before_last).copied()
+    }
+
     /// Returns the expected cost at an upstream.
     pub fn cost(&self) -> u32 {
         self.chat().map_or(1, Chat::cost)
--- a/crates/core/src/entry/learn.rs
+++ b/crates/core/src/entry/learn.rs
@@ -112,6 +112,7 @@
     }
 
     pub(super) fn tick(&mut self, now: Time, out: &mut Outputs) {
+        self.tick_early(now, out);
         self.tick_routed(now, out);
         if let Some(batch) = self.held.due_orphans(now, self.leaving) {
             out.push(Output::Write(batch));
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -17,6 +17,7 @@
 mod ask;
 mod decision;
 mod dispatch;
+mod early;
 mod flight;
 mod learn;
 mod routed;
@@ -45,6 +46,7 @@
 use crate::unit::*;
 use crate::verdict::Verdict;
 use crate::wire::{Call, Frame, Run, Start};
+use early::Early;
 use flight::Flight;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -225,6 +227,8 @@
     rng: ChaCha8Rng,
     peers: Peers,
     flights: HashMap<RequestId, Flight>,
+    /// Requests that wait for the first configuration and upstream.
+    early: Vec<Early>,
     running: BTreeMap<VersionId, u64>,
     limits: Limits,
     budget: Budget,
@@ -253,6 +257,7 @@
             tree: Arc::default(),
             peers: Peers::default(),
             flights: HashMap::new(),
+            early: Vec::new(),
             running: BTreeMap::new(),
             limits: Limits::default(),
             budget: Budget::new(settings.retries),
@@ -274,7 +279,7 @@
     pub fn handle(&mut self, now: Time, input: Input) -> Outputs {
         let mut out = Vec::new();
         match input {
-            Input::Ask(ask) => self.ask(now, *ask, &mut out),
+            Input::Ask(ask) => self.ask_or_wait(now, *ask, &mut out),
             Input::Gone(request) => self.gone(now, request, &mut out),
             Input::Frame(link, frame) => self.frame(now, link, frame, &mut out),
             Input::LinkDown(link) => self.link_down(now, link, &mut out),
@@ -301,7 +306,7 @@
 
     /// Returns whether no request is under way.
     pub fn is_idle(&self) -> bool {
-        self.flights.is_empty()
+        self.flights.is_empty() && self.early.is_empty()
     }
 
     /// Notes that the process ends; returns whether no request was cut.
@@ -344,7 +349,7 @@
 
     /// Returns how many requests are under way.
     pub fn in_flight(&self) -> usize {
-        self.flights.len()
+        self.flights.len() + self.early.len()
     }
 
     /// Returns how many bill records wait to be written by someone.
@@ -417,6 +422,7 @@
             tokens: flight.prompt_tokens(),
             urgent: flight.site.class == Class::Priority,
             chain: flight.chain(),
+            shared: None,
             last: None,
             tried: &[],
             near: Near::default(),
--- a/crates/core/src/entry/routed/learn.rs
+++ b/crates/core/src/entry/routed/learn.rs
@@ -88,5 +88,8 @@
 fn waiting(queued: u32, slots: u32) -> Span {
     /// How long a request holds a slot, about.
     const SERVICE: Span = Span::from_millis(1500);
-    Span::from_micros(u64::from(queued) * SERVICE.micros() / u64::from(slots.max(1)))
+    /// How long its prompt takes to be read, about: 4,000 tokens at 112 a millisecond.
+    const READING: Span = Span::from_millis(40);
+    let each = SERVICE.micros() / u64::from(slots.max(1));
+    Span::from_micros(u64::from(queued) * each.max(READING.micros()))
 }
--- a/crates/core/src/entry/routed/mod.rs
+++ b/crates/core/src/entry/routed/mod.rs
@@ -18,8 +18,10 @@
 
 /// From what confidence the answer of a smaller model is given, by the rank of
 /// the route, where the settings say nothing: measured on quiet days of both
-/// sites, where 50 of 100 earned most over all ranks.
-pub const ACCEPTED: [Share; 3] = [Share::HALF; 3];
+/// sites, where 50 of 100 earned most over all ranks. What is least urgent earns
+/// least, so less is worth asking again: 35 of 100 earned more than 50 and than 25
+/// in four days of both grown sites.
+pub const ACCEPTED: [Share; 3] = [Share::HALF, Share::HALF, Share::percent(35)];
 /// How long a caller is told to stay away when upstreams are full.
 pub(super) const COME_BACK: Span = Span::from_millis(500);
 
@@ -42,6 +44,8 @@
     pub chain: Vec<Prefix>,
     /// What the session is known by.
     pub session: Option<u64>,
+    /// Whether the caller goes on with a stream that broke off.
+    pub resumes: bool,
 }
 
 /// What a route means for one request.
@@ -51,6 +55,8 @@
     pub route: Arc<Route>,
     /// The place of the present model among the sizes of the route.
     pub size: usize,
+    /// The beginnings of the prompt, as the present model names them.
+    pub chain: Vec<Prefix>,
     /// The last event that the caller was given.
     pub last: Option<u64>,
     /// When the present run was sent.
@@ -144,6 +150,7 @@
             name: name.clone(),
             route: route.clone(),
             size: 0,
+            chain: Vec::new(),
             last: None,
             sent: Time::default(),
             runs: 0,
--- a/crates/core/src/entry/routed/reply.rs
+++ b/crates/core/src/entry/routed/reply.rs
@@ -64,10 +64,13 @@
         flight.headers = headers;
         self.learn_release(now, run.request, status < 500);
         self.note_strain(now, run.request);
-        match self.judge_head(now, run.request, status, confidence) {
+        match self.judge_head(now, run.request, link, status, confidence) {
             Judgement::Give => {
                 self.history
                     .outcome(run.request, format!("answered {status}"));
+                if status >= 500 {
+                    self.peers.erred(link, now);
+                }
                 self.give_plain_head(now, run.request, out);
             }
             Judgement::Larger => self.ask_larger(now, link, run, confidence, out),
@@ -85,6 +88,7 @@
         &mut self,
         now: Time,
         request: RequestId,
+        link: Link,
         status: u16,
         confidence: Option<Confidence>,
     ) -> Judgement {
@@ -95,7 +99,10 @@
             return Judgement::Give;
         };
         let more = terms.runs < terms.route.tries && !flight.once && now < flight.deadline;
-        if status >= 500 && more && terms.route.stream {
+        // An error of a plain service is mostly the request's own and comes again;
+        // that of an upstream which failed before is the upstream's.
+        let elsewhere = terms.route.stream || self.peers.is_failing(link);
+        if status >= 500 && more && elsewhere && self.budget.has_one() {
             let message = format!("the upstream answered {status}");
             let failure = Failure::new(Reason::UpstreamFailed, Verdict::Ran, message);
             return Judgement::Elsewhere(failure);
@@ -176,11 +183,13 @@
             return;
         }
         self.landed(run.request);
-        self.peers.succeeded(link);
         self.learn_pace(now, run.request);
         let Some(flight) = self.flights.remove(&run.request) else {
             return;
         };
+        if flight.status < 500 {
+            self.peers.succeeded(link);
+        }
         if let (Some(session), Some(release)) =
             (flight.routed().and_then(|r| r.session), flight.version())
         {
--- a/crates/core/src/entry/routed/send.rs
+++ b/crates/core/src/entry/routed/send.rs
@@ -43,11 +43,13 @@
             return Err(timed_out(flight));
         }
         self.choose_routed(now, flight)?;
+        flight.name_chain();
         let wish = Wish {
             pool: &flight.pool,
             tokens: flight.prompt_tokens(),
             urgent: false,
             chain: flight.chain(),
+            shared: flight.shared(),
             last: None,
             tried: &flight.tried,
             near: Near {
@@ -61,7 +63,7 @@
             .peers
             .pick(&wish, self.settings.policy, now, draw)
             .ok_or_else(|| none_left(&flight.pool))?;
-        self.begin_run(flight, link)?;
+        self.begin_run(now, flight, link)?;
         if let Some(terms) = &mut flight.terms {
             terms.sent = now;
             terms.runs += 1;
@@ -88,9 +90,10 @@
             account: flight.site.node.account.is_some().then(|| account.clone()),
             upstream: flight.upstream.clone(),
             model: terms.route.sizes.get(terms.size).cloned(),
-            rank: rank(&flight.site, &terms.route),
+            rank: rank(&flight.site, &terms.route, routed.resumes),
             last: terms.last,
             stream: terms.route.stream,
+            once: flight.once,
         };
         Some(Start {
             run: flight.run,
@@ -110,13 +113,18 @@
 
 /// Returns the order among waiting requests: that of the client account goes
 /// before that of the route.
-fn rank(site: &Site, route: &Route) -> u8 {
+///
+/// What goes on with a stream that broke off goes behind all that is as urgent for
+/// its account: it is late already, and after a loss of power to all entries the
+/// streams of ten seconds come back at once.
+fn rank(site: &Site, route: &Route, resumes: bool) -> u8 {
     /// The ranks of routes that one rank of an account stands above.
     const ROUTES: u8 = 3;
     /// The last rank that engines know.
     const LAST: u8 = 9;
     let account = site.node.rank.unwrap_or(0);
     account
+        .saturating_add(u8::from(resumes))
         .saturating_mul(ROUTES)
         .saturating_add(route.rank.min(ROUTES - 1))
         .min(LAST)
--- a/crates/core/src/pick/mod.rs
+++ b/crates/core/src/pick/mod.rs
@@ -12,16 +12,21 @@
 //! let mut peers = Peers::default();
 //! let pool = "assistant".parse()?;
 //! peers.join(1, "u1".parse()?, &pool, Load { slots: 4, ..Load::default() });
-//! let wish = Wish { pool: &pool, tokens: 100, urgent: false, chain: &[], last: None, tried: &[], near: Near::default() };
+//! let wish = Wish { pool: &pool, tokens: 100, urgent: false, chain: &[], shared: None, last: None, tried: &[], near: Near::default() };
 //! assert_eq!(peers.pick(&wish, Policy::FirstToken, Time(0), 0.5), Some(1));
 //! # Ok::<(), sorreldeck::Error>(())
 //! ```
 
+mod peer;
+
+pub use peer::Peer;
+
 use crate::id::{Hall, PoolId, UpstreamId, VersionId};
 use crate::release::Few;
 use crate::subset;
 use crate::unit::{Span, Time};
 use crate::wire::Load;
+use peer::{AVOID, AVOID_ERRORS};
 use std::collections::{BTreeMap, HashMap};
 
 /// The number of a link, unique in one run of a process.
@@ -100,6 +105,8 @@
     pub urgent: bool,
     /// The beginnings of the prompt that may be cached, the shortest first.
     pub chain: &'a [Prefix],
+    /// The longest beginning that other requests share.
+    pub shared: Option<Prefix>,
     /// The upstream that answered the session last.
     pub last: Option<&'a UpstreamId>,
     /// The links already tried.
@@ -108,55 +115,6 @@
     pub near: Near<'a>,
 }
 
-/// The prefixes that this entry remembers for each upstream: some 500 prompts
-/// of a few thousand tokens fill the memory of an engine.
-const PREFIXES: usize = 512;
-/// What crossing to another data hall is taken to cost: so much longer may the
-/// wait in the own hall be. Bytes between halls are dear, a prompt of 12 kB
-/// costs about 3% of what its answer is worth.
-const CROSSING: Span = Span::from_millis(60);
-/// How long an upstream is passed over after its first failure in a row; each
-/// further one doubles it.
-const AVOID: Span = Span::from_millis(250);
-/// The most doublings: 4 s, a little longer than a lapsed heartbeat takes.
-const AVOID_DOUBLINGS: u32 = 4;
-/// The prompt tokens a second assumed until an upstream reports its own.
-const PREFILL: u32 = 8000;
-/// How long a report of load counts in full; it fades over the same time again.
-const REPORT_LIFE: Span = Span::from_millis(500);
-/// What one request in flight is taken to add to the wait where nothing is
-/// known of the upstream.
-const UNKNOWN_SERVICE: Span = Span::from_millis(50);
-
-/// An upstream in reach.
-#[derive(Clone, Debug)]
-pub struct Peer {
-    /// The upstream.
-    pub upstream: UpstreamId,
-    /// What it reported last.
-    pub load: Load,
-    /// When it reported.
-    pub reported: Time,
-    /// The requests of this entry that are there.
-    pub in_flight: u32,
-    /// The requests sent since the last report.
-    pub since_report: u32,
-    /// The prompt tokens sent since the last report.
-    pub tokens_since: u32,
-    /// Whether it said goodbye.
-    pub leaving: bool,
-    /// Where it is and what it runs.
-    pub place: Place,
-    /// When anything came from it last.
-    pub heard: Time,
-    /// Until when it is passed over, since it failed.
-    pub avoided: Time,
-    strikes: u32,
-    retired: bool,
-    prefixes: HashMap<u64, u64>,
-    stamp: u64,
-}
-
 /// The upstreams in reach of an entry, by pool.
 #[derive(Clone, Debug, Default)]
 pub struct Peers {
@@ -168,22 +126,7 @@
 impl Peers {
     /// Adds an upstream.
     pub fn join(&mut self, link: Link, upstream: UpstreamId, pool: &PoolId, load: Load) {
-        let peer = Peer {
-            upstream,
-            load,
-            reported: Time::default(),
-            in_flight: 0,
-            since_report: 0,
-            tokens_since: 0,
-            leaving: false,
-            place: Place::default(),
-            heard: Time::default(),
-            avoided: Time::default(),
-            strikes: 0,
-            retired: false,
-            prefixes: HashMap::new(),
-            stamp: 0,
-        };
+        let peer = Peer::new(upstream, load);
         self.peers.insert(link, peer);
         let links = self.pools.entry(pool.clone()).or_default();
         links.push(link);
@@ -244,15 +187,9 @@
     }
 
     /// Notes a request sent.
-    pub fn sent(&mut self, link: Link, tokens: u32, chain: &[Prefix]) {
-        let Some(peer) = self.peers.get_mut(&link) else {
-            return;
-        };
-        peer.in_flight += 1;
-        peer.since_report += 1;
-        peer.tokens_since += tokens;
-        for prefix in chain {
-            peer.remember(*prefix);
+    pub fn sent(&mut self, link: Link, tokens: u32, chain: &[Prefix], now: Time) {
+        if let Some(peer) = self.peers.get_mut(&link) {
+            peer.sent(tokens, chain, now);
         }
     }
 
@@ -281,20 +218,31 @@
     /// Notes a good answer.
     pub fn succeeded(&mut self, link: Link) {
         if let Some(peer) = self.peers.get_mut(&link) {
-            peer.strikes = 0;
-            peer.avoided = Time::default();
+            peer.succeeded();
         }
     }
 
     /// Notes a failure: the upstream is passed over for a while.
     pub fn struck(&mut self, link: Link, now: Time) {
         if let Some(peer) = self.peers.get_mut(&link) {
-            let span = AVOID.micros() << peer.strikes.min(AVOID_DOUBLINGS);
-            peer.avoided = now + Span::from_micros(span);
-            peer.strikes += 1;
+            peer.avoid(AVOID, now);
+        }
+    }
+
+    /// Notes that an upstream answered with an error of its own. It may be the
+    /// request's, so what comes next goes elsewhere and nothing is sent again; an
+    /// upstream that fails everything is left for longer each time.
+    pub fn erred(&mut self, link: Link, now: Time) {
+        if let Some(peer) = self.peers.get_mut(&link) {
+            peer.avoid(AVOID_ERRORS, now);
         }
     }
 
+    /// Returns whether the last answers of an upstream were failures.
+    pub fn is_failing(&self, link: Link) -> bool {
+        self.get(link).is_some_and(Peer::is_failing)
+    }
+
     /// Returns the releases that the upstreams of a pool run, each with the
     /// number of them, without those that are leaving.
     pub fn releases(&self, pool: &PoolId) -> BTreeMap<&VersionId, usize> {
@@ -343,12 +291,17 @@
                 self.turn = self.turn.wrapping_add(1);
                 Some(usable[self.turn % usable.len()])
             }
-            Policy::LeastInFlight => self.least(&usable, start, |p| u64::from(p.in_flight)),
+            Policy::LeastInFlight => self.least(&usable, start, |_, p| u64::from(p.in_flight)),
             Policy::TwoChoices => {
                 let second = usable[(start + 1) % usable.len()];
-                self.least(&[usable[start], second], 0, |p| p.load.wait.micros())
+                self.least(&[usable[start], second], 0, |_, p| p.load.wait.micros())
+            }
+            Policy::FirstToken => {
+                let home = self.home(&usable, wish);
+                self.least(&usable, start, |link, peer| {
+                    peer.first_token(wish, home == Some(link), now)
+                })
             }
-            Policy::FirstToken => self.least(&usable, start, |p| p.first_token(wish, now)),
         }
     }
 
@@ -360,13 +313,30 @@
         links.truncate(few.count);
     }
 
+    /// Returns the upstream that keeps a shared beginning for all entries of a data
+    /// hall: they agree on it without talking, so it is read once and stays in the
+    /// cache there.
+    fn home(&self, links: &[Link], wish: &Wish) -> Option<Link> {
+        let shared = wish.shared?;
+        let near = |l: &&Link| self.peers[l].crossing(wish) == 0;
+        let ranked = links.iter().filter(near);
+        ranked
+            .max_by_key(|l| self.peers[l].rank(shared.hash))
+            .copied()
+    }
+
     /// Returns the link with the least score; ties go to the first after `start`.
-    fn least(&self, links: &[Link], start: usize, score: impl Fn(&Peer) -> u64) -> Option<Link> {
+    fn least(
+        &self,
+        links: &[Link],
+        start: usize,
+        score: impl Fn(Link, &Peer) -> u64,
+    ) -> Option<Link> {
         let (after, before) = (&links[start..], &links[..start]);
         after
             .iter()
             .chain(before)
-            .min_by_key(|l| score(&self.peers[l]))
+            .min_by_key(|l| score(**l, &self.peers[l]))
             .copied()
     }
 
@@ -381,71 +351,3 @@
         links.iter().map(|l| self.peers[l].load.wait).min()
     }
 }
-
-impl Peer {
-    /// Returns whether the upstream may be given the request at all.
-    fn suits(&self, wish: &Wish) -> bool {
-        let release = wish.near.release;
-        !self.leaving && release.is_none_or(|r| self.place.release.as_ref() == Some(r))
-    }
-
-    /// Returns what crossing to the upstream's data hall costs, in microseconds.
-    fn crossing(&self, wish: &Wish) -> u64 {
-        let there = wish.near.hall.zip(self.place.hall.as_ref());
-        match there.is_some_and(|(own, hall)| own != hall) {
-            true => CROSSING.micros(),
-            false => 0,
-        }
-    }
-
-    /// Returns the tokens of the prompt that are cached, as far as this entry
-    /// knows.
-    fn cached(&self, wish: &Wish) -> u32 {
-        if wish.last == Some(&self.upstream) {
-            return wish.tokens;
-        }
-        let known = wish.chain.iter().rev();
-        let mut known = known.filter(|p| self.prefixes.contains_key(&p.hash));
-        known.next().map_or(0, |p| p.tokens.min(wish.tokens))
-    }
-
-    /// Returns the expected time to the first token, in microseconds.
-    fn first_token(&self, wish: &Wish, now: Time) -> u64 {
-        let prefill = match self.load.prefill {
-            0 => PREFILL,
-            known => known,
-        };
-        let fresh = u64::from(wish.tokens - self.cached(wish)) + u64::from(self.tokens_since);
-        let work = fresh * 1_000_000 / u64::from(prefill);
-        self.queue(wish.urgent, now) + work + self.crossing(wish)
-    }
-
-    /// Returns the expected wait for a slot, in microseconds.
-    fn queue(&self, urgent: bool, now: Time) -> u64 {
-        let kept = if urgent { 0 } else { self.load.reserve };
-        // An urgent request passes by those that wait.
-        let waiting = if urgent { 0 } else { self.load.wait.micros() };
-        let reported = (waiting as f64 * self.freshness(now)) as u64;
-        // The share of slots in use breaks ties between idle upstreams and
-        // steers away from one that is about to fill up.
-        let slots = u64::from(self.load.slots.saturating_sub(kept).max(1));
-        let busy = u64::from(self.load.running.max(self.in_flight) + self.since_report);
-        let over = (busy + 1).saturating_sub(slots);
-        reported + busy * 1000 / slots + over * UNKNOWN_SERVICE.micros() / slots
-    }
-
-    fn freshness(&self, now: Time) -> f64 {
-        let age = now.since(self.reported).secs_f64() / REPORT_LIFE.secs_f64();
-        (2.0 - age).clamp(0.0, 1.0)
-    }
-
-    fn remember(&mut self, prefix: Prefix) {
-        self.stamp += 1;
-        self.prefixes.insert(prefix.hash, self.stamp);
-        if self.prefixes.len() > PREFIXES {
-            // Half at a time, so that most additions cost nothing.
-            let oldest = self.stamp.saturating_sub(PREFIXES as u64 / 2);
-            self.prefixes.retain(|_, stamp| *stamp > oldest);
-        }
-    }
-}
--- /dev/null
+++ b/crates/core/src/pick/peer.rs
@@ -0,0 +1,215 @@
+//! One upstream as an entry sees it, and how it is scored.
+
+use super::{Place, Prefix, Wish};
+use crate::id::UpstreamId;
+use crate::subset;
+use crate::unit::{Span, Time};
+use crate::wire::Load;
+use std::collections::HashMap;
+
+/// The prefixes that this entry remembers for each upstream: some 500 prompts
+/// of a few thousand tokens fill the memory of an engine.
+const PREFIXES: usize = 512;
+/// How long a beginning that was not asked for again is taken to be cached: under
+/// the usual load an engine reads as much as its memory holds in some 15 s.
+const KEPT: Span = Span::from_millis(10_000);
+/// What crossing to another data hall is taken to cost: so much longer may the
+/// wait in the own hall be. Bytes between halls are dear, a prompt of 12 kB
+/// costs about 3% of what its answer is worth.
+const CROSSING: Span = Span::from_millis(60);
+/// What reading a shared prompt token again costs beyond the time it takes, in
+/// microseconds of wait: by the prices of both sites a thousand tokens cost a
+/// quarter of what crossing costs, and the reading holds up what else runs there.
+const REREAD_US: u64 = 30;
+/// How long an upstream is passed over after its first failure in a row; each
+/// further one doubles it.
+pub(super) const AVOID: Span = Span::from_millis(250);
+/// The same after an error that an upstream of a plain service answers with: 32
+/// entries share 117 requests/s to five of them, so each asks one every 1.4 s.
+pub(super) const AVOID_ERRORS: Span = Span::from_millis(1_000);
+/// The most doublings.
+const AVOID_DOUBLINGS: u32 = 4;
+/// The longest: a little longer than a lapsed heartbeat takes.
+const AVOID_MOST: Span = Span::from_millis(4_000);
+/// The prompt tokens a second assumed until an upstream reports its own.
+const PREFILL: u32 = 8000;
+/// How long a report of load counts in full; it fades over the same time again.
+const REPORT_LIFE: Span = Span::from_millis(500);
+/// What one request in flight is taken to add to the wait where nothing is
+/// known of the upstream.
+const UNKNOWN_SERVICE: Span = Span::from_millis(50);
+
+/// A beginning that was sent to an upstream.
+#[derive(Clone, Copy, Debug)]
+struct Remembered {
+    stamp: u64,
+    used: Time,
+}
+
+/// An upstream in reach.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// What it reported last.
+    pub load: Load,
+    /// When it reported.
+    pub reported: Time,
+    /// The requests of this entry that are there.
+    pub in_flight: u32,
+    /// The requests sent since the last report.
+    pub since_report: u32,
+    /// The prompt tokens sent since the last report.
+    pub tokens_since: u32,
+    /// Whether it said goodbye.
+    pub leaving: bool,
+    /// Where it is and what it runs.
+    pub place: Place,
+    /// When anything came from it last.
+    pub heard: Time,
+    /// Until when it is passed over, since it failed.
+    pub avoided: Time,
+    /// Whether it is forgotten when nothing of this entry runs there any more.
+    pub(super) retired: bool,
+    strikes: u32,
+    /// A number that stands for the upstream's name.
+    seed: u64,
+    prefixes: HashMap<u64, Remembered>,
+    stamp: u64,
+}
+
+impl Peer {
+    pub(super) fn new(upstream: UpstreamId, load: Load) -> Peer {
+        Peer {
+            seed: subset::score("home", &upstream),
+            upstream,
+            load,
+            reported: Time::default(),
+            in_flight: 0,
+            since_report: 0,
+            tokens_since: 0,
+            leaving: false,
+            place: Place::default(),
+            heard: Time::default(),
+            avoided: Time::default(),
+            strikes: 0,
+            retired: false,
+            prefixes: HashMap::new(),
+            stamp: 0,
+        }
+    }
+
+    /// Notes a request sent.
+    pub(super) fn sent(&mut self, tokens: u32, chain: &[Prefix], now: Time) {
+        self.in_flight += 1;
+        self.since_report += 1;
+        self.tokens_since += tokens;
+        for prefix in chain {
+            self.remember(*prefix, now);
+        }
+    }
+
+    /// Notes a good answer.
+    pub(super) fn succeeded(&mut self) {
+        self.strikes = 0;
+        self.avoided = Time::default();
+    }
+
+    /// Passes the upstream over for a while, longer with each failure in a row.
+    pub(super) fn avoid(&mut self, first: Span, now: Time) {
+        let span = first.micros() << self.strikes.min(AVOID_DOUBLINGS);
+        self.avoided = now + Span::from_micros(span.min(AVOID_MOST.micros()));
+        self.strikes += 1;
+    }
+
+    /// Returns whether the last answer was a failure.
+    pub fn is_failing(&self) -> bool {
+        self.strikes > 0
+    }
+
+    /// Returns whether the upstream may be given the request at all.
+    pub(super) fn suits(&self, wish: &Wish) -> bool {
+        let release = wish.near.release;
+        !self.leaving && release.is_none_or(|r| self.place.release.as_ref() == Some(r))
+    }
+
+    /// Returns what crossing to the upstream's data hall costs, in microseconds.
+    pub(super) fn crossing(&self, wish: &Wish) -> u64 {
+        let there = wish.near.hall.zip(self.place.hall.as_ref());
+        match there.is_some_and(|(own, hall)| own != hall) {
+            true => CROSSING.micros(),
+            false => 0,
+        }
+    }
+
+    /// Returns the tokens of the prompt that are cached, as far as this entry
+    /// knows.
+    fn cached(&self, wish: &Wish, is_home: bool, now: Time) -> u32 {
+        if wish.last == Some(&self.upstream) {
+            return wish.tokens;
+        }
+        let known = wish.chain.iter().rev().find(|p| self.remembers(p, now));
+        let kept = known.map_or(0, |p| p.tokens);
+        let shared = wish.shared.filter(|_| is_home).map_or(0, |p| p.tokens);
+        kept.max(shared).min(wish.tokens)
+    }
+
+    /// Returns how high the upstream ranks as the home of a beginning.
+    pub(super) fn rank(&self, hash: u64) -> u64 {
+        // Multiplying by a large odd number and folding spreads both evenly.
+        let mixed = (hash ^ self.seed).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let mixed = (mixed ^ (mixed >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
+        mixed ^ (mixed >> 32)
+    }
+
+    /// Returns the expected time to the first token, in microseconds.
+    pub(super) fn first_token(&self, wish: &Wish, is_home: bool, now: Time) -> u64 {
+        let prefill = match self.load.prefill {
+            0 => PREFILL,
+            known => known,
+        };
+        let fresh = u64::from(wish.tokens - self.cached(wish, is_home, now));
+        let work = (fresh + u64::from(self.tokens_since)) * 1_000_000 / u64::from(prefill);
+        let reread = wish.shared.map_or(0, |_| fresh * REREAD_US);
+        self.queue(wish.urgent, now) + work + reread + self.crossing(wish)
+    }
+
+    /// Returns the expected wait for a slot, in microseconds.
+    fn queue(&self, urgent: bool, now: Time) -> u64 {
+        let kept = if urgent { 0 } else { self.load.reserve };
+        // An urgent request passes by those that wait.
+        let waiting = if urgent { 0 } else { self.load.wait.micros() };
+        let reported = (waiting as f64 * self.freshness(now)) as u64;
+        // The share of slots in use breaks ties between idle upstreams and
+        // steers away from one that is about to fill up.
+        let slots = u64::from(self.load.slots.saturating_sub(kept).max(1));
+        let busy = u64::from(self.load.running.max(self.in_flight) + self.since_report);
+        let over = (busy + 1).saturating_sub(slots);
+        reported + busy * 1000 / slots + over * UNKNOWN_SERVICE.micros() / slots
+    }
+
+    fn freshness(&self, now: Time) -> f64 {
+        let age = now.since(self.reported).secs_f64() / REPORT_LIFE.secs_f64();
+        (2.0 - age).clamp(0.0, 1.0)
+    }
+
+    fn remember(&mut self, prefix: Prefix, now: Time) {
+        self.stamp += 1;
+        let remembered = Remembered {
+            stamp: self.stamp,
+            used: now,
+        };
+        self.prefixes.insert(prefix.hash, remembered);
+        if self.prefixes.len() > PREFIXES {
+            // Half at a time, so that most additions cost nothing.
+            let oldest = self.stamp.saturating_sub(PREFIXES as u64 / 2);
+            self.prefixes.retain(|_, known| known.stamp > oldest);
+        }
+    }
+
+    /// Returns whether a beginning that was sent here is taken to be cached still.
+    fn remembers(&self, prefix: &Prefix, now: Time) -> bool {
+        let known = self.prefixes.get(&prefix.hash);
+        known.is_some_and(|known| now.since(known.used) < KEPT)
+    }
+}
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -47,10 +47,15 @@
         self.saved = (self.saved + self.earned).min(CAP);
     }
 
+    /// Returns whether there is a retry in the budget.
+    pub fn has_one(&self) -> bool {
+        // The sums of shares are inexact, so one retry may fall a hair short.
+        self.saved >= 1.0 - 1e-9
+    }
+
     /// Takes a retry from the budget; returns whether there was one.
     pub fn spend(&mut self) -> bool {
-        // The sums of shares are inexact, so one retry may fall a hair short.
-        let enough = self.saved >= 1.0 - 1e-9;
+        let enough = self.has_one();
         if enough {
             self.saved -= 1.0;
         }
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -213,6 +213,8 @@
     pub last: Option<u64>,
     /// Whether the answer is a stream of events.
     pub stream: bool,
+    /// Whether the call may run at most once.
+    pub once: bool,
 }
 
 /// What a run used.
--- a/crates/core/tests/regression/failed_continuation_looked_whole.rs
+++ b/crates/core/tests/regression/failed_continuation_looked_whole.rs
@@ -76,6 +76,7 @@
         tokens: 1,
         chain: Vec::new(),
         session: None,
+        resumes: false,
     };
     let ask = Ask {
         request: RequestId::new(1, 1),
--- a/crates/daemon/src/hosted/door.rs
+++ b/crates/daemon/src/hosted/door.rs
@@ -179,6 +179,7 @@
         tokens: asked.tokens,
         chain: asked.chain,
         session: asked.session,
+        resumes: asked.resumes,
     };
     Ok(Ask {
         request: shared.next_request(),
--- a/crates/daemon/src/hosted/run.rs
+++ b/crates/daemon/src/hosted/run.rs
@@ -1,7 +1,8 @@
 //! One run of a request at an upstream that is called directly.
 //!
-//! Connections are kept for a moment. A call to an upstream that announces no
-//! release goes over a new one.
+//! Connections are kept for a moment. A call that may run at most once goes over a
+//! new one: an upstream may close a kept one without notice, and whether what was
+//! sent just then ran would not be known.
 
 use super::room::Message;
 use async_channel::Sender;
@@ -117,8 +118,7 @@
         let gone = || Failure::not_run(Reason::Leaving, "the upstream has just left");
         let address = address.ok_or_else(gone)?;
         let order = self.order.as_ref().ok_or_else(gone)?;
-        let fresh = start.version.is_none();
-        let mut channel = self.channel(address, fresh).await?;
+        let mut channel = self.channel(address, order.once).await?;
         let left = self.left_now()?;
         let request = request_of(start, order, left)?;
         let sent = channel.send(request).await;
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -368,6 +368,23 @@
     });
 }
 
+/// Found on reading: the condition looked at the release, which every runner has.
+#[test]
+fn a_call_that_may_run_once_goes_over_a_new_connection() {
+    task::block_on(async {
+        let stand = Stand::start().await;
+        for _ in 0..5 {
+            assert_eq!(status(&stand.call("/look/body").await), 200);
+        }
+        let connections = || stand.runners.iter().map(Runner::connections).sum::<u32>();
+        let before = connections();
+        for _ in 0..3 {
+            assert_eq!(status(&stand.call("/once/body").await), 200);
+        }
+        assert_eq!(connections(), before + 3);
+    });
+}
+
 #[test]
 fn a_newer_configuration_comes_in_force() {
     task::block_on(async {
