--- a/crates/core/src/entry/routed/reply.rs
+++ b/crates/core/src/entry/routed/reply.rs
@@ -50,6 +50,8 @@
         flight.verdict = Verdict::Ran;
         if flight.headed && status < 300 {
             // A stream that goes on elsewhere keeps the head of its first run.
+            self.history
+                .outcome(run.request, format!("went on with {status}"));
             return;
         }
         if flight.headed {
--- a/crates/core/tests/routed.rs
+++ b/crates/core/tests/routed.rs
@@ -504,3 +504,16 @@
     assert_eq!((known.running, known.queued, known.slots), (3, 1, 4));
     assert_eq!((known.age_ms, known.own), (100, 1));
 }
+
+#[test]
+fn the_record_of_a_stream_that_went_on_says_so() {
+    let mut stand = Stand::new();
+    let (request, outputs) = stand.ask("/drafts/1", Some("key"));
+    let first = sent(&outputs).unwrap();
+    stand.head(&first, 200, Some(0.9));
+    stand.events(&first, 3);
+    let second = sent(&stand.fail(&first, Verdict::MayHaveRun)).unwrap();
+    stand.head(&second, 200, Some(0.9));
+    let decision = stand.entry.history().get(request).unwrap();
+    assert_eq!(decision.tries[1].outcome, "went on with 200");
+}
