--- a/crates/daemon/src/hosted/feed.rs
+++ b/crates/daemon/src/hosted/feed.rs
@@ -16,6 +16,10 @@
 /// How long the operator's table is waited on: a configuration must be in force
 /// within 2 s even when a wait hangs on a connection that is dead.
 const WAIT_OPERATOR: Duration = Duration::from_millis(2_500);
+/// The same after it could not be read: a wait that hangs then must be given up, and
+/// the table read, before 3 s after the end of the trouble, from when on what came in
+/// force meanwhile counts. A hanging wait is given up 1.5 s after its time.
+const WAIT_FAILING: Duration = Duration::from_millis(500);
 /// How long the other tables are waited on; every call is priced.
 const WAIT_OTHERS: Duration = Duration::from_millis(20_000);
 /// How long after a change the next one is waited for, so that changes that come
@@ -125,11 +129,20 @@
         }
     }
 
+    /// Returns how long a change is waited for. The other tables are waited on anew
+    /// when the operator's can be read again.
+    fn wait(&self) -> Duration {
+        match (self.table, self.failures) {
+            (Table::Operator, 1..) => WAIT_FAILING,
+            _ => self.wait,
+        }
+    }
+
     async fn next(&self) -> Result<(Page, bool), Trouble> {
         match self.version {
             None => self.store.read(self.table).await.map(|page| (page, true)),
             Some(version) => {
-                let page = self.store.follow(self.table, version, self.wait).await?;
+                let page = self.store.follow(self.table, version, self.wait()).await?;
                 Ok((page, false))
             }
         }
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -454,6 +454,21 @@
     });
 }
 
+/// Found on reading: a wait that began just before the end of an outage could hang for
+/// 4 s, where what came in force meanwhile counts from 3 s after it.
+#[test]
+fn a_store_that_was_away_is_waited_on_for_less() {
+    task::block_on(async {
+        let stand = Stand::start().await;
+        let usual = || stand.store.waits().last().is_some_and(|wait| *wait > 500);
+        eventually("changes are waited for", || async { usual() }).await;
+        stand.store.set(Mood::Busy);
+        eventually("the waits are short", || async { !usual() }).await;
+        stand.store.set(Mood::Well);
+        eventually("the waits are long again", || async { usual() }).await;
+    });
+}
+
 #[test]
 fn an_entry_without_the_store_learns_from_another() {
     task::block_on(async {
--- a/crates/daemon/tests/hosted/store.rs
+++ b/crates/daemon/tests/hosted/store.rs
@@ -32,6 +32,7 @@
     forgotten: u64,
     mood: Mood,
     calls: u64,
+    waits: Vec<u64>,
 }
 
 /// The store.
@@ -65,6 +66,12 @@
         self.state.lock().unwrap().calls
     }
 
+    /// Returns how long changes of the operator's table were waited for, in
+    /// milliseconds, in the order of the calls.
+    pub fn waits(&self) -> Vec<u64> {
+        self.state.lock().unwrap().waits.clone()
+    }
+
     /// Forgets the history up to now.
     pub fn forget(&self) {
         let mut state = self.state.lock().unwrap();
@@ -108,6 +115,7 @@
             let mood = {
                 let mut state = self.state.lock().unwrap();
                 state.calls += 1;
+                state.waits.extend(operator_wait(&line));
                 state.mood
             };
             let (status, value) = match mood {
@@ -215,6 +223,19 @@
 
 /// Reads the first line and the body of a call; `None` when the other side
 /// closes.
+/// Returns how long a call waits for a change of the operator's table, if it does.
+fn operator_wait(line: &str) -> Option<u64> {
+    let (_, query) = line.split_once("/rows-feed?")?;
+    let value = |name: &str| {
+        let pairs = query.split([' ', '&']);
+        pairs
+            .filter_map(|p| p.split_once('='))
+            .find(|p| p.0 == name)
+    };
+    value("table").filter(|p| p.1 == "op")?;
+    value("wait-ms")?.1.parse().ok()
+}
+
 pub async fn read_call(stream: &mut TcpStream) -> Option<(String, Vec<u8>)> {
     let (head, body) = read_message(stream).await?;
     let line = head.lines().next()?.to_owned();
