--- a/crates/core/src/entry/routed/send.rs
+++ b/crates/core/src/entry/routed/send.rs
@@ -6,10 +6,11 @@
 use crate::wire::Order;
 
 impl Entry {
-    /// Chooses pool and release for a routed request.
-    fn choose_routed(&mut self, now: Time, flight: &mut Flight) -> Result<(), Failure> {
+    /// Chooses pool and release for a routed request, and the few upstreams to which
+    /// a release on trial is held.
+    fn choose_routed(&mut self, now: Time, flight: &mut Flight) -> Result<Option<Few>, Failure> {
         let Some(terms) = &flight.terms else {
-            return Ok(());
+            return Ok(None);
         };
         let session = flight.routed().and_then(|r| r.session);
         if flight.run.attempt == 0 && flight.run.step == 0 {
@@ -22,6 +23,9 @@
         let release = self
             .releases
             .choose(&flight.pool, session, draw, now, &present);
+        let few = release
+            .as_ref()
+            .and_then(|release| self.releases.few(&flight.pool, release, now, &present));
         flight.choice = release.map(|version| Choice {
             version,
             why: Why::Split,
@@ -29,7 +33,7 @@
         if let (Some(session), Some(choice)) = (session, &flight.choice) {
             self.releases.keep(session, &choice.version, now);
         }
-        Ok(())
+        Ok(few)
     }
 
     /// Sends a routed request to an upstream.
@@ -42,7 +46,7 @@
         if now >= flight.deadline {
             return Err(timed_out(flight));
         }
-        self.choose_routed(now, flight)?;
+        let few = self.choose_routed(now, flight)?;
         flight.name_chain();
         let wish = Wish {
             pool: &flight.pool,
@@ -55,7 +59,7 @@
             near: Near {
                 hall: self.settings.hall.as_ref(),
                 release: flight.version(),
-                few: self.few_of(flight, now),
+                few,
             },
         };
         let draw = self.rng.random::<f64>();
@@ -74,13 +78,6 @@
         Ok(())
     }
 
-    /// Returns the few upstreams to which a release on trial is held.
-    fn few_of(&self, flight: &Flight, now: Time) -> Option<Few> {
-        let present = self.peers.releases(&flight.pool);
-        self.releases
-            .few(&flight.pool, flight.version()?, now, &present)
-    }
-
     fn routed_start(&self, now: Time, flight: &Flight) -> Option<Start> {
         let (routed, terms) = (flight.routed()?, flight.terms.as_ref()?);
         let left = flight.deadline.since(now);
--- a/crates/core/src/release/moving.rs
+++ b/crates/core/src/release/moving.rs
@@ -119,10 +119,10 @@
             return Phase::Off;
         }
         // All entries must move at the same time, so little but the time decides.
-        match (self.schedule.stage(self.passed(now)), self.is_doubtful()) {
-            (Stage::All, false) => Phase::Moved,
-            (Stage::All, true) => Phase::Held,
-            (stage, _) => Phase::Trial(stage),
+        match self.schedule.stage(self.passed(now)) {
+            Stage::All if self.is_doubtful() => Phase::Held,
+            Stage::All => Phase::Moved,
+            stage => Phase::Trial(stage),
         }
     }
 
@@ -287,7 +287,7 @@
         match self.state {
             None => Some(State::Running),
             Some(State::Running) if self.bad => Some(State::RolledBack),
-            Some(State::Running) if self.is_doubtful() && self.part(now) >= GIVE_UP_AT => {
+            Some(State::Running) if self.part(now) >= GIVE_UP_AT && self.is_doubtful() => {
                 Some(State::RolledBack)
             }
             Some(State::Running) if self.phase(now) != Phase::Moved => None,
