Play random schedules over entries that hand tables to one another

Kills, freezes, cuts, slow links, doubled messages, a store that refuses, is silent or forgets, in simulated time: no row goes back, whoever reaches the store knows its changes within the bound, calls grow with data halls.

--- /dev/null
+++ b/crates/daemon/tests/relay.rs
@@ -0,0 +1,667 @@
+//! Random schedules over entries that hand the store's tables to one another: kills,
+//! freezes, cuts, slow links, doubled messages, a store that refuses, is silent or forgets.
+//!
+//! Simulated time, no socket. `SORRELDECK_CASES` sets the number of cases.
+
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use sorreldeck::follow::{Bounds, Peer, Reading};
+use sorreldeck::pick::Link;
+use sorreldeck::wire::Frame;
+use sorreldeck::{InstanceId, Span, Time};
+use sorreldeck_platform::store::{Page, Row};
+use sorreldeck_platform::Table;
+use sorreldeckd::hosted::{Mirror, News, Order, Relay};
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+/// The time within which a change must be known.
+const IN_FORCE: Span = Span::from_millis(4_000);
+/// How long after its last impairment an entry, or the store, is held to that.
+const CONTACT: Span = Span::from_millis(5_000);
+const TICK: Span = Span::from_millis(20);
+/// How long the tables besides the operator's are waited on.
+const WAIT_OTHERS: Span = Span::from_millis(20_000);
+/// How long a call hangs beyond its wait before it is given up.
+const HANGS: Span = Span::from_millis(1_500);
+
+fn cases() -> u64 {
+    let cases = std::env::var("SORRELDECK_CASES").ok();
+    cases.and_then(|n| n.parse().ok()).unwrap_or(24)
+}
+
+/// The store, with the time of each change.
+#[derive(Default)]
+struct Store {
+    version: u64,
+    rows: BTreeMap<(Table, String), Row>,
+    changes: Vec<(Time, Table, u64)>,
+    forgotten: u64,
+    calls: u64,
+    down_until: Time,
+    back_since: Time,
+    is_silent: bool,
+}
+
+impl Store {
+    fn put(&mut self, table: Table, key: &str, value: Option<Vec<u8>>, now: Time) {
+        self.version += 1;
+        let row = Row {
+            key: key.to_owned(),
+            value,
+            version: self.version,
+        };
+        self.rows.insert((table, key.to_owned()), row);
+        self.changes.push((now, table, self.version));
+    }
+
+    fn newest(&self, table: Table) -> u64 {
+        let of = self.rows.iter().filter(|((t, _), _)| *t == table);
+        of.map(|(_, row)| row.version).max().unwrap_or(0)
+    }
+
+    fn page(&self, table: Table, since: Option<u64>, now: Time) -> (Page, bool) {
+        let since = since.filter(|v| *v >= self.forgotten);
+        let of = self.rows.iter().filter(|((t, _), _)| *t == table);
+        let rows = of.map(|(_, row)| row.clone()).filter(|row| match since {
+            Some(version) => row.version > version,
+            None => row.value.is_some(),
+        });
+        let page = Page {
+            rows: rows.collect(),
+            version: self.version,
+            now: Duration::from_micros(now.0),
+        };
+        (page, since.is_none())
+    }
+}
+
+/// What an entry waits for at the store.
+#[derive(Clone, Copy, Debug, Default)]
+struct Poll {
+    /// Since when; `None` while nothing is asked.
+    since: Option<Time>,
+    pause_until: Time,
+    failures: u32,
+}
+
+struct Node {
+    peer: Peer,
+    relay: Relay,
+    mirror: Mirror,
+    reading: Reading,
+    polls: [Poll; 4],
+    /// Not running before.
+    down_until: Time,
+    /// Running, but standing still until then.
+    frozen_until: Time,
+    cut_until: Time,
+    /// Not reached by the store until then.
+    alone_until: Time,
+    well_since: Time,
+    /// The newest version that was seen of each row in this life.
+    seen: BTreeMap<(Table, String), u64>,
+}
+
+impl Node {
+    fn new(peer: Peer) -> Node {
+        Node {
+            relay: Relay::new(peer.clone(), Bounds::of(IN_FORCE)),
+            peer,
+            mirror: Mirror::default(),
+            reading: Reading::Nothing,
+            polls: [Poll::default(); 4],
+            down_until: Time::default(),
+            frozen_until: Time::default(),
+            cut_until: Time::default(),
+            alone_until: Time::default(),
+            well_since: Time::default(),
+            seen: BTreeMap::new(),
+        }
+    }
+
+    fn is_up(&self, now: Time) -> bool {
+        now >= self.down_until
+    }
+
+    fn is_running(&self, now: Time) -> bool {
+        self.is_up(now) && now >= self.frozen_until
+    }
+
+    fn impaired(&mut self, until: Time) {
+        self.well_since = self.well_since.max(until);
+    }
+}
+
+/// One end of a link: the entry, and the number that it knows the link by.
+type End = (usize, Link);
+
+enum Event {
+    Opened(usize, InstanceId, Option<(Link, End)>),
+    Frame(End, Box<Frame>),
+    Closed(End),
+}
+
+struct World {
+    rng: ChaCha8Rng,
+    now: Time,
+    store: Store,
+    nodes: Vec<Node>,
+    /// The other end of each link.
+    links: BTreeMap<End, End>,
+    events: BTreeMap<(Time, u64), Event>,
+    /// When the last message to an end arrives: they do not overtake each other.
+    last: BTreeMap<End, Time>,
+    next: Link,
+    order: u64,
+    /// Messages that take longer than usual until then.
+    slow_until: Time,
+}
+
+impl World {
+    fn new(seed: u64, halls: usize, entries: usize) -> World {
+        let mut world = World {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: Time(1_000_000),
+            store: Store::default(),
+            nodes: Vec::new(),
+            links: BTreeMap::new(),
+            events: BTreeMap::new(),
+            last: BTreeMap::new(),
+            next: 1,
+            order: 0,
+            slow_until: Time::default(),
+        };
+        for i in 0..entries {
+            let name = format!("e-{i}").parse().unwrap();
+            let hall = format!("h-{}", i % halls).parse().unwrap();
+            let address = format!("127.0.0.1:{}", 1 + i).parse().unwrap();
+            let peer = Peer::new(name, hall, address);
+            let value = serde_json::to_vec(&peer).unwrap();
+            let key = format!("entry/{}", peer.name);
+            world.store.put(Table::Own, &key, Some(value), world.now);
+            world.nodes.push(Node::new(peer));
+        }
+        world
+            .store
+            .put(Table::Operator, "x-0", Some(vec![1]), world.now);
+        world
+            .store
+            .put(Table::Progress, "x-0", Some(vec![1]), world.now);
+        world
+    }
+
+    fn delay(&mut self) -> Span {
+        let slow = self.now < self.slow_until;
+        let most = if slow { 250_000 } else { 3_000 };
+        Span::from_micros(self.rng.random_range(500..most))
+    }
+
+    fn at(&mut self, time: Time, event: Event) {
+        self.order += 1;
+        self.events.insert((time, self.order), event);
+    }
+
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        let cut = |n: &Node| self.now < n.cut_until;
+        !cut(&self.nodes[from]) && !cut(&self.nodes[to])
+    }
+
+    fn send(&mut self, from: End, frame: Frame) {
+        let Some(to) = self.links.get(&from).copied() else {
+            return;
+        };
+        if !self.reaches(from.0, to.0) {
+            return;
+        }
+        let due = self.now + self.delay();
+        let last = self.last.entry(to).or_default();
+        let due = due.max(*last);
+        *last = due;
+        if self.rng.random_bool(0.01) {
+            self.at(due, Event::Frame(to, Box::new(frame.clone())));
+        }
+        self.at(due, Event::Frame(to, Box::new(frame)));
+    }
+
+    fn carry_out(&mut self, node: usize, orders: Vec<Order>) {
+        for order in orders {
+            match order {
+                Order::Open(name, _) => self.open(node, name),
+                Order::Close(link) => self.close((node, link)),
+                Order::Send(link, frame) => self.send((node, link), frame),
+                Order::Read(reading) => {
+                    self.nodes[node].reading = reading;
+                    for (poll, table) in self.nodes[node].polls.iter_mut().zip(Table::ALL) {
+                        if !is_read(reading, table) {
+                            *poll = Poll::default();
+                        }
+                    }
+                }
+                Order::Told(..) => {}
+            }
+        }
+    }
+
+    fn open(&mut self, node: usize, name: InstanceId) {
+        let to = self.nodes.iter().position(|n| n.peer.name == name).unwrap();
+        let back = self.delay() + self.delay();
+        let is_there = self.nodes[to].is_up(self.now) && self.reaches(node, to);
+        if !is_there {
+            // A dead port refuses; behind a cut nothing answers.
+            let after = match self.reaches(node, to) {
+                true => back,
+                false => Span::from_millis(500),
+            };
+            return self.at(self.now + after, Event::Opened(node, name, None));
+        }
+        let (a, b) = ((node, self.next), (to, self.next + 1));
+        self.next += 2;
+        self.at(self.now + back, Event::Opened(node, name, Some((a.1, b))));
+    }
+
+    fn close(&mut self, end: End) {
+        if let Some(other) = self.links.remove(&end) {
+            self.links.remove(&other);
+            let due = self.now + self.delay();
+            self.at(due, Event::Closed(other));
+        }
+    }
+
+    fn deliver(&mut self, event: Event) {
+        let (now, frozen) = (self.now, self.is_frozen(&event));
+        if frozen {
+            return self.at(now + TICK, event);
+        }
+        match event {
+            Event::Opened(node, name, opened) => {
+                if !self.nodes[node].is_up(now) {
+                    return;
+                }
+                let link = opened.map(|(link, other)| {
+                    self.links.insert((node, link), other);
+                    self.links.insert(other, (node, link));
+                    link
+                });
+                let n = &mut self.nodes[node];
+                let orders = n.relay.opened(name, link, &n.mirror, now);
+                self.carry_out(node, orders);
+            }
+            Event::Frame(end, frame) => {
+                if !self.links.contains_key(&end) || !self.nodes[end.0].is_up(now) {
+                    return;
+                }
+                let n = &mut self.nodes[end.0];
+                let (news, orders) = n.relay.frame(end.1, *frame, &mut n.mirror, now);
+                self.take_news(end.0, news);
+                self.carry_out(end.0, orders);
+                let n = &mut self.nodes[end.0];
+                let orders = n.relay.hand_down(&n.mirror, now);
+                self.carry_out(end.0, orders);
+            }
+            Event::Closed(end) => {
+                self.links.remove(&end);
+                self.nodes[end.0].relay.closed(end.1, now);
+            }
+        }
+    }
+
+    fn is_frozen(&self, event: &Event) -> bool {
+        let node = match event {
+            Event::Opened(node, ..) => *node,
+            Event::Frame(end, _) | Event::Closed(end) => end.0,
+        };
+        self.nodes[node].is_up(self.now) && self.now < self.nodes[node].frozen_until
+    }
+
+    fn take_news(&mut self, node: usize, news: Vec<News>) {
+        for news in news {
+            if let News::Entry(peer) = news {
+                self.nodes[node].relay.learn(peer);
+            }
+        }
+    }
+
+    fn kill(&mut self, node: usize, until: Time) {
+        let ends: Vec<End> = self.links.keys().filter(|e| e.0 == node).copied().collect();
+        for end in ends {
+            self.close(end);
+        }
+        let mut fresh = Node::new(self.nodes[node].peer.clone());
+        fresh.down_until = until;
+        fresh.well_since = until.max(self.nodes[node].well_since);
+        fresh.cut_until = self.nodes[node].cut_until;
+        fresh.alone_until = self.nodes[node].alone_until;
+        self.nodes[node] = fresh;
+    }
+
+    fn is_store_up(&self, node: usize) -> bool {
+        self.now >= self.store.down_until && self.now >= self.nodes[node].alone_until
+    }
+
+    /// Lets an entry call the store as its followers of the tables do.
+    fn poll(&mut self, node: usize) {
+        for (number, table) in Table::ALL.into_iter().enumerate() {
+            let reading = self.nodes[node].reading;
+            let poll = self.nodes[node].polls[number];
+            if !is_read(reading, table) || self.now < poll.pause_until {
+                continue;
+            }
+            let since = poll.since.unwrap_or_else(|| {
+                self.store.calls += 1;
+                self.now
+            });
+            self.nodes[node].polls[number].since = Some(since);
+            match self.is_store_up(node) {
+                true => self.answer(node, table, since),
+                false => self.refuse(node, table, since),
+            }
+        }
+    }
+
+    fn answer(&mut self, node: usize, table: Table, since: Time) {
+        let now = self.now;
+        let n = &mut self.nodes[node];
+        let known = n.mirror.version(table);
+        let wait = match table {
+            Table::Operator if n.relay.takers() > 0 => n.relay.follow().bounds().wait,
+            Table::Operator => Span::from_millis(2_500),
+            _ => WAIT_OTHERS,
+        };
+        let news = known == 0 || self.store.newest(table) > known;
+        if !news && now.since(since) < wait {
+            return;
+        }
+        let (page, whole) = self.store.page(table, (known > 0).then_some(known), now);
+        let n = &mut self.nodes[node];
+        n.polls[table as usize] = Poll {
+            pause_until: now + Span::from_millis(250),
+            ..Poll::default()
+        };
+        if table == Table::Operator {
+            n.relay.reached(now);
+        }
+        let news = n.mirror.apply(table, page, whole, now);
+        self.take_news(node, news);
+        let n = &mut self.nodes[node];
+        if table == Table::Own {
+            n.relay.listed(now);
+            if n.reading == Reading::Entries {
+                n.polls[table as usize].pause_until = now + WAIT_OTHERS;
+            }
+        }
+        let orders = n.relay.hand_down(&n.mirror, now);
+        self.carry_out(node, orders);
+    }
+
+    fn refuse(&mut self, node: usize, table: Table, since: Time) {
+        let now = self.now;
+        let n = &mut self.nodes[node];
+        let silent = self.store.is_silent || n.peer.name.as_str().len() % 2 == 0;
+        let hangs = n.relay.follow().bounds().wait + HANGS;
+        if silent && now.since(since) < hangs {
+            return;
+        }
+        let pause = match (table, n.reading) {
+            (Table::Operator, Reading::Operator) => 2_000,
+            (Table::Operator, _) => 600,
+            (_, Reading::Entries) => 150,
+            _ => 2_000,
+        };
+        n.polls[table as usize] = Poll {
+            since: None,
+            pause_until: now + Span::from_millis(pause),
+            failures: 1,
+        };
+        n.mirror.failed(table, now);
+        n.relay.listed(now);
+        if table == Table::Operator {
+            n.relay.missed();
+        }
+    }
+
+    fn tick(&mut self) {
+        self.now = self.now + TICK;
+        while let Some(((time, _), _)) = self.events.first_key_value() {
+            if *time > self.now {
+                break;
+            }
+            let (_, event) = self.events.pop_first().unwrap();
+            self.deliver(event);
+        }
+        for node in 0..self.nodes.len() {
+            if !self.nodes[node].is_running(self.now) {
+                continue;
+            }
+            let (now, n) = (self.now, &mut self.nodes[node]);
+            let orders = n.relay.step(&n.mirror, now);
+            self.carry_out(node, orders);
+            self.poll(node);
+            self.check_rows(node);
+        }
+    }
+
+    /// No row goes back to an older version within one life.
+    fn check_rows(&mut self, node: usize) {
+        let n = &mut self.nodes[node];
+        for table in [Table::Operator, Table::Progress] {
+            for row in n.mirror.rows(table) {
+                let seen = n.seen.entry((table, row.key.clone())).or_default();
+                assert!(row.version >= *seen, "{} went back", row.key);
+                *seen = row.version;
+            }
+        }
+    }
+
+    /// Whoever has been without impairment for long knows what was changed long ago.
+    fn check_age(&self) {
+        let held = |since: Time| self.now.since(since) >= CONTACT && self.now >= since;
+        if !held(self.store.back_since) {
+            return;
+        }
+        for n in self.nodes.iter().filter(|n| held(n.well_since)) {
+            for table in [Table::Operator, Table::Progress] {
+                let due = self.store.changes.iter().rev();
+                let due = due.filter(|(_, t, _)| *t == table);
+                let mut due = due.filter(|(at, ..)| self.now.since(*at) >= IN_FORCE);
+                let Some((at, _, version)) = due.next() else {
+                    continue;
+                };
+                let known = n.mirror.version(table);
+                assert!(
+                    known >= *version,
+                    "{} at {:?} does not know {table:?} {version} of {:?} but {known}; reads {:?} of {:?}",
+                    n.peer.name,
+                    self.now,
+                    at,
+                    n.reading,
+                    n.relay.follow().sources(self.now),
+                );
+            }
+        }
+    }
+
+    /// Changes something at the store.
+    fn change(&mut self) {
+        let key = format!("x-{}", self.rng.random_range(0..6));
+        let table = match self.rng.random_bool(0.5) {
+            true => Table::Operator,
+            false => Table::Progress,
+        };
+        let value = self
+            .rng
+            .random_bool(0.8)
+            .then(|| vec![self.rng.next_u32() as u8]);
+        self.store.put(table, &key, value, self.now);
+    }
+
+    /// Impairs something for some seconds.
+    fn impair(&mut self) {
+        let until = self.now + Span::from_millis(self.rng.random_range(300..7_000));
+        let share = [0.05, 0.3, 0.9][self.rng.random_range(0..3)];
+        let kind = self.rng.random_range(0..9);
+        if kind >= 6 {
+            return self.impair_all(kind, until);
+        }
+        let readers = kind == 5;
+        for node in 0..self.nodes.len() {
+            let reads = self.nodes[node].reading == Reading::All;
+            if !(readers && reads || self.rng.random_bool(share)) {
+                continue;
+            }
+            match kind {
+                0 | 5 => self.kill(node, until),
+                1 => self.nodes[node].frozen_until = until,
+                2 => self.nodes[node].cut_until = until,
+                3 => self.nodes[node].alone_until = until,
+                _ => {
+                    self.nodes[node].cut_until = until;
+                    self.nodes[node].alone_until = until;
+                }
+            }
+            self.nodes[node].impaired(until);
+        }
+    }
+
+    fn impair_all(&mut self, kind: usize, until: Time) {
+        match kind {
+            6 => {
+                self.store.down_until = until;
+                self.store.back_since = self.store.back_since.max(until);
+                self.store.is_silent = self.rng.random_bool(0.5);
+            }
+            7 => self.store.forgotten = self.store.version,
+            _ => {
+                self.slow_until = until;
+                for node in &mut self.nodes {
+                    node.impaired(until);
+                }
+            }
+        }
+    }
+
+    /// Only those that read: killed, frozen or cut off, while all others are well.
+    fn impair_readers(&mut self) {
+        let until = self.now + Span::from_millis(self.rng.random_range(2_000..9_000));
+        let kind = self.rng.random_range(0..4);
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].reading != Reading::All {
+                continue;
+            }
+            match kind {
+                0 => self.kill(node, until),
+                1 => self.nodes[node].frozen_until = until,
+                2 => self.nodes[node].alone_until = until,
+                _ => self.nodes[node].cut_until = until,
+            }
+            self.nodes[node].impaired(until);
+        }
+    }
+}
+
+fn is_read(reading: Reading, table: Table) -> bool {
+    match reading {
+        Reading::Nothing => false,
+        Reading::Entries => table == Table::Own,
+        Reading::Operator => table == Table::Operator,
+        Reading::All => true,
+    }
+}
+
+/// Plays a schedule; returns the steps of single entries.
+fn play(seed: u64) -> u64 {
+    let mut dice = ChaCha8Rng::seed_from_u64(seed);
+    let (halls, entries) = (dice.random_range(1..=5), dice.random_range(2..=40));
+    let mut world = World::new(seed, halls, entries);
+    let mut impairs: VecDeque<u64> = (0..6).map(|i| 500 + i * 400).collect();
+    for step in 0..3_000u64 {
+        if world.rng.random_bool(0.02) {
+            world.change();
+        }
+        if impairs.front() == Some(&step) {
+            impairs.pop_front();
+            match world.rng.random_bool(0.4) {
+                true => world.impair_readers(),
+                false => world.impair(),
+            }
+        }
+        world.tick();
+        world.check_age();
+    }
+    3_000 * entries as u64
+}
+
+#[test]
+fn whoever_reaches_the_store_knows_its_changes_in_time() {
+    let steps: u64 = (0..cases()).map(play).sum();
+    assert!(cases() < 24 || steps > 1_000_000, "{steps} steps");
+}
+
+/// Calls of the store in a minute without impairments, from the start on.
+fn calls_of(halls: usize, entries: usize) -> u64 {
+    let mut world = World::new(7, halls, entries);
+    for step in 0..3_000 {
+        if step % 500 == 0 {
+            world.change();
+        }
+        world.tick();
+        world.check_age();
+    }
+    world.store.calls
+}
+
+#[test]
+fn calls_of_the_store_grow_with_data_halls_and_not_with_entries() {
+    let few = calls_of(4, 16);
+    let many = calls_of(4, 96);
+    // Each entry reads the list of entries once.
+    assert!(many <= few + 96, "16 entries: {few}, 96: {many}");
+    let small = calls_of(3, 3);
+    assert!(small < 3 * 60, "three entries that all read: {small}");
+    assert!(few < 4 * 60 + 16, "four halls: {few}");
+}
+
+/// A loss of all readers at once costs the others no call each.
+#[test]
+fn a_loss_of_all_readers_is_made_good_by_few_calls() {
+    let mut world = World::new(3, 4, 80);
+    for _ in 0..500 {
+        world.tick();
+    }
+    let before = world.store.calls;
+    let until = world.now + Span::from_millis(6_000);
+    for node in 0..world.nodes.len() {
+        if world.nodes[node].reading == Reading::All {
+            world.kill(node, until);
+        }
+    }
+    for _ in 0..250 {
+        world.tick();
+    }
+    let reading = world.nodes.iter().filter(|n| n.reading == Reading::All);
+    assert!((4..=12).contains(&reading.count()));
+    let calls = world.store.calls - before;
+    assert!(calls < 100, "{calls} calls in 5 s");
+}
+
+/// When the store comes back, not all entries ask it at once.
+#[test]
+fn an_outage_of_the_store_makes_few_calls() {
+    let mut world = World::new(5, 4, 80);
+    for _ in 0..500 {
+        world.tick();
+    }
+    let before = world.store.calls;
+    world.store.down_until = world.now + Span::from_millis(8_000);
+    for _ in 0..400 {
+        world.tick();
+    }
+    let during = world.store.calls - before;
+    // Before, 80 entries with four followers that ask each 0.6 s came to over 4,000.
+    assert!(during < 800, "{during} calls in an outage of 8 s");
+    for _ in 0..100 {
+        world.tick();
+    }
+    let after = world.store.calls - before - during;
+    assert!(after < 120, "{after} calls in the 2 s after it");
+}
