Let some links be slow in the schedules, and test what is handed on row by row

With links of 20 to 200 ms and late doubled messages the schedules are red without the version check, and the loss of all readers is red without the next in rank.

--- a/crates/core/src/follow/mod.rs
+++ b/crates/core/src/follow/mod.rs
@@ -47,8 +47,8 @@
 /// and the reading take 50.
 const START_WAIT: Span = Span::from_millis(100);
 /// How long an entry that reads the operator's table for want of a source goes on with
-/// that alone: when the store comes back, most sources are back within their pause of
-/// 0.6 s, and reading all tables meanwhile would cost as many calls as there are entries.
+/// that alone once the store is back: most sources are back within their pause of 0.6 s,
+/// and reading all tables meanwhile would cost four calls for each entry.
 const SETTLE: Span = Span::from_millis(500);
 /// How long an entry goes on reading that need not any more, so that a source which comes
 /// and goes does not make it begin anew each time.
@@ -150,9 +150,10 @@
     asked: bool,
     /// When this entry heard the store last, itself or through a source.
     heard: Option<Time>,
-    /// Since when this entry has read the store without a source; `None` while it has one
-    /// or cannot reach the store either.
+    /// When the store has answered this entry, which reads it for want of a source.
     settling: Option<Time>,
+    /// Whether the store has not answered it before that.
+    missed: bool,
     /// When reading was last needed.
     needed: Option<Time>,
 }
@@ -173,6 +174,7 @@
             asked: false,
             heard: None,
             settling: None,
+            missed: false,
             needed: None,
         };
         follow.learn(own);
@@ -251,6 +253,7 @@
     /// Notes that the store did not answer this entry.
     pub fn missed(&mut self) {
         self.settling = None;
+        self.missed = true;
     }
 
     /// Notes that the link to an entry is open.
@@ -296,9 +299,8 @@
     fn read(&mut self, reading: Reading, mut actions: Vec<Action>) -> Vec<Action> {
         if self.reading != reading {
             self.reading = reading;
-            if reading != Reading::Operator {
-                self.settling = None;
-            }
+            self.settling = None;
+            self.missed = false;
             actions.push(Action::Read(reading));
         }
         actions
@@ -415,7 +417,12 @@
         if walk.warming > 0 && self.reading == Reading::Nothing {
             return Reading::Nothing;
         }
-        match self.settling.is_some_and(|at| now.since(at) >= SETTLE) {
+        // Where the store answers at once, only the sources are in trouble.
+        let settle = match self.missed {
+            true => SETTLE,
+            false => Span::default(),
+        };
+        match self.settling.is_some_and(|at| now.since(at) >= settle) {
             true => Reading::All,
             false => Reading::Operator,
         }
--- a/crates/daemon/tests/mirror.rs
+++ b/crates/daemon/tests/mirror.rs
@@ -4,7 +4,7 @@
 use sorreldeck::Time;
 use sorreldeck_platform::store::{Page, Row};
 use sorreldeck_platform::Table;
-use sorreldeckd::hosted::{Mirror, News};
+use sorreldeckd::hosted::{Mirror, News, Taken};
 use std::time::Duration;
 
 fn at(ms: u64) -> Time {
@@ -180,3 +180,82 @@
     let news = mirror.apply(Table::Operator, page(vec![order(7)], 7), false, at(0));
     assert_eq!(state(&news), None);
 }
+
+/// A mirror that has its tables from `mirror`, whose upstreams changed since version 10.
+fn handed(teller: &mut Mirror, have: u64) -> sorreldeck::wire::TableDelta {
+    let rows = vec![row("i-0", "draining", 11), gone("i-1", 12)];
+    teller.apply(Table::Upstreams, page(rows, 13), false, at(100));
+    teller.delta(Table::Upstreams, have).unwrap()
+}
+
+#[test]
+fn changes_that_are_handed_on_tell_the_same() {
+    let (mut teller, mut taker) = (mirror(), mirror());
+    let delta = handed(&mut teller, 10);
+    assert_eq!(
+        (delta.since, delta.version, delta.rows.len()),
+        (Some(10), 13, 2)
+    );
+    let Taken::News(news) = taker.take(delta.clone(), at(200)) else {
+        panic!("nothing was taken in");
+    };
+    assert_eq!(retired(&news), ["i-0", "i-1"]);
+    assert_eq!(taker.version(Table::Upstreams), 13);
+    assert!(matches!(taker.take(delta, at(300)), Taken::Old), "doubled");
+}
+
+#[test]
+fn who_knows_nothing_gets_the_whole_table() {
+    let mut teller = mirror();
+    let delta = handed(&mut teller, 0);
+    assert_eq!((delta.since, delta.rows.len()), (None, 7));
+    let mut taker = Mirror::default();
+    let Taken::News(news) = taker.take(delta, at(200)) else {
+        panic!("nothing was taken in");
+    };
+    assert_eq!(news.len(), 6, "one of the seven is leaving: {news:?}");
+}
+
+#[test]
+fn changes_whose_beginning_is_missing_are_not_taken_in() {
+    let mut teller = mirror();
+    let delta = handed(&mut teller, 11);
+    let mut taker = mirror();
+    assert!(matches!(taker.take(delta, at(200)), Taken::Gap));
+    assert_eq!(taker.version(Table::Upstreams), 10);
+}
+
+#[test]
+fn what_is_older_changes_nothing_though_it_came_another_way() {
+    let (mut teller, mut taker) = (mirror(), mirror());
+    let old = handed(&mut teller, 10);
+    let rows = vec![gone("i-0", 11), gone("i-1", 12), row("i-8", "ready", 14)];
+    taker.apply(Table::Upstreams, page(rows, 14), false, at(150));
+    assert!(matches!(taker.take(old, at(200)), Taken::Old));
+    assert_eq!(taker.version(Table::Upstreams), 14);
+    assert!(taker.row(Table::Upstreams, "i-0").is_none());
+}
+
+/// A configuration takes some 20 KB, so the changes that are remembered are bounded by
+/// their bytes; who is behind them gets the whole table.
+#[test]
+fn changes_that_are_forgotten_are_handed_on_as_the_whole_table() {
+    let mut teller = Mirror::default();
+    let big = |version| Row {
+        key: "x".into(),
+        value: Some(vec![0; 20_000]),
+        version,
+    };
+    teller.apply(Table::Own, page(vec![big(1)], 1), true, at(0));
+    for version in 2..40 {
+        teller.apply(
+            Table::Own,
+            page(vec![big(version)], version),
+            false,
+            at(version),
+        );
+    }
+    assert_eq!(teller.delta(Table::Own, 2).unwrap().since, None);
+    assert_eq!(teller.delta(Table::Own, 38).unwrap().since, Some(38));
+    assert!(teller.delta(Table::Own, 39).is_none());
+}
--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -150,6 +150,8 @@
     /// The other end of each link.
     links: BTreeMap<End, End>,
     events: BTreeMap<(Time, u64), Event>,
+    /// What messages take longer over some links than over others.
+    delays: BTreeMap<End, Span>,
     /// When the last message to an end arrives: they do not overtake each other.
     last: BTreeMap<End, Time>,
     next: Link,
@@ -167,6 +169,7 @@
             nodes: Vec::new(),
             links: BTreeMap::new(),
             events: BTreeMap::new(),
+            delays: BTreeMap::new(),
             last: BTreeMap::new(),
             next: 1,
             order: 0,
@@ -214,12 +217,14 @@
         if !self.reaches(from.0, to.0) {
             return;
         }
-        let due = self.now + self.delay();
+        let own = self.delays.get(&from).copied().unwrap_or_default();
+        let due = self.now + self.delay() + own;
         let last = self.last.entry(to).or_default();
         let due = due.max(*last);
         *last = due;
-        if self.rng.random_bool(0.01) {
-            self.at(due, Event::Frame(to, Box::new(frame.clone())));
+        if self.rng.random_bool(0.05) {
+            let late = due + Span::from_millis(self.rng.random_range(0..800));
+            self.at(late, Event::Frame(to, Box::new(frame.clone())));
         }
         self.at(due, Event::Frame(to, Box::new(frame)));
     }
@@ -257,6 +262,11 @@
         }
         let (a, b) = ((node, self.next), (to, self.next + 1));
         self.next += 2;
+        if self.rng.random_bool(0.2) {
+            let delay = Span::from_millis(self.rng.random_range(20..200));
+            self.delays.insert(a, delay);
+            self.delays.insert(b, delay);
+        }
         self.at(self.now + back, Event::Opened(node, name, Some((a.1, b))));
     }
 
@@ -578,6 +588,9 @@
         if world.rng.random_bool(0.02) {
             world.change();
         }
+        if step % 500 < 100 && world.rng.random_bool(0.2) {
+            world.change();
+        }
         if impairs.front() == Some(&step) {
             impairs.pop_front();
             match world.rng.random_bool(0.4) {
