Tell when the store was heard on its own clock, and only where all tables were

Found by the schedules, 4 of 1,500 cases, each staler than the bound of 4 s: - an age told in a circle grew too slowly where messages took longer than what was added for a link; told now as a time on the store's clock; - an entry that read only the operator's table, or whose other tables hung, counted as new; now all tables must have answered since the store was away; - an entry between sources that came and went tried one after the other; it reads the store after one attempt; - the first call of a follower waited for a change; it is answered at once now. 1,000 cases are green since. Ruled out: the bound of the schedule, which is that of the settings.

--- a/crates/core/src/follow/contact.rs
+++ b/crates/core/src/follow/contact.rs
@@ -89,13 +89,11 @@
         self.rests_until = Some(now + rest);
     }
 
-    /// Takes in what it tells; returns when the store was heard.
-    pub fn heard(&mut self, word: Word, now: Time) -> Option<Time> {
-        let at = word.age.map(|age| Time(now.0.saturating_sub(age.micros())));
+    /// Takes in what it tells.
+    pub fn heard(&mut self, word: Word, now: Time) {
         self.heard = Some(now);
-        self.store = self.store.max(at);
+        self.store = self.store.max(word.store);
         self.leaving = word.leaving;
-        at
     }
 
     /// Returns how the entry does; one that does well was not in vain.
--- a/crates/core/src/follow/mod.rs
+++ b/crates/core/src/follow/mod.rs
@@ -70,10 +70,6 @@
     /// How long a source may take to be linked and to have read the store for the first
     /// time.
     pub warm: Span,
-    /// What is added to an age with each link that it goes over, so that what entries tell
-    /// one another in a circle grows old faster than the time passes, as long as a
-    /// message takes no longer than this.
-    pub hop: Span,
 }
 
 impl Bounds {
@@ -90,7 +86,6 @@
             wait: part(400),
             stale: part(575),
             warm: part(125),
-            hop: part(25),
         }
     }
 }
@@ -123,9 +118,9 @@
 /// What a source tells about itself with each message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Word {
-    /// How long ago the store was heard, by the source itself or by one of its own
-    /// sources; `None` if it never was.
-    pub age: Option<Span>,
+    /// When the store was heard, by the source itself or by one of its own sources, on
+    /// this process's clock; `None` if it never was.
+    pub store: Option<Time>,
     /// Whether the source is about to stop.
     pub leaving: bool,
 }
@@ -150,6 +145,8 @@
     asked: bool,
     /// When this entry heard the store last, itself or through a source.
     heard: Option<Time>,
+    /// Since when no source is new enough.
+    bare: Option<Time>,
     /// When the store has answered this entry, which reads it for want of a source.
     settling: Option<Time>,
     /// Whether the store has not answered it before that.
@@ -173,6 +170,7 @@
             informed: false,
             asked: false,
             heard: None,
+            bare: None,
             settling: None,
             missed: false,
             needed: None,
@@ -201,9 +199,9 @@
         self.heard.map(|at| now.since(at))
     }
 
-    /// Returns the age that is told to those that have the tables from here.
-    pub fn told_age(&self, now: Time) -> Option<Span> {
-        self.age(now).map(|age| age + self.bounds.hop)
+    /// Returns when the store was heard, by whatever way.
+    pub fn heard_at(&self) -> Option<Time> {
+        self.heard
     }
 
     /// Returns the sources that are new enough.
@@ -242,9 +240,13 @@
         self.asked = asked;
     }
 
+    /// Notes that this entry had all tables from the store at a time.
+    pub fn complete(&mut self, at: Time) {
+        self.heard = self.heard.max(Some(at));
+    }
+
     /// Notes that the store has answered this entry.
     pub fn reached(&mut self, now: Time) {
-        self.heard = Some(now);
         if self.reading == Reading::Operator {
             self.settling.get_or_insert(now);
         }
@@ -275,8 +277,8 @@
         let Some(contact) = self.contacts.get_mut(name) else {
             return;
         };
-        let at = contact.heard(word, now);
-        self.heard = self.heard.max(at);
+        contact.heard(word, now);
+        self.heard = self.heard.max(word.store);
     }
 
     /// Returns what is to be done now.
@@ -394,10 +396,12 @@
     fn wanted(&mut self, walk: &Walk, now: Time) -> Reading {
         let must = walk.own || self.asked;
         if must {
+            self.bare = None;
             self.needed = Some(now);
             return Reading::All;
         }
         if walk.fresh > 0 {
+            self.bare = None;
             let lingers = self.needed.is_some_and(|at| now.since(at) < LINGER);
             return match (self.reading, lingers) {
                 (Reading::All, true) => Reading::All,
@@ -414,7 +418,11 @@
                 false => Reading::Nothing,
             };
         }
-        if walk.warming > 0 && self.reading == Reading::Nothing {
+        // The next in rank have the time of one attempt; those after them would take it too
+        // long, one after the other.
+        let bare = *self.bare.get_or_insert(now);
+        let hopes = walk.warming > 0 && now.since(bare) < self.bounds.warm;
+        if hopes && self.reading == Reading::Nothing {
             return Reading::Nothing;
         }
         // Where the store answers at once, only the sources are in trouble.
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -227,8 +227,9 @@
 /// What an entry tells those that have the tables of the platform's store from it.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Feed {
-    /// How long ago the store was heard, in microseconds; `None` if it never was.
-    pub age_us: Option<u64>,
+    /// When the store was heard last, on its own clock, in microseconds; `None` if it never
+    /// was. An age would grow too slowly where entries tell it one another in a circle.
+    pub heard_us: Option<u64>,
     /// The time on the store's clock, in microseconds, where it is known.
     pub clock_us: Option<u64>,
     /// Whether the store did not answer the last time.
--- a/crates/daemon/src/hosted/feed.rs
+++ b/crates/daemon/src/hosted/feed.rs
@@ -127,6 +127,7 @@
                 table,
                 wanted: feed.wanted[number].clone(),
                 version: None,
+                answered: false,
                 failures: 0,
             };
             task::spawn(follower.work(rung, bells));
@@ -200,6 +201,8 @@
     table: Table,
     wanted: Arc<Wanted>,
     version: Option<u64>,
+    /// Whether the store has answered since the reading began.
+    answered: bool,
     failures: u32,
 }
 
@@ -217,12 +220,18 @@
             };
             let pause = match turn {
                 Turn::Read(read) => self.tell(read, &bells).await,
-                Turn::Anew => Some(Duration::ZERO),
+                Turn::Anew => {
+                    self.answered = false;
+                    Some(Duration::ZERO)
+                }
                 Turn::End => None,
             };
             let Some(pause) = pause else {
                 return;
             };
+            if pause.is_zero() {
+                continue;
+            }
             let paused = async {
                 task::sleep(pause).await;
                 Turn::Anew
@@ -254,6 +263,8 @@
         let handed = Duration::from_micros(self.wanted.wait.load(Ordering::Relaxed));
         match (self.table, self.failures) {
             (Table::Operator, 1..) => WAIT_FAILING,
+            // That nothing has changed must be known at once when the reading begins.
+            _ if !self.answered => Duration::ZERO,
             (Table::Operator, _) if handed.is_zero() => WAIT_OPERATOR,
             (Table::Operator, _) => handed.min(WAIT_OPERATOR),
             _ => WAIT_OTHERS,
@@ -284,6 +295,7 @@
         let told = match told {
             Ok((page, whole)) => {
                 self.version = Some(page.version);
+                self.answered = true;
                 let once = (Task::Once as u8, Task::Rest as u8);
                 // The loop may want more already; then that holds.
                 let _ = self.wanted.task.compare_exchange(
@@ -308,6 +320,7 @@
             }
             Err(trouble) => {
                 self.failures += 1;
+                self.answered = false;
                 Update::Failed(trouble)
             }
         };
--- a/crates/daemon/src/hosted/mirror.rs
+++ b/crates/daemon/src/hosted/mirror.rs
@@ -172,6 +172,12 @@
         Some((now.0 as i64 - ahead).max(0) as u64)
     }
 
+    /// Returns a time on the store's clock as one on this process's clock, if one was heard.
+    pub fn own_time(&self, micros: u64) -> Option<Time> {
+        let ahead = self.ahead?;
+        Some(Time((micros as i64 + ahead).max(0) as u64))
+    }
+
     /// Notes that a table could not be read.
     pub fn failed(&mut self, table: Table, now: Time) {
         let copy = self.tables.entry(table).or_default();
@@ -347,8 +353,8 @@
     /// Returns when the record of a move was begun, on this process's clock.
     fn began(&self, key: &str) -> Option<Time> {
         let row = self.row(Table::Own, key)?.value.as_deref()?;
-        let micros: i64 = std::str::from_utf8(row).ok()?.parse().ok()?;
-        Some(Time((micros + self.ahead?).max(0) as u64))
+        let micros: u64 = std::str::from_utf8(row).ok()?.parse().ok()?;
+        self.own_time(micros)
     }
 
     fn own_news(&mut self, changed: &[String]) -> Vec<News> {
--- a/crates/daemon/src/hosted/relay.rs
+++ b/crates/daemon/src/hosted/relay.rs
@@ -72,6 +72,10 @@
     found: Found,
     /// Whether the store did not answer this entry the last time.
     failing: bool,
+    /// Which tables the store has answered for since it was away, or since they are read.
+    answered: [bool; 4],
+    /// When it has answered for the operator's.
+    operator: Time,
     /// Whether this entry is about to stop.
     leaving: bool,
 }
@@ -86,6 +90,8 @@
             takers: BTreeMap::new(),
             found: Found::default(),
             failing: false,
+            answered: [false; 4],
+            operator: Time::default(),
             leaving: false,
         }
     }
@@ -110,11 +116,24 @@
         self.follow.listed(now);
     }
 
-    /// Notes that the store has answered; those that have the tables from here are told at
-    /// once, since to them the age of the last answer counts.
-    pub fn reached(&mut self, now: Time) {
-        self.failing = false;
-        self.follow.reached(now);
+    /// Notes that the store has answered for a table.
+    ///
+    /// The operator's is asked often, the others are waited on for long: what is known is as
+    /// new as the last answer for the operator's once all have answered since the store was
+    /// away. Those that have the tables from here are told at once, since to them the age
+    /// of that answer counts.
+    pub fn reached(&mut self, table: Table, now: Time) {
+        self.answered[table as usize] = true;
+        if table == Table::Operator {
+            self.failing = false;
+            self.operator = now;
+            self.follow.reached(now);
+        }
+        let whole = self.follow.reading() == Reading::All;
+        if !whole || self.answered.contains(&false) {
+            return;
+        }
+        self.follow.complete(self.operator);
         for taker in self.takers.values_mut() {
             taker.sent = Time::default();
         }
@@ -123,6 +142,7 @@
     /// Notes that the store has not answered.
     pub fn missed(&mut self) {
         self.failing = true;
+        self.answered = [false; 4];
         self.follow.missed();
     }
 
@@ -196,6 +216,7 @@
                 Action::Open(name, address) => orders.push(Order::Open(name, address)),
                 Action::Read(reading) => {
                     self.failing &= reading != Reading::Nothing;
+                    self.answered = [false; 4];
                     orders.push(Order::Read(reading));
                 }
                 Action::Close(name) => {
@@ -239,7 +260,7 @@
             false => Vec::new(),
         };
         let feed = Feed {
-            age_us: self.follow.told_age(now).map(Span::micros),
+            heard_us: self.follow.heard_at().and_then(|at| mirror.store_time(at)),
             clock_us: mirror.store_time(now),
             failing: self.failing,
             leaving: self.leaving,
@@ -327,14 +348,14 @@
         let Some(source) = self.sources.get_mut(&link) else {
             return (Vec::new(), Vec::new());
         };
+        if let Some(clock) = feed.clock_us {
+            mirror.note_clock(clock, now);
+        }
         let word = Word {
-            age: feed.age_us.map(Span::from_micros),
+            store: feed.heard_us.and_then(|micros| mirror.own_time(micros)),
             leaving: feed.leaving,
         };
         self.follow.heard(&source.name, word, now);
-        if let Some(clock) = feed.clock_us {
-            mirror.note_clock(clock, now);
-        }
         if feed.failing {
             // Rows that vanish next may be leases that lapsed while the store was away.
             mirror.troubled(now);
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -384,8 +384,8 @@
         if self.mirror.is_failing(table) {
             info!("event=store-regained table={table:?}");
         }
+        self.relay.reached(table, now);
         if table == Table::Operator {
-            self.relay.reached(now);
             self.failing_since = None;
             self.in_vain = 0;
         }
