Tell the other entries of long prompts, and count them where they were sent

Change: a prompt that takes 100 ms or more to be read is told over the links between entries (some 60 ms) and counts at its upstream until it has been read, by the rate learned for its model (pick/backlog.rs).

--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -133,6 +133,9 @@
     Move(release::Order, Option<release::State>, Option<Time>),
     /// What the other entries of a data hall tell of a move.
     Told(PoolId, Hall, release::Report),
+    /// Another entry sent an upstream, which a number stands for, a prompt that takes this
+    /// long to be read.
+    Reads(u64, Span),
     /// The number of entries that share the limits.
     Entries(usize),
     /// The claim of an idempotency key succeeded or failed.
@@ -198,6 +201,9 @@
     Ahead(Link, Revision),
     /// A version has just become suspect.
     Suspect(VersionId),
+    /// Tell other entries that an upstream, which a number stands for, has a prompt to read
+    /// that takes this long.
+    Reads(u64, Span),
     /// A request has ended, for the histograms.
     Ended(Done),
 }
@@ -303,6 +309,7 @@
                     log::warn!("event=release-bad pool={pool} by=others");
                 }
             }
+            Input::Reads(number, reading) => self.peers.told(number, reading, now),
             Input::Entries(n) => self.set_entries(n),
             Input::Claimed(request, claim) => self.claimed(now, request, claim, &mut out),
             Input::Rated(rating) => self.rated(rating, &mut out),
--- a/crates/core/src/entry/routed/send.rs
+++ b/crates/core/src/entry/routed/send.rs
@@ -1,10 +1,14 @@
 //! How a routed request is sent to an upstream.
 
 use super::*;
-use crate::pick::{self, Chosen, Near};
+use crate::pick::{self, Chosen, Near, Peer};
 use crate::release::Few;
 use crate::wire::Order;
 
+/// The reading from which on other entries are told of it: it reaches them after some
+/// 60 ms, and what is shorter is mostly over by then.
+const TELL_FROM: Span = Span::from_millis(100);
+
 impl Entry {
     /// Chooses pool and release for a routed request, and the few upstreams to which
     /// a release on trial is held.
@@ -76,6 +80,10 @@
         self.begin_run(now, flight, chosen.link)?;
         let outlook = self.outlook(subject.as_ref(), &chosen);
         self.peers.reads(chosen.link, outlook.reading);
+        if outlook.reading >= TELL_FROM {
+            let number = self.peers.get(chosen.link).map(Peer::number);
+            out.extend(number.map(|number| Output::Reads(number, outlook.reading)));
+        }
         self.history.note(flight.ask.request, |decision| {
             if let Some(last) = decision.tries.last_mut() {
                 last.due = Some(outlook.due());
--- a/crates/core/src/follow/mod.rs
+++ b/crates/core/src/follow/mod.rs
@@ -189,6 +189,12 @@
         self.reading
     }
 
+    /// Returns whether an entry is in the data hall of this one.
+    pub fn is_near(&self, name: &InstanceId) -> bool {
+        let peer = self.peers.get(name);
+        peer.is_some_and(|p| p.hall == self.own.hall)
+    }
+
     /// Returns how many entries are known, with this one.
     pub fn entries(&self) -> usize {
         self.peers.len()
--- a/crates/core/src/pick/mod.rs
+++ b/crates/core/src/pick/mod.rs
@@ -18,6 +18,7 @@
 //! # Ok::<(), sorreldeck::Error>(())
 //! ```
 
+mod backlog;
 mod peer;
 
 pub use peer::{behind, Peer};
@@ -130,7 +131,7 @@
     pub link: Link,
     /// The tokens of the prompt that it has to read.
     pub fresh: u32,
-    /// The reading that this entry sent there before and that has not ended.
+    /// The reading that this entry and others sent there before and that has not ended.
     pub unread: Span,
 }
 
@@ -226,6 +227,14 @@
         }
     }
 
+    /// Notes that another entry sent an upstream a prompt that takes this long to be read.
+    pub fn told(&mut self, number: u64, reading: Span, now: Time) {
+        let peer = self.peers.values_mut().find(|p| p.number() == number);
+        if let Some(peer) = peer {
+            peer.told(reading, now);
+        }
+    }
+
     /// Sets where an upstream is and what it runs.
     pub fn settle(&mut self, link: Link, place: Place) {
         if let Some(peer) = self.peers.get_mut(&link) {
@@ -346,7 +355,7 @@
         Some(Chosen {
             link,
             fresh: peer.fresh(wish, home == Some(link), now),
-            unread: peer.unread,
+            unread: peer.unread(now),
         })
     }
 
--- a/crates/core/src/pick/peer.rs
+++ b/crates/core/src/pick/peer.rs
@@ -1,5 +1,6 @@
 //! One upstream as an entry sees it, and how it is scored.
 
+use super::backlog::Backlog;
 use super::{Place, Prefix, Wish};
 use crate::entry::Known;
 use crate::id::UpstreamId;
@@ -73,6 +74,8 @@
     pub tokens_since: u32,
     /// The reading sent by this entry that has not ended, where runs tell when it has.
     pub unread: Span,
+    /// The reading that other entries told of.
+    others: Backlog,
     /// Whether it said goodbye.
     pub leaving: bool,
     /// Where it is and what it runs.
@@ -101,6 +104,7 @@
             since_report: 0,
             tokens_since: 0,
             unread: Span::default(),
+            others: Backlog::default(),
             leaving: false,
             place: Place::default(),
             heard: Time::default(),
@@ -157,6 +161,21 @@
         !self.leaving && release.is_none_or(|r| self.place.release.as_ref() == Some(r))
     }
 
+    /// Returns the number that stands for its name between entries.
+    pub fn number(&self) -> u64 {
+        self.seed
+    }
+
+    /// Notes a reading that another entry sent there.
+    pub(super) fn told(&mut self, reading: Span, now: Time) {
+        self.others.add(reading, now);
+    }
+
+    /// Returns what is to be read there, as far as this entry knows.
+    pub(super) fn unread(&self, now: Time) -> Span {
+        self.unread + self.others.left(now)
+    }
+
     /// Returns what crossing to the upstream's data hall costs, in microseconds.
     pub(super) fn crossing(&self, wish: &Wish) -> u64 {
         let there = wish.near.hall.zip(self.place.hall.as_ref());
@@ -195,16 +214,16 @@
     /// Returns the expected time to the first token, in microseconds.
     pub(super) fn first_token(&self, wish: &Wish, is_home: bool, now: Time) -> u64 {
         let fresh = u64::from(self.fresh(wish, is_home, now));
-        let work = self.work(wish.rate, fresh);
+        let work = self.work(wish.rate, fresh, now);
         let reread = wish.shared.map_or(0, |_| fresh * REREAD_US);
         self.queue(wish.urgent, now) + work + reread + self.crossing(wish)
     }
 
     /// Returns how long reading these tokens takes, and what is read before them, in
     /// microseconds.
-    fn work(&self, rate: Option<Rate>, fresh: u64) -> u64 {
+    fn work(&self, rate: Option<Rate>, fresh: u64, now: Time) -> u64 {
         let (rate, before) = match (self.load.prefill, rate) {
-            (0, Some(learned)) => (learned.per_second(), behind(self.unread)),
+            (0, Some(learned)) => (learned.per_second(), behind(self.unread(now))),
             (0, None) => (f64::from(PREFILL), self.since(f64::from(PREFILL))),
             (told, _) => (f64::from(told), self.since(f64::from(told))),
         };
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -220,8 +220,13 @@
     pub hall: Hall,
     /// The versions of the tables that it has, where they are to be sent from there.
     pub have: Option<Vec<u64>>,
+    /// Whether it reads the store itself.
+    pub reads_store: bool,
     /// What it has found of moves to other releases.
     pub found: Vec<(PoolId, Report)>,
+    /// The prompts that it sent: the number of the upstream, and how long reading takes,
+    /// in milliseconds.
+    pub sent: Vec<(u64, u32)>,
 }
 
 /// What an entry tells those that have the tables of the platform's store from it.
@@ -240,6 +245,9 @@
     pub tables: Vec<TableDelta>,
     /// What the entries of data halls have found of moves to other releases.
     pub found: Vec<(PoolId, Hall, Report)>,
+    /// The prompts that entries sent: the number of the upstream, and how long reading
+    /// takes, in milliseconds.
+    pub sent: Vec<(u64, u32)>,
 }
 
 /// What an upstream that is called directly is told besides the call.
--- a/crates/daemon/src/hosted/relay.rs
+++ b/crates/daemon/src/hosted/relay.rs
@@ -18,6 +18,13 @@
 /// taken for broken.
 const KEEP: Span = Span::from_millis(2_000);
 
+/// How long prompts that were sent are gathered before they are told: three of these lie
+/// between two entries, and a message for each prompt would be 150 a second and link.
+const GATHER_SENT: Span = Span::from_millis(40);
+/// The most prompts that wait to be told over one link; a reader that is far behind would
+/// tell what has been read long ago.
+const MOST_SENT: usize = 256;
+
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Order {
@@ -31,6 +38,8 @@
     Read(Reading),
     /// Take in what the entries of a data hall found.
     Told(PoolId, Hall, Report),
+    /// Take in that an entry sent an upstream a prompt that takes this long to be read.
+    Reads(u64, Span),
 }
 
 /// An entry that has the tables from here.
@@ -43,6 +52,10 @@
     sent: Time,
     /// Up to which count of changes what was found has been sent.
     found: u64,
+    /// Whether it reads the store itself.
+    reads_store: bool,
+    /// The prompts that it is to be told of.
+    prompts: Vec<(u64, u32)>,
 }
 
 /// An entry that this one has the tables from.
@@ -76,6 +89,8 @@
     answered: [bool; 4],
     /// When it has answered for the operator's.
     operator: Time,
+    /// The prompts that this entry sent and that its sources are to be told of.
+    prompts: Vec<(u64, u32)>,
     /// Whether this entry is about to stop.
     leaving: bool,
 }
@@ -92,6 +107,7 @@
             failing: false,
             answered: [false; 4],
             operator: Time::default(),
+            prompts: Vec::new(),
             leaving: false,
         }
     }
@@ -158,6 +174,28 @@
         self.found.changes += 1;
     }
 
+    /// Notes that this entry sent an upstream a prompt that takes this long to be read.
+    pub fn sent(&mut self, number: u64, reading: Span) {
+        let prompt = (number, reading.millis().try_into().unwrap_or(u32::MAX));
+        self.tell_takers(&[prompt], None, true);
+        if self.prompts.len() < MOST_SENT {
+            self.prompts.push(prompt);
+        }
+    }
+
+    /// Puts prompts in line for those that have the tables from here, but for the one that
+    /// told of them. Only what the own data hall sent goes on to others.
+    fn tell_takers(&mut self, prompts: &[(u64, u32)], from: Option<Link>, is_own: bool) {
+        let home = &self.own.hall;
+        for (link, taker) in &mut self.takers {
+            let is_near = taker.hall == *home;
+            let wants = is_near || (is_own && taker.reads_store);
+            if wants && Some(*link) != from && taker.prompts.len() < MOST_SENT {
+                taker.prompts.extend_from_slice(prompts);
+            }
+        }
+    }
+
     /// Takes in that the link to a source is open, or that there is none.
     pub fn opened(
         &mut self,
@@ -171,7 +209,7 @@
             return Vec::new();
         };
         self.follow.opened(&name, now);
-        let frame = self.ask(Some(versions(mirror)), &[]);
+        let frame = self.ask(Some(versions(mirror)));
         let source = Source {
             name,
             sent: now,
@@ -246,13 +284,14 @@
     fn hand_to(&mut self, link: Link, mirror: &Mirror, now: Time) -> Option<Order> {
         let taker = self.takers.get(&link)?;
         let due = now.since(taker.sent) >= self.follow.bounds().beat;
+        let told = !taker.prompts.is_empty() && now.since(taker.sent) >= GATHER_SENT;
         let mut tables = Vec::new();
         for (table, have) in Table::ALL.iter().zip(&taker.have) {
             if due || mirror.has_changed(*table, *have) {
                 tables.extend(mirror.delta(*table, *have));
             }
         }
-        if !due && tables.is_empty() {
+        if !due && !told && tables.is_empty() {
             return None;
         }
         let found = match taker.found < self.found.changes {
@@ -266,6 +305,7 @@
             leaving: self.leaving,
             tables,
             found,
+            sent: taker.prompts.clone(),
         };
         let taker = self.takers.get_mut(&link)?;
         for table in &feed.tables {
@@ -273,6 +313,7 @@
         }
         taker.sent = now;
         taker.found = self.found.changes;
+        taker.prompts.clear();
         Some(Order::Send(link, Frame::Feed(Box::new(feed))))
     }
 
@@ -282,10 +323,14 @@
         let changes = self.found.changes;
         let mut orders = Vec::new();
         let own = self.found.by(&self.own.name);
+        let reads_store = self.follow.reading() == Reading::All;
+        let prompts = std::mem::take(&mut self.prompts);
         for (link, source) in &mut self.sources {
             let passed = now.since(source.sent);
             let news = source.found < changes && !own.is_empty() && passed >= beat;
-            if !news && passed < KEEP {
+            // What a reader sent goes to those that have the tables from it.
+            let told = !prompts.is_empty() && !reads_store && self.follow.is_near(&source.name);
+            if !news && !told && passed < KEEP {
                 continue;
             }
             source.sent = now;
@@ -294,19 +339,23 @@
                 entry: self.own.name.clone(),
                 hall: self.own.hall.clone(),
                 have: None,
+                reads_store,
                 found: if news { own.clone() } else { Vec::new() },
+                sent: if told { prompts.clone() } else { Vec::new() },
             };
             orders.push(Order::Send(*link, Frame::Follow(Box::new(follow))));
         }
         orders
     }
 
-    fn ask(&self, have: Option<Vec<u64>>, found: &[(PoolId, Report)]) -> Frame {
+    fn ask(&self, have: Option<Vec<u64>>) -> Frame {
         Frame::Follow(Box::new(wire::Follow {
             entry: self.own.name.clone(),
             hall: self.own.hall.clone(),
             have,
-            found: found.to_vec(),
+            reads_store: self.follow.reading() == Reading::All,
+            found: Vec::new(),
+            sent: Vec::new(),
         }))
     }
 
@@ -321,10 +370,19 @@
                 have,
                 sent: Time::default(),
                 found: 0,
+                reads_store: asked.reads_store,
+                prompts: Vec::new(),
             };
             self.takers.insert(link, taker);
         }
+        if let Some(taker) = self.takers.get_mut(&link) {
+            taker.reads_store = asked.reads_store;
+        }
         let mut orders = Vec::new();
+        if is_near {
+            self.tell_takers(&asked.sent, Some(link), true);
+            orders.extend(asked.sent.iter().map(reads));
+        }
         for (pool, report) in asked.found.into_iter().filter(|_| is_near) {
             let key = (pool.clone(), asked.entry.clone());
             self.found.near.insert(key, report);
@@ -369,12 +427,16 @@
                 Taken::News(more) => news.extend(more),
             }
         }
-        let mut orders = Vec::new();
+        let is_near = self.follow.is_near(&source.name);
+        let mut orders: Vec<Order> = feed.sent.iter().map(reads).collect();
         if gap {
             source.sent = now;
-            let frame = self.ask(Some(versions(mirror)), &[]);
+            let frame = self.ask(Some(versions(mirror)));
             orders.push(Order::Send(link, frame));
         }
+        if !is_near {
+            self.tell_takers(&feed.sent, None, false);
+        }
         for (pool, hall, report) in feed.found {
             if hall != self.own.hall {
                 let key = (pool.clone(), hall.clone());
@@ -433,6 +495,10 @@
     }
 }
 
+fn reads(prompt: &(u64, u32)) -> Order {
+    Order::Reads(prompt.0, Span::from_millis(u64::from(prompt.1)))
+}
+
 /// Returns the versions of all tables, in their order.
 pub fn versions(mirror: &Mirror) -> Vec<u64> {
     Table::ALL.iter().map(|t| mirror.version(*t)).collect()
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -376,6 +376,7 @@
                 Order::Send(link, frame) => self.peering.send(link, frame),
                 Order::Read(reading) => self.feed.read(reading),
                 Order::Told(pool, hall, report) => self.handle(Input::Told(pool, hall, report)),
+                Order::Reads(number, reading) => self.handle(Input::Reads(number, reading)),
             }
         }
     }
@@ -546,6 +547,7 @@
             }
             Output::Send(_, Frame::Cancel(run)) => drop(self.runs.remove(&run)),
             Output::Answer(request, part) => self.answer(request, part),
+            Output::Reads(number, reading) => self.relay.sent(number, reading),
             Output::Ended(done) => {
                 self.metrics.ended(&done);
                 self.finished(&done);
--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -248,7 +248,7 @@
                         }
                     }
                 }
-                Order::Told(..) => {}
+                Order::Told(..) | Order::Reads(..) => {}
             }
         }
     }
