--- a/crates/core/src/entry/routed/reply.rs
+++ b/crates/core/src/entry/routed/reply.rs
@@ -3,6 +3,10 @@
 use super::*;
 use crate::tree::Repeat;
 
+/// What part of its worth an answer earns that begins after its objective: 0.3 on all
+/// sheets of the installations.
+const LATE_EARNS: f64 = 0.3;
+
 /// What to do with the head of an answer.
 enum Judgement {
     /// Give it to the caller.
@@ -119,6 +123,7 @@
             return Judgement::Elsewhere(failure);
         }
         let wanted = self.accepted(&terms.route) * self.strains.spare(&flight.pool);
+        let wanted = wanted * self.larger_earns(now, flight, terms);
         let wanted = Confidence(wanted);
         let unsure = confidence.is_some_and(|c| c < wanted);
         let larger = terms.size + 1 < terms.route.sizes.len();
@@ -149,6 +154,25 @@
         ranks[rank].fraction()
     }
 
+    /// Returns what part of its worth an answer of the largest model still earns: less where
+    /// it would begin late while the answer at hand is in time.
+    fn larger_earns(&self, now: Time, flight: &Flight, terms: &Terms) -> f64 {
+        let Some(model) = terms.route.sizes.last() else {
+            return 1.0;
+        };
+        let subject = Subject::Model(flight.pool.clone(), model.clone());
+        // The shared beginning is mostly read already.
+        let shared = flight.shared().map_or(0, |p| p.tokens);
+        let own = flight.prompt_tokens().saturating_sub(shared);
+        let waited = now.since(flight.began);
+        let then = waited + self.readings.expect(&subject, own);
+        let objective = terms.route.objective;
+        match waited <= objective && then > objective {
+            true => LATE_EARNS,
+            false => 1.0,
+        }
+    }
+
     /// Drops the answer of a smaller model and asks the largest.
     fn ask_larger(
         &mut self,
--- a/crates/core/tests/random.rs
+++ b/crates/core/tests/random.rs
@@ -275,7 +275,7 @@
                     }
                 }
             }
-            entry::Output::Forward(..) | entry::Output::Suspect(_) | entry::Output::Ended(_) => {}
+            entry::Output::Forward(..) | entry::Output::Reads(..) | entry::Output::Suspect(_) | entry::Output::Ended(_) => {}
         }
     }
 
