--- a/crates/core/tests/load.rs
+++ b/crates/core/tests/load.rs
@@ -46,12 +46,15 @@
     left: f64,
 }
 
+/// When it is heard, who tells it, the number of the upstream and how long reading takes.
+type Told = (Time, usize, u64, Span);
+
 struct World {
     now: Time,
     entries: Vec<Entry>,
     upstreams: BTreeMap<Link, Vec<Prompt>>,
     asked: BTreeMap<RequestId, (Time, u32)>,
-    told: Vec<(Time, usize, u64, Span)>,
+    told: Vec<Told>,
     /// Whether entries hear what the others tell.
     hears: bool,
     /// The times to the beginning of an answer, of short and long prompts.
@@ -163,8 +166,11 @@
             for prompt in prompts.iter_mut() {
                 prompt.left -= each;
             }
-            let ended = prompts.extract_if(.., |p| p.left <= 0.0);
-            done.extend(ended.map(|p| (*link, p)));
+            let (ended, left): (Vec<Prompt>, Vec<Prompt>) = std::mem::take(prompts)
+                .into_iter()
+                .partition(|p| p.left <= 0.0);
+            *prompts = left;
+            done.extend(ended.into_iter().map(|p| (*link, p)));
         }
         for (link, prompt) in done {
             let (began, tokens) = self.asked[&prompt.run.request];
@@ -189,7 +195,10 @@
 
     fn hear(&mut self) {
         let now = self.now;
-        let due: Vec<_> = self.told.extract_if(.., |t| t.0 <= now).collect();
+        let (due, later): (Vec<Told>, Vec<Told>) = std::mem::take(&mut self.told)
+            .into_iter()
+            .partition(|t| t.0 <= now);
+        self.told = later;
         for (_, from, upstream, reading) in due {
             for number in (0..ENTRIES).filter(|n| *n != from) {
                 self.tell(number, Input::Reads(upstream, reading));
