Say once what the links between entries say twice, and work less at each tick

Found on reading the whole change; behaviour stays as it is, no test is touched.

- relay.rs built the same message in two places and asked four times whether this entry reads the store: one function each.
What was found is copied only where it is told, not at each tick.
- mirror.rs took in pages of other entries twice over, each keeping whether the store answers here: one function.
Whether a table has changed after a version looked through up to 512 changes for each link and tick: the version of the latest change is kept instead, which is above a version exactly where some change is.
- follow/: the names of a data hall are no longer copied at each tick.
- feed.rs: the random part of a pause is drawn only where it is used.

Seen and left: TableCopy and TableDelta are one message (peer.rs could hand on what Mirror::delta gives), Peering keeps addresses that Follow has, and load.rs builds requests as routed.rs does.

--- a/crates/core/src/follow/mod.rs
+++ b/crates/core/src/follow/mod.rs
@@ -1,10 +1,10 @@
 //! Which entries read the platform's store, and from whom the others have its tables.
 //!
 //! In each data hall the entry that ranks first reads the store and hands its tables down;
-//! the others hold links to it and to that of the next data hall. Who ranks first follows from the names of all
-//! entries that ever announced themselves, so all agree on it without talking; that some
-//! of them are gone shows when they are asked. An entry that is asked for tables reads the
-//! store, whatever its own rank, so that entries which disagree are served all the same.
+//! the others hold links to it and to that of the next data hall. Who ranks first follows
+//! from the names of all entries that ever announced themselves, so all agree on it without
+//! talking; that some of them are gone shows when they are asked. An entry that is asked for
+//! tables reads the store, whatever its own rank, so that entries which disagree are served all the same.
 //! Versions decide which of two pages is newer, so two readers at a time are harmless;
 //! that none reads must be short: who hears nothing new enough goes to the next in rank,
 //! and then to the store itself.
@@ -75,7 +75,7 @@
 impl Bounds {
     /// Returns the times for a configuration that must be in force after `limit`.
     ///
-    /// When both readers of a hall are cut off just after they read, an entry leaves them
+    /// When both sources of an entry are cut off just after they read, an entry leaves them
     /// after 0.575 of the limit, has been in vain at the next two after 0.7, and then
     /// reads the store; 0.3 are left for that and for putting the configuration in force.
     pub fn of(limit: Span) -> Bounds {
@@ -354,19 +354,18 @@
         actions: &mut Vec<Action>,
     ) -> Walk {
         let mut walk = Walk::default();
-        let names = self.ranked.get(hall).cloned().unwrap_or_default();
         // At the start all sources start as well; asking more would make more of them read.
         let at_once = match self.informed {
             true => wanted.max(AT_ONCE),
             false => wanted,
         };
         let mut tried = 0;
-        for name in names {
+        for name in self.ranked.get(hall).into_iter().flatten() {
             if walk.fresh + usize::from(walk.own) >= wanted || tried >= REACH {
                 break;
             }
             tried += 1;
-            if name == self.own.name {
+            if *name == self.own.name {
                 walk.own = true;
                 continue;
             }
@@ -377,7 +376,7 @@
                 Health::Stale => {}
                 Health::Silent => {
                     contact.closed(now);
-                    actions.push(Action::Close(name));
+                    actions.push(Action::Close(name.clone()));
                     continue;
                 }
                 Health::Resting => {
@@ -388,12 +387,12 @@
                 Health::Unknown => {
                     contact.opening(now);
                     walk.warming += 1;
-                    if let Some(peer) = self.peers.get(&name) {
+                    if let Some(peer) = self.peers.get(name) {
                         actions.push(Action::Open(name.clone(), peer.address));
                     }
                 }
             }
-            kept.insert(name);
+            kept.insert(name.clone());
         }
         walk
     }
--- a/crates/daemon/src/hosted/feed.rs
+++ b/crates/daemon/src/hosted/feed.rs
@@ -90,6 +90,15 @@
             _ => Task::Probe,
         }
     }
+
+    /// Notes that the table was read; where it was to be read once, nothing more is to be
+    /// done, unless the loop wants more already.
+    fn done_once(&self) {
+        let (once, rest) = (Task::Once as u8, Task::Rest as u8);
+        let _ = self
+            .task
+            .compare_exchange(once, rest, Ordering::Relaxed, Ordering::Relaxed);
+    }
 }
 
 /// The followers of all tables.
@@ -167,6 +176,13 @@
     }
 }
 
+/// Returns a pause at random within the bounds of those that only look.
+fn pause_of_probe() -> Duration {
+    let (least, most) = PAUSE_PROBE;
+    let part = u64::from(clock::random::<1>()[0]);
+    Duration::from_millis(least + (most - least) * part / 255)
+}
+
 /// Returns how long changes of a table are gathered.
 fn gathering(table: Table) -> Duration {
     match table {
@@ -244,12 +260,8 @@
 
     /// Returns how long to wait after a failure.
     fn pause(&self) -> Duration {
-        let (least, most) = PAUSE_PROBE;
-        let part = u64::from(clock::random::<1>()[0]);
         match (self.table, self.wanted.task()) {
-            (Table::Operator, Task::Probe) => {
-                Duration::from_millis(least + (most - least) * part / 255)
-            }
+            (Table::Operator, Task::Probe) => pause_of_probe(),
             (Table::Operator, _) => PAUSE_MOST.min(PAUSE_FIRST * self.failures.min(4)),
             // The list of entries is needed to begin.
             (_, Task::Once) => PAUSE_FIRST,
@@ -296,14 +308,7 @@
             Ok((page, whole)) => {
                 self.version = Some(page.version);
                 self.answered = true;
-                let once = (Task::Once as u8, Task::Rest as u8);
-                // The loop may want more already; then that holds.
-                let _ = self.wanted.task.compare_exchange(
-                    once.0,
-                    once.1,
-                    Ordering::Relaxed,
-                    Ordering::Relaxed,
-                );
+                self.wanted.done_once();
                 if self.failures > 0 {
                     self.failures = 0;
                     for bell in bells {
--- a/crates/daemon/src/hosted/mirror.rs
+++ b/crates/daemon/src/hosted/mirror.rs
@@ -71,6 +71,8 @@
     bytes: usize,
     /// The version after which all changes are remembered.
     remembered: u64,
+    /// The version of the latest change, remembered or not.
+    newest: u64,
     failing: bool,
     trouble: Option<Time>,
 }
@@ -82,11 +84,13 @@
             self.changes.clear();
             self.bytes = 0;
             self.remembered = page.version;
+            self.newest = page.version;
             return;
         }
         let known = self.version;
         for row in page.rows.iter().filter(|row| row.version > known) {
             self.bytes += size_of(row);
+            self.newest = self.newest.max(row.version);
             self.changes.push_back(row.clone());
         }
         while self.changes.len() > CHANGES || self.bytes > CHANGES_BYTES {
@@ -226,8 +230,13 @@
         if page.version <= self.version(table) {
             return Vec::new();
         }
+        self.apply_of_entry(table, page, true, now)
+    }
+
+    /// Takes in a page from another entry: it says nothing of whether the store answers here.
+    fn apply_of_entry(&mut self, table: Table, page: Page, whole: bool, now: Time) -> Vec<News> {
         let failing = self.is_failing(table);
-        let news = self.apply(table, page, true, now);
+        let news = self.apply(table, page, whole, now);
         if let Some(copy) = self.tables.get_mut(&table) {
             copy.failing = failing;
         }
@@ -257,7 +266,7 @@
     /// Returns whether rows of a table changed after a version.
     pub fn has_changed(&self, table: Table, have: u64) -> bool {
         let copy = self.tables.get(&table).filter(|t| t.version > have);
-        copy.is_some_and(|t| have < t.remembered || t.changes.iter().any(|r| r.version > have))
+        copy.is_some_and(|t| t.newest > have)
     }
 
     /// Takes in changes that another entry hands on.
@@ -282,12 +291,8 @@
             version: delta.version,
             now: Duration::ZERO,
         };
-        let failing = self.is_failing(table);
-        let news = self.apply(table, page, delta.since.is_none(), now);
-        if let Some(copy) = self.tables.get_mut(&table) {
-            copy.failing = failing;
-        }
-        Taken::News(news)
+        let whole = delta.since.is_none();
+        Taken::News(self.apply_of_entry(table, page, whole, now))
     }
 
     /// Takes in the time on the store's clock as another entry tells it.
--- a/crates/daemon/src/hosted/relay.rs
+++ b/crates/daemon/src/hosted/relay.rs
@@ -1,4 +1,5 @@
-//! Hands the store's tables from entry to entry, with what entries found of moves.
+//! Hands the store's tables from entry to entry, with what entries found of moves and the
+//! long prompts that they sent.
 //!
 //! [`sorreldeck::follow`] decides whom this entry has the tables from; here stand the
 //! messages to and from those, and to the entries that have the tables from here. There is
@@ -147,8 +148,7 @@
             self.operator = now;
             self.follow.reached(now);
         }
-        let whole = self.follow.reading() == Reading::All;
-        if !whole || self.answered.contains(&false) {
+        if !self.reads_store() || self.answered.contains(&false) {
             return;
         }
         self.follow.complete(self.operator);
@@ -211,7 +211,7 @@
             return Vec::new();
         };
         self.follow.opened(&name, now);
-        let frame = self.ask(Some(versions(mirror)));
+        let frame = self.ask(mirror);
         let source = Source {
             name,
             sent: now,
@@ -325,12 +325,13 @@
         let beat = self.follow.bounds().beat;
         let changes = self.found.changes;
         let mut orders = Vec::new();
-        let own = self.found.by(&self.own.name);
-        let reads_store = self.follow.reading() == Reading::All;
+        let has_found = self.found.has_any_by(&self.own.name);
+        let reads_store = self.reads_store();
+        let present = self.present();
         let prompts = std::mem::take(&mut self.prompts);
         for (link, source) in &mut self.sources {
             let passed = now.since(source.sent);
-            let news = source.found < changes && !own.is_empty() && passed >= beat;
+            let news = source.found < changes && has_found && passed >= beat;
             // What a reader sent goes to those that have the tables from it.
             let told = !prompts.is_empty() && !reads_store && self.follow.is_near(&source.name);
             if !news && !told && passed < KEEP {
@@ -338,27 +339,40 @@
             }
             source.sent = now;
             source.found = changes;
-            let follow = wire::Follow {
-                entry: self.own.name.clone(),
-                hall: self.own.hall.clone(),
-                have: None,
-                reads_store,
-                found: if news { own.clone() } else { Vec::new() },
-                sent: if told { prompts.clone() } else { Vec::new() },
-            };
+            let mut follow = present.clone();
+            if news {
+                follow.found = self.found.by(&self.own.name);
+            }
+            if told {
+                follow.sent.clone_from(&prompts);
+            }
             orders.push(Order::Send(*link, Frame::Follow(Box::new(follow))));
         }
         orders
     }
 
-    fn ask(&self, have: Option<Vec<u64>>) -> Frame {
-        Frame::Follow(Box::new(wire::Follow {
+    /// Returns whether this entry reads all tables of the store itself.
+    fn reads_store(&self) -> bool {
+        self.follow.reading() == Reading::All
+    }
+
+    /// Returns what tells a source that this entry is there, and nothing more.
+    fn present(&self) -> wire::Follow {
+        wire::Follow {
             entry: self.own.name.clone(),
             hall: self.own.hall.clone(),
-            have,
-            reads_store: self.follow.reading() == Reading::All,
+            have: None,
+            reads_store: self.reads_store(),
             found: Vec::new(),
             sent: Vec::new(),
+        }
+    }
+
+    /// Returns what asks a source for all that is newer than what is known here.
+    fn ask(&self, mirror: &Mirror) -> Frame {
+        Frame::Follow(Box::new(wire::Follow {
+            have: Some(versions(mirror)),
+            ..self.present()
         }))
     }
 
@@ -422,8 +436,7 @@
         // Rows that vanish next may be leases that lapsed while the store was away: not where
         // it answers this entry or another source, since upstreams that leave would then be
         // kept for 1.8 s longer.
-        let reads_store = self.follow.reading() == Reading::All;
-        if !reads_store && self.sources.values().all(|s| s.failing) {
+        if !self.reads_store() && self.sources.values().all(|s| s.failing) {
             mirror.troubled(now);
         }
         let mut news = Vec::new();
@@ -440,7 +453,7 @@
             if let Some(source) = self.sources.get_mut(&link) {
                 source.sent = now;
             }
-            let frame = self.ask(Some(versions(mirror)));
+            let frame = self.ask(mirror);
             orders.push(Order::Send(link, frame));
         }
         if !is_near {
@@ -465,6 +478,11 @@
 }
 
 impl Found {
+    /// Returns whether an entry found anything.
+    fn has_any_by(&self, name: &InstanceId) -> bool {
+        self.near.keys().any(|(_, by)| by == name)
+    }
+
     /// Returns what an entry found.
     fn by(&self, name: &InstanceId) -> Vec<(PoolId, Report)> {
         let own = self.near.iter().filter(|((_, by), _)| by == name);
