--- a/crates/daemon/src/hosted/feed.rs
+++ b/crates/daemon/src/hosted/feed.rs
@@ -56,6 +56,8 @@
     Page(Page, bool),
     /// The table could not be read.
     Failed(Trouble),
+    /// The changes after the version that was known are forgotten; the table is read whole.
+    Forgotten(u64),
 }
 
 /// What the follower of a table is to do.
@@ -319,8 +321,10 @@
                 Update::Page(page, whole)
             }
             Err(Trouble::Forgotten) => {
-                self.version = None;
-                self.wanted.known.store(0, Ordering::Relaxed);
+                let known = self.wanted.known.swap(0, Ordering::Relaxed);
+                let known = self.version.take().unwrap_or(0).max(known);
+                let message = Message::Store(self.table, Update::Forgotten(known));
+                self.shared.send.send(message).await.ok()?;
                 return Some(Duration::ZERO);
             }
             Err(trouble) => {
--- a/crates/daemon/src/hosted/mod.rs
+++ b/crates/daemon/src/hosted/mod.rs
@@ -6,6 +6,7 @@
 //! followers of the platform's store, and links to other hosted entries, which
 //! are asked when the store is out of reach. One loop holds the state.
 
+mod answers;
 mod door;
 mod feed;
 mod log;
--- a/crates/daemon/src/hosted/relay.rs
+++ b/crates/daemon/src/hosted/relay.rs
@@ -120,6 +120,11 @@
         &self.follow
     }
 
+    /// Returns the entry at the other end of a link from which tables come.
+    pub fn source(&self, link: Link) -> Option<&InstanceId> {
+        self.sources.get(&link).map(|source| &source.name)
+    }
+
     /// Returns how many entries have the tables from here.
     pub fn takers(&self) -> usize {
         self.takers.len()
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -1,5 +1,6 @@
 //! The loop of a hosted entry and what feeds it.
 
+use super::answers::Answers;
 use super::feed::{Feed, Update};
 use super::mirror::{Mirror, News, ENTRY};
 use super::mover::{Mover, Proposal};
@@ -82,6 +83,7 @@
     clock: Clock,
     metrics: Metrics,
     mirror: Mirror,
+    answers: Answers,
     mover: Mover,
     peering: Peering,
     relay: Relay,
@@ -155,6 +157,7 @@
             clock: Clock::start(),
             metrics: Metrics::default(),
             mirror: Mirror::default(),
+            answers: Answers::default(),
             mover: Mover::new(&settings.instance),
             peering: Peering::new(options.link_keys.clone(), settings, links.events),
             relay: Relay::new(own.clone(), bounds),
@@ -217,9 +220,8 @@
     fn tick(&mut self, stopping: bool) {
         self.handle(Input::Tick);
         let now = self.clock.now();
-        for news in self.mirror.tick(now) {
-            self.note(news);
-        }
+        let lapsed = self.mirror.tick(now);
+        self.note_all(lapsed, "lapsed");
         let ready = self.entry.is_ready() && !stopping;
         if self.shared.set_ready(ready) != ready {
             info!("event=ready ready={ready}");
@@ -265,7 +267,8 @@
                 let now = self.clock.now();
                 self.note_reached(table, now);
                 let news = self.mirror.apply(table, page, whole, now);
-                self.note_all(news);
+                self.note_all(news, "store");
+                self.answers.note(table, now);
                 if table == Table::Own && self.starts_until.is_none() {
                     self.relay.listed(now);
                 }
@@ -286,6 +289,10 @@
                     self.failing_since.get_or_insert_with(Instant::now);
                 }
             }
+            Message::Store(table, Update::Forgotten(known)) => {
+                let silent = self.answers.silence_ms(table, self.clock.now());
+                warn!("event=store-forgot table={table:?} known={known} silent_ms={silent}");
+            }
             Message::Snapshots(copies) => self.take_snapshots(copies),
             Message::Link(Event::Down(link)) => {
                 self.peering.close(link);
@@ -324,9 +331,10 @@
             return self.peering.answer(link, have, &self.mirror);
         }
         let now = self.clock.now();
+        let from = self.relay.source(link).map(InstanceId::to_string);
         let (news, orders) = self.relay.frame(link, frame, &mut self.mirror, now);
         let handed_on = !news.is_empty();
-        self.note_all(news);
+        self.note_all(news, from.as_deref().unwrap_or("unknown"));
         self.carry_out(orders);
         if handed_on {
             let orders = self.relay.hand_down(&self.mirror, now);
@@ -403,13 +411,14 @@
                 self.in_vain = 0;
                 info!("event=learned-from-entry table={table:?} version={version} before={before}");
             }
-            self.note_all(news);
+            self.note_all(news, "asked");
         }
     }
 
-    fn note_all(&mut self, news: Vec<News>) {
+    /// Takes in news; `from` says whom they are from, for the log.
+    fn note_all(&mut self, news: Vec<News>, from: &str) {
         for news in news {
-            self.note(news);
+            self.note(news, from);
         }
         for trouble in self.mirror.troubles() {
             warn!(
@@ -419,20 +428,30 @@
         }
     }
 
-    fn note(&mut self, news: News) {
+    /// Returns what a line tells of where news of a table are from: from whom, up to which
+    /// version the table is known, and how long the store had not answered for it here.
+    fn origin(&self, table: Table, from: &str) -> String {
+        let version = self.mirror.version(table);
+        let silent = self.answers.silence_ms(table, self.clock.now());
+        format!("from={from} version={version} silent_ms={silent}")
+    }
+
+    fn note(&mut self, news: News, from: &str) {
         match news {
-            News::Config(config) => self.adopt(*config),
-            News::Joined(listed) => self.join(*listed),
+            News::Config(config) => self.adopt(*config, from),
+            News::Joined(listed) => self.join(*listed, from),
             News::Retired(upstream) => {
-                info!("event=retired upstream={upstream}");
+                let origin = self.origin(Table::Upstreams, from);
+                info!("event=retired upstream={upstream} {origin}");
                 if let Some(link) = self.upstreams.remove(&upstream) {
                     self.addresses.remove(&link);
                     self.handle(Input::Retire(link));
                 }
             }
             News::Move(order, state, began) => {
+                let origin = self.origin(Table::Progress, from);
                 info!(
-                    "event=move pool={} to={} number={} state={state:?} began={began:?}",
+                    "event=move pool={} to={} number={} state={state:?} began={began:?} {origin}",
                     order.pool, order.to, order.number
                 );
                 self.handle(Input::Move(order, state, began));
@@ -445,13 +464,14 @@
         }
     }
 
-    fn adopt(&mut self, config: sorreldeck_platform::Configuration) {
+    fn adopt(&mut self, config: sorreldeck_platform::Configuration, from: &str) {
         let revision = config.tree.revision();
         if revision <= self.entry.tree().revision() && revision > Revision(0) {
             return;
         }
+        let origin = self.origin(Table::Operator, from);
         info!(
-            "event=config revision={revision} before={} routes={}",
+            "event=config revision={revision} before={} routes={} {origin}",
             self.entry.tree().revision(),
             config.tree.routes().len()
         );
@@ -459,12 +479,13 @@
         self.handle(Input::Tree(Arc::new(config.tree)));
     }
 
-    fn join(&mut self, listed: Listed) {
+    fn join(&mut self, listed: Listed, from: &str) {
         let link = self.next_link;
         self.next_link += 1;
         let member = &listed.member;
+        let origin = self.origin(Table::Upstreams, from);
         info!(
-            "event=joined upstream={} pool={} address={} hall={:?} release={:?}",
+            "event=joined upstream={} pool={} address={} hall={:?} release={:?} {origin}",
             member.upstream, member.pool, listed.address, member.place.hall, member.place.release
         );
         self.upstreams.insert(member.upstream.clone(), link);
@@ -602,10 +623,19 @@
     /// Returns the figures of this process as text.
     pub fn metrics_text(&mut self) -> String {
         self.metrics.set_promises(self.entry.promises());
+        let now = self.clock.now();
+        for table in Table::ALL {
+            let silence = self.answers.silence_ms(table, now);
+            let version = self.mirror.version(table);
+            self.metrics
+                .set_table(&format!("{table:?}"), version as i64, silence);
+        }
         let gauges = self.metrics.gauges();
         gauges.revision.set(self.entry.tree().revision().0 as i64);
         gauges.in_flight.set(self.entry.in_flight() as i64);
         gauges.links.set(self.upstreams.len() as i64);
+        let age = self.relay.follow().age(now);
+        gauges.age.set(age.map_or(-1, |age| age.millis() as i64));
         self.metrics.text()
     }
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -31,6 +31,11 @@
     promise: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OfTable {
+    table: String,
+}
+
 fn seconds() -> Histogram {
     // 1 ms to 32 s, each bucket twice the one before.
     Histogram::new(exponential_buckets(0.001, 2.0, 16))
@@ -44,6 +49,8 @@
     whole: Family<Who, Histogram>,
     checked: Family<OfPromise, Gauge>,
     violated: Family<OfPromise, Gauge>,
+    versions: Family<OfTable, Gauge>,
+    silences: Family<OfTable, Gauge>,
     gauges: Gauges,
 }
 
@@ -56,6 +63,8 @@
     pub since: Gauge,
     /// The links that are up.
     pub links: Gauge,
+    /// How old what is known of the platform's store is, in milliseconds.
+    pub age: Gauge,
     /// The requests under way.
     pub in_flight: Gauge,
     /// The bill records that are not known to be in the platform's store.
@@ -90,6 +99,17 @@
         );
         registry.register("promise_checked", "Checks of each promise", checked.clone());
         registry.register("promise_violated", "Checks that failed", violated.clone());
+        let (versions, silences) = (Family::default(), Family::default());
+        registry.register(
+            "table_version",
+            "Version of the platform's store up to which a table is known",
+            versions.clone(),
+        );
+        registry.register(
+            "table_silence_milliseconds",
+            "Time since the platform's store answered for a table, -1 if it never did",
+            silences.clone(),
+        );
         gauges.register(&mut registry);
         Metrics {
             registry,
@@ -98,6 +118,8 @@
             whole,
             checked,
             violated,
+            versions,
+            silences,
             gauges,
         }
     }
@@ -112,6 +134,11 @@
             self.since.clone(),
         );
         registry.register("links", "Links that are up", self.links.clone());
+        registry.register(
+            "tables_age_milliseconds",
+            "Age of what is known of the platform's store by whatever way, -1 if nothing is",
+            self.age.clone(),
+        );
         registry.register("in_flight", "Requests under way", self.in_flight.clone());
         registry.register(
             "unbilled",
@@ -199,6 +226,16 @@
         }
     }
 
+    /// Sets up to which version a table is known, and for how many milliseconds the
+    /// platform's store has not answered for it.
+    pub fn set_table(&self, table: &str, version: i64, silence: i64) {
+        let label = OfTable {
+            table: table.to_owned(),
+        };
+        self.versions.get_or_create(&label).set(version);
+        self.silences.get_or_create(&label).set(silence);
+    }
+
     /// Writes all metrics.
     pub fn text(&self) -> String {
         let mut buf = String::new();
