--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -1,5 +1,6 @@
 //! A hosted entry before stand-ins of the platform, over real sockets.
 
+mod leaving_upstream_not_heard_of;
 mod runner;
 mod store;
 
--- a/crates/daemon/tests/hosted/store.rs
+++ b/crates/daemon/tests/hosted/store.rs
@@ -30,6 +30,8 @@
     version: u64,
     rows: BTreeMap<(String, String), (Option<String>, u64)>,
     forgotten: u64,
+    /// Whether waits that begin now hear nothing until their own end.
+    is_deaf: bool,
     mood: Mood,
     calls: u64,
     waits: Vec<u64>,
@@ -78,6 +80,23 @@
         state.forgotten = state.version;
     }
 
+    /// Forgets the history with a change that nobody has heard of; from now on, waits that
+    /// begin hear nothing until their own end.
+    pub fn forget_and_go_deaf(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.version += 1;
+        let version = state.version;
+        let row = (Some(STANDARD.encode("1")), version);
+        state.rows.insert(("op".into(), "other".into()), row);
+        state.forgotten = version;
+        state.is_deaf = true;
+    }
+
+    /// Lets waits that begin from now on hear all changes.
+    pub fn hear_again(&self) {
+        self.state.lock().unwrap().is_deaf = false;
+    }
+
     pub fn put(&self, table: &str, key: &str, value: &Value) {
         let mut state = self.state.lock().unwrap();
         state.version += 1;
@@ -179,6 +198,9 @@
 
     async fn feed(&self, table: &str, since: u64, wait: Duration) -> (u16, Value) {
         let began = Instant::now();
+        if self.state.lock().unwrap().is_deaf && since >= self.state.lock().unwrap().forgotten {
+            task::sleep(wait).await;
+        }
         loop {
             if since < self.state.lock().unwrap().forgotten {
                 return (410, json!({}));
