--- a/crates/core/src/follow/mod.rs
+++ b/crates/core/src/follow/mod.rs
@@ -23,8 +23,10 @@
 
 mod contact;
 mod rank;
+mod watermark;
 
 pub use rank::Peer;
+pub use watermark::Watermark;
 
 use crate::id::{Hall, InstanceId};
 use crate::unit::{Span, Time};
@@ -70,6 +72,9 @@
     /// How long a source may take to be linked and to have read the store for the first
     /// time.
     pub warm: Span,
+    /// How long a change that the store named may be missing before the tables are asked
+    /// anew: longer than the 600 ms for which changes of the upstreams are gathered.
+    pub missing: Span,
 }
 
 impl Bounds {
@@ -78,6 +83,8 @@
     /// When both sources of an entry are cut off just after they read, an entry leaves them
     /// after 0.575 of the limit, has been in vain at the next two after 0.7, and then
     /// reads the store; 0.3 are left for that and for putting the configuration in force.
+    /// A change that no wait tells of is named after 0.4 of the limit and asked for after
+    /// 0.725.
     pub fn of(limit: Span) -> Bounds {
         let part = |thousandths: u64| Span::from_micros(limit.micros() / 1000 * thousandths);
         Bounds {
@@ -86,6 +93,7 @@
             wait: part(400),
             stale: part(575),
             warm: part(125),
+            missing: part(325),
         }
     }
 }
--- a/crates/daemon/src/hosted/feed.rs
+++ b/crates/daemon/src/hosted/feed.rs
@@ -2,7 +2,8 @@
 //!
 //! Each table is read whole once and followed from there, as far as this entry is to read
 //! it ([`Reading`]). The operator's table is asked often, which also shows in time that the
-//! store is out of reach; the others wait long and begin anew when it was.
+//! store is out of reach, and which version is its newest; the others wait long and begin
+//! anew when it was, or when a change that it named is told of by none of them.
 
 use super::room::Message;
 use super::shared::Shared;
@@ -79,7 +80,8 @@
     task: AtomicU8,
     /// The version that is known from elsewhere.
     known: AtomicU64,
-    /// How long the operator's table is waited on, in microseconds.
+    /// How long the operator's table is waited on at most, in microseconds; 0 for as long as
+    /// usual.
     wait: AtomicU64,
 }
 
@@ -146,9 +148,9 @@
         feed
     }
 
-    /// Sets how long the operator's table is waited on at most, where its changes are handed
-    /// on to others.
-    pub fn hands_on(&self, wait: Option<Span>) {
+    /// Sets how long the operator's table is waited on at most, where all tables are read:
+    /// its answers name the changes that other waits may not have told of.
+    pub fn wait_at_most(&self, wait: Option<Span>) {
         let wait = wait.map_or(0, Span::micros);
         let wanted = &self.wanted[Table::Operator as usize];
         wanted.wait.store(wait, Ordering::Relaxed);
@@ -171,6 +173,12 @@
         }
     }
 
+    /// Breaks off the wait for a table, and asks for it at once.
+    pub fn ask(&self, table: Table) {
+        // A bell that has not been heard yet rings already.
+        let _ = self.bells[table as usize].try_send(());
+    }
+
     /// Notes up to which version a table is known, from wherever.
     pub fn known(&self, table: Table, version: u64) {
         let known = &self.wanted[table as usize].known;
@@ -229,6 +237,10 @@
     /// the wait anew; `bells` are rung when the store comes back.
     async fn work(mut self, rung: Receiver<()>, bells: Vec<Sender<()>>) {
         loop {
+            // The next call asks at once by itself after a bell.
+            while rung.try_recv().is_ok() {
+                self.answered = false;
+            }
             let turn = match self.wanted.task() {
                 Task::Rest => wait(&rung).await,
                 _ => {
@@ -250,12 +262,12 @@
             if pause.is_zero() {
                 continue;
             }
-            let paused = async {
-                task::sleep(pause).await;
-                Turn::Anew
-            };
-            if matches!(paused.or(wait(&rung)).await, Turn::End) {
-                return;
+            // A bell ends the pause; the next turn finds that it rang.
+            let paused = async_std::future::timeout(pause, rung.recv()).await;
+            match paused {
+                Ok(Ok(())) => self.answered = false,
+                Ok(Err(_)) => return,
+                Err(_) => {}
             }
         }
     }
@@ -335,10 +347,8 @@
         };
         let message = Message::Store(self.table, told);
         self.shared.send.send(message).await.ok()?;
-        if gathers {
-            task::sleep(gathering(self.table)).await;
-        }
         Some(match self.failures {
+            0 if gathers => gathering(self.table),
             0 => Duration::ZERO,
             _ => self.pause(),
         })
--- a/crates/daemon/src/hosted/mirror.rs
+++ b/crates/daemon/src/hosted/mirror.rs
@@ -4,7 +4,7 @@
 //! Pages come from the store or, while it is out of reach, from other entries;
 //! an older page never replaces a newer one.
 
-use sorreldeck::follow::Peer;
+use sorreldeck::follow::{Peer, Watermark};
 use sorreldeck::release::{Order, State};
 use sorreldeck::wire::TableDelta;
 use sorreldeck::{Span, Time, UpstreamId};
@@ -132,9 +132,10 @@
 }
 
 /// What this process knows of the tables.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Mirror {
     tables: BTreeMap<Table, Replica>,
+    watermark: Watermark,
     /// The upstreams that may get requests.
     listed: BTreeSet<String>,
     missing: BTreeMap<String, Time>,
@@ -143,6 +144,19 @@
     troubles: Vec<Trouble>,
 }
 
+impl Default for Mirror {
+    fn default() -> Mirror {
+        Mirror {
+            tables: BTreeMap::new(),
+            watermark: Watermark::new(Table::ALL.len()),
+            listed: BTreeSet::new(),
+            missing: BTreeMap::new(),
+            ahead: None,
+            troubles: Vec::new(),
+        }
+    }
+}
+
 impl Mirror {
     /// Returns the version up to which a table is known.
     pub fn version(&self, table: Table) -> u64 {
@@ -199,16 +213,26 @@
         self.tables.get(&table).is_some_and(|t| t.failing)
     }
 
-    /// Takes in a page; `whole` says that rows which are not in it are gone.
+    /// Takes in a page of the store; `whole` says that rows which are not in it are gone.
     pub fn apply(&mut self, table: Table, page: Page, whole: bool, now: Time) -> Vec<News> {
         if !page.now.is_zero() {
             self.note_clock(page.now.as_micros() as u64, now);
         }
+        self.tables.entry(table).or_default().failing = false;
+        let version = page.version;
+        let news = self.put(table, page, whole, now);
+        self.watermark.named(version, now);
+        news
+    }
+
+    /// Takes in a page from wherever, unless it is older than what is known.
+    fn put(&mut self, table: Table, page: Page, whole: bool, now: Time) -> Vec<News> {
         let copy = self.tables.entry(table).or_default();
-        copy.failing = false;
         if page.version < copy.version {
             return Vec::new();
         }
+        let changes = page.rows.iter().map(|row| row.version);
+        self.watermark.known(table as usize, page.version, changes);
         copy.remember(&page, whole);
         copy.version = page.version;
         let changed = merge(&mut copy.rows, page.rows, whole);
@@ -230,17 +254,14 @@
         if page.version <= self.version(table) {
             return Vec::new();
         }
-        self.apply_of_entry(table, page, true, now)
+        self.put(table, page, true, now)
     }
 
-    /// Takes in a page from another entry: it says nothing of whether the store answers here.
-    fn apply_of_entry(&mut self, table: Table, page: Page, whole: bool, now: Time) -> Vec<News> {
-        let failing = self.is_failing(table);
-        let news = self.apply(table, page, whole, now);
-        if let Some(copy) = self.tables.get_mut(&table) {
-            copy.failing = failing;
-        }
-        news
+    /// Returns the tables that must be asked anew, since the store named a version that long
+    /// ago whose change was told of by no table.
+    pub fn behind(&self, now: Time, patience: Span) -> Vec<Table> {
+        let behind = self.watermark.behind(now, patience).into_iter();
+        behind.filter_map(|n| Table::ALL.get(n).copied()).collect()
     }
 
     /// Returns what changed in a table after a version, to be handed on, or `None` where
@@ -292,7 +313,7 @@
             now: Duration::ZERO,
         };
         let whole = delta.since.is_none();
-        Taken::News(self.apply_of_entry(table, page, whole, now))
+        Taken::News(self.put(table, page, whole, now))
     }
 
     /// Takes in the time on the store's clock as another entry tells it.
--- a/crates/daemon/src/hosted/relay.rs
+++ b/crates/daemon/src/hosted/relay.rs
@@ -26,6 +26,10 @@
 /// tell what has been read long ago.
 const MOST_SENT: usize = 256;
 
+/// How long a table that was asked anew is left alone: as long as a call may take, so that
+/// none which would be answered is broken off.
+const ASKED: Span = Span::from_millis(1_500);
+
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Order {
@@ -37,6 +41,8 @@
     Send(Link, Frame),
     /// Read this much of the store; others may have its tables from here.
     Read(Reading),
+    /// Break off the wait for a table and ask for it at once.
+    Ask(Table),
     /// Take in what the entries of a data hall found.
     Told(PoolId, Hall, Report),
     /// Take in that an entry sent an upstream a prompt that takes this long to be read.
@@ -90,6 +96,8 @@
     failing: bool,
     /// Which tables the store has answered for since it was away, or since they are read.
     answered: [bool; 4],
+    /// When each table was asked for anew last, or began to be read.
+    asked: [Time; 4],
     /// When it has answered for the operator's.
     operator: Time,
     /// The prompts that this entry sent and that its sources are to be told of.
@@ -109,6 +117,7 @@
             found: Found::default(),
             failing: false,
             answered: [false; 4],
+            asked: [Time::default(); 4],
             operator: Time::default(),
             prompts: Vec::new(),
             leaving: false,
@@ -143,13 +152,16 @@
     /// Notes that the store has answered for a table.
     ///
     /// The operator's is asked often, the others are waited on for long: what is known is as
-    /// new as the last answer for the operator's once all have answered since the store was
-    /// away. Those that have the tables from here are told at once, since to them the age
-    /// of that answer counts.
+    /// new as the last answer for the operator's, as long as all the others have answered
+    /// since the store was away and none of them is [behind](Mirror::behind). Those that have
+    /// the tables from here are told at once, since to them the age of that answer counts.
     pub fn reached(&mut self, table: Table, now: Time) {
         self.answered[table as usize] = true;
         if table == Table::Operator {
-            self.failing = false;
+            if std::mem::take(&mut self.failing) {
+                // The others begin anew by themselves.
+                self.asked = [now; 4];
+            }
             self.operator = now;
             self.follow.reached(now);
         }
@@ -162,11 +174,15 @@
         }
     }
 
-    /// Notes that the store has not answered.
-    pub fn missed(&mut self) {
-        self.failing = true;
-        self.answered = [false; 4];
-        self.follow.missed();
+    /// Notes that the store has not answered for a table. One that does not answer for the
+    /// operator's is taken for away.
+    pub fn missed(&mut self, table: Table) {
+        self.answered[table as usize] = false;
+        if table == Table::Operator {
+            self.failing = true;
+            self.answered = [false; 4];
+            self.follow.missed();
+        }
     }
 
     /// Notes that this entry is about to stop.
@@ -263,6 +279,7 @@
                 Action::Read(reading) => {
                     self.failing &= reading != Reading::Nothing;
                     self.answered = [false; 4];
+                    self.asked = [now; 4];
                     orders.push(Order::Read(reading));
                 }
                 Action::Close(name) => {
@@ -275,11 +292,35 @@
                 }
             }
         }
+        orders.extend(self.ask_anew(mirror, now));
         orders.extend(self.tell_sources(now));
         orders.extend(self.hand_down(mirror, now));
         orders
     }
 
+    /// Asks anew for tables whose waits tell nothing, while the store answers for others.
+    ///
+    /// A wait can hang on a dead connection, or hear nothing after the store forgot its
+    /// history, for all of its 20 s. Entries that took the answers for the operator's table
+    /// for those of all sent requests to upstreams up to 13 s after they had left.
+    fn ask_anew(&mut self, mirror: &Mirror, now: Time) -> Vec<Order> {
+        if !self.reads_store() || self.failing {
+            return Vec::new();
+        }
+        for table in mirror.behind(now, self.follow.bounds().missing) {
+            self.answered[table as usize] = false;
+        }
+        let mut orders = Vec::new();
+        for table in Table::ALL {
+            let number = table as usize;
+            if !self.answered[number] && now.since(self.asked[number]) >= ASKED {
+                self.asked[number] = now;
+                orders.push(Order::Ask(table));
+            }
+        }
+        orders
+    }
+
     /// Hands on what is new to those that have the tables from here.
     pub fn hand_down(&mut self, mirror: &Mirror, now: Time) -> Vec<Order> {
         let links: Vec<Link> = self.takers.keys().copied().collect();
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -284,8 +284,8 @@
                 // Without the list of entries this one is on its own.
                 self.starts_until = None;
                 self.relay.listed(now);
+                self.relay.missed(table);
                 if table == Table::Operator {
-                    self.relay.missed();
                     self.failing_since.get_or_insert_with(Instant::now);
                 }
             }
@@ -355,9 +355,9 @@
             self.feed.known(table, self.mirror.version(table));
         }
         let wait = self.relay.follow().bounds().wait;
-        self.feed
-            .hands_on((self.relay.takers() > 0).then_some(wait));
         let before = self.relay.follow().reading();
+        self.feed
+            .wait_at_most((before == Reading::All).then_some(wait));
         let orders = self.relay.step(&self.mirror, now);
         self.carry_out(orders);
         let follow = self.relay.follow();
@@ -383,12 +383,21 @@
                 Order::Close(link) => self.peering.close(link),
                 Order::Send(link, frame) => self.peering.send(link, frame),
                 Order::Read(reading) => self.feed.read(reading),
+                Order::Ask(table) => self.ask_anew(table),
                 Order::Told(pool, hall, report) => self.handle(Input::Told(pool, hall, report)),
                 Order::Reads(number, reading) => self.handle(Input::Reads(number, reading)),
             }
         }
     }
 
+    /// Asks for a table whose wait tells nothing.
+    fn ask_anew(&mut self, table: Table) {
+        let silent = self.answers.silence_ms(table, self.clock.now());
+        let version = self.mirror.version(table);
+        info!("event=asked-anew table={table:?} version={version} silent_ms={silent}");
+        self.feed.ask(table);
+    }
+
     fn note_reached(&mut self, table: Table, now: Time) {
         if self.mirror.is_failing(table) {
             info!("event=store-regained table={table:?}");
--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -1,5 +1,6 @@
 //! Random schedules over entries that hand the store's tables to one another: kills,
-//! freezes, cuts, slow links, doubled messages, a store that refuses, is silent or forgets.
+//! freezes, cuts, slow links, doubled messages, a store that refuses, is silent or forgets,
+//! waits that hear nothing, connections that are dead.
 //!
 //! Simulated time, no socket. `SORRELDECK_CASES` sets the number of cases.
 
@@ -22,6 +23,13 @@
 const TICK: Span = Span::from_millis(20);
 /// How long the tables besides the operator's are waited on.
 const WAIT_OTHERS: Span = Span::from_millis(20_000);
+/// How long changes of a table are gathered before the next are waited for.
+const GATHERS: [(Table, Span); 4] = [
+    (Table::Operator, Span::from_millis(250)),
+    (Table::Upstreams, Span::from_millis(600)),
+    (Table::Progress, Span::from_millis(250)),
+    (Table::Own, Span::from_millis(1_000)),
+];
 /// How long a call hangs beyond its wait before it is given up.
 const HANGS: Span = Span::from_millis(1_500);
 
@@ -41,6 +49,8 @@
     down_until: Time,
     back_since: Time,
     is_silent: bool,
+    /// Waits that begin before then hear nothing until their own end.
+    deaf_until: Time,
 }
 
 impl Store {
@@ -85,6 +95,10 @@
     /// Whether the store has answered since the reading began.
     answered: bool,
     failures: u32,
+    /// Whether the wait hears nothing until its own end.
+    is_deaf: bool,
+    /// Whether its connection is dead, so that it is never answered.
+    is_dead: bool,
 }
 
 struct Node {
@@ -248,6 +262,9 @@
                         }
                     }
                 }
+                Order::Ask(table) => {
+                    self.nodes[node].polls[table as usize] = Poll::default();
+                }
                 Order::Told(..) | Order::Reads(..) => {}
             }
         }
@@ -362,29 +379,48 @@
             if !is_read(reading, table) || self.now < poll.pause_until {
                 continue;
             }
-            let since = poll.since.unwrap_or_else(|| {
+            if poll.since.is_none() {
                 self.store.calls += 1;
-                self.now
-            });
-            self.nodes[node].polls[number].since = Some(since);
+                let poll = &mut self.nodes[node].polls[number];
+                poll.since = Some(self.now);
+                poll.is_deaf = poll.answered && self.now < self.store.deaf_until;
+            }
+            let poll = self.nodes[node].polls[number];
+            let since = poll.since.unwrap_or(self.now);
             match self.is_store_up(node) {
+                _ if poll.is_dead => self.hang(node, table, since),
                 true => self.answer(node, table, since),
                 false => self.refuse(node, table, since),
             }
         }
     }
 
+    /// Lets a call hang on its dead connection until it is given up.
+    fn hang(&mut self, node: usize, table: Table, since: Time) {
+        let wait = self.wait(node, table);
+        if self.now.since(since) >= wait + HANGS {
+            self.fail(node, table);
+        }
+    }
+
+    /// Returns how long an entry waits for a change of a table.
+    fn wait(&self, node: usize, table: Table) -> Span {
+        let n = &self.nodes[node];
+        match table {
+            _ if !n.polls[table as usize].answered => Span::default(),
+            Table::Operator if n.reading == Reading::All => n.relay.follow().bounds().wait,
+            Table::Operator => Span::from_millis(2_500),
+            _ => WAIT_OTHERS,
+        }
+    }
+
     fn answer(&mut self, node: usize, table: Table, since: Time) {
         let now = self.now;
+        let wait = self.wait(node, table);
         let n = &mut self.nodes[node];
         let known = n.mirror.version(table);
-        let wait = match table {
-            Table::Operator if n.relay.takers() > 0 => n.relay.follow().bounds().wait,
-            Table::Operator => Span::from_millis(2_500),
-            _ => WAIT_OTHERS,
-        };
-        let first = !n.polls[table as usize].answered;
-        let news = first || known == 0 || self.store.newest(table) > known;
+        let hears = !n.polls[table as usize].is_deaf;
+        let news = known == 0 || (hears && self.store.newest(table) > known);
         if !news && now.since(since) < wait {
             return;
         }
@@ -394,8 +430,9 @@
             // The others begin anew.
             n.polls = [Poll::default(); 4];
         }
+        let gathers = GATHERS.iter().find(|(t, _)| *t == table);
         n.polls[table as usize] = Poll {
-            pause_until: now + Span::from_millis(250),
+            pause_until: now + gathers.map_or(Span::default(), |(_, span)| *span),
             answered: true,
             ..Poll::default()
         };
@@ -421,6 +458,12 @@
         if silent && now.since(since) < hangs {
             return;
         }
+        self.fail(node, table);
+    }
+
+    fn fail(&mut self, node: usize, table: Table) {
+        let now = self.now;
+        let n = &mut self.nodes[node];
         let pause = match (table, n.reading) {
             (Table::Operator, Reading::Operator) => 2_000,
             (Table::Operator, _) => 600,
@@ -430,14 +473,12 @@
         n.polls[table as usize] = Poll {
             since: None,
             pause_until: now + Span::from_millis(pause),
-            answered: false,
             failures: 1,
+            ..Poll::default()
         };
         n.mirror.failed(table, now);
         n.relay.listed(now);
-        if table == Table::Operator {
-            n.relay.missed();
-        }
+        n.relay.missed(table);
     }
 
     fn tick(&mut self) {
@@ -480,7 +521,7 @@
             return;
         }
         for n in self.nodes.iter().filter(|n| held(n.well_since)) {
-            for table in [Table::Operator, Table::Progress] {
+            for table in [Table::Operator, Table::Progress, Table::Upstreams] {
                 let due = self.store.changes.iter().rev();
                 let due = due.filter(|(_, t, _)| *t == table);
                 let mut due = due.filter(|(at, ..)| self.now.since(*at) >= IN_FORCE);
@@ -503,7 +544,13 @@
 
     /// Changes something at the store.
     fn change(&mut self) {
-        let key = format!("x-{}", self.rng.random_range(0..6));
+        let number = self.rng.random_range(0..6);
+        if self.rng.random_bool(0.3) {
+            let row = upstream(number, 0);
+            let value = row.value.filter(|_| self.rng.random_bool(0.6));
+            return self.store.put(Table::Upstreams, &row.key, value, self.now);
+        }
+        let key = format!("x-{number}");
         let table = match self.rng.random_bool(0.5) {
             true => Table::Operator,
             false => Table::Progress,
@@ -519,8 +566,8 @@
     fn impair(&mut self) {
         let until = self.now + Span::from_millis(self.rng.random_range(300..7_000));
         let share = [0.05, 0.3, 0.9][self.rng.random_range(0..3)];
-        let kind = self.rng.random_range(0..9);
-        if kind >= 6 {
+        let kind = self.rng.random_range(0..10);
+        if kind >= 7 {
             return self.impair_all(kind, until);
         }
         let readers = kind == 5;
@@ -534,23 +581,50 @@
                 1 => self.nodes[node].frozen_until = until,
                 2 => self.nodes[node].cut_until = until,
                 3 => self.nodes[node].alone_until = until,
-                _ => {
+                4 => {
                     self.nodes[node].cut_until = until;
                     self.nodes[node].alone_until = until;
                 }
+                _ => {
+                    self.kill_connections(node);
+                    self.nodes[node].impaired(self.now);
+                    continue;
+                }
             }
             self.nodes[node].impaired(until);
         }
     }
 
+    /// Lets some of an entry's calls of the store hang on connections that are dead.
+    fn kill_connections(&mut self, node: usize) {
+        let share = [0.3, 1.0][self.rng.random_range(0..2)];
+        for poll in &mut self.nodes[node].polls {
+            poll.is_dead = poll.since.is_some() && self.rng.random_bool(share);
+        }
+    }
+
+    /// Lets the store forget its history: waits under way are told, and those that begin
+    /// soon after hear nothing until their own end.
+    fn forget(&mut self) {
+        let until = self.now + Span::from_millis(self.rng.random_range(0..1_200));
+        self.store.forgotten = self.store.version;
+        self.store.deaf_until = until;
+        self.store.back_since = self.store.back_since.max(until);
+        for node in &mut self.nodes {
+            for poll in node.polls.iter_mut().filter(|poll| !poll.is_dead) {
+                *poll = Poll::default();
+            }
+        }
+    }
+
     fn impair_all(&mut self, kind: usize, until: Time) {
         match kind {
-            6 => {
+            7 => {
                 self.store.down_until = until;
                 self.store.back_since = self.store.back_since.max(until);
                 self.store.is_silent = self.rng.random_bool(0.5);
             }
-            7 => self.store.forgotten = self.store.version,
+            8 => self.forget(),
             _ => {
                 self.slow_until = until;
                 for node in &mut self.nodes {
@@ -563,7 +637,7 @@
     /// Only those that read: killed, frozen or cut off, while all others are well.
     fn impair_readers(&mut self) {
         let until = self.now + Span::from_millis(self.rng.random_range(2_000..9_000));
-        let kind = self.rng.random_range(0..4);
+        let kind = self.rng.random_range(0..5);
         for node in 0..self.nodes.len() {
             if self.nodes[node].reading != Reading::All {
                 continue;
@@ -572,7 +646,12 @@
                 0 => self.kill(node, until),
                 1 => self.nodes[node].frozen_until = until,
                 2 => self.nodes[node].alone_until = until,
-                _ => self.nodes[node].cut_until = until,
+                3 => self.nodes[node].cut_until = until,
+                _ => {
+                    self.kill_connections(node);
+                    self.nodes[node].impaired(self.now);
+                    continue;
+                }
             }
             self.nodes[node].impaired(until);
         }
