--- a/crates/daemon/src/hosted/feed.rs
+++ b/crates/daemon/src/hosted/feed.rs
@@ -22,10 +22,6 @@
 /// How long the operator's table is waited on: a configuration must be in force
 /// within 2 s even when a wait hangs on a connection that is dead.
 const WAIT_OPERATOR: Duration = Duration::from_millis(2_500);
-/// The same after it could not be read: a wait that hangs then must be given up, and
-/// the table read, before 3 s after the end of the trouble, from when on what came in
-/// force meanwhile counts. A hanging wait is given up 1.5 s after its time.
-const WAIT_FAILING: Duration = Duration::from_millis(500);
 /// How long the other tables are waited on; every call is priced.
 const WAIT_OTHERS: Duration = Duration::from_millis(20_000);
 /// How long after a change the next one is waited for, so that changes that come
@@ -251,6 +247,10 @@
             let pause = match turn {
                 Turn::Read(read) => self.tell(read, &bells).await,
                 Turn::Anew => {
+                    if self.answered {
+                        // A wait that told nothing may have hung on a silent connection.
+                        self.store.reconnect().await;
+                    }
                     self.answered = false;
                     Some(Duration::ZERO)
                 }
@@ -287,12 +287,13 @@
     /// when the operator's can be read again.
     fn wait(&self) -> Duration {
         let handed = Duration::from_micros(self.wanted.wait.load(Ordering::Relaxed));
-        match (self.table, self.failures) {
-            (Table::Operator, 1..) => WAIT_FAILING,
-            // That nothing has changed must be known at once when the reading begins.
+        match self.table {
+            // That nothing has changed must be known at once when the reading begins, and
+            // after a failure: entries are held to what came in force 3 s after a trouble, of
+            // which a call that hangs takes 2.3 s.
             _ if !self.answered => Duration::ZERO,
-            (Table::Operator, _) if handed.is_zero() => WAIT_OPERATOR,
-            (Table::Operator, _) => handed.min(WAIT_OPERATOR),
+            Table::Operator if handed.is_zero() => WAIT_OPERATOR,
+            Table::Operator => handed.min(WAIT_OPERATOR),
             _ => WAIT_OTHERS,
         }
     }
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -356,9 +356,9 @@
         }
         let wait = self.relay.follow().bounds().wait;
         let before = self.relay.follow().reading();
-        self.feed
-            .wait_at_most((before == Reading::All).then_some(wait));
         let orders = self.relay.step(&self.mirror, now);
+        let reads_all = self.relay.follow().reading() == Reading::All;
+        self.feed.wait_at_most(reads_all.then_some(wait));
         self.carry_out(orders);
         let follow = self.relay.follow();
         let reading = follow.reading();
--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -1,6 +1,6 @@
 //! Random schedules over entries that hand the store's tables to one another: kills,
 //! freezes, cuts, slow links, doubled messages, a store that refuses, is silent or forgets,
-//! waits that hear nothing, connections that are dead.
+//! waits that hear nothing, connections and links that are dead while new ones work.
 //!
 //! Simulated time, no socket. `SORRELDECK_CASES` sets the number of cases.
 
@@ -13,7 +13,7 @@
 use sorreldeck_platform::store::{Page, Row};
 use sorreldeck_platform::Table;
 use sorreldeckd::hosted::{Mirror, News, Order, Relay};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// The time within which a change must be known.
@@ -165,6 +165,8 @@
     nodes: Vec<Node>,
     /// The other end of each link.
     links: BTreeMap<End, End>,
+    /// The ends of links that went silent for good, without a reset.
+    silent: BTreeSet<End>,
     events: BTreeMap<(Time, u64), Event>,
     /// The share of links over which messages take longer.
     slow_links: f64,
@@ -186,6 +188,7 @@
             store: Store::default(),
             nodes: Vec::new(),
             links: BTreeMap::new(),
+            silent: BTreeSet::new(),
             events: BTreeMap::new(),
             slow_links: 0.0,
             delays: BTreeMap::new(),
@@ -233,7 +236,7 @@
         let Some(to) = self.links.get(&from).copied() else {
             return;
         };
-        if !self.reaches(from.0, to.0) {
+        if !self.reaches(from.0, to.0) || self.silent.contains(&from) {
             return;
         }
         let own = self.delays.get(&from).copied().unwrap_or_default();
@@ -294,6 +297,9 @@
 
     fn close(&mut self, end: End) {
         if let Some(other) = self.links.remove(&end) {
+            if self.silent.contains(&end) {
+                return;
+            }
             self.links.remove(&other);
             let due = self.now + self.delay();
             self.at(due, Event::Closed(other));
@@ -566,7 +572,7 @@
     fn impair(&mut self) {
         let until = self.now + Span::from_millis(self.rng.random_range(300..7_000));
         let share = [0.05, 0.3, 0.9][self.rng.random_range(0..3)];
-        let kind = self.rng.random_range(0..10);
+        let kind = self.rng.random_range(0..11);
         if kind >= 7 {
             return self.impair_all(kind, until);
         }
@@ -625,6 +631,14 @@
                 self.store.is_silent = self.rng.random_bool(0.5);
             }
             8 => self.forget(),
+            9 => {
+                // All open links at once, while new ones work.
+                self.silent.extend(self.links.keys());
+                let now = self.now;
+                for node in &mut self.nodes {
+                    node.impaired(now);
+                }
+            }
             _ => {
                 self.slow_until = until;
                 for node in &mut self.nodes {
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -245,7 +245,8 @@
         self.send(address, &call, repeat).await?.whole().await
     }
 
-    /// Like [`Client::call`], but fails when it takes longer than `limit`.
+    /// Like [`Client::call`], but fails when it takes longer than `limit`; the connections
+    /// kept to the server are closed then.
     ///
     /// # Errors
     ///
@@ -259,9 +260,21 @@
         headers: &[Header],
         body: Vec<u8>,
     ) -> Result<Reply, Trouble> {
-        timeout(limit, self.call(address, method, path, headers, body))
-            .await
-            .unwrap_or_else(|_| Err(Trouble::unsure("no reply in time")))
+        let call = self.call(address, method, path, headers, body);
+        match timeout(limit, call).await {
+            Ok(reply) => reply,
+            Err(_) => {
+                // Where one connection is silent, those kept beside it most likely are: each
+                // would cost the next call its whole limit.
+                self.forget(address).await;
+                Err(Trouble::unsure("no reply in time"))
+            }
+        }
+    }
+
+    /// Closes the connections kept to a server, but for those in use.
+    pub async fn forget(&self, address: SocketAddr) {
+        self.kept.lock().await.remove(&address);
     }
 
     async fn take(&self, address: SocketAddr) -> Option<TcpStream> {
