--- a/crates/daemon/src/hosted/relay.rs
+++ b/crates/daemon/src/hosted/relay.rs
@@ -472,13 +472,9 @@
         if let Some(clock) = feed.clock_us {
             mirror.note_clock(clock, now);
         }
-        let word = Word {
-            store: feed.heard_us.and_then(|micros| mirror.own_time(micros)),
-            leaving: feed.leaving,
-        };
-        self.follow.heard(&source.name, word, now);
         source.failing = feed.failing;
-        let is_near = self.follow.is_near(&source.name);
+        let name = source.name.clone();
+        let is_near = self.follow.is_near(&name);
         // Rows that vanish next may be leases that lapsed while the store was away: not where
         // it answers this entry or another source, since upstreams that leave would then be
         // kept for 1.8 s longer.
@@ -494,6 +490,14 @@
                 Taken::News(more) => news.extend(more),
             }
         }
+        // An age without the changes that go with it would make what is known look newer
+        // than it is, here and at all that have the tables from here.
+        let heard = feed.heard_us.filter(|_| !gap);
+        let word = Word {
+            store: heard.and_then(|micros| mirror.own_time(micros)),
+            leaving: feed.leaving,
+        };
+        self.follow.heard(&name, word, now);
         let mut orders: Vec<Order> = feed.sent.iter().map(reads).collect();
         if gap {
             if let Some(source) = self.sources.get_mut(&link) {
--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -870,3 +870,28 @@
     assert_eq!(left_after(false, &[true, false]), 1, "one source reads it");
     assert_eq!(left_after(false, &[true, true]), 0, "the store is away");
 }
+
+/// Found on reading: a source's age was taken over though the changes that came with it could
+/// not be, since others before them were missing.
+#[test]
+fn an_age_is_not_taken_over_without_the_changes_that_go_with_it() {
+    for (since, known) in [(6, false), (5, true)] {
+        let (mut relay, mut mirror, links) = taker(false);
+        let table = sorreldeck::wire::TableDelta {
+            number: Table::Upstreams as usize,
+            since: Some(since),
+            version: 7,
+            rows: Vec::new(),
+        };
+        let feed = sorreldeck::wire::Feed {
+            clock_us: Some(1_000),
+            heard_us: Some(1_000),
+            tables: vec![table],
+            ..Default::default()
+        };
+        let frame = Frame::Feed(Box::new(feed));
+        relay.frame(links[0], frame, &mut mirror, Time(2_000));
+        let age = relay.follow().age(Time(2_000));
+        assert_eq!(age.is_some(), known, "changes since {since}");
+    }
+}
