--- a/crates/daemon/src/hosted/mirror.rs
+++ b/crates/daemon/src/hosted/mirror.rs
@@ -197,10 +197,22 @@
     }
 
     /// Notes that a table could not be read.
+    ///
+    /// That the store is away, so that leases may lapse, shows at the operator's table, which
+    /// is asked often, or at the upstreams' when it fails again at once. A single wait that is
+    /// given up may have hung on its connection for 20 s: with that taken for a store out of
+    /// reach, upstreams that left without a word then got requests for 2.4 s.
     pub fn failed(&mut self, table: Table, now: Time) {
         let copy = self.tables.entry(table).or_default();
-        copy.failing = true;
-        copy.trouble = Some(now);
+        let again = std::mem::replace(&mut copy.failing, true);
+        let is_away = match table {
+            Table::Operator => true,
+            Table::Upstreams => again,
+            Table::Progress | Table::Own => false,
+        };
+        if is_away {
+            copy.trouble = Some(now);
+        }
     }
 
     /// Notes that the store did not answer another entry, from which the tables come.
