--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -8,6 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 use sorreldeck::follow::{Bounds, Peer, Reading};
 use sorreldeck::pick::Link;
+use sorreldeck::release::Stay;
 use sorreldeck::wire::Frame;
 use sorreldeck::{InstanceId, Span, Time};
 use sorreldeck_platform::store::{Page, Row};
@@ -15,6 +16,7 @@
 use sorreldeckd::hosted::{Mirror, News, Order, Relay};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
+use test_case::test_case;
 
 /// The time within which a change must be known.
 const IN_FORCE: Span = Span::from_millis(4_000);
@@ -115,6 +117,8 @@
     /// Not reached by the store until then.
     alone_until: Time,
     well_since: Time,
+    /// The sessions that it was told of.
+    stays: BTreeSet<u64>,
     /// The newest version that was seen of each row in this life.
     seen: BTreeMap<(Table, String), u64>,
 }
@@ -132,6 +136,7 @@
             cut_until: Time::default(),
             alone_until: Time::default(),
             well_since: Time::default(),
+            stays: BTreeSet::new(),
             seen: BTreeMap::new(),
         }
     }
@@ -268,7 +273,8 @@
                 Order::Ask(table) => {
                     self.nodes[node].polls[table as usize] = Poll::default();
                 }
-                Order::Told(..) | Order::Reads(..) | Order::Stays(..) => {}
+                Order::Stays(stay) => drop(self.nodes[node].stays.insert(stay.session)),
+                Order::Told(..) | Order::Reads(..) => {}
             }
         }
     }
@@ -895,3 +901,63 @@
         assert_eq!(age.is_some(), known, "changes since {since}");
     }
 }
+
+fn stay(session: u64) -> Stay {
+    Stay {
+        pool: "engines".parse().unwrap(),
+        release: "v1".parse().unwrap(),
+        session,
+        left: Span::from_millis(6_000),
+    }
+}
+
+/// Each row: the data halls and the entries.
+#[test_case(1, 2; "two entries")]
+#[test_case(3, 3; "one entry a data hall")]
+#[test_case(4, 80; "many entries")]
+fn all_entries_are_told_of_a_session_that_stays(halls: usize, entries: usize) {
+    let mut world = World::new(11, halls, entries);
+    for _ in 0..250 {
+        world.tick();
+    }
+    for teller in 0..entries {
+        let now = world.now;
+        world.nodes[teller].relay.stays(stay(teller as u64), now);
+    }
+    // A trial begins 1 s after its record; three links gather for 40 ms and a tick each.
+    for _ in 0..15 {
+        world.tick();
+    }
+    for (number, node) in world.nodes.iter().enumerate() {
+        let told = (0..entries).filter(|teller| *teller != number);
+        let missing: Vec<_> = told
+            .filter(|teller| !node.stays.contains(&(*teller as u64)))
+            .collect();
+        assert!(missing.is_empty(), "{number} was not told of {missing:?}");
+    }
+}
+
+/// Whoever starts midway is told as soon as it has its tables.
+#[test]
+fn an_entry_that_starts_midway_is_told_of_sessions_that_stay() {
+    let mut world = World::new(12, 3, 30);
+    for _ in 0..250 {
+        world.tick();
+    }
+    let now = world.now;
+    world.nodes[0].relay.stays(stay(7), now);
+    for _ in 0..15 {
+        world.tick();
+    }
+    let readers = (0..30).filter(|n| world.nodes[*n].reading == Reading::All);
+    let reader = readers.last().unwrap();
+    for starts in [1, reader] {
+        world.kill(starts, now + Span::from_millis(600));
+    }
+    for _ in 0..100 {
+        world.tick();
+    }
+    for starts in [1, reader] {
+        assert!(world.nodes[starts].stays.contains(&7), "{starts}");
+    }
+}
