--- a/crates/core/src/release/schedule.rs
+++ b/crates/core/src/release/schedule.rs
@@ -23,12 +23,12 @@
 /// that another entry has just served on the old release may be drawn; more than three
 /// break the rule.
 const TRIAL: f64 = 0.025;
-/// How long after its record a trial begins, and the part of the time given that this takes at most:
-/// entries learn of the record within some 0.1 s, and of the sessions that others serve on the
-/// old release within 0.3 s, over three links of which each gathers for 40 ms and may be
-/// slow. Without it and without being told, 32 of 1,000 sessions between two requests moved
-/// (test `session_of_another_entry_was_drawn`).
+/// How long after its record a trial begins: entries learn of the record within some 0.1 s,
+/// and of the sessions that others serve on the old release within 0.3 s, over three links of
+/// which each gathers for 40 ms and may be slow. Without it and without being told, 32 of 1,000
+/// sessions between two requests moved (test `session_of_another_entry_was_drawn`).
 const LEAD: Span = Span::from_millis(1_000);
+/// The part of the time given that this takes at most, one in so many.
 const LEAD_PART: u64 = 10;
 /// The part of the time given after which sessions may move; they may from half of
 /// it, and the clocks of entries are a few milliseconds apart.
--- a/crates/daemon/src/hosted/answers.rs
+++ b/crates/daemon/src/hosted/answers.rs
@@ -3,7 +3,7 @@
 //! A table whose answers stay away while another one's come is seen here and nowhere else:
 //! what other entries hand on hides it.
 
-use sorreldeck::{Span, Time};
+use sorreldeck::Time;
 use sorreldeck_platform::Table;
 
 /// The times of the latest answers.
@@ -16,14 +16,10 @@
         self.0[table as usize] = Some(now);
     }
 
-    /// Returns how long the store has not answered for a table, or `None` if it never has.
-    pub fn silence(&self, table: Table, now: Time) -> Option<Span> {
-        self.0[table as usize].map(|at| now.since(at))
-    }
-
-    /// Returns the silence of a table in milliseconds; -1 stands for no answer ever.
+    /// Returns for how many milliseconds the store has not answered for a table; -1 stands
+    /// for no answer ever.
     pub fn silence_ms(&self, table: Table, now: Time) -> i64 {
-        let silence = self.silence(table, now);
-        silence.map_or(-1, |silence| silence.millis() as i64)
+        let answered = self.0[table as usize];
+        answered.map_or(-1, |at| now.since(at).millis() as i64)
     }
 }
--- a/crates/daemon/src/hosted/relay.rs
+++ b/crates/daemon/src/hosted/relay.rs
@@ -200,7 +200,7 @@
     }
 
     /// Notes that this entry serves a session that stays at its release.
-    pub fn stays(&mut self, stay: Stay, now: Time) {
+    pub fn note_stay(&mut self, stay: Stay, now: Time) {
         let stays = vec![stay];
         self.stays.note(&stays, now);
         self.hint(Hints {
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -579,7 +579,7 @@
             Output::Send(_, Frame::Cancel(run)) => drop(self.runs.remove(&run)),
             Output::Answer(request, part) => self.answer(request, part),
             Output::Reads(number, reading) => self.relay.sent(number, reading),
-            Output::Stays(stay) => self.relay.stays(stay, self.clock.now()),
+            Output::Stays(stay) => self.relay.note_stay(stay, self.clock.now()),
             Output::Ended(done) => {
                 self.metrics.ended(&done);
                 self.finished(&done);
--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -922,7 +922,9 @@
     }
     for teller in 0..entries {
         let now = world.now;
-        world.nodes[teller].relay.stays(stay(teller as u64), now);
+        world.nodes[teller]
+            .relay
+            .note_stay(stay(teller as u64), now);
     }
     // A trial begins 1 s after its record; three links gather for 40 ms and a tick each.
     for _ in 0..15 {
@@ -945,12 +947,12 @@
         world.tick();
     }
     let now = world.now;
-    world.nodes[0].relay.stays(stay(7), now);
+    world.nodes[0].relay.note_stay(stay(7), now);
     for _ in 0..15 {
         world.tick();
     }
-    let readers = (0..30).filter(|n| world.nodes[*n].reading == Reading::All);
-    let reader = readers.last().unwrap();
+    let mut readers = (2..30).filter(|n| world.nodes[*n].reading == Reading::All);
+    let reader = readers.next().unwrap();
     for starts in [1, reader] {
         world.kill(starts, now + Span::from_millis(600));
     }
