--- a/crates/core/src/follow/mod.rs
+++ b/crates/core/src/follow/mod.rs
@@ -272,10 +272,16 @@
         self.missed = true;
     }
 
-    /// Notes that the link to an entry is open.
-    pub fn opened(&mut self, name: &InstanceId, now: Time) {
-        if let Some(contact) = self.contacts.get_mut(name) {
-            contact.opened(now);
+    /// Notes that the link to an entry is open; returns whether it is still wanted. Another
+    /// source may have become new enough while it was opened.
+    pub fn opened(&mut self, name: &InstanceId, now: Time) -> bool {
+        let contact = self.contacts.get_mut(name);
+        match contact.filter(|contact| contact.is_linked()) {
+            Some(contact) => {
+                contact.opened(now);
+                true
+            }
+            None => false,
         }
     }
 
--- a/crates/daemon/src/hosted/relay.rs
+++ b/crates/daemon/src/hosted/relay.rs
@@ -201,12 +201,22 @@
 
     /// Notes that this entry serves a session that stays at its release.
     pub fn note_stay(&mut self, stay: Stay, now: Time) {
-        let stays = vec![stay];
-        self.stays.note(&stays, now);
-        self.hint(Hints {
-            stays,
+        let news = self.spread(vec![stay], None, now);
+        self.hints.stays.extend(news);
+    }
+
+    /// Notes sessions and puts those that are news in line for all that have the tables from
+    /// here, but for the link that told of them. A data hall may have several readers for a
+    /// while, so each way is used, and ends where the session was known.
+    fn spread(&mut self, stays: Vec<Stay>, from: Option<Link>, now: Time) -> Vec<Stay> {
+        let hints = Hints {
+            stays: self.stays.note(stays, now),
             ..Hints::default()
-        });
+        };
+        if !hints.is_empty() {
+            self.tell_takers(&hints, from, true);
+        }
+        hints.stays
     }
 
     fn hint(&mut self, hints: Hints) {
@@ -239,7 +249,11 @@
             self.follow.closed(&name, now);
             return Vec::new();
         };
-        self.follow.opened(&name, now);
+        if !self.follow.opened(&name, now) {
+            // Kept, it would have made the other end read the store for good: five of 32
+            // entries did, where three data halls need three.
+            return vec![Order::Close(link)];
+        }
         let frame = self.ask(mirror, now);
         let source = Source {
             name,
@@ -386,13 +400,19 @@
         let reads_store = self.reads_store();
         let present = self.present();
         let hints = std::mem::take(&mut self.hints);
+        let has_near = self
+            .sources
+            .values()
+            .any(|source| self.follow.is_near(&source.name));
         let mut was_told = reads_store;
         for (link, source) in &mut self.sources {
             let passed = now.since(source.sent);
             let news = source.found < changes && has_found && passed >= beat;
+            let is_near = self.follow.is_near(&source.name);
             // What a reader sent goes to those that have the tables from it.
-            let told = !hints.is_empty() && !reads_store && self.follow.is_near(&source.name);
-            if !news && !told && passed < KEEP {
+            let told = !hints.prompts.is_empty() && !reads_store && is_near;
+            let stays = !hints.stays.is_empty() && (is_near || !has_near);
+            if !news && !told && !stays && passed < KEEP {
                 continue;
             }
             source.sent = now;
@@ -403,6 +423,8 @@
             }
             if told {
                 follow.sent.clone_from(&hints.prompts);
+            }
+            if stays {
                 follow.stays.clone_from(&hints.stays);
                 was_told = true;
             }
@@ -465,16 +487,21 @@
         if let Some(taker) = self.takers.get_mut(&link) {
             taker.reads_store = asked.reads_store;
         }
-        let mut orders = Vec::new();
+        let news = self.spread(asked.stays, Some(link), now);
+        self.hints.stays.extend(news.iter().cloned());
+        let mut hints = Hints {
+            stays: news,
+            ..Hints::default()
+        };
         if is_near {
-            let hints = Hints {
+            let prompts = Hints {
                 prompts: asked.sent,
-                stays: asked.stays,
+                ..Hints::default()
             };
-            self.stays.note(&hints.stays, now);
-            self.tell_takers(&hints, Some(link), true);
-            orders.extend(hints.orders());
+            self.tell_takers(&prompts, Some(link), true);
+            hints.prompts = prompts.prompts;
         }
+        let mut orders = hints.orders();
         for (pool, report) in asked.found.into_iter().filter(|_| is_near) {
             self.found
                 .note_near(pool.clone(), asked.entry.clone(), report);
@@ -528,9 +555,8 @@
         self.follow.heard(&name, word, now);
         let hints = Hints {
             prompts: feed.sent,
-            stays: feed.stays,
+            stays: self.spread(feed.stays, Some(link), now),
         };
-        self.stays.note(&hints.stays, now);
         let mut orders = hints.orders();
         if gap {
             if let Some(source) = self.sources.get_mut(&link) {
@@ -540,7 +566,11 @@
             orders.push(Order::Send(link, frame));
         }
         if !is_near {
-            self.tell_takers(&hints, None, false);
+            let prompts = Hints {
+                prompts: hints.prompts,
+                ..Hints::default()
+            };
+            self.tell_takers(&prompts, None, false);
         }
         for (pool, hall, report) in feed.found {
             if hall != self.own.hall {
--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -749,6 +749,25 @@
     assert!(few < 4 * 75, "four halls: {few}");
 }
 
+/// Links that were opened to more than are needed used to stay open from one end, so that
+/// the other went on reading the store: two more readers than data halls on an installation
+/// of 32 entries, as its lines told.
+#[test]
+fn one_entry_a_data_hall_reads_the_store() {
+    for seed in 0..8 {
+        let mut world = World::new(seed, 3, 32);
+        // Links take long to open while all entries start.
+        world.slow_until = world.now + Span::from_millis(1_000);
+        for _ in 0..1_000 {
+            world.tick();
+        }
+        let reads = |n: &&Node| n.reading == Reading::All;
+        assert_eq!(world.nodes.iter().filter(reads).count(), 3, "seed {seed}");
+        let sources = |n: &Node| n.relay.follow().sources(world.now).len();
+        assert!(world.nodes.iter().all(|n| sources(n) == 2));
+    }
+}
+
 /// A loss of all readers at once costs the others no call each.
 #[test]
 fn a_loss_of_all_readers_is_made_good_by_few_calls() {
@@ -963,3 +982,39 @@
         assert!(world.nodes[starts].stays.contains(&7), "{starts}");
     }
 }
+
+/// Found in the lines of a day without trouble: two readers in one data hall, of which each
+/// told its own takers only, so that sessions served by one moved at those of the other.
+#[test]
+fn what_a_source_tells_of_sessions_goes_on_to_takers_once() {
+    let (mut relay, mut mirror, links) = taker(true);
+    let (hall, entry) = ("h".parse().unwrap(), "e-9".parse().unwrap());
+    let asked = sorreldeck::wire::Follow {
+        entry,
+        hall,
+        have: Some(Vec::new()),
+        reads_store: false,
+        found: Vec::new(),
+        sent: Vec::new(),
+        stays: Vec::new(),
+    };
+    let frame = Frame::Follow(Box::new(asked));
+    relay.frame(99, frame, &mut mirror, Time(2));
+    let mut told = |at: u64| {
+        let feed = sorreldeck::wire::Feed {
+            stays: vec![stay(7)],
+            ..Default::default()
+        };
+        let now = Time(at);
+        relay.frame(links[0], Frame::Feed(Box::new(feed)), &mut mirror, now);
+        let orders = relay.step(&mirror, now + Span::from_millis(60));
+        let handed = orders.into_iter().filter_map(|order| match order {
+            Order::Send(99, Frame::Feed(feed)) => Some(feed.stays.len()),
+            _ => None,
+        });
+        handed.sum::<usize>()
+    };
+    assert_eq!(told(100_000), 1, "news goes on");
+    assert_eq!(told(300_000), 0, "what comes again another way does not");
+    assert_eq!(told(3_000_000), 1, "a later end of its time is news");
+}
