--- a/crates/daemon/src/hosted/hints.rs
+++ b/crates/daemon/src/hosted/hints.rs
@@ -13,11 +13,6 @@
 /// holds for seconds, and some ten a second are told on installations of hundreds of entries.
 const MOST_STAYS: usize = 4_096;
 
-/// How far apart the ends of a session's time must be for one word of it to be news after
-/// another: the same word that comes by two ways differs by the time on the way, while the end
-/// of a request differs from its time limit by seconds.
-const SAME: Span = Span::from_millis(1_000);
-
 /// What waits to be told over a link, or was told.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Hints {
@@ -61,26 +56,14 @@
 pub struct Stays(BTreeMap<u64, (Stay, Time)>);
 
 impl Stays {
-    /// Notes sessions; returns those that are news, so that what goes round by several links
-    /// ends where it was known.
-    pub fn note(&mut self, stays: Vec<Stay>, now: Time) -> Vec<Stay> {
+    /// Notes sessions.
+    pub fn note(&mut self, stays: &[Stay], now: Time) {
+        for stay in stays {
+            self.0.insert(stay.session, (stay.clone(), now + stay.left));
+        }
         if self.0.len() > MOST_STAYS {
             self.0.retain(|_, (_, until)| now < *until);
         }
-        let mut news = Vec::new();
-        for stay in stays {
-            let until = now + stay.left;
-            let known = self.0.get(&stay.session);
-            let is_same = known.is_some_and(|(known, at)| {
-                let apart = at.since(until).max(until.since(*at));
-                known.release == stay.release && apart < SAME
-            });
-            if !is_same {
-                self.0.insert(stay.session, (stay.clone(), until));
-                news.push(stay);
-            }
-        }
-        news
     }
 
     /// Returns those whose next request may still come.
--- a/crates/daemon/src/hosted/relay.rs
+++ b/crates/daemon/src/hosted/relay.rs
@@ -201,22 +201,12 @@
 
     /// Notes that this entry serves a session that stays at its release.
     pub fn note_stay(&mut self, stay: Stay, now: Time) {
-        let news = self.spread(vec![stay], None, now);
-        self.hints.stays.extend(news);
-    }
-
-    /// Notes sessions and puts those that are news in line for all that have the tables from
-    /// here, but for the link that told of them. A data hall may have several readers for a
-    /// while, so each way is used, and ends where the session was known.
-    fn spread(&mut self, stays: Vec<Stay>, from: Option<Link>, now: Time) -> Vec<Stay> {
-        let hints = Hints {
-            stays: self.stays.note(stays, now),
+        let stays = vec![stay];
+        self.stays.note(&stays, now);
+        self.hint(Hints {
+            stays,
             ..Hints::default()
-        };
-        if !hints.is_empty() {
-            self.tell_takers(&hints, from, true);
-        }
-        hints.stays
+        });
     }
 
     fn hint(&mut self, hints: Hints) {
@@ -400,19 +390,13 @@
         let reads_store = self.reads_store();
         let present = self.present();
         let hints = std::mem::take(&mut self.hints);
-        let has_near = self
-            .sources
-            .values()
-            .any(|source| self.follow.is_near(&source.name));
         let mut was_told = reads_store;
         for (link, source) in &mut self.sources {
             let passed = now.since(source.sent);
             let news = source.found < changes && has_found && passed >= beat;
-            let is_near = self.follow.is_near(&source.name);
             // What a reader sent goes to those that have the tables from it.
-            let told = !hints.prompts.is_empty() && !reads_store && is_near;
-            let stays = !hints.stays.is_empty() && (is_near || !has_near);
-            if !news && !told && !stays && passed < KEEP {
+            let told = !hints.is_empty() && !reads_store && self.follow.is_near(&source.name);
+            if !news && !told && passed < KEEP {
                 continue;
             }
             source.sent = now;
@@ -423,8 +407,6 @@
             }
             if told {
                 follow.sent.clone_from(&hints.prompts);
-            }
-            if stays {
                 follow.stays.clone_from(&hints.stays);
                 was_told = true;
             }
@@ -487,21 +469,16 @@
         if let Some(taker) = self.takers.get_mut(&link) {
             taker.reads_store = asked.reads_store;
         }
-        let news = self.spread(asked.stays, Some(link), now);
-        self.hints.stays.extend(news.iter().cloned());
-        let mut hints = Hints {
-            stays: news,
-            ..Hints::default()
-        };
+        let mut orders = Vec::new();
         if is_near {
-            let prompts = Hints {
+            let hints = Hints {
                 prompts: asked.sent,
-                ..Hints::default()
+                stays: asked.stays,
             };
-            self.tell_takers(&prompts, Some(link), true);
-            hints.prompts = prompts.prompts;
+            self.stays.note(&hints.stays, now);
+            self.tell_takers(&hints, Some(link), true);
+            orders.extend(hints.orders());
         }
-        let mut orders = hints.orders();
         for (pool, report) in asked.found.into_iter().filter(|_| is_near) {
             self.found
                 .note_near(pool.clone(), asked.entry.clone(), report);
@@ -555,8 +532,9 @@
         self.follow.heard(&name, word, now);
         let hints = Hints {
             prompts: feed.sent,
-            stays: self.spread(feed.stays, Some(link), now),
+            stays: feed.stays,
         };
+        self.stays.note(&hints.stays, now);
         let mut orders = hints.orders();
         if gap {
             if let Some(source) = self.sources.get_mut(&link) {
@@ -566,11 +544,7 @@
             orders.push(Order::Send(link, frame));
         }
         if !is_near {
-            let prompts = Hints {
-                prompts: hints.prompts,
-                ..Hints::default()
-            };
-            self.tell_takers(&prompts, None, false);
+            self.tell_takers(&hints, None, false);
         }
         for (pool, hall, report) in feed.found {
             if hall != self.own.hall {
