--- a/crates/daemon/src/hosted/feed.rs
+++ b/crates/daemon/src/hosted/feed.rs
@@ -163,16 +163,14 @@
             };
             let wanted = &self.wanted[number];
             if wanted.task.swap(task as u8, Ordering::Relaxed) != task as u8 {
-                // A bell that has not been heard yet rings already.
-                let _ = self.bells[number].try_send(());
+                ring(&self.bells[number]);
             }
         }
     }
 
     /// Breaks off the wait for a table, and asks for it at once.
     pub fn ask(&self, table: Table) {
-        // A bell that has not been heard yet rings already.
-        let _ = self.bells[table as usize].try_send(());
+        ring(&self.bells[table as usize]);
     }
 
     /// Notes up to which version a table is known, from wherever.
@@ -182,6 +180,12 @@
     }
 }
 
+/// Lets the follower of a table begin anew.
+fn ring(bell: &Sender<()>) {
+    // A bell that has not been heard yet rings already.
+    let _ = bell.try_send(());
+}
+
 /// Returns a pause at random within the bounds of those that only look.
 fn pause_of_probe() -> Duration {
     let (least, most) = PAUSE_PROBE;
@@ -326,10 +330,7 @@
                 self.wanted.done_once();
                 if self.failures > 0 {
                     self.failures = 0;
-                    for bell in bells {
-                        // A bell that has not been heard yet rings already.
-                        let _ = bell.try_send(());
-                    }
+                    bells.iter().for_each(ring);
                 }
                 Update::Page(page, whole)
             }
--- a/crates/daemon/src/hosted/relay.rs
+++ b/crates/daemon/src/hosted/relay.rs
@@ -244,7 +244,7 @@
             // entries did, where three data halls need three.
             return vec![Order::Close(link)];
         }
-        let frame = self.ask(mirror, now);
+        let frame = self.ask(&name, mirror, now);
         let source = Source {
             name,
             sent: now,
@@ -437,12 +437,17 @@
         }
     }
 
-    /// Returns what asks a source for all that is newer than what is known here. One that has
-    /// just started is told of all sessions.
-    fn ask(&self, mirror: &Mirror, now: Time) -> Frame {
+    /// Returns what asks a source for all that is newer than what is known here. One of this
+    /// data hall, which may have just started, is told of all sessions; others have them from
+    /// their own.
+    fn ask(&self, source: &InstanceId, mirror: &Mirror, now: Time) -> Frame {
+        let stays = match self.follow.is_near(source) {
+            true => self.stays.live(now),
+            false => Vec::new(),
+        };
         Frame::Follow(Box::new(wire::Follow {
             have: Some(versions(mirror)),
-            stays: self.stays.live(now),
+            stays,
             ..self.present()
         }))
     }
@@ -540,7 +545,7 @@
             if let Some(source) = self.sources.get_mut(&link) {
                 source.sent = now;
             }
-            let frame = self.ask(mirror, now);
+            let frame = self.ask(&name, mirror, now);
             orders.push(Order::Send(link, frame));
         }
         if !is_near {
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -331,9 +331,11 @@
             return self.peering.answer(link, have, &self.mirror);
         }
         let now = self.clock.now();
-        let from = self.relay.source(link).map(InstanceId::to_string);
         let (news, orders) = self.relay.frame(link, frame, &mut self.mirror, now);
         let handed_on = !news.is_empty();
+        // Most frames bring no news, so the name is not copied for them.
+        let source = self.relay.source(link).filter(|_| handed_on);
+        let from = source.map(InstanceId::to_string);
         self.note_all(news, from.as_deref().unwrap_or("unknown"));
         self.carry_out(orders);
         if handed_on {
