--- /dev/null
+++ b/crates/core/tests/common/mod.rs
@@ -0,0 +1,67 @@
+//! What tests of routed requests build alike.
+
+// Each program of tests uses a part of these.
+#![allow(dead_code)]
+
+use sorreldeck::entry::{Ask, Entry, Head, Input, Reply, Routed, Settings, What};
+use sorreldeck::tree::parse_toml;
+use sorreldeck::wire::Call;
+use sorreldeck::{Incarnation, RequestId, Revision, Span, Tree};
+use std::sync::Arc;
+
+/// Returns a call of a path, without key, session or prompt parts.
+pub fn routed(label: impl Into<String>, path: &str) -> Routed {
+    Routed {
+        label: label.into(),
+        host: "pay.example".into(),
+        call: Call {
+            method: "POST".into(),
+            path: path.into(),
+            headers: Vec::new(),
+            body: Vec::new(),
+        },
+        left: Some(Span::from_millis(20_000)),
+        any_model: false,
+        tokens: 100,
+        chain: Vec::new(),
+        session: None,
+        resumes: false,
+    }
+}
+
+/// Returns what asks an entry for a call.
+pub fn ask(request: RequestId, key: Option<&str>, routed: Routed) -> Input {
+    Input::Ask(Box::new(Ask {
+        request,
+        key: key.map(str::to_owned),
+        route: None,
+        class: None,
+        session: None,
+        once: false,
+        idempotency: None,
+        what: What::Routed(Box::new(routed)),
+    }))
+}
+
+/// Returns the head of an answer that tells nothing besides its status.
+pub fn head(status: u16) -> Reply {
+    Reply::Head(Head {
+        status,
+        headers: Vec::new(),
+        confidence: None,
+        load: None,
+    })
+}
+
+/// Returns an entry `eN` whose incarnation and seed are given.
+pub fn entry(number: u64, seed: u64) -> Entry {
+    let keys = format!("1:{}", "42".repeat(32)).parse().unwrap();
+    let name = format!("e{number}").parse().unwrap();
+    Entry::new(Settings::new(name, Incarnation(seed), keys, seed))
+}
+
+/// Returns the input that puts a tree in force.
+pub fn tree(text: &str) -> Input {
+    let tree = Tree::from_entries(Revision(1), parse_toml(text).unwrap()).unwrap();
+    Input::Tree(Arc::new(tree))
+}
--- a/crates/core/tests/load.rs
+++ b/crates/core/tests/load.rs
@@ -3,15 +3,15 @@
 //! An upstream reads prompts by turns, so a short one beside a long one takes longer. Each
 //! entry sees few of the requests; what the others sent it knows only if they tell it.
 
+mod common;
+
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use sorreldeck::entry::{Ask, Entry, Head, Input, Member, Output, Reply, Routed, Settings, What};
+use sorreldeck::entry::{Entry, Head, Input, Member, Output, Reply, Routed};
 use sorreldeck::pick::{Link, Place};
-use sorreldeck::tree::parse_toml;
-use sorreldeck::wire::{Call, Frame, Load, Run};
-use sorreldeck::{Incarnation, RequestId, Revision, Span, Time, Tree};
+use sorreldeck::wire::{Frame, Load, Run};
+use sorreldeck::{RequestId, Span, Time};
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
 const TREE: &str = r#"
     [pools.engines]
@@ -63,12 +63,8 @@
 }
 
 fn entry(number: usize) -> Entry {
-    let keys = format!("1:{}", "42".repeat(32)).parse().unwrap();
-    let name = format!("e{number}").parse().unwrap();
-    let seed = 7 + number as u64;
-    let mut entry = Entry::new(Settings::new(name, Incarnation(seed), keys, seed));
-    let tree = Tree::from_entries(Revision(1), parse_toml(TREE).unwrap()).unwrap();
-    entry.handle(Time(1), Input::Tree(Arc::new(tree)));
+    let mut entry = common::entry(number as u64, 7 + number as u64);
+    entry.handle(Time(1), common::tree(TREE));
     for link in 1..=UPSTREAMS {
         let member = Member {
             upstream: format!("u{link}").parse().unwrap(),
@@ -130,32 +126,10 @@
         let request = RequestId::new(number as u64, serial);
         self.asked.insert(request, (self.now, tokens));
         let routed = Routed {
-            label: format!("r{serial}"),
-            host: "pay.example".into(),
-            call: Call {
-                method: "POST".into(),
-                path: "/drafts/x".into(),
-                headers: Vec::new(),
-                body: Vec::new(),
-            },
-            left: Some(Span::from_millis(20_000)),
-            any_model: false,
             tokens,
-            chain: Vec::new(),
-            session: None,
-            resumes: false,
-        };
-        let ask = Ask {
-            request,
-            key: None,
-            route: None,
-            class: None,
-            session: None,
-            once: false,
-            idempotency: None,
-            what: What::Routed(Box::new(routed)),
+            ..common::routed(format!("r{serial}"), "/drafts/x")
         };
-        self.tell(number, Input::Ask(Box::new(ask)));
+        self.tell(number, common::ask(request, None, routed));
     }
 
     /// Lets a millisecond pass at the upstreams.
--- a/crates/core/tests/regression/failed_continuation_looked_whole.rs
+++ b/crates/core/tests/regression/failed_continuation_looked_whole.rs
@@ -3,14 +3,11 @@
 //! body of that answer was given as the rest of the stream and its end as the
 //! end of the stream, so that a broken answer looked whole.
 
-use sorreldeck::entry::{
-    Ask, Entry, Head, Input, Member, Output, Part, Reply, Routed, Settings, What,
-};
+use crate::common;
+use sorreldeck::entry::{Entry, Input, Member, Output, Part, Reply, Routed, Settings};
 use sorreldeck::pick::Place;
-use sorreldeck::tree::parse_toml;
-use sorreldeck::wire::{Call, Frame, Load, Run};
-use sorreldeck::{Failure, Incarnation, Reason, RequestId, Revision, Span, Time, Tree, Verdict};
-use std::sync::Arc;
+use sorreldeck::wire::{Frame, Load, Run};
+use sorreldeck::{Failure, Incarnation, Reason, RequestId, Span, Time, Verdict};
 
 const TREE: &str = r#"
     [pools.engines]
@@ -32,15 +29,6 @@
     })
 }
 
-fn head(status: u16) -> Reply {
-    Reply::Head(Head {
-        status,
-        headers: Vec::new(),
-        confidence: None,
-        load: None,
-    })
-}
-
 #[test]
 fn failed_continuation_looked_whole() {
     let keys = format!("1:{}", "42".repeat(32)).parse().unwrap();
@@ -51,8 +39,7 @@
         7,
     ));
     let now = Time(1_000_000);
-    let tree = Tree::from_entries(Revision(1), parse_toml(TREE).unwrap()).unwrap();
-    entry.handle(now, Input::Tree(Arc::new(tree)));
+    entry.handle(now, common::tree(TREE));
     for link in [1, 2] {
         let member = Member {
             upstream: format!("u{link}").parse().unwrap(),
@@ -63,38 +50,18 @@
         entry.handle(now, Input::Join(link, Box::new(member)));
     }
     let routed = Routed {
-        label: "r".into(),
-        host: "pay.example".into(),
-        call: Call {
-            method: "POST".into(),
-            path: "/x".into(),
-            headers: Vec::new(),
-            body: Vec::new(),
-        },
         left: Some(Span::from_millis(4_000)),
         any_model: true,
         tokens: 1,
-        chain: Vec::new(),
-        session: None,
-        resumes: false,
-    };
-    let ask = Ask {
-        request: RequestId::new(1, 1),
-        key: None,
-        route: None,
-        class: None,
-        session: None,
-        once: false,
-        idempotency: None,
-        what: What::Routed(Box::new(routed)),
+        ..common::routed("r", "/x")
     };
-    let outputs = entry.handle(now, Input::Ask(Box::new(ask)));
+    let outputs = entry.handle(now, common::ask(RequestId::new(1, 1), None, routed));
     let (link, first) = run_of(&outputs).unwrap();
-    entry.handle(now, Input::Reply(link, first, head(200)));
+    entry.handle(now, Input::Reply(link, first, common::head(200)));
     let failure = Failure::new(Reason::UpstreamFailed, Verdict::MayHaveRun, "crashed");
     let outputs = entry.handle(now, Input::Reply(link, first, Reply::Fail(failure)));
     let (link, second) = run_of(&outputs).unwrap();
-    let mut outputs = entry.handle(now, Input::Reply(link, second, head(500)));
+    let mut outputs = entry.handle(now, Input::Reply(link, second, common::head(500)));
     let data = Reply::Data {
         data: b"no".to_vec(),
         last: None,
--- a/crates/core/tests/regression/main.rs
+++ b/crates/core/tests/regression/main.rs
@@ -1,5 +1,8 @@
 //! One file for each failure ever found in the decisions.
 
+#[path = "../common/mod.rs"]
+mod common;
+
 mod failed_continuation_looked_whole;
 mod roaming_session_was_drawn;
 mod session_moved_though_its_version_was_back;
--- a/crates/core/tests/regression/session_of_another_entry_was_drawn.rs
+++ b/crates/core/tests/regression/session_of_another_entry_was_drawn.rs
@@ -10,13 +10,12 @@
 //! Evidence: the lines of all entries, requests ordered by session; no other session changed
 //! its release in that half of the move, in any other way.
 
-use sorreldeck::entry::{Ask, Entry, Head, Input, Member, Output, Reply, Routed, Settings, What};
+use crate::common;
+use sorreldeck::entry::{Entry, Input, Member, Output, Reply, Routed};
 use sorreldeck::pick::{Link, Place};
 use sorreldeck::release::{Order, State};
-use sorreldeck::tree::parse_toml;
-use sorreldeck::wire::{Call, Frame, Load, Run};
-use sorreldeck::{Incarnation, RequestId, Revision, Span, Time, Tree};
-use std::sync::Arc;
+use sorreldeck::wire::{Frame, Load, Run};
+use sorreldeck::{RequestId, Span, Time};
 use test_case::test_case;
 
 const TREE: &str = r#"
@@ -46,11 +45,8 @@
 const FIRST_NEW: u64 = 5;
 
 fn entry(number: u64) -> Entry {
-    let keys = format!("1:{}", "42".repeat(32)).parse().unwrap();
-    let name = format!("e{number}").parse().unwrap();
-    let mut entry = Entry::new(Settings::new(name, Incarnation(number), keys, number));
-    let tree = Tree::from_entries(Revision(1), parse_toml(TREE).unwrap()).unwrap();
-    entry.handle(Time(1), Input::Tree(Arc::new(tree)));
+    let mut entry = common::entry(number, number);
+    entry.handle(Time(1), common::tree(TREE));
     for link in 1..=LINKS {
         let release = if link < FIRST_NEW { "v1" } else { "v2" };
         let member = Member {
@@ -145,32 +141,11 @@
     fn ask(&mut self, number: usize, session: u64) -> (Link, Run) {
         self.serial += 1;
         let routed = Routed {
-            label: format!("r{}", self.serial),
-            host: "pay.example".into(),
-            call: Call {
-                method: "POST".into(),
-                path: "/drafts/x".into(),
-                headers: Vec::new(),
-                body: Vec::new(),
-            },
-            left: Some(Span::from_millis(20_000)),
-            any_model: false,
-            tokens: 100,
-            chain: Vec::new(),
             session: Some(session),
-            resumes: false,
-        };
-        let ask = Ask {
-            request: RequestId::new(number as u64, self.serial),
-            key: None,
-            route: None,
-            class: None,
-            session: None,
-            once: false,
-            idempotency: None,
-            what: What::Routed(Box::new(routed)),
+            ..common::routed(format!("r{}", self.serial), "/drafts/x")
         };
-        let outputs = self.handle(number, Input::Ask(Box::new(ask)));
+        let request = RequestId::new(number as u64, self.serial);
+        let outputs = self.handle(number, common::ask(request, None, routed));
         let run = outputs.iter().find_map(|output| match output {
             Output::Send(link, Frame::Start(start)) => Some((*link, start.run)),
             _ => None,
@@ -179,13 +154,7 @@
     }
 
     fn end(&mut self, number: usize, (link, run): (Link, Run)) {
-        let head = Head {
-            status: 200,
-            headers: Vec::new(),
-            confidence: None,
-            load: None,
-        };
-        self.handle(number, Input::Reply(link, run, Reply::Head(head)));
+        self.handle(number, Input::Reply(link, run, common::head(200)));
         self.handle(number, Input::Reply(link, run, Reply::End));
     }
 }
--- a/crates/core/tests/routed.rs
+++ b/crates/core/tests/routed.rs
@@ -1,14 +1,12 @@
 //! Requests that a route describes, from the caller's call to the upstreams.
 
-use sorreldeck::entry::{
-    Ask, Entry, Head, Input, Member, Output, Part, Reply, Routed, Settings, What,
-};
+mod common;
+
+use sorreldeck::entry::{Entry, Head, Input, Member, Output, Part, Reply, Routed, Settings};
 use sorreldeck::pick::{Link, Place};
 use sorreldeck::release::{Order as MoveOrder, State};
-use sorreldeck::tree::parse_toml;
-use sorreldeck::wire::{Call, Confidence, Frame, Load, Order, Run};
-use sorreldeck::{Failure, Incarnation, Reason, RequestId, Revision, Span, Time, Tree, Verdict};
-use std::sync::Arc;
+use sorreldeck::wire::{Confidence, Frame, Load, Order, Run};
+use sorreldeck::{Failure, Incarnation, Reason, RequestId, Span, Time, Verdict};
 use test_case::test_case;
 
 const TREE: &str = r#"
@@ -95,8 +93,7 @@
 
 fn tree() -> Input {
     let text = TREE.replace('@', &sorreldeck::tree::hash_key("key"));
-    let tree = Tree::from_entries(Revision(1), parse_toml(&text).unwrap()).unwrap();
-    Input::Tree(Arc::new(tree))
+    common::tree(&text)
 }
 
 impl Stand {
@@ -132,32 +129,12 @@
         let request = RequestId::new(1, self.next);
         self.next += 1;
         let routed = Routed {
-            label: format!("r{}", self.next),
-            host: "pay.example".into(),
-            call: Call {
-                method: "POST".into(),
-                path: path.into(),
-                headers: Vec::new(),
-                body: Vec::new(),
-            },
             left: Some(Span::from_millis(4_000)),
             any_model: true,
-            tokens: 100,
-            chain: Vec::new(),
-            session: None,
             resumes,
+            ..common::routed(format!("r{}", self.next), path)
         };
-        let ask = Ask {
-            request,
-            key: key.map(str::to_owned),
-            route: None,
-            class: None,
-            session: None,
-            once: false,
-            idempotency: None,
-            what: What::Routed(Box::new(routed)),
-        };
-        let outputs = self.tell(Input::Ask(Box::new(ask)));
+        let outputs = self.tell(common::ask(request, key, routed));
         (request, outputs)
     }
 
--- a/crates/core/tests/watermark.rs
+++ b/crates/core/tests/watermark.rs
@@ -52,46 +52,63 @@
     assert_eq!(watermark.behind(Time(190), PATIENCE), [0, 1, 2]);
 }
 
+/// A store of three tables at version 10, and what was told of its later changes.
+struct Store {
+    /// The table that each version changed, from version 1 on.
+    changed: Vec<usize>,
+    known: [u64; 3],
+    untold: BTreeSet<u64>,
+    watermark: Watermark,
+}
+
+impl Store {
+    fn newest(&self) -> u64 {
+        self.changed.len() as u64
+    }
+
+    fn table(&self, version: u64) -> usize {
+        self.changed[version as usize - 1]
+    }
+
+    /// Tells of all changes of a table.
+    fn answer(&mut self, table: usize) {
+        let newest = self.newest();
+        let later = self.known[table] + 1..=newest;
+        let told: Vec<u64> = later.filter(|v| self.table(*v) == table).collect();
+        self.untold.retain(|v| !told.contains(v));
+        self.watermark.known(table, newest, told);
+        self.known[table] = newest;
+    }
+}
+
 /// Random changes of which some are never told: as soon as one is named and its time has
 /// passed, the table that it belongs to is asked; when nobody is asked, all named are known.
 #[test]
 fn no_change_that_was_named_stays_unknown() {
     for seed in 0..200 {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let mut watermark = at_ten();
-        let mut store = vec![0usize; 10];
-        let mut known = [10u64; 3];
-        let mut untold = BTreeSet::new();
+        let mut store = Store {
+            changed: vec![0; 10],
+            known: [10; 3],
+            untold: BTreeSet::new(),
+            watermark: at_ten(),
+        };
         for step in 0..400u64 {
             let now = Time(step * 50);
             let table = rng.random_range(0..3);
-            store.push(table);
-            let newest = store.len() as u64;
+            store.changed.push(table);
+            let newest = store.newest();
             match rng.random_bool(0.8) {
-                true => {
-                    let told = (known[table] + 1..=newest)
-                        .filter(|v| store[*v as usize - 1] == table)
-                        .collect::<Vec<_>>();
-                    untold.retain(|v| !told.contains(v));
-                    watermark.known(table, newest, told);
-                    known[table] = newest;
-                }
-                false => drop(untold.insert(newest)),
+                true => store.answer(table),
+                false => drop(store.untold.insert(newest)),
             }
-            watermark.named(newest, now);
-            let asked = watermark.behind(now, PATIENCE);
-            for version in untold.iter().filter(|v| **v + 2 <= newest) {
-                let table = store[*version as usize - 1];
+            store.watermark.named(newest, now);
+            let asked = store.watermark.behind(now, PATIENCE);
+            for version in store.untold.iter().filter(|v| **v + 2 <= newest) {
+                let table = store.table(*version);
                 assert!(asked.contains(&table), "seed {seed}: {version} of {table}");
             }
-            for table in asked {
-                let told = (known[table] + 1..=newest)
-                    .filter(|v| store[*v as usize - 1] == table)
-                    .collect::<Vec<_>>();
-                untold.retain(|v| !told.contains(v));
-                watermark.known(table, newest, told);
-                known[table] = newest;
-            }
+            asked.into_iter().for_each(|table| store.answer(table));
         }
     }
 }
--- a/crates/daemon/tests/hosted/leaving_upstream_not_heard_of.rs
+++ b/crates/daemon/tests/hosted/leaving_upstream_not_heard_of.rs
@@ -25,14 +25,8 @@
         stand.store.forget_and_go_deaf();
         task::sleep(DEAF).await;
         stand.store.hear_again();
-        let leaving = &stand.runners[0];
-        announce(&stand.store, leaving, "clock", "draining");
+        announce(&stand.store, &stand.runners[0], "clock", "draining");
         task::sleep(BOUND).await;
-        let before = leaving.seen().len();
-        for _ in 0..8 {
-            assert_eq!(status(&stand.call("/once/body").await), 200);
-        }
-        let after = leaving.seen().len();
-        assert_eq!(after, before, "a leaving upstream is asked");
+        assert_eq!(stand.reaching(0, 8).await, 0, "a leaving upstream is asked");
     });
 }
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -139,6 +139,16 @@
         ask(self.entry.callers, &request(path, "")).await
     }
 
+    /// Makes calls, which must succeed; returns how many reach a runner.
+    async fn reaching(&self, runner: usize, calls: usize) -> usize {
+        let runner = &self.runners[runner];
+        let before = runner.seen().len();
+        for _ in 0..calls {
+            assert_eq!(status(&self.call("/once/body").await), 200);
+        }
+        runner.seen().len() - before
+    }
+
     /// Returns how often a path was asked for at all runners.
     fn asked(&self, path: &str) -> usize {
         let all = self.runners.iter().flat_map(Runner::seen);
@@ -416,15 +426,7 @@
             status(&stand.call("/later/body").await) == 200
         })
         .await;
-        let before = stand.runners[0].seen().len();
-        for _ in 0..6 {
-            stand.call("/once/body").await;
-        }
-        assert_eq!(
-            stand.runners[0].seen().len(),
-            before,
-            "a leaving runner is asked"
-        );
+        assert_eq!(stand.reaching(0, 6).await, 0, "a leaving runner is asked");
     });
 }
 
--- a/crates/daemon/tests/hosted/silent_connections.rs
+++ b/crates/daemon/tests/hosted/silent_connections.rs
@@ -20,14 +20,8 @@
         let began = Instant::now();
         stand.store.silence_connections();
         task::sleep(LEAVES_AFTER).await;
-        let leaving = &stand.runners[0];
-        announce(&stand.store, leaving, "clock", "draining");
+        announce(&stand.store, &stand.runners[0], "clock", "draining");
         task::sleep(HELD_AFTER.saturating_sub(began.elapsed())).await;
-        let before = leaving.seen().len();
-        for _ in 0..8 {
-            assert_eq!(status(&stand.call("/once/body").await), 200);
-        }
-        let after = leaving.seen().len();
-        assert_eq!(after, before, "a leaving upstream is asked");
+        assert_eq!(stand.reaching(0, 8).await, 0, "a leaving upstream is asked");
     });
 }
--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -25,16 +25,18 @@
 const TICK: Span = Span::from_millis(20);
 /// How long the tables besides the operator's are waited on.
 const WAIT_OTHERS: Span = Span::from_millis(20_000);
-/// How long changes of a table are gathered before the next are waited for.
-const GATHERS: [(Table, Span); 4] = [
-    (Table::Operator, Span::from_millis(250)),
-    (Table::Upstreams, Span::from_millis(600)),
-    (Table::Progress, Span::from_millis(250)),
-    (Table::Own, Span::from_millis(1_000)),
-];
 /// How long a call hangs beyond its wait before it is given up.
 const HANGS: Span = Span::from_millis(1_500);
 
+/// Returns how long changes of a table are gathered before the next are waited for.
+fn gathering(table: Table) -> Span {
+    Span::from_millis(match table {
+        Table::Operator | Table::Progress => 250,
+        Table::Upstreams => 600,
+        Table::Own => 1_000,
+    })
+}
+
 fn cases() -> u64 {
     let cases = std::env::var("SORRELDECK_CASES").ok();
     cases.and_then(|n| n.parse().ok()).unwrap_or(24)
@@ -442,9 +444,8 @@
             // The others begin anew.
             n.polls = [Poll::default(); 4];
         }
-        let gathers = GATHERS.iter().find(|(t, _)| *t == table);
         n.polls[table as usize] = Poll {
-            pause_until: now + gathers.map_or(Span::default(), |(_, span)| *span),
+            pause_until: now + gathering(table),
             answered: true,
             ..Poll::default()
         };
