--- a/crates/daemon/tests/hosted/silent_connections.rs
+++ b/crates/daemon/tests/hosted/silent_connections.rs
@@ -25,3 +25,15 @@
         assert_eq!(stand.reaching(0, 8).await, 0, "a leaving upstream is asked");
     });
 }
+
+/// A wait after a failure would add its time to that of the call that hung.
+#[test]
+fn a_store_that_did_not_answer_is_asked_without_a_wait() {
+    task::block_on(async {
+        let stand = Stand::start().await;
+        let waits = || stand.store.waits().last().is_some_and(|wait| *wait > 0);
+        eventually("changes are waited for", || async { waits() }).await;
+        stand.store.set(Mood::Busy);
+        eventually("the store is asked at once", || async { !waits() }).await;
+    });
+}
