--- a/crates/daemon/src/hosted/mirror.rs
+++ b/crates/daemon/src/hosted/mirror.rs
@@ -4,6 +4,7 @@
 //! Pages come from the store or, while it is out of reach, from other entries;
 //! an older page never replaces a newer one.
 
+use super::replica::Replica;
 use sorreldeck::follow::{Peer, Watermark};
 use sorreldeck::release::{Order, State};
 use sorreldeck::wire::TableDelta;
@@ -12,7 +13,7 @@
 use sorreldeck_platform::member::{self, Listed};
 use sorreldeck_platform::store::{Page, Row, CONFIG, MOVE};
 use sorreldeck_platform::{release, Table};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// The beginning of the keys of rows in which entries tell where they are.
@@ -65,69 +66,6 @@
     pub span: Span,
 }
 
-/// The latest changes of a table that are remembered, so that they can be handed on one by
-/// one, and their bytes: a table that is handed on whole takes some 30 KB.
-const CHANGES: usize = 512;
-const CHANGES_BYTES: usize = 256 * 1024;
-
-/// One table as it was known last.
-#[derive(Clone, Debug, Default)]
-struct Replica {
-    version: u64,
-    rows: BTreeMap<String, Row>,
-    /// The latest changes, in the order of their versions.
-    changes: VecDeque<Row>,
-    bytes: usize,
-    /// The version after which all changes are remembered.
-    remembered: u64,
-    /// The version of the latest change, remembered or not.
-    newest: u64,
-    failing: bool,
-}
-
-impl Replica {
-    /// Remembers the changes of a page, or begins anew where it shows the whole table.
-    fn remember(&mut self, page: &Page, whole: bool) {
-        if whole {
-            self.changes.clear();
-            self.bytes = 0;
-            self.remembered = page.version;
-            self.newest = page.version;
-            return;
-        }
-        let known = self.version;
-        for row in page.rows.iter().filter(|row| row.version > known) {
-            self.bytes += size_of(row);
-            self.newest = self.newest.max(row.version);
-            self.changes.push_back(row.clone());
-        }
-        while self.changes.len() > CHANGES || self.bytes > CHANGES_BYTES {
-            let Some(row) = self.changes.pop_front() else {
-                return;
-            };
-            self.bytes -= size_of(&row);
-            self.remembered = self.remembered.max(row.version);
-        }
-    }
-
-    /// Returns what changed after a version, the latest state of each row.
-    fn changes_after(&self, version: u64) -> Option<Vec<Row>> {
-        if version < self.remembered {
-            return None;
-        }
-        let later = self.changes.iter().filter(|row| row.version > version);
-        let mut latest: BTreeMap<&str, &Row> = BTreeMap::new();
-        for row in later {
-            latest.insert(&row.key, row);
-        }
-        Some(latest.into_values().cloned().collect())
-    }
-}
-
-fn size_of(row: &Row) -> usize {
-    row.key.len() + row.value.as_ref().map_or(0, Vec::len)
-}
-
 /// What became of changes that another entry handed on.
 #[derive(Debug)]
 pub enum Taken {
@@ -241,9 +179,7 @@
         }
         let changes = page.rows.iter().map(|row| row.version);
         self.watermark.known(table as usize, page.version, changes);
-        copy.remember(&page, whole);
-        copy.version = page.version;
-        let changed = merge(&mut copy.rows, page.rows, whole);
+        let changed = copy.take(page, whole);
         match table {
             Table::Operator | Table::Progress => self.operator_news(table, &changed),
             Table::Own => self.own_news(&changed),
@@ -407,31 +343,7 @@
     }
 
     fn upstream_news(&mut self, changed: &[String], now: Time) -> Vec<News> {
-        let mut news = Vec::new();
-        // Rows of upstreams that were left before go at any time, many in one page.
-        let is_listed = |id: &&String| self.listed.contains(*id);
-        let gone: Vec<&String> = changed
-            .iter()
-            .filter(|id| self.row(Table::Upstreams, id).is_none())
-            .filter(is_listed)
-            .collect();
-        let gone: Vec<String> = gone.into_iter().cloned().collect();
-        let lapsed = self.have_lapsed(gone.len());
-        for id in &gone {
-            match lapsed {
-                true => {
-                    self.missing.entry(id.clone()).or_insert(now + COMES_BACK);
-                }
-                false => news.extend(self.retire(id)),
-            }
-        }
-        if lapsed && !gone.is_empty() {
-            self.held.push(Held {
-                keys: gone,
-                listed: self.listed.len(),
-                span: COMES_BACK,
-            });
-        }
+        let mut news = self.gone_news(changed, now);
         for id in changed {
             let row = self.row(Table::Upstreams, id).cloned();
             let Some(buf) = row.and_then(|row| row.value) else {
@@ -445,6 +357,26 @@
         news
     }
 
+    /// Returns what it means that rows of upstreams are gone.
+    fn gone_news(&mut self, changed: &[String], now: Time) -> Vec<News> {
+        // Rows of upstreams that were left before go at any time, many in one page.
+        let is_gone =
+            |id: &&String| self.listed.contains(*id) && self.row(Table::Upstreams, id).is_none();
+        let gone: Vec<String> = changed.iter().filter(is_gone).cloned().collect();
+        if gone.is_empty() || !self.have_lapsed(gone.len()) {
+            return gone.iter().filter_map(|id| self.retire(id)).collect();
+        }
+        for id in &gone {
+            self.missing.entry(id.clone()).or_insert(now + COMES_BACK);
+        }
+        self.held.push(Held {
+            keys: gone,
+            listed: self.listed.len(),
+            span: COMES_BACK,
+        });
+        Vec::new()
+    }
+
     /// Returns whether so many upstreams that vanish at once look like leases that lapsed.
     ///
     /// The rows themselves tell it, whatever befell the calls of this entry or of those that
@@ -473,28 +405,3 @@
         }
     }
 }
-
-/// Takes rows in and returns the keys that changed.
-fn merge(known: &mut BTreeMap<String, Row>, rows: Vec<Row>, whole: bool) -> Vec<String> {
-    let mut changed = Vec::new();
-    if whole {
-        let present: BTreeSet<&str> = rows.iter().map(|r| r.key.as_str()).collect();
-        let gone = known.keys().filter(|k| !present.contains(k.as_str()));
-        changed.extend(gone.cloned().collect::<Vec<_>>());
-        known.retain(|k, _| present.contains(k.as_str()));
-    }
-    for row in rows {
-        let before = known.get(&row.key);
-        if before.is_some_and(|b| b.version >= row.version) {
-            continue;
-        }
-        if !changed.contains(&row.key) {
-            changed.push(row.key.clone());
-        }
-        match row.value {
-            Some(_) => drop(known.insert(row.key.clone(), row)),
-            None => drop(known.remove(&row.key)),
-        }
-    }
-    changed
-}
--- a/crates/daemon/src/hosted/mod.rs
+++ b/crates/daemon/src/hosted/mod.rs
@@ -16,6 +16,7 @@
 mod mover;
 mod peer;
 mod relay;
+mod replica;
 mod room;
 mod run;
 mod shared;
--- /dev/null
+++ b/crates/daemon/src/hosted/replica.rs
@@ -0,0 +1,105 @@
+//! One table of the platform's store as it was known last, with its latest changes, so that
+//! they can be handed on one by one.
+
+use sorreldeck_platform::store::{Page, Row};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// The latest changes of a table that are remembered, so that they can be handed on one by
+/// one, and their bytes: a table that is handed on whole takes some 30 KB.
+const CHANGES: usize = 512;
+const CHANGES_BYTES: usize = 256 * 1024;
+
+/// One table as it was known last.
+#[derive(Clone, Debug, Default)]
+pub struct Replica {
+    /// The version up to which it is known.
+    pub version: u64,
+    /// Its rows by key.
+    pub rows: BTreeMap<String, Row>,
+    /// The latest changes, in the order of their versions.
+    changes: VecDeque<Row>,
+    bytes: usize,
+    /// The version after which all changes are remembered.
+    remembered: u64,
+    /// The version of the latest change, remembered or not.
+    pub newest: u64,
+    /// Whether the last read of it failed.
+    pub failing: bool,
+}
+
+impl Replica {
+    /// Takes in a page that is not older than what is known; `whole` says that rows which are
+    /// not in it are gone. Returns the keys of the rows that changed.
+    pub fn take(&mut self, page: Page, whole: bool) -> Vec<String> {
+        self.remember(&page, whole);
+        self.version = page.version;
+        merge(&mut self.rows, page.rows, whole)
+    }
+
+    /// Remembers the changes of a page, or begins anew where it shows the whole table.
+    fn remember(&mut self, page: &Page, whole: bool) {
+        if whole {
+            self.changes.clear();
+            self.bytes = 0;
+            self.remembered = page.version;
+            self.newest = page.version;
+            return;
+        }
+        let known = self.version;
+        for row in page.rows.iter().filter(|row| row.version > known) {
+            self.bytes += size_of(row);
+            self.newest = self.newest.max(row.version);
+            self.changes.push_back(row.clone());
+        }
+        while self.changes.len() > CHANGES || self.bytes > CHANGES_BYTES {
+            let Some(row) = self.changes.pop_front() else {
+                return;
+            };
+            self.bytes -= size_of(&row);
+            self.remembered = self.remembered.max(row.version);
+        }
+    }
+
+    /// Returns what changed after a version, the latest state of each row, or `None` where not
+    /// all of it is remembered.
+    pub fn changes_after(&self, version: u64) -> Option<Vec<Row>> {
+        if version < self.remembered {
+            return None;
+        }
+        let later = self.changes.iter().filter(|row| row.version > version);
+        let mut latest: BTreeMap<&str, &Row> = BTreeMap::new();
+        for row in later {
+            latest.insert(&row.key, row);
+        }
+        Some(latest.into_values().cloned().collect())
+    }
+}
+
+fn size_of(row: &Row) -> usize {
+    row.key.len() + row.value.as_ref().map_or(0, Vec::len)
+}
+
+/// Takes rows in and returns the keys that changed.
+fn merge(known: &mut BTreeMap<String, Row>, rows: Vec<Row>, whole: bool) -> Vec<String> {
+    let mut changed = Vec::new();
+    if whole {
+        let present: BTreeSet<&str> = rows.iter().map(|r| r.key.as_str()).collect();
+        let gone = known.keys().filter(|k| !present.contains(k.as_str()));
+        changed.extend(gone.cloned().collect::<Vec<_>>());
+        known.retain(|k, _| present.contains(k.as_str()));
+    }
+    for row in rows {
+        let before = known.get(&row.key);
+        if before.is_some_and(|b| b.version >= row.version) {
+            continue;
+        }
+        if !changed.contains(&row.key) {
+            changed.push(row.key.clone());
+        }
+        match row.value {
+            Some(_) => drop(known.insert(row.key.clone(), row)),
+            None => drop(known.remove(&row.key)),
+        }
+    }
+    changed
+}
