--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -1,6 +1,7 @@
 //! A hosted entry before stand-ins of the platform, over real sockets.
 
 mod leaving_upstream_not_heard_of;
+mod many_rows;
 mod runner;
 mod silent_connections;
 mod store;
--- a/crates/daemon/tests/hosted/store.rs
+++ b/crates/daemon/tests/hosted/store.rs
@@ -34,6 +34,8 @@
     is_deaf: bool,
     /// How often all open connections went silent for good.
     silenced: u64,
+    /// Whether the last row of each page goes before the next page is read.
+    loses_last_rows: bool,
     mood: Mood,
     calls: u64,
     waits: Vec<u64>,
@@ -94,6 +96,11 @@
         state.is_deaf = true;
     }
 
+    /// Lets the last row of each page of a table go before the next page is read.
+    pub fn lose_last_rows(&self) {
+        self.state.lock().unwrap().loses_last_rows = true;
+    }
+
     /// Lets waits that begin from now on hear all changes.
     pub fn hear_again(&self) {
         self.state.lock().unwrap().is_deaf = false;
@@ -179,7 +186,10 @@
             .filter_map(|pair| pair.split_once('='))
             .collect();
         match path {
-            "/rows-get" => (200, self.rows(query["table"], 0, false)),
+            "/rows-get" => (
+                200,
+                self.page(query["table"], query["from"], query["limit"]),
+            ),
             "/rows-feed" => {
                 let since = query["since-revision"].parse().unwrap();
                 let wait = Duration::from_millis(query["wait-ms"].parse().unwrap());
@@ -208,6 +218,22 @@
         json!({"rows": rows, "more": false, "ver": state.version, "now_ms": 51_230})
     }
 
+    /// Returns a page of a table: the rows from a key on.
+    fn page(&self, table: &str, from: &str, limit: &str) -> Value {
+        let mut page = self.rows(table, 0, false);
+        let rows = page["rows"].as_array_mut().unwrap();
+        rows.retain(|row| row["key"].as_str().unwrap() >= from);
+        let limit: usize = limit.parse().unwrap();
+        let more = rows.len() > limit;
+        rows.truncate(limit);
+        let last = rows.last().map(|row| row["key"].clone());
+        page["more"] = json!(more);
+        if let (true, Some(last)) = (more && self.state.lock().unwrap().loses_last_rows, last) {
+            self.drop_row(table, last.as_str().unwrap());
+        }
+        page
+    }
+
     async fn feed(&self, table: &str, since: u64, wait: Duration) -> (u16, Value) {
         let began = Instant::now();
         if self.state.lock().unwrap().is_deaf && since >= self.state.lock().unwrap().forgotten {
@@ -255,8 +281,6 @@
     }
 }
 
-/// Reads the first line and the body of a call; `None` when the other side
-/// closes.
 /// Returns how long a call waits for a change of the operator's table, if it does.
 fn operator_wait(line: &str) -> Option<u64> {
     let (_, query) = line.split_once("/rows-feed?")?;
@@ -270,6 +294,8 @@
     value("wait-ms")?.1.parse().ok()
 }
 
+/// Reads the first line and the body of a call; `None` when the other side
+/// closes.
 pub async fn read_call(stream: &mut TcpStream) -> Option<(String, Vec<u8>)> {
     let (head, body) = read_message(stream).await?;
     let line = head.lines().next()?.to_owned();
