--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -65,3 +65,25 @@
     let tree = Tree::from_entries(Revision(1), parse_toml(text).unwrap()).unwrap();
     Input::Tree(Arc::new(tree))
 }
+
+/// Returns the input that puts a tree in force with streams of one pool, `engines`, below
+/// `/drafts/`; `more` is added to their route.
+pub fn streams(more: &str) -> Input {
+    tree(&format!(
+        r#"
+        [pools.engines]
+        kind = "engine"
+        [nodes."/"]
+        [routes.drafts]
+        host = "pay.example"
+        prefix = "/drafts/"
+        pools = {{ engines = 1 }}
+        timeout = "20s"
+        tries = 3
+        public = true
+        repeat = "resume"
+        stream = true
+        {more}
+        "#
+    ))
+}
--- a/crates/core/tests/load.rs
+++ b/crates/core/tests/load.rs
@@ -13,22 +13,6 @@
 use sorreldeck::{RequestId, Span, Time};
 use std::collections::BTreeMap;
 
-const TREE: &str = r#"
-    [pools.engines]
-    kind = "engine"
-    [nodes."/"]
-    [routes.drafts]
-    host = "pay.example"
-    prefix = "/drafts/"
-    pools = { engines = 1 }
-    timeout = "20s"
-    objective = "500ms"
-    tries = 3
-    public = true
-    repeat = "resume"
-    stream = true
-"#;
-
 const ENTRIES: usize = 20;
 const UPSTREAMS: u64 = 16;
 /// The tokens that an upstream reads in a millisecond.
@@ -64,7 +48,7 @@
 
 fn entry(number: usize) -> Entry {
     let mut entry = common::entry(number as u64, 7 + number as u64);
-    entry.handle(Time(1), common::tree(TREE));
+    entry.handle(Time(1), common::streams("objective = \"500ms\""));
     for link in 1..=UPSTREAMS {
         let member = Member {
             upstream: format!("u{link}").parse().unwrap(),
--- a/crates/core/tests/regression/session_of_another_entry_was_drawn.rs
+++ b/crates/core/tests/regression/session_of_another_entry_was_drawn.rs
@@ -18,21 +18,6 @@
 use sorreldeck::{RequestId, Span, Time};
 use test_case::test_case;
 
-const TREE: &str = r#"
-    [pools.engines]
-    kind = "engine"
-    [nodes."/"]
-    [routes.drafts]
-    host = "pay.example"
-    prefix = "/drafts/"
-    pools = { engines = 1 }
-    timeout = "20s"
-    tries = 3
-    public = true
-    repeat = "resume"
-    stream = true
-"#;
-
 /// The sessions, and how many of them may change their release.
 const SESSIONS: u64 = 1_000;
 const MAY_MOVE: usize = 3;
@@ -46,7 +31,7 @@
 
 fn entry(number: u64) -> Entry {
     let mut entry = common::entry(number, number);
-    entry.handle(Time(1), common::tree(TREE));
+    entry.handle(Time(1), common::streams(""));
     for link in 1..=LINKS {
         let release = if link < FIRST_NEW { "v1" } else { "v2" };
         let member = Member {
