--- a/crates/daemon/tests/relay/main.rs
+++ b/crates/daemon/tests/relay/main.rs
@@ -20,7 +20,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 use test_case::test_case;
-use world::{upstream, Node, World, IN_FORCE, UPSTREAMS};
+use world::{upstream, Node, World, LIMITS, UPSTREAMS};
 
 fn cases() -> u64 {
     let cases = std::env::var("SORRELDECK_CASES").ok();
@@ -30,8 +30,9 @@
 /// Plays a schedule; returns the steps of single entries.
 fn play(seed: u64) -> u64 {
     let mut dice = ChaCha8Rng::seed_from_u64(seed);
+    let limit = LIMITS[seed as usize % LIMITS.len()];
     let (halls, entries) = (dice.random_range(1..=5), dice.random_range(2..=40));
-    let mut world = World::new(seed, halls, entries);
+    let mut world = World::within(limit, seed, halls, entries);
     world.slow_links = 0.2;
     world.put_upstreams();
     let mut impairs: VecDeque<u64> = (0..6).map(|i| 500 + i * 400).collect();
@@ -169,7 +170,7 @@
     };
     // Who ranks last reads nothing where there are enough others.
     for own in names.iter().map(peer) {
-        let mut relay = Relay::new(own, Bounds::of(IN_FORCE));
+        let mut relay = Relay::new(own, Bounds::of(LIMITS[2]));
         names.iter().map(peer).for_each(|p| relay.learn(p));
         relay.listed(Time(1));
         let mut mirror = Mirror::default();
--- a/crates/daemon/tests/relay/world.rs
+++ b/crates/daemon/tests/relay/world.rs
@@ -12,10 +12,15 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// The time within which a change must be known.
-pub const IN_FORCE: Span = Span::from_millis(4_000);
-/// How long after its last impairment an entry, or the store, is held to that.
-pub const CONTACT: Span = Span::from_millis(5_000);
+/// The times within which a change must be known, as installations of some three, 30 and 100
+/// entries set them.
+pub const LIMITS: [Span; 3] = [
+    Span::from_millis(2_000),
+    Span::from_millis(3_000),
+    Span::from_millis(4_000),
+];
+/// How much longer than that after its last impairment an entry, or the store, is held to it.
+const CONTACT_BEYOND: Span = Span::from_millis(1_000);
 pub const TICK: Span = Span::from_millis(20);
 /// How long the tables besides the operator's are waited on.
 pub const WAIT_OTHERS: Span = Span::from_millis(20_000);
@@ -120,9 +125,9 @@
 }
 
 impl Node {
-    pub fn new(peer: Peer) -> Node {
+    pub fn new(peer: Peer, limit: Span) -> Node {
         Node {
-            relay: Relay::new(peer.clone(), Bounds::of(IN_FORCE)),
+            relay: Relay::new(peer.clone(), Bounds::of(limit)),
             peer,
             mirror: Mirror::default(),
             reading: Reading::Nothing,
@@ -161,6 +166,8 @@
 }
 
 pub struct World {
+    /// The time within which a change must be known.
+    pub limit: Span,
     pub rng: ChaCha8Rng,
     pub now: Time,
     pub store: Store,
@@ -184,7 +191,13 @@
 
 impl World {
     pub fn new(seed: u64, halls: usize, entries: usize) -> World {
+        World::within(LIMITS[2], seed, halls, entries)
+    }
+
+    /// Creates a world in which changes must be known within a time.
+    pub fn within(limit: Span, seed: u64, halls: usize, entries: usize) -> World {
         let mut world = World {
+            limit,
             rng: ChaCha8Rng::seed_from_u64(seed),
             now: Time(1_000_000),
             store: Store::default(),
@@ -207,7 +220,7 @@
             let value = serde_json::to_vec(&peer).unwrap();
             let key = format!("entry/{}", peer.name);
             world.store.put(Table::Own, &key, Some(value), world.now);
-            world.nodes.push(Node::new(peer));
+            world.nodes.push(Node::new(peer, limit));
         }
         world
             .store
@@ -379,7 +392,7 @@
         for end in ends {
             self.close(end);
         }
-        let mut fresh = Node::new(self.nodes[node].peer.clone());
+        let mut fresh = Node::new(self.nodes[node].peer.clone(), self.limit);
         fresh.down_until = until;
         fresh.well_since = until.max(self.nodes[node].well_since);
         fresh.cut_until = self.nodes[node].cut_until;
@@ -538,7 +551,8 @@
 
     /// Returns the entries that have been without impairment for long, as the store has.
     pub fn held(&self) -> impl Iterator<Item = &Node> {
-        let held = |since: Time| self.now.since(since) >= CONTACT && self.now >= since;
+        let contact = self.limit + CONTACT_BEYOND;
+        let held = move |since: Time| self.now.since(since) >= contact && self.now >= since;
         let is_stable = held(self.store.back_since);
         self.nodes
             .iter()
@@ -548,7 +562,7 @@
     /// No entry that is held to the bounds uses an upstream whose row went long ago.
     pub fn check_left(&self) {
         let changes = self.store.changes.iter();
-        let old = changes.filter(|(at, ..)| self.now.since(*at) >= IN_FORCE);
+        let old = changes.filter(|(at, ..)| self.now.since(*at) >= self.limit);
         let old: BTreeSet<u64> = old.map(|(.., version)| *version).collect();
         let rows = self.store.rows.iter();
         let left = rows.filter(|((table, _), row)| {
@@ -581,7 +595,7 @@
             for table in [Table::Operator, Table::Progress, Table::Upstreams] {
                 let due = self.store.changes.iter().rev();
                 let due = due.filter(|(_, t, _)| *t == table);
-                let mut due = due.filter(|(at, ..)| self.now.since(*at) >= IN_FORCE);
+                let mut due = due.filter(|(at, ..)| self.now.since(*at) >= self.limit);
                 let Some((at, _, version)) = due.next() else {
                     continue;
                 };
