--- a/crates/core/src/entry/routed/reply.rs
+++ b/crates/core/src/entry/routed/reply.rs
@@ -300,14 +300,18 @@
         if now >= flight.deadline || flight.run.attempt + 1 >= MAX_TRIES {
             return false;
         }
-        if untouched && !flight.headed {
-            // Nothing ran, so no count of runs is touched. What an upstream refused has
-            // reached it all the same.
+        let resumable = terms.route.repeat == Repeat::Resume;
+        if flight.headed && !resumable {
+            return false;
+        }
+        if untouched {
+            // Nothing ran, so no count of runs is touched: where it was, streams were broken off
+            // when the rest of them was refused once. What an upstream refused has reached it
+            // all the same.
             let may = flight.verdict.may_repeat() || !flight.once;
             return may && self.pay(now, request, failure.reason != Reason::LinkLost);
         }
-        let resumable = terms.route.repeat == Repeat::Resume;
-        if flight.once || terms.runs >= terms.route.tries || (flight.headed && !resumable) {
+        if flight.once || terms.runs >= terms.route.tries {
             return false;
         }
         self.pay(now, request, true)
--- a/crates/core/tests/routed.rs
+++ b/crates/core/tests/routed.rs
@@ -419,6 +419,29 @@
     assert!(answer(&stand.events(&second, 4)).is_some());
 }
 
+/// A caller's stream was broken off midway though upstreams were free: the first upstream had
+/// failed, the second fell silent and was left, and the third refused the rest at once, so that
+/// nothing ran. Cause: a refusal counted as one of the three runs that the route allows. Evidence:
+/// the story of that request, whose connection was closed 3 ms after the refusal.
+#[test]
+fn a_stream_whose_rest_is_refused_goes_on_elsewhere() {
+    let mut stand = Stand::new();
+    stand.tell(member("u5", "engines", "v1"));
+    stand.tell(member("u6", "engines", "v1"));
+    let (_, outputs) = stand.ask("/drafts/1", Some("key"));
+    let first = sent(&outputs).unwrap();
+    stand.head(&first, 200, Some(0.9));
+    stand.events(&first, 3);
+    let second = sent(&stand.fail(&first, Verdict::MayHaveRun)).unwrap();
+    let third = sent(&stand.fail(&second, Verdict::MayHaveRun)).unwrap();
+    let outputs = stand.fail(&third, Verdict::NotRun);
+    let fourth = sent(&outputs).expect("nothing ran there");
+    assert_eq!(fourth.order.last, Some(3));
+    let outputs = stand.fail(&fourth, Verdict::MayHaveRun);
+    assert!(sent(&outputs).is_none(), "three runs are allowed");
+    assert!(failure(&outputs).is_some());
+}
+
 #[test]
 fn what_may_run_once_is_not_sent_again() {
     let mut stand = Stand::new();
