--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -239,8 +239,6 @@
     pub heard_us: Option<u64>,
     /// The time on the store's clock, in microseconds, where it is known.
     pub clock_us: Option<u64>,
-    /// Whether the store did not answer the last time.
-    pub failing: bool,
     /// Whether the entry is about to stop.
     pub leaving: bool,
     /// What changed in the tables.
--- a/crates/daemon/src/hosted/mirror.rs
+++ b/crates/daemon/src/hosted/mirror.rs
@@ -17,16 +17,13 @@
 
 /// The beginning of the keys of rows in which entries tell where they are.
 pub const ENTRY: &str = "entry/";
-/// How long after the store was out of reach rows that vanish may come back:
-/// upstreams whose leases lapsed meanwhile renew them within about 2 s, and an
-/// upstream that left must get nothing more after 2 s.
+/// How long rows that many upstreams lost at once may take to come back: leases that lapsed
+/// while the store was down are renewed within about 2 s, and an upstream that left must get
+/// nothing more after 2 s.
 const COMES_BACK: Span = Span::from_millis(1_800);
-/// How long after trouble with the store vanished rows are held for lapsed: they
-/// are in the first page after it.
-const AFTER_TROUBLE: Span = Span::from_millis(1_500);
-/// The upstreams that vanish at once from which on their leases may be taken to
-/// have lapsed without trouble being seen, and the part of all that they must be:
-/// a few that leave together look alike in one page.
+/// The upstreams that vanish at once from which on their leases are taken to have lapsed, and
+/// the part of all that they must be. After an outage 18 to 21 of 21 upstreams vanished in one
+/// page; a few that leave together look alike in one page, too.
 const MANY: usize = 3;
 const MANY_OF: usize = 2;
 
@@ -56,6 +53,18 @@
     pub message: String,
 }
 
+/// Upstreams whose rows vanished and that are kept, since their leases may have lapsed; for
+/// the log.
+#[derive(Debug)]
+pub struct Held {
+    /// Their keys.
+    pub keys: Vec<String>,
+    /// How many upstreams were listed before.
+    pub listed: usize,
+    /// For how long they are kept.
+    pub span: Span,
+}
+
 /// The latest changes of a table that are remembered, so that they can be handed on one by
 /// one, and their bytes: a table that is handed on whole takes some 30 KB.
 const CHANGES: usize = 512;
@@ -74,7 +83,6 @@
     /// The version of the latest change, remembered or not.
     newest: u64,
     failing: bool,
-    trouble: Option<Time>,
 }
 
 impl Replica {
@@ -142,6 +150,7 @@
     /// How far this process's clock is ahead of the store's, in microseconds.
     ahead: Option<i64>,
     troubles: Vec<Trouble>,
+    held: Vec<Held>,
 }
 
 impl Default for Mirror {
@@ -153,6 +162,7 @@
             missing: BTreeMap::new(),
             ahead: None,
             troubles: Vec::new(),
+            held: Vec::new(),
         }
     }
 }
@@ -184,6 +194,11 @@
         std::mem::take(&mut self.troubles)
     }
 
+    /// Returns which upstreams are held though their rows vanished, since the last call.
+    pub fn held(&mut self) -> Vec<Held> {
+        std::mem::take(&mut self.held)
+    }
+
     /// Returns the time on the store's clock, if one was heard.
     pub fn store_time(&self, now: Time) -> Option<u64> {
         let ahead = self.ahead?;
@@ -197,27 +212,8 @@
     }
 
     /// Notes that a table could not be read.
-    ///
-    /// That the store is away, so that leases may lapse, shows at the operator's table, which
-    /// is asked often, or at the upstreams' when it fails again at once. A single wait that is
-    /// given up may have hung on its connection for 20 s: with that taken for a store out of
-    /// reach, upstreams that left without a word then got requests for 2.4 s.
-    pub fn failed(&mut self, table: Table, now: Time) {
-        let copy = self.tables.entry(table).or_default();
-        let again = std::mem::replace(&mut copy.failing, true);
-        let is_away = match table {
-            Table::Operator => true,
-            Table::Upstreams => again,
-            Table::Progress | Table::Own => false,
-        };
-        if is_away {
-            copy.trouble = Some(now);
-        }
-    }
-
-    /// Notes that the store did not answer another entry, from which the tables come.
-    pub fn troubled(&mut self, now: Time) {
-        self.tables.entry(Table::Operator).or_default().trouble = Some(now);
+    pub fn failed(&mut self, table: Table) {
+        self.tables.entry(table).or_default().failing = true;
     }
 
     /// Returns whether the last read of a table failed.
@@ -255,12 +251,6 @@
         }
     }
 
-    /// Returns whether any table could not be read a moment ago.
-    fn had_trouble(&self, now: Time) -> bool {
-        let recent = |t: &Replica| t.trouble.is_some_and(|at| now.since(at) < AFTER_TROUBLE);
-        self.tables.values().any(recent)
-    }
-
     /// Takes in a page from another entry, which may know less or more.
     pub fn apply_copy(&mut self, table: Table, page: Page, now: Time) -> Vec<News> {
         if page.version <= self.version(table) {
@@ -425,9 +415,9 @@
             .filter(|id| self.row(Table::Upstreams, id).is_none())
             .filter(is_listed)
             .collect();
-        let many = gone.len() >= MANY && gone.len() * MANY_OF >= self.listed.len();
-        let lapsed = many || self.had_trouble(now);
-        for id in gone {
+        let gone: Vec<String> = gone.into_iter().cloned().collect();
+        let lapsed = self.have_lapsed(gone.len());
+        for id in &gone {
             match lapsed {
                 true => {
                     self.missing.entry(id.clone()).or_insert(now + COMES_BACK);
@@ -435,6 +425,13 @@
                 false => news.extend(self.retire(id)),
             }
         }
+        if lapsed && !gone.is_empty() {
+            self.held.push(Held {
+                keys: gone,
+                listed: self.listed.len(),
+                span: COMES_BACK,
+            });
+        }
         for id in changed {
             let row = self.row(Table::Upstreams, id).cloned();
             let Some(buf) = row.and_then(|row| row.value) else {
@@ -448,6 +445,17 @@
         news
     }
 
+    /// Returns whether so many upstreams that vanish at once look like leases that lapsed.
+    ///
+    /// The rows themselves tell it, whatever befell the calls of this entry or of those that
+    /// it has the tables from: what fails there may be one connection, or the way of one entry
+    /// to a store that is well. Where failed calls counted, upstreams that left without a word
+    /// got requests for up to 4.1 s.
+    fn have_lapsed(&self, gone: usize) -> bool {
+        let vanished = gone + self.missing.len();
+        vanished >= MANY && vanished * MANY_OF >= self.listed.len()
+    }
+
     fn list(&mut self, id: &str, listed: Listed) -> Option<News> {
         self.missing.remove(id);
         if listed.leaving {
--- a/crates/daemon/src/hosted/mod.rs
+++ b/crates/daemon/src/hosted/mod.rs
@@ -22,7 +22,7 @@
 mod web;
 
 pub use log::start as start_log;
-pub use mirror::{Mirror, News, Taken, Trouble};
+pub use mirror::{Held, Mirror, News, Taken, Trouble};
 pub use relay::{Order, Relay};
 pub use room::{Links, Message, Room};
 pub use shared::Shared;
--- a/crates/daemon/src/hosted/relay.rs
+++ b/crates/daemon/src/hosted/relay.rs
@@ -72,8 +72,6 @@
     name: InstanceId,
     sent: Time,
     found: u64,
-    /// Whether the store did not answer it the last time.
-    failing: bool,
 }
 
 /// The links over which tables go from entry to entry.
@@ -249,7 +247,6 @@
             name,
             sent: now,
             found: 0,
-            failing: false,
         };
         self.sources.insert(link, source);
         vec![Order::Send(link, frame)]
@@ -364,7 +361,6 @@
         let feed = Feed {
             heard_us: self.follow.heard_at().and_then(|at| mirror.store_time(at)),
             clock_us: mirror.store_time(now),
-            failing: self.failing,
             leaving: self.leaving,
             tables,
             found,
@@ -503,21 +499,14 @@
         mirror: &mut Mirror,
         now: Time,
     ) -> (Vec<News>, Vec<Order>) {
-        let Some(source) = self.sources.get_mut(&link) else {
+        let Some(source) = self.sources.get(&link) else {
             return (Vec::new(), Vec::new());
         };
         if let Some(clock) = feed.clock_us {
             mirror.note_clock(clock, now);
         }
-        source.failing = feed.failing;
         let name = source.name.clone();
         let is_near = self.follow.is_near(&name);
-        // Rows that vanish next may be leases that lapsed while the store was away: not where
-        // it answers this entry or another source, since upstreams that leave would then be
-        // kept for 1.8 s longer.
-        if !self.reads_store() && self.sources.values().all(|s| s.failing) {
-            mirror.troubled(now);
-        }
         let mut news = Vec::new();
         let mut gap = false;
         for delta in feed.tables {
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -280,7 +280,7 @@
                 if !self.mirror.is_failing(table) {
                     warn!("event=store-lost table={table:?} error={trouble}");
                 }
-                self.mirror.failed(table, now);
+                self.mirror.failed(table);
                 // Without the list of entries this one is on its own.
                 self.starts_until = None;
                 self.relay.listed(now);
@@ -432,6 +432,14 @@
         for news in news {
             self.note(news, from);
         }
+        for held in self.mirror.held() {
+            info!(
+                "event=held upstreams={:?} of={} for_ms={}",
+                held.keys,
+                held.listed,
+                held.span.millis()
+            );
+        }
         for trouble in self.mirror.troubles() {
             warn!(
                 "event=not-understood table={:?} key={} error={:?}",
