--- a/crates/core/tests/regression/failed_continuation_looked_whole.rs
+++ b/crates/core/tests/regression/failed_continuation_looked_whole.rs
@@ -1,7 +1,6 @@
-//! Found by `fleetbench hunt` on voltaris-zrh, trouble-1 with seed 845985891911:
-//! a stream whose upstream crashed went on at another, which answered 500. The
-//! body of that answer was given as the rest of the stream and its end as the
-//! end of the stream, so that a broken answer looked whole.
+//! A stream whose upstream crashed went on at another, which answered 500. The body of that
+//! answer was given as the rest of the stream and its end as the end of the stream, so that a
+//! broken answer looked whole.
 
 use crate::common;
 use sorreldeck::entry::{Entry, Input, Member, Output, Part, Reply, Routed, Settings};
--- a/crates/core/tests/regression/roaming_session_was_drawn.rs
+++ b/crates/core/tests/regression/roaming_session_was_drawn.rs
@@ -1,6 +1,5 @@
-//! Found by `fleetbench hunt` on saa-kazi, quiet-1 with seed 367301022140: four
-//! sessions that one entry had served on the old release were drawn for the new
-//! one by another entry, within 5 s. Entries do not tell each other of sessions,
+//! Four sessions that one entry had served on the old release were drawn for the new one by
+//! another entry, within 5 s. What entries tell one another of sessions takes a moment,
 //! so the share on trial bounds how many are drawn.
 
 use sorreldeck::release::{Order, Releases, State};
--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -77,8 +77,8 @@
     seen
 }
 
-/// Found on calcne-recife-grown under five troubles at once: 32 entries that had saved 20
-/// repeats each spent them in one window, where 104 are allowed besides the share.
+/// 32 entries that had saved 20 repeats each spent them in one window, where 104 are allowed
+/// besides the share.
 #[test_case(1, (-3.0, 0.7), false; "one entry")]
 #[test_case(3, (-3.0, 0.7), false; "three")]
 #[test_case(32, (-3.0, 0.7), false; "32, all full at once")]
--- a/crates/core/tests/routed.rs
+++ b/crates/core/tests/routed.rs
@@ -244,8 +244,8 @@
     assert!(stand.entry.is_idle());
 }
 
-/// Found on trouble-3 of saa-kazi-grown: after a kill of all 21 entries, 380 requests
-/// came before an entry knew its configuration, some 50 ms later, and were refused.
+/// After a kill of all 21 entries, 380 requests came before an entry knew its configuration,
+/// some 50 ms later, and were refused.
 #[test]
 fn a_request_that_comes_before_the_configuration_is_served_once_it_is_known() {
     let mut stand = starting();
@@ -274,9 +274,8 @@
     assert!(stand.entry.is_idle());
 }
 
-/// Found on trouble-3 of voltaris-zrh-grown: one of five upstreams of a plain service
-/// answered everything with 500, and went on to get its share: 322 requests were not
-/// served where some 120 have errors of their own.
+/// One of five upstreams of a plain service answered everything with 500, and went on to get
+/// its share: 322 requests were not served where some 120 have errors of their own.
 #[test]
 fn an_upstream_that_answers_with_errors_is_passed_over_for_a_while() {
     let mut stand = Stand::new();
@@ -317,9 +316,8 @@
     assert_ne!(sent(&outputs).unwrap().link, first.link);
 }
 
-/// Found on trouble-1 of saa-kazi-grown: ten seconds after a loss of power to all
-/// entries 1,631 requests came in 2 s, most of them streams that went on, and what
-/// came new began after 3.5 s in the median.
+/// Ten seconds after a loss of power to all entries 1,631 requests came in 2 s, most of them
+/// streams that went on, and what came new began after 3.5 s in the median.
 #[test]
 fn what_goes_on_with_a_broken_stream_stands_behind_what_is_new() {
     let mut stand = Stand::new();
--- a/crates/daemon/tests/mirror.rs
+++ b/crates/daemon/tests/mirror.rs
@@ -58,9 +58,8 @@
     names.collect()
 }
 
-/// Found by `fleetbench hunt` on saa-kazi, mix with seed 1038095636853: three
-/// upstreams that left without a word within 0.8 s came in one page and were
-/// taken for lapsed leases, so that they got requests 2.0 s after they had left.
+/// Three upstreams that left without a word within 0.8 s came in one page and were taken for
+/// lapsed leases, so that they got requests 2.0 s after they had left.
 #[test]
 fn a_few_that_leave_together_are_left_at_once() {
     let mut mirror = mirror();
@@ -69,9 +68,9 @@
     assert_eq!(retired(&news), ["i-0", "i-1", "i-2"]);
 }
 
-/// Found on trouble-1 of calcne-recife: the rows of eleven upstreams that had been
-/// left 3 s before went in one page with that of one which left without a word. All
-/// twelve were taken for lapsed leases, and that one got a request 2.05 s after.
+/// The rows of eleven upstreams that had been left 3 s before went in one page with that of
+/// one which left without a word. All twelve were taken for lapsed leases, and that one got a
+/// request 2.05 s after.
 #[test]
 fn the_rows_of_upstreams_that_were_left_before_say_nothing_of_leases() {
     let mut mirror = mirror();
--- a/crates/net/tests/regression/stream_kept_its_connection_past_the_stop.rs
+++ b/crates/net/tests/regression/stream_kept_its_connection_past_the_stop.rs
@@ -1,7 +1,6 @@
-//! Found by `fleetbench hunt` on saa-kazi, trouble-2 with seed 665263501071: a
-//! stream that had begun before a planned stop left its connection open, over
-//! which the caller sent another request 5 s into the stop; the process ended
-//! in the middle of that answer.
+//! A stream that had begun before a planned stop left its connection open, over which the
+//! caller sent another request 5 s into the stop; the process ended in the middle of that
+//! answer.
 
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
