Tell in the lines of requests whether two ask the same, and whether an upstream went down with its run

Now a line holds the fingerprint of what was asked, and a run that broke is followed by one connection: refused means upstream_lost, in the hosted role and in the sidecar. Nothing is decided by either yet.

--- a/crates/core/src/entry/admit.rs
+++ b/crates/core/src/entry/admit.rs
@@ -36,7 +36,12 @@
         let request = ask.request;
         self.history
             .begin(request, self.tree.revision(), ask.what.name());
-        match self.admit(now, ask) {
+        let admitted = self.admit(now, ask);
+        if let Ok((flight, _)) = &admitted {
+            let fingerprint = Some(flight.fingerprint);
+            self.history.note(request, |d| d.fingerprint = fingerprint);
+        }
+        match admitted {
             Ok((flight, Action::Route)) => self.begin(now, flight, out),
             Ok((flight, action)) => self.forward(now, flight, action, out),
             Err(refused) => {
--- a/crates/core/src/entry/answer.rs
+++ b/crates/core/src/entry/answer.rs
@@ -367,7 +367,11 @@
         flight.failed = Some(failure.clone());
         let version = flight.version().cloned();
         self.history.outcome(run.request, failure.to_string());
-        if let (Some(version), Reason::UpstreamFailed) = (version, failure.reason) {
+        let upstream_s = matches!(
+            failure.reason,
+            Reason::UpstreamFailed | Reason::UpstreamLost
+        );
+        if let Some(version) = version.filter(|_| upstream_s) {
             if self.watch.answer(&self.tree, &version, true) {
                 out.push(Output::Suspect(version));
             }
@@ -435,6 +439,7 @@
             | Reason::Leaving
             | Reason::LinkLost
             | Reason::UpstreamFailed
+            | Reason::UpstreamLost
             | Reason::ForeignAnswer => Next::Again,
             // The sidecar knew a newer configuration than the entry did.
             Reason::Withdrawn | Reason::Stale if flight.tried.is_empty() => return fallback,
--- a/crates/core/src/entry/ask.rs
+++ b/crates/core/src/entry/ask.rs
@@ -10,8 +10,9 @@
 
 use crate::entry::Routed;
 use crate::failure::{Failure, Reason};
-use crate::id::{RequestId, VersionId};
+use crate::id::{AccountId, RequestId, VersionId};
 use crate::pick::Prefix;
+use crate::quarantine::Fingerprint;
 use crate::wire::{Call, Header};
 use serde_json::{Map, Value};
 
@@ -54,6 +55,26 @@
     Routed(Box<Routed>),
 }
 
+impl What {
+    /// Returns what the request is known by when a client account sends it again.
+    pub fn fingerprint(&self, account: &AccountId) -> Fingerprint {
+        let account = account.as_str().as_bytes();
+        match self {
+            What::Chat(chat) => {
+                let body = serde_json::to_vec(&chat.body).expect("a JSON map is always JSON");
+                Fingerprint::of(&[account, b"chat", &body])
+            }
+            What::Plain(call) => call_fingerprint(account, "", call),
+            What::Routed(routed) => call_fingerprint(account, &routed.host, &routed.call),
+        }
+    }
+}
+
+fn call_fingerprint(account: &[u8], host: &str, call: &Call) -> Fingerprint {
+    let (method, path) = (call.method.as_bytes(), call.path.as_bytes());
+    Fingerprint::of(&[account, host.as_bytes(), method, path, &call.body])
+}
+
 /// A chat completion.
 #[derive(Clone, Debug)]
 pub struct Chat {
--- a/crates/core/src/entry/decision.rs
+++ b/crates/core/src/entry/decision.rs
@@ -9,6 +9,7 @@
 
 use crate::failure::Failure;
 use crate::id::*;
+use crate::quarantine::Fingerprint;
 use crate::route::Why;
 use crate::tree::Class;
 use serde::{Deserialize, Serialize};
@@ -118,6 +119,9 @@
     pub class: Option<Class>,
     /// The model, cascade or path asked for.
     pub asked: String,
+    /// What the request is known by when it comes again, where it was taken in.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fingerprint: Option<Fingerprint>,
     /// The tries, in order.
     pub tries: Vec<Try>,
     /// Why there was no answer.
@@ -146,6 +150,7 @@
             account: None,
             class: None,
             asked,
+            fingerprint: None,
             tries: Vec::new(),
             failure: None,
         };
--- a/crates/core/src/entry/flight.rs
+++ b/crates/core/src/entry/flight.rs
@@ -5,6 +5,7 @@
 use crate::failure::Failure;
 use crate::id::*;
 use crate::pick::{Link, Prefix};
+use crate::quarantine::Fingerprint;
 use crate::route::{Choice, Site, Target, Why};
 use crate::session::Session;
 use crate::unit::Time;
@@ -16,6 +17,8 @@
 pub(super) struct Flight {
     pub ask: Ask,
     pub site: Site,
+    /// By which the request is known when it comes again.
+    pub fingerprint: Fingerprint,
     pub session: Option<Session>,
     pub goal: Goal,
     pub pool: PoolId,
@@ -80,6 +83,7 @@
     pub fn new(ask: Ask, site: Site, began: Time, deadline: Time) -> Flight {
         Flight {
             run: Run::first(ask.request),
+            fingerprint: ask.what.fingerprint(&site.account),
             ask,
             site,
             session: None,
--- a/crates/core/src/failure.rs
+++ b/crates/core/src/failure.rs
@@ -86,6 +86,8 @@
     Duplicate, "duplicate", 409;
     /// The upstream failed or closed in mid-answer.
     UpstreamFailed, "upstream_failed", 502;
+    /// The upstream went down while the request was there.
+    UpstreamLost, "upstream_lost", 502;
     /// The upstream's answer belonged to another request.
     ForeignAnswer, "foreign_answer", 502;
     /// The link to the sidecar broke while the request was there.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod ledger;
 pub mod limit;
 pub mod pick;
+pub mod quarantine;
 pub mod queue;
 pub mod reading;
 pub mod release;
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -632,8 +632,11 @@
             .failure
             .as_ref()
             .map_or_else(String::new, Failure::to_string);
+        let fingerprint = decision
+            .fingerprint
+            .map_or_else(String::new, |f| f.to_string());
         info!(
-            "event=request id={label} session={session} asked={:?} revision={} account={} first_ms={} whole_ms={} tries={tries:?} failure={failure:?}",
+            "event=request id={label} session={session} fingerprint={fingerprint} asked={:?} revision={} account={} first_ms={} whole_ms={} tries={tries:?} failure={failure:?}",
             decision.asked,
             decision.revision,
             done.account.as_ref().map_or("-", |a| a.as_str()),
--- a/crates/daemon/src/hosted/run.rs
+++ b/crates/daemon/src/hosted/run.rs
@@ -5,6 +5,7 @@
 //! sent just then ran would not be known.
 
 use super::room::Message;
+use crate::loss;
 use async_channel::Sender;
 use async_std::future::timeout;
 use async_std::task::{self, JoinHandle};
@@ -102,9 +103,10 @@
 
 impl Job {
     async fn work(self, address: Option<SocketAddr>, start: Start) {
-        let reply = match self.exchange(address, start).await {
-            Ok(()) => Reply::End,
-            Err(failure) => Reply::Fail(failure),
+        let reply = match (self.exchange(address, start).await, address) {
+            (Ok(()), _) => Reply::End,
+            (Err(failure), Some(address)) => Reply::Fail(loss::explain(failure, address).await),
+            (Err(failure), None) => Reply::Fail(failure),
         };
         self.say(reply).await;
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod entry;
 pub mod hosted;
 pub mod links;
+pub mod loss;
 pub mod metrics;
 pub mod options;
 pub mod program;
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -3,6 +3,7 @@
 //! The sidecar checks that the answer belongs to the run: engines give the
 //! run's id back in a header and in every event of a stream.
 
+use crate::loss;
 use async_channel::{Receiver, Sender};
 use async_std::task;
 use futures_lite::FutureExt;
@@ -122,7 +123,12 @@
             let _ = aborted.recv().await;
             None
         };
-        let work = async { Some(self.work(start, tell).await) };
+        let work = async {
+            match self.work(start, tell).await {
+                Ok(()) => Some(Ok(())),
+                Err(failure) => Some(Err(loss::explain(failure, self.address).await)),
+            }
+        };
         let result = work.or(stop).await;
         let event = match result {
             Some(Ok(())) => Event::End(self.usage, self.confidence),
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -1,6 +1,7 @@
 //! A hosted entry before stand-ins of the platform, over real sockets.
 
 mod leaving_upstream_not_heard_of;
+mod lost_upstream;
 mod many_rows;
 mod runner;
 mod silent_connections;
@@ -76,9 +77,13 @@
 }
 
 async fn start_entry(store: &Store, name: &str, seeds: &[SocketAddr]) -> Running {
+    start_entry_in(store, name, "a", seeds).await
+}
+
+async fn start_entry_in(store: &Store, name: &str, hall: &str, seeds: &[SocketAddr]) -> Running {
     let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
     let text = json!({
-        "node": name, "zone": "a", "ip": "127.0.0.1",
+        "node": name, "zone": hall, "ip": "127.0.0.1",
         "listen": {"front": "127.0.0.1:0", "ready": "127.0.0.1:0", "control": "127.0.0.1:0"},
         "seeds": seeds, "provider": {"address": store.address.to_string()},
         "limits": {"memory-mb": 100}
--- a/crates/daemon/tests/hosted/runner.rs
+++ b/crates/daemon/tests/hosted/runner.rs
@@ -1,14 +1,20 @@
 //! A stand-in of an upstream that does as each request's path says.
 
 use super::store::{header, read_message};
+use async_channel::{Receiver, Sender};
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+/// How long a request runs before its upstream crashes.
+const CRASHES_AFTER: Duration = Duration::from_millis(60);
+/// How long an answer takes that other requests may break.
+const STEADY: Duration = Duration::from_millis(150);
+
 /// What a runner has seen.
 #[derive(Clone, Debug)]
 pub struct Seen {
@@ -25,6 +31,8 @@
     left: Arc<Mutex<u32>>,
     connections: Arc<Mutex<u32>>,
     refused: Refused,
+    /// Open as long as the process lives.
+    life: (Sender<()>, Receiver<()>),
 }
 
 /// The paths that some runner has refused once.
@@ -40,17 +48,33 @@
             left: Arc::default(),
             connections: Arc::default(),
             refused: refused.clone(),
+            life: async_channel::bounded(1),
         };
         let serving = runner.clone();
-        task::spawn(async move {
+        let accept = async move {
             while let Ok((stream, _)) = listener.accept().await {
                 *serving.connections.lock().unwrap() += 1;
-                task::spawn(serving.clone().serve(stream));
+                let dead = serving.clone();
+                let serve = serving.clone().serve(stream);
+                task::spawn(serve.or(async move { dead.ended().await }));
             }
-        });
+        };
+        let dead = runner.clone();
+        task::spawn(accept.or(async move { dead.ended().await }));
         runner
     }
 
+    /// Ends the process as a crash does: nobody listens, and all connections close.
+    pub fn crash(&self) {
+        self.life.0.close();
+    }
+
+    /// Waits until the process has crashed.
+    pub async fn ended(&self) {
+        // Nothing is ever sent: the channel closes.
+        let _ = self.life.1.recv().await;
+    }
+
     /// Returns what was asked so far.
     pub fn seen(&self) -> Vec<Seen> {
         self.seen.lock().unwrap().clone()
@@ -149,6 +173,30 @@
                 let events = "id: 2\ndata: b\n\n";
                 (format!("{stream_head}\r\n{}0\r\n\r\n", chunk(events)), true)
             }
+            "crash" => {
+                task::sleep(CRASHES_AFTER).await;
+                self.crash();
+                return false;
+            }
+            "crash-stream" => {
+                let events = chunk("id: 1\ndata: a\n\n");
+                let text = format!("{stream_head}confidence: 90\r\n\r\n{events}");
+                if stream.write_all(text.as_bytes()).await.is_ok() {
+                    task::sleep(CRASHES_AFTER).await;
+                    self.crash();
+                }
+                return false;
+            }
+            "steady" => {
+                task::sleep(STEADY).await;
+                (good("steady"), true)
+            }
+            "steady-stream" => {
+                task::sleep(STEADY).await;
+                let events = chunk("id: 1\ndata: a\n\n");
+                let text = format!("{stream_head}confidence: 90\r\n\r\n{events}0\r\n\r\n");
+                (text, true)
+            }
             "slow-stream" => {
                 let text = format!(
                     "{stream_head}confidence: 90\r\n\r\n{}",
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod http;
 pub mod link;
 pub mod platform;
+pub mod reach;
 
 pub use platform::Platform;
