--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -3,6 +3,7 @@
 mod leaving_upstream_not_heard_of;
 mod lost_upstream;
 mod many_rows;
+mod request_that_crashes_upstreams;
 mod runner;
 mod silent_connections;
 mod store;
--- a/crates/daemon/tests/hosted/runner.rs
+++ b/crates/daemon/tests/hosted/runner.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How long a request runs before its upstream crashes.
 const CRASHES_AFTER: Duration = Duration::from_millis(60);
@@ -18,6 +18,7 @@
 /// What a runner has seen.
 #[derive(Clone, Debug)]
 pub struct Seen {
+    pub at: Instant,
     pub head: String,
     pub body: Vec<u8>,
 }
@@ -93,6 +94,7 @@
     async fn serve(self, mut stream: TcpStream) {
         while let Some((head, body)) = read_message(&mut stream).await {
             let seen = Seen {
+                at: Instant::now(),
                 head: head.clone(),
                 body,
             };
