Take for an upstream only what is an upstream's row, and a newer start under its name for another one

Cause: rows may come from other writers. An upstream may start again under its name: what was kept of it (beginnings, load, failures, its number between entries) went on to hold, and another address under the same name was not noticed. A newer born, or another address, is another upstream; an older one that is heard late changes nothing.

--- a/crates/core/src/pick/mod.rs
+++ b/crates/core/src/pick/mod.rs
@@ -24,7 +24,7 @@
 pub use peer::{behind, Peer};
 pub(crate) use peer::{CROSSING, KEPT};
 
-use crate::id::{Hall, PoolId, UpstreamId, VersionId};
+use crate::id::{Hall, Incarnation, PoolId, UpstreamId, VersionId};
 use crate::release::Few;
 use crate::reuse::Scope;
 use crate::subset;
@@ -85,6 +85,8 @@
     pub hall: Option<Hall>,
     /// The release of its software.
     pub release: Option<VersionId>,
+    /// Which start of it this is, where it may start again under its name.
+    pub start: Option<Incarnation>,
 }
 
 /// What a request wants of an upstream's place.
@@ -238,7 +240,7 @@
     /// Sets where an upstream is and what it runs.
     pub fn settle(&mut self, link: Link, place: Place) {
         if let Some(peer) = self.peers.get_mut(&link) {
-            peer.place = place;
+            peer.settle(place);
         }
     }
 
--- a/crates/core/src/pick/peer.rs
+++ b/crates/core/src/pick/peer.rs
@@ -89,14 +89,18 @@
     strikes: u32,
     /// A number that stands for the upstream's name.
     seed: u64,
+    /// A number that stands for this start of it.
+    number: u64,
     prefixes: HashMap<u64, Remembered>,
     stamp: u64,
 }
 
 impl Peer {
     pub(super) fn new(upstream: UpstreamId, load: Load) -> Peer {
+        let seed = subset::score("home", &upstream);
         Peer {
-            seed: subset::score("home", &upstream),
+            seed,
+            number: seed,
             upstream,
             load,
             reported: Time::default(),
@@ -161,9 +165,18 @@
         !self.leaving && release.is_none_or(|r| self.place.release.as_ref() == Some(r))
     }
 
-    /// Returns the number that stands for its name between entries.
+    /// Sets where it is and what it runs.
+    pub(super) fn settle(&mut self, place: Place) {
+        // What entries tell of one start must not be taken for another's; where beginnings have
+        // their home follows the name, which does not change.
+        let start = place.start.map_or(0, |start| start.0);
+        self.number = mix(self.seed ^ start);
+        self.place = place;
+    }
+
+    /// Returns the number that stands for this start of it between entries.
     pub fn number(&self) -> u64 {
-        self.seed
+        self.number
     }
 
     /// Notes a reading that another entry sent there.
@@ -205,10 +218,7 @@
 
     /// Returns how high the upstream ranks as the home of a beginning.
     pub(super) fn rank(&self, hash: u64) -> u64 {
-        // Multiplying by a large odd number and folding spreads both evenly.
-        let mixed = (hash ^ self.seed).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        let mixed = (mixed ^ (mixed >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
-        mixed ^ (mixed >> 32)
+        mix(hash ^ self.seed)
     }
 
     /// Returns the expected time to the first token, in microseconds.
@@ -282,3 +292,10 @@
         known.is_some_and(|known| now.since(known.used) < KEPT)
     }
 }
+
+/// Spreads a number evenly, by multiplying with a large odd number and folding.
+fn mix(number: u64) -> u64 {
+    let mixed = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let mixed = (mixed ^ (mixed >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
+    mixed ^ (mixed >> 32)
+}
--- a/crates/core/tests/home.rs
+++ b/crates/core/tests/home.rs
@@ -33,6 +33,7 @@
             peers.join(link, format!("u{i}").parse().unwrap(), &pool, load);
             let hall = ["a", "b"][i as usize % 2].parse().unwrap();
             let place = Place {
+                start: None,
                 hall: Some(hall),
                 release: None,
             };
--- a/crates/core/tests/load.rs
+++ b/crates/core/tests/load.rs
@@ -54,6 +54,7 @@
             upstream: format!("u{link}").parse().unwrap(),
             pool: "engines".parse().unwrap(),
             place: Place {
+                start: None,
                 hall: None,
                 release: Some("v1".parse().unwrap()),
             },
--- a/crates/core/tests/regression/session_of_another_entry_was_drawn.rs
+++ b/crates/core/tests/regression/session_of_another_entry_was_drawn.rs
@@ -38,6 +38,7 @@
             upstream: format!("u{link}").parse().unwrap(),
             pool: "engines".parse().unwrap(),
             place: Place {
+                start: None,
                 hall: None,
                 release: Some(release.parse().unwrap()),
             },
--- a/crates/daemon/src/hosted/mirror.rs
+++ b/crates/daemon/src/hosted/mirror.rs
@@ -10,12 +10,13 @@
 use sorreldeck::quarantine::Fingerprint;
 use sorreldeck::release::{Order, State};
 use sorreldeck::wire::TableDelta;
-use sorreldeck::{Span, Time, UpstreamId};
+use sorreldeck::{Incarnation, Span, Time, UpstreamId};
 use sorreldeck_platform::config::{self, Configuration};
 use sorreldeck_platform::member::{self, Listed};
 use sorreldeck_platform::store::{Page, Row, CONFIG, MOVE};
 use sorreldeck_platform::{release, Table};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// The beginning of the keys of rows in which entries tell where they are.
@@ -30,6 +31,10 @@
 const MANY: usize = 3;
 const MANY_OF: usize = 2;
 
+/// The upstreams whose latest start is remembered before those that left are forgotten: at 600
+/// upstreams and a move of all of them a minute, some 7 minutes.
+const MOST_BORN: usize = 4_096;
+
 /// What a change of the tables means.
 #[derive(Debug)]
 pub enum News {
@@ -81,13 +86,23 @@
     News(Vec<News>),
 }
 
+/// One start of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Start {
+    /// Which one, where the upstream tells.
+    born: Option<Incarnation>,
+    address: SocketAddr,
+}
+
 /// What this process knows of the tables.
 #[derive(Debug)]
 pub struct Mirror {
     tables: BTreeMap<Table, Replica>,
     watermark: Watermark,
-    /// The upstreams that may get requests.
-    listed: BTreeSet<String>,
+    /// The upstreams that may get requests, and which start of each that is.
+    listed: BTreeMap<String, Start>,
+    /// The latest start of each upstream that tells it, also of those that left.
+    born: BTreeMap<String, Incarnation>,
     missing: BTreeMap<String, Time>,
     /// How far this process's clock is ahead of the store's, in microseconds.
     ahead: Option<i64>,
@@ -100,7 +115,8 @@
         Mirror {
             tables: BTreeMap::new(),
             watermark: Watermark::new(Table::ALL.len()),
-            listed: BTreeSet::new(),
+            listed: BTreeMap::new(),
+            born: BTreeMap::new(),
             missing: BTreeMap::new(),
             ahead: None,
             troubles: Vec::new(),
@@ -366,8 +382,10 @@
                 continue;
             };
             let read = member::decode(id, &buf);
-            if let Some(listed) = self.understand(Table::Upstreams, id, read) {
-                news.extend(self.list(id, listed));
+            match self.understand(Table::Upstreams, id, read) {
+                Some(listed) => news.extend(self.list(id, listed)),
+                // Whoever wrote that, the upstream's row is gone.
+                None => news.extend(self.retire(id)),
             }
         }
         news
@@ -376,8 +394,9 @@
     /// Returns what it means that rows of upstreams are gone.
     fn gone_news(&mut self, changed: &[String], now: Time) -> Vec<News> {
         // Rows of upstreams that were left before go at any time, many in one page.
-        let is_gone =
-            |id: &&String| self.listed.contains(*id) && self.row(Table::Upstreams, id).is_none();
+        let is_gone = |id: &&String| {
+            self.listed.contains_key(*id) && self.row(Table::Upstreams, id).is_none()
+        };
         let gone: Vec<String> = changed.iter().filter(is_gone).cloned().collect();
         if gone.is_empty() || !self.have_lapsed(gone.len()) {
             return gone.iter().filter_map(|id| self.retire(id)).collect();
@@ -404,20 +423,48 @@
         vanished >= MANY && vanished * MANY_OF >= self.listed.len()
     }
 
-    fn list(&mut self, id: &str, listed: Listed) -> Option<News> {
+    fn note_born(&mut self, id: &str, born: Option<Incarnation>) {
+        let Some(born) = born else {
+            return;
+        };
+        if self.born.len() >= MOST_BORN {
+            let listed = &self.listed;
+            self.born.retain(|id, _| listed.contains_key(id));
+        }
+        self.born.insert(id.to_owned(), born);
+    }
+
+    /// Takes in the row of an upstream. A newer start under the same name is another upstream: it
+    /// knows nothing of before, and runs and connections begun before are the former one's.
+    /// An older one that is heard of late changes nothing.
+    fn list(&mut self, id: &str, listed: Listed) -> Vec<News> {
+        let latest = self.born.get(id).copied();
+        let born = listed.member.place.start.or(latest);
+        if born < latest {
+            return Vec::new();
+        }
+        self.note_born(id, born);
+        let start = Start {
+            born,
+            address: listed.address,
+        };
+        let known = self.listed.get(id).copied();
         self.missing.remove(id);
         if listed.leaving {
-            return self.retire(id);
+            return self.retire(id).into_iter().collect();
         }
-        let new = self.listed.insert(id.to_owned());
-        new.then(|| News::Joined(Box::new(listed)))
+        if known == Some(start) {
+            return Vec::new();
+        }
+        let mut news: Vec<News> = self.retire(id).into_iter().collect();
+        self.listed.insert(id.to_owned(), start);
+        news.push(News::Joined(Box::new(listed)));
+        news
     }
 
     fn retire(&mut self, id: &str) -> Option<News> {
         self.missing.remove(id);
-        match self.listed.remove(id) {
-            true => Some(News::Retired(id.parse().ok()?)),
-            false => None,
-        }
+        self.listed.remove(id)?;
+        Some(News::Retired(id.parse().ok()?))
     }
 }
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -456,7 +456,7 @@
         }
         for trouble in self.mirror.troubles() {
             warn!(
-                "event=not-understood table={:?} key={} error={:?}",
+                "event=not-understood table={:?} key={:?} error={:?}",
                 trouble.table, trouble.key, trouble.message
             );
         }
@@ -536,8 +536,13 @@
         let member = &listed.member;
         let origin = self.origin(Table::Upstreams, from);
         info!(
-            "event=joined upstream={} pool={} address={} hall={:?} release={:?} {origin}",
-            member.upstream, member.pool, listed.address, member.place.hall, member.place.release
+            "event=joined upstream={} start={:?} pool={} address={} hall={:?} release={:?} {origin}",
+            member.upstream,
+            member.place.start,
+            member.pool,
+            listed.address,
+            member.place.hall,
+            member.place.release
         );
         self.upstreams.insert(member.upstream.clone(), link);
         self.addresses.insert(link, listed.address);
--- a/crates/daemon/tests/hosted/store.rs
+++ b/crates/daemon/tests/hosted/store.rs
@@ -120,6 +120,14 @@
         state.rows.insert((table.into(), key.into()), row);
     }
 
+    /// Writes what is no row of ours: `text` stands where the value ought to be in base64.
+    pub fn put_text(&self, table: &str, key: &str, text: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.version += 1;
+        let row = (Some(text.to_owned()), state.version);
+        state.rows.insert((table.into(), key.into()), row);
+    }
+
     pub fn drop_row(&self, table: &str, key: &str) {
         let mut state = self.state.lock().unwrap();
         state.version += 1;
