Count the time in which the machine is suspended, and doubt what is known until it is heard anew

Cause: all times were taken from the steady clock, which stands still while a machine is suspended: after seconds of that, configuration, tables, leases and time limits looked as much newer as it lasted, and waits of the runtime went on as if nothing had passed. Now one clock counts it (CLOCK_BOOTTIME, by rustix), handed in so that tests move it. A page of the store counts as heard when the store wrote it. The store's stand-in has a clock that goes on; before it stood still.

--- a/crates/core/src/entry/early.rs
+++ b/crates/core/src/entry/early.rs
@@ -1,7 +1,8 @@
 //! Requests that come before this entry knows configuration and upstreams.
 //!
 //! After a start both are a few milliseconds away, so a request that waits for them
-//! is served where a refusal would cost its caller one of few tries.
+//! is served where a refusal would cost its caller one of few tries. The same holds after a
+//! suspension of the machine, until what is known has been heard anew.
 
 use super::*;
 
@@ -38,7 +39,8 @@
     }
 
     fn knows_enough(&self) -> bool {
-        self.tree.revision() > Revision(0) && self.peers.iter().next().is_some()
+        let knows = self.tree.revision() > Revision(0) && self.peers.iter().next().is_some();
+        knows && !self.suspended
     }
 
     /// Takes a request in, or keeps it for when enough is known.
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -158,6 +158,10 @@
     NotWritten(u64),
     /// Time passed.
     Tick,
+    /// The machine was suspended: what is known may be that much older.
+    Suspended,
+    /// What is known has been heard anew since.
+    Informed,
     /// The process is to stop when its work is done.
     Leave,
 }
@@ -267,6 +271,8 @@
     /// How many entries take requests, as far as this one knows.
     entries: usize,
     ticked: Time,
+    /// Whether nothing was heard since a suspension of the machine.
+    suspended: bool,
     held: Held,
     history: History,
     promises: Promises,
@@ -300,6 +306,7 @@
             quarantine: Quarantine::default(),
             entries: 1,
             ticked: Time::default(),
+            suspended: false,
             history: History::default(),
             promises: Promises::default(),
             reported: Time::default(),
@@ -338,6 +345,8 @@
             Input::Written(batch) => drop(self.held.written(batch)),
             Input::NotWritten(batch) => self.held.not_written(batch, now),
             Input::Tick => self.tick(now, &mut out),
+            Input::Suspended => self.suspended = true,
+            Input::Informed => self.suspended = false,
             Input::Leave => self.leaving = true,
         }
         self.tell_of_quarantine(now, &mut out);
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -1,19 +1,33 @@
 //! The clock that the decisions are given.
 //!
 //! ```
-//! let clock = sorreldeckd::clock::Clock::start();
-//! assert!(clock.now() <= clock.now());
+//! use sorreldeck::Span;
+//! use sorreldeckd::clock::Clock;
+//!
+//! let clock = Clock::start();
+//! let before = clock.now();
+//! clock.suspend(Span::from_millis(2_000));
+//! assert!(clock.now().since(before) >= Span::from_millis(2_000));
 //! ```
 
-use sorreldeck::Time;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use rustix::time::{clock_gettime, ClockId};
+use sorreldeck::{Span, Time};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// A clock that counts from 1970-01-01 UTC and never goes back while the
 /// process runs, whatever happens to the system's clock.
-#[derive(Clone, Copy, Debug)]
+///
+/// It counts the time in which the machine is suspended. The steady clock of the runtime does
+/// not, so that after a suspension of seconds configuration, tables and leases would look
+/// that much newer than they are. Clones share one time.
+#[derive(Clone, Debug)]
 pub struct Clock {
-    start: Instant,
+    start: u64,
     offset: u64,
+    /// What was added by hand, in microseconds.
+    suspended: Arc<AtomicU64>,
 }
 
 impl Clock {
@@ -21,15 +35,34 @@
     pub fn start() -> Clock {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
         Clock {
-            start: Instant::now(),
+            start: micros(ClockId::Boottime),
             offset: since_epoch.map_or(0, |d| d.as_micros() as u64),
+            suspended: Arc::default(),
         }
     }
 
     /// Returns the time.
     pub fn now(&self) -> Time {
-        Time(self.offset + self.start.elapsed().as_micros() as u64)
+        let passed = micros(ClockId::Boottime).saturating_sub(self.start);
+        Time(self.offset + passed + self.suspended.load(Ordering::Relaxed))
+    }
+
+    /// Returns how long the machine has been suspended since it started.
+    pub fn suspended(&self) -> Span {
+        let asleep = micros(ClockId::Boottime).saturating_sub(micros(ClockId::Monotonic));
+        Span::from_micros(asleep + self.suspended.load(Ordering::Relaxed))
     }
+
+    /// Counts as if the machine had been suspended for this long, which nothing but a
+    /// suspension does otherwise.
+    pub fn suspend(&self, span: Span) {
+        self.suspended.fetch_add(span.micros(), Ordering::Relaxed);
+    }
+}
+
+fn micros(id: ClockId) -> u64 {
+    let time = clock_gettime(id);
+    time.tv_sec as u64 * 1_000_000 + time.tv_nsec as u64 / 1_000
 }
 
 /// Returns random bytes from the system.
--- a/crates/daemon/src/hosted/mod.rs
+++ b/crates/daemon/src/hosted/mod.rs
@@ -30,7 +30,7 @@
 pub use room::{Links, Message, Room};
 pub use shared::Shared;
 
-use crate::clock;
+use crate::clock::{self, Clock};
 use crate::options;
 use crate::turn::Stop;
 use ::log::info;
@@ -71,10 +71,11 @@
         .ok_or_else(|| eyre!("no settings file: give --settings"))?;
     let text = std::fs::read_to_string(&path).wrap_err("the settings file cannot be read")?;
     let settings = Settings::from_json(&text)?;
+    let clock = Clock::start();
     let stop = crate::turn::on_signal()?;
     let reload = crate::turn::on_reload()?;
     task::spawn(watch_settings(path, settings.clone(), reload));
-    let running = start(options, settings, stop).await?;
+    let running = start(options, settings, clock, stop).await?;
     running.stop.ended().await;
     info!("event=stop");
     Ok(())
@@ -108,6 +109,7 @@
 pub async fn start(
     options: options::Hosted,
     settings: Settings,
+    clock: Clock,
     stop: Arc<AtomicBool>,
 ) -> Result<Running> {
     let callers = TcpListener::bind(settings.callers).await?;
@@ -142,7 +144,7 @@
         address: links_at,
         events,
     };
-    let room = Room::new(&options, &settings, shared, store, door, links);
+    let room = Room::new(&options, &settings, shared, store, door, links, clock);
     let flag = stop.clone();
     task::spawn(async move {
         room.work(receive, flag).await;
--- a/crates/daemon/src/hosted/relay.rs
+++ b/crates/daemon/src/hosted/relay.rs
@@ -171,6 +171,12 @@
         }
     }
 
+    /// Notes that the machine was suspended: no table has been answered for since.
+    pub fn woke(&mut self, now: Time) {
+        self.answered = [false; 4];
+        self.asked = [now; 4];
+    }
+
     /// Notes that the store has not answered for a table. One that does not answer for the
     /// operator's is taken for away.
     pub fn missed(&mut self, table: Table) {
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -23,7 +23,7 @@
 use sorreldeck::pick::Link;
 use sorreldeck::quarantine::{self, Fingerprint, Hold};
 use sorreldeck::wire::{Frame, Run};
-use sorreldeck::{Failure, InstanceId, RequestId, Revision, Time, UpstreamId};
+use sorreldeck::{Failure, InstanceId, RequestId, Revision, Span, Time, UpstreamId};
 use sorreldeck_net::h1::Door;
 use sorreldeck_net::link::{Event, Outbox};
 use sorreldeck_platform::member::Listed;
@@ -32,28 +32,38 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// How long a stopping entry goes on taking connections: the balancer asks each
 /// second and gives up after two misses. What is taken later might not end in
 /// the time that is left.
-const LINGER: Duration = Duration::from_millis(2_400);
+const LINGER: Span = Span::from_millis(2_400);
 /// How long before the process is killed it ends by itself.
-const SPARE: Duration = Duration::from_millis(500);
+const SPARE: Span = Span::from_millis(500);
 /// How long the store is out of reach before other entries are asked, and how
 /// often they are asked then.
-const ASK_AFTER: Duration = Duration::from_millis(300);
-const ASK_EVERY: Duration = Duration::from_millis(500);
+const ASK_AFTER: Span = Span::from_millis(300);
+const ASK_EVERY: Span = Span::from_millis(500);
 /// How often what was found of moves is looked at: a bad release must be left within 5 s,
 /// and what is told goes over three links at most.
-const TELL_EVERY: Duration = Duration::from_millis(500);
+const TELL_EVERY: Span = Span::from_millis(500);
 /// How long an entry waits for the others to announce themselves when the whole
 /// installation starts for the first time: all start within 0.3 s of each other, and a
 /// second for those that start slowly costs nobody anything yet.
-const ALL_ANNOUNCED: Duration = Duration::from_millis(1_300);
+const ALL_ANNOUNCED: Span = Span::from_millis(1_300);
 /// How often they are asked when they knew nothing newer the last times: all may
 /// have lost the store. A change must be learned of within some 7 s.
-const ASK_SELDOM: Duration = Duration::from_millis(2_000);
+const ASK_SELDOM: Span = Span::from_millis(2_000);
+
+/// The suspension of the machine from which on what is known is asked for anew. A page of the
+/// store is some 20 ms old, and links hold for 0.5 s.
+const SUSPENDED: Span = Span::from_millis(200);
+/// What is known after a suspension is new enough where the store was heard within this
+/// time, by whatever way: answers come each 0.5 s.
+const FRESH: Span = Span::from_millis(700);
+/// How long requests wait for that: the store answers in some 5 ms, another entry within
+/// 0.5 s, and a caller that is refused comes back after as long.
+const DOUBT: Span = Span::from_millis(600);
 
 /// What reaches the loop.
 pub enum Message {
@@ -105,13 +115,17 @@
     links_at: Option<SocketAddr>,
     announced: bool,
     /// Until when the others may announce themselves.
-    starts_until: Option<Instant>,
+    starts_until: Option<Time>,
     store: Store,
     door: Arc<Door>,
-    grace: Duration,
-    failing_since: Option<Instant>,
-    told: Instant,
-    asked: Instant,
+    grace: Span,
+    failing_since: Option<Time>,
+    told: Time,
+    asked: Time,
+    /// For how long the machine was suspended, as far as it was dealt with.
+    suspended: Span,
+    /// When a suspension ended since which what is known has not been heard anew.
+    doubts: Option<Time>,
     in_vain: u32,
     shared: Shared,
     /// The sources that were told of in the log.
@@ -135,7 +149,9 @@
         store: Store,
         door: Arc<Door>,
         links: Links,
+        clock: Clock,
     ) -> Room {
+        let now = clock.now();
         let seed = u64::from_le_bytes(clock::random());
         let mut decisions = Decisions::new(
             settings.instance.clone(),
@@ -159,7 +175,8 @@
         let starts = settings.first_start.then_some(ALL_ANNOUNCED);
         Room {
             entry: Entry::new(decisions),
-            clock: Clock::start(),
+            suspended: clock.suspended(),
+            doubts: None,
             metrics: Metrics::default(),
             mirror: Mirror::default(),
             answers: Answers::default(),
@@ -168,7 +185,8 @@
             peering: Peering::new(options.link_keys.clone(), settings, links.events),
             relay: Relay::new(own.clone(), bounds),
             feed: Feed::start(&store, &shared),
-            caller: Caller::new(shared.send.clone()),
+            caller: Caller::new(shared.send.clone(), clock.clone()),
+            clock,
             runs: HashMap::new(),
             callers: HashMap::new(),
             labels: HashMap::new(),
@@ -178,13 +196,13 @@
             own,
             links_at: links.address,
             announced: false,
-            starts_until: starts.map(|wait| Instant::now() + wait),
+            starts_until: starts.map(|wait| now + wait),
             store,
             door,
-            grace: settings.grace.into(),
+            grace: settings.grace,
             failing_since: None,
-            told: Instant::now(),
-            asked: Instant::now(),
+            told: now,
+            asked: now,
             in_vain: 0,
             shared,
             sources: Vec::new(),
@@ -193,15 +211,16 @@
 
     /// Runs the loop until the process is told to stop and has finished.
     pub async fn work(mut self, receive: Receiver<Message>, stop: Arc<AtomicBool>) {
-        let mut stopping: Option<Instant> = None;
+        let mut stopping: Option<Time> = None;
         let tick = |room: &mut Room| {
+            let now = room.clock.now();
             if stop.load(Ordering::Relaxed) && stopping.is_none() {
-                stopping = Some(Instant::now());
+                stopping = Some(now);
                 info!("event=leave in_flight={}", room.entry.in_flight());
                 room.door.close();
                 room.relay.leave();
             }
-            if stopping.is_some_and(|since| since.elapsed() >= LINGER) && !room.door.is_shut() {
+            if stopping.is_some_and(|since| now.since(since) >= LINGER) && !room.door.is_shut() {
                 info!("event=door-shut in_flight={}", room.entry.in_flight());
                 room.door.shut();
             }
@@ -217,13 +236,48 @@
         task::sleep(Duration::from_millis(60)).await;
     }
 
-    fn is_done(&self, since: Instant) -> bool {
-        let waited = since.elapsed();
+    fn is_done(&self, since: Time) -> bool {
+        let waited = self.clock.now().since(since);
         let idle = self.entry.is_idle() && self.callers.is_empty();
-        (self.door.is_shut() && idle) || waited >= self.grace.saturating_sub(SPARE)
+        (self.door.is_shut() && idle) || waited >= self.grace - SPARE
+    }
+
+    /// Notices that the machine was suspended, before anything that arrived meanwhile is taken
+    /// in: what has run out of time is ended, waits that stood still are begun anew, and what
+    /// is known is not gone by until it is heard anew.
+    fn wake(&mut self) {
+        let suspended = self.clock.suspended();
+        let span = suspended - self.suspended;
+        if span < SUSPENDED {
+            return;
+        }
+        self.suspended = suspended;
+        info!("event=suspended for_ms={}", span.millis());
+        let now = self.clock.now();
+        self.doubts = Some(now);
+        self.handle(Input::Suspended);
+        self.handle(Input::Tick);
+        self.caller.forget();
+        self.relay.woke(now);
+        for table in Table::ALL {
+            self.feed.ask(table);
+        }
+    }
+
+    /// Goes by what is known again once it was heard anew, or cannot be.
+    fn trust(&mut self, now: Time) {
+        let Some(since) = self.doubts else {
+            return;
+        };
+        let age = self.relay.follow().age(now);
+        if age.is_some_and(|age| age < FRESH) || now.since(since) >= DOUBT {
+            self.doubts = None;
+            self.handle(Input::Informed);
+        }
     }
 
     fn tick(&mut self, stopping: bool) {
+        self.wake();
         self.handle(Input::Tick);
         let now = self.clock.now();
         let lapsed = self.mirror.tick(now);
@@ -234,8 +288,9 @@
         }
         self.announce();
         self.relay(now);
-        self.ask_others();
-        self.tell_of_moves();
+        self.trust(now);
+        self.ask_others(now);
+        self.tell_of_moves(now);
         self.recorder
             .step(now, &self.mirror, &self.store, &self.shared.send);
         let reads = self.relay.follow().reading() == Reading::All;
@@ -252,6 +307,7 @@
     }
 
     fn take(&mut self, message: Message) {
+        self.wake();
         match message {
             Message::Ask(ask, parts) => {
                 if let What::Routed(routed) = &ask.what {
@@ -274,7 +330,12 @@
             }
             Message::Store(table, Update::Page(page, whole)) => {
                 let now = self.clock.now();
-                self.note_reached(table, now);
+                // An answer may have lain here while the machine was suspended.
+                let told = self.mirror.own_time(page.now.as_micros() as u64);
+                let heard = told
+                    .filter(|_| !page.now.is_zero())
+                    .map_or(now, |at| at.min(now));
+                self.note_reached(table, heard);
                 let news = self.mirror.apply(table, page, whole, now);
                 self.note_all(news, "store");
                 self.answers.note(table, now);
@@ -295,7 +356,7 @@
                 self.relay.listed(now);
                 self.relay.missed(table);
                 if table == Table::Operator {
-                    self.failing_since.get_or_insert_with(Instant::now);
+                    self.failing_since.get_or_insert(now);
                 }
             }
             Message::Store(table, Update::Forgotten(known)) => {
@@ -359,10 +420,7 @@
 
     /// Looks after the links over which the tables come and go.
     fn relay(&mut self, now: Time) {
-        if self
-            .starts_until
-            .is_some_and(|until| Instant::now() < until)
-        {
+        if self.starts_until.is_some_and(|until| now < until) {
             return;
         }
         self.starts_until = None;
@@ -571,7 +629,7 @@
             let change = change.put(Table::Own, &key, text.as_bytes());
             if let Err(trouble) = store.change(&change).await {
                 warn!("event=announce-failed error={trouble}");
-                task::sleep(ASK_EVERY * 4).await;
+                task::sleep(ASK_SELDOM.into()).await;
                 let again = |room: &mut Room| room.announced = false;
                 // The loop ends only with the process.
                 let _ = send.send(Message::With(Box::new(again))).await;
@@ -580,18 +638,18 @@
     }
 
     /// Tells other entries what was found here of releases on trial.
-    fn tell_of_moves(&mut self) {
-        if self.told.elapsed() < TELL_EVERY {
+    fn tell_of_moves(&mut self, now: Time) {
+        if now.since(self.told) < TELL_EVERY {
             return;
         }
-        self.told = Instant::now();
+        self.told = now;
         for (pool, report) in self.entry.move_reports() {
             self.relay.found(pool, report);
         }
     }
 
     /// Asks another entry while the store is out of reach.
-    fn ask_others(&mut self) {
+    fn ask_others(&mut self, now: Time) {
         let Some(since) = self.failing_since else {
             return;
         };
@@ -599,10 +657,10 @@
             0..=2 => ASK_EVERY,
             _ => ASK_SELDOM,
         };
-        if since.elapsed() < ASK_AFTER || self.asked.elapsed() < pause {
+        if now.since(since) < ASK_AFTER || now.since(self.asked) < pause {
             return;
         }
-        self.asked = Instant::now();
+        self.asked = now;
         self.in_vain += 1;
         self.peering.ask(&self.mirror, &self.shared);
     }
--- a/crates/daemon/src/hosted/run.rs
+++ b/crates/daemon/src/hosted/run.rs
@@ -5,6 +5,7 @@
 //! sent just then ran would not be known.
 
 use super::room::Message;
+use crate::clock::Clock;
 use crate::loss;
 use async_channel::Sender;
 use async_std::future::timeout;
@@ -16,7 +17,7 @@
 use sorreldeck::entry::{Head, Reply};
 use sorreldeck::pick::Link;
 use sorreldeck::wire::{Header, Order, Run, Start};
-use sorreldeck::{Failure, Reason, Span, Verdict};
+use sorreldeck::{Failure, Reason, Span, Time, Verdict};
 use sorreldeck_net::h1::{self, Channel};
 use sorreldeck_platform::call;
 use std::collections::HashMap;
@@ -42,6 +43,7 @@
 pub struct Caller {
     kept: Pool,
     tell: Sender<Message>,
+    clock: Clock,
 }
 
 /// A run; dropping it closes its connection, by which the upstream stops.
@@ -57,13 +59,19 @@
 
 impl Caller {
     /// Creates a caller without connections.
-    pub fn new(tell: Sender<Message>) -> Caller {
+    pub fn new(tell: Sender<Message>, clock: Clock) -> Caller {
         Caller {
             kept: Pool::default(),
             tell,
+            clock,
         }
     }
 
+    /// Closes the connections that are kept: upstreams may have left or closed them meanwhile.
+    pub fn forget(&self) {
+        self.kept.lock().unwrap_or_else(|e| e.into_inner()).clear();
+    }
+
     /// Starts a run; what the upstream does is told to the loop.
     pub fn open(&self, link: Link, address: Option<SocketAddr>, start: Start) -> Handle {
         let job = Job {
@@ -72,7 +80,8 @@
             link,
             run: start.run,
             order: start.order.as_deref().cloned(),
-            began: Instant::now(),
+            clock: self.clock.clone(),
+            began: self.clock.now(),
             left: Span::from_micros(start.deadline_us),
         };
         Handle(Some(task::spawn(job.work(address, start))))
@@ -85,7 +94,8 @@
     link: Link,
     run: Run,
     order: Option<Order>,
-    began: Instant,
+    clock: Clock,
+    began: Time,
     left: Span,
 }
 
@@ -149,7 +159,7 @@
 
     /// Returns the time left for the upstream.
     fn left_now(&self) -> Result<Span, Failure> {
-        let used = Span::from_micros(self.began.elapsed().as_micros() as u64);
+        let used = self.clock.now().since(self.began);
         match self.left > used {
             true => Ok(self.left - used),
             false => Err(Failure::not_run(Reason::TimedOut, "no time is left")),
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -8,6 +8,7 @@
 mod runner;
 mod silent_connections;
 mod store;
+mod suspended;
 
 use async_std::net::TcpStream;
 use async_std::task;
@@ -15,6 +16,7 @@
 use runner::{Refused, Runner};
 use serde_json::{json, Value};
 use sorreldeck_platform::Settings;
+use sorreldeckd::clock::Clock;
 use sorreldeckd::hosted::{self, Running};
 use sorreldeckd::options::{self, Hosted, LogFormat};
 use std::net::SocketAddr;
@@ -33,6 +35,7 @@
     store: Store,
     runners: Vec<Runner>,
     entry: Running,
+    clock: Clock,
 }
 
 fn route(name: &str, service: &str, kind: &str, more: Value) -> Value {
@@ -83,6 +86,16 @@
 }
 
 async fn start_entry_in(store: &Store, name: &str, hall: &str, seeds: &[SocketAddr]) -> Running {
+    start_entry_by(store, name, hall, seeds, Clock::start()).await
+}
+
+async fn start_entry_by(
+    store: &Store,
+    name: &str,
+    hall: &str,
+    seeds: &[SocketAddr],
+    clock: Clock,
+) -> Running {
     let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
     let text = json!({
         "node": name, "zone": hall, "ip": "127.0.0.1",
@@ -102,7 +115,7 @@
         log: LogFormat::Json,
     };
     let stop = Arc::new(AtomicBool::new(false));
-    hosted::start(options, settings, stop).await.unwrap()
+    hosted::start(options, settings, clock, stop).await.unwrap()
 }
 
 impl Stand {
@@ -121,11 +134,13 @@
             announce(&store, &runner, service, "ready");
             runners.push(runner);
         }
-        let entry = start_entry(&store, "front-1", &[]).await;
+        let clock = store.clock.clone();
+        let entry = start_entry_by(&store, "front-1", "a", &[], clock.clone()).await;
         let stand = Stand {
             store,
             runners,
             entry,
+            clock,
         };
         stand.until_ready().await;
         stand
--- a/crates/daemon/tests/hosted/store.rs
+++ b/crates/daemon/tests/hosted/store.rs
@@ -6,6 +6,8 @@
 use base64::Engine;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use serde_json::{json, Value};
+use sorreldeck::Time;
+use sorreldeckd::clock::Clock;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -45,14 +47,21 @@
 #[derive(Clone)]
 pub struct Store {
     pub address: SocketAddr,
+    /// The time that passes for all, whichever machine is suspended.
+    pub clock: Clock,
+    began: Time,
     state: Arc<Mutex<State>>,
 }
 
 impl Store {
     pub async fn start() -> Store {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let clock = Clock::start();
         let store = Store {
             address: listener.local_addr().unwrap(),
+            // It was there before.
+            began: Time(clock.now().0 - 51_230_000),
+            clock,
             state: Arc::default(),
         };
         let serving = store.clone();
@@ -223,7 +232,12 @@
                 None => json!({"table": table, "part": "", "key": key, "ver": ver, "gone": true}),
             })
             .collect();
-        json!({"rows": rows, "more": false, "ver": state.version, "now_ms": 51_230})
+        json!({"rows": rows, "more": false, "ver": state.version, "now_ms": self.now_ms()})
+    }
+
+    /// Returns the time on the store's steady clock.
+    fn now_ms(&self) -> u64 {
+        self.clock.now().since(self.began).millis()
     }
 
     /// Returns a page of a table: the rows from a key on.
@@ -272,7 +286,7 @@
             if known.map_or(0, |(_, ver)| *ver) != row["ver"].as_u64().unwrap() {
                 return (
                     412,
-                    json!({"rows": [], "ver": state.version, "now_ms": 51_230}),
+                    json!({"rows": [], "ver": state.version, "now_ms": self.now_ms()}),
                 );
             }
         }
@@ -285,7 +299,7 @@
         for row in change["remove"].as_array().unwrap() {
             state.rows.insert(place(row), (None, version));
         }
-        (200, json!({"ver": version, "now_ms": 51_230}))
+        (200, json!({"ver": version, "now_ms": self.now_ms()}))
     }
 }
 
