--- /dev/null
+++ b/crates/bench/src/crash.rs
@@ -0,0 +1,164 @@
+//! What requests that crash upstreams cost, and how soon all entries know them.
+
+use crate::stats::{print_last, round};
+use bpaf::Bpaf;
+use eyre::Result;
+use serde::Serialize;
+use sorreldeck::{Span, Time};
+use sorreldeck_emulator::crash::{Day, Tally, World};
+
+/// The most sends of such a request once all entries must know it.
+const SENDS: usize = 3;
+
+/// The parameters of the experiment.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Options {
+    /// The seed of the first day
+    #[bpaf(long, argument("N"), fallback(1))]
+    pub seed: u64,
+    /// How many days are played, each with the next seed
+    #[bpaf(long, argument("N"), fallback(10), display_fallback)]
+    pub days: u64,
+    /// The entries
+    #[bpaf(long, argument("N"), fallback(3), display_fallback)]
+    pub entries: usize,
+    /// The upstreams of the pool
+    #[bpaf(long, argument("N"), fallback(18), display_fallback)]
+    pub upstreams: usize,
+    /// The requests that crash upstreams, each five times a second
+    #[bpaf(long, argument("N"), fallback(1), display_fallback)]
+    pub crashing: usize,
+    /// The upstreams that crash for another reason, in a second
+    #[bpaf(long, argument("X"), fallback(0.0), display_fallback)]
+    pub crashes: f64,
+    /// The other requests in a second
+    #[bpaf(long, argument("X"), fallback(100.0), display_fallback)]
+    pub others: f64,
+    /// The part of them that ask the same
+    #[bpaf(long, argument("X"), fallback(0.2), display_fallback)]
+    pub alike: f64,
+    /// The seconds of a day
+    #[bpaf(long, argument("S"), fallback(30.0), display_fallback)]
+    pub seconds: f64,
+    /// Print nothing but the last line
+    #[bpaf(long)]
+    pub json: bool,
+}
+
+/// The least, the median and the most over all days.
+#[derive(Clone, Copy, Debug, Serialize)]
+struct Spread {
+    min: f64,
+    median: f64,
+    max: f64,
+}
+
+#[derive(Debug, Serialize)]
+struct Summary {
+    upstreams_lost: Spread,
+    late_sends: Spread,
+    latest_send_s: Spread,
+    known_after_s: Spread,
+    served_before: Spread,
+    served_while: Spread,
+    served_after: Spread,
+    held_back_wrongly: Spread,
+    days: u64,
+    seed: u64,
+    pass: bool,
+}
+
+/// Runs the experiment; returns whether its invariants held.
+///
+/// # Errors
+///
+/// Fails when no day is asked for.
+pub fn run(options: &Options) -> Result<bool> {
+    eyre::ensure!(options.days > 0, "--days must be above 0");
+    let mut tallies = Vec::new();
+    for seed in options.seed..options.seed + options.days {
+        let tally = World::new(day(options), seed).play();
+        if !options.json {
+            eprintln!("seed {seed}: {}", line(&tally));
+        }
+        tallies.push(tally);
+    }
+    let summary = summary(options, &tallies);
+    if !options.json {
+        print_table(&summary);
+    }
+    print_last(&summary);
+    Ok(summary.pass)
+}
+
+fn day(options: &Options) -> Day {
+    Day {
+        entries: options.entries,
+        upstreams: options.upstreams,
+        crashing: options.crashing,
+        crashes: options.crashes,
+        others: options.others,
+        alike: options.alike,
+        lasts: Span::from_secs_f64(options.seconds),
+        ..Day::default()
+    }
+}
+
+fn line(tally: &Tally) -> String {
+    format!(
+        "{} upstreams lost, {} sends late, {} of {} others refused wrongly",
+        tally.crashes,
+        tally.late(),
+        wrongly(tally),
+        tally.asked.len()
+    )
+}
+
+fn wrongly(tally: &Tally) -> usize {
+    tally.wrongly + tally.wrongly_single
+}
+
+fn summary(options: &Options, tallies: &[Tally]) -> Summary {
+    let over = |what: &dyn Fn(&Tally) -> f64| spread(tallies.iter().map(what).collect());
+    let late_sends = over(&|t| t.late() as f64);
+    Summary {
+        upstreams_lost: over(&|t| t.crashes as f64),
+        latest_send_s: over(&|t| t.latest().secs_f64()),
+        known_after_s: over(&|t| t.known_after().secs_f64()),
+        served_before: over(&|t| t.served(Time(0)..t.unknown().start)),
+        served_while: over(&|t| t.served(t.unknown())),
+        served_after: over(&|t| t.served(t.unknown().end..Time(u64::MAX))),
+        held_back_wrongly: over(&|t| wrongly(t) as f64),
+        days: options.days,
+        seed: options.seed,
+        pass: late_sends.max <= SENDS as f64,
+        late_sends,
+    }
+}
+
+fn spread(mut values: Vec<f64>) -> Spread {
+    values.sort_by(f64::total_cmp);
+    let at = |place: usize| values.get(place).copied().map_or(0.0, round);
+    Spread {
+        min: at(0),
+        median: at(values.len() / 2),
+        max: at(values.len().saturating_sub(1)),
+    }
+}
+
+fn print_table(summary: &Summary) {
+    println!("{:<24}{:>9}{:>9}{:>9}", "", "min", "median", "max");
+    for (name, spread) in [
+        ("upstreams lost", summary.upstreams_lost),
+        ("sends late", summary.late_sends),
+        ("latest send, s", summary.latest_send_s),
+        ("all know after, s", summary.known_after_s),
+        ("others served before", summary.served_before),
+        ("others served while", summary.served_while),
+        ("others served after", summary.served_after),
+        ("refused wrongly", summary.held_back_wrongly),
+    ] {
+        let Spread { min, median, max } = spread;
+        println!("{name:<24}{min:>9}{median:>9}{max:>9}");
+    }
+}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,6 +3,7 @@
 
 mod call;
 mod cascade;
+mod crash;
 mod faults;
 mod fleet;
 mod limits;
@@ -43,6 +44,9 @@
     /// Spread changes of the configuration, and read off the cost at rest
     #[bpaf(command)]
     Spread(#[bpaf(external(spread::options))] spread::Options),
+    /// Send requests that crash whatever upstream runs them
+    #[bpaf(command)]
+    Crash(#[bpaf(external(crash::options))] crash::Options),
     /// Hit real processes with faults under load and check the promises
     #[bpaf(command)]
     Faults(#[bpaf(external(faults::options))] faults::Options),
@@ -67,6 +71,7 @@
         Options::Rollout(options) => run(rollout::run(options))?,
         Options::Cascade(options) => run(cascade::run(options))?,
         Options::Spread(options) => run(spread::run(options))?,
+        Options::Crash(options) => crash::run(&options)?,
         Options::Faults(options) => run(faults::run(options))?,
         Options::StandIns(options) => run(stand::run(options))?,
         Options::Daemon(options) => {
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -2,6 +2,7 @@
 //! services and the platform. They are small models with switches for faults,
 //! for the standalone role, the tests and the experiments.
 
+pub mod crash;
 pub mod engine;
 pub mod plain;
 pub mod quality;
