Let a crash that is told again not end a trial, and look at late crashes only for suspects

Cause, found on reading: sidecars tell an entry that links later what others told before, and any word of a crash under a request on trial held it back again; a test failed first. Whether a request is a suspect was asked of ten minutes of crashes, for each run under way when one is sent again.

--- a/crates/core/src/quarantine/hold.rs
+++ b/crates/core/src/quarantine/hold.rs
@@ -54,6 +54,13 @@
         }
     }
 
+    /// Returns whether a request that is on trial was not held back any more at a time.
+    pub fn ended_by(&self, fingerprint: Fingerprint, at: Time) -> bool {
+        self.0
+            .get(&fingerprint)
+            .is_some_and(|hold| at >= hold.until)
+    }
+
     /// Returns how many are held back.
     pub fn count(&self, now: Time) -> usize {
         self.0.values().filter(|hold| now < hold.lasts()).count()
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -172,11 +172,13 @@
         self.holds.admits(fingerprint, now)
     }
 
-    /// Returns whether a request was where an upstream crashed, and nothing else explains it.
-    /// Suspects are kept apart, so that the next crash tells them from one another.
+    /// Returns whether a request was where an upstream crashed lately, and nothing else explains
+    /// it. Suspects are kept apart, so that the next crash tells them from one another.
     pub fn suspects(&self, fingerprint: Fingerprint, now: Time) -> bool {
+        let lately = |c: &&Crash| now.since(c.at) < fate::LATELY;
         let at = |c: &Crash| c.there.contains(&fingerprint) && c.counts(now);
-        !self.crashes.is_empty() && self.crashes.iter().any(at)
+        // Asked for each run under way when one is sent again: no older crash is looked at.
+        self.crashes.iter().rev().take_while(lately).any(at)
     }
 
     /// Returns how many requests are held back.
@@ -203,7 +205,8 @@
             there: vec![run.fingerprint],
         });
         self.suspect(run.upstream, run.fingerprint, now);
-        self.judge(run.fingerprint, Some(run.pool), run.spread, now);
+        let place = (Some(run.pool), run.spread);
+        self.judge(run.fingerprint, place, now, now);
     }
 
     /// Notes that a request was answered whole to this entry. Whatever crashes each upstream
@@ -233,7 +236,7 @@
                         continue;
                     }
                     self.suspect(upstream, fingerprint, at);
-                    self.judge(fingerprint, None, spread(fingerprint), now);
+                    self.judge(fingerprint, (None, spread(fingerprint)), at, now);
                 }
             }
             Word::Answered(fingerprint) => {
@@ -295,11 +298,23 @@
         }
     }
 
-    /// Holds a request back if it was too often where upstreams crashed.
-    fn judge(&mut self, fingerprint: Fingerprint, pool: Option<&PoolId>, spread: f64, now: Time) {
+    /// Holds a request back if it was too often where upstreams crashed, the last time `at`;
+    /// `place` is its pool, where that is known, and the share of upstreams at which it is.
+    fn judge(
+        &mut self,
+        fingerprint: Fingerprint,
+        place: (Option<&PoolId>, f64),
+        at: Time,
+        now: Time,
+    ) {
+        let (pool, spread) = place;
         match self.admits(fingerprint, now) {
             Admission::Held(_) => return self.explain(fingerprint, now),
-            Admission::Trial => return self.hold(fingerprint, 1, now),
+            // What is told again of a crash before the trial says nothing of that.
+            Admission::Trial if self.holds.ended_by(fingerprint, at) => {
+                return self.hold(fingerprint, 1, now);
+            }
+            Admission::Trial => return,
             Admission::Free => {}
         }
         let crashes = self.count(fingerprint, now);
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -211,6 +211,26 @@
     assert_eq!((second.before, second.is_own), (1, true));
 }
 
+/// Whoever passes words on tells them again to entries that are linked later.
+#[test]
+fn a_crash_before_the_trial_that_is_told_again_does_not_end_it() {
+    let mut quarantine = held();
+    let first = held_news(&mut quarantine).unwrap();
+    let now = first.until + Span::from_millis(65_000);
+    let word = |ago: Span| Word::Lost {
+        upstream: 3,
+        ago_ms: ago.millis(),
+        there: vec![print(7)],
+    };
+    quarantine.told(word(now.since(ms(600))), now, |_| 0.0);
+    assert_eq!(quarantine.admits(print(7), now), Admission::Trial);
+    quarantine.told(word(Span::from_millis(50)), now, |_| 0.0);
+    assert!(matches!(
+        quarantine.admits(print(7), now),
+        Admission::Held(_)
+    ));
+}
+
 #[test]
 fn what_others_recorded_before_changes_nothing_later() {
     let mut quarantine = held();
