--- a/crates/net/src/reach.rs
+++ b/crates/net/src/reach.rs
@@ -9,6 +9,7 @@
 
 use async_std::future::timeout;
 use async_std::net::TcpStream;
+use futures_lite::AsyncReadExt;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -17,11 +18,42 @@
 /// milliseconds apart, and whoever asks holds a request up meanwhile.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// How long a connection that was taken must stay open for its server to be there. A process
+/// that ends closes its connections before its listener, or the other way round; that took over a
+/// millisecond once where the machine was busy.
+const STAYS: Duration = Duration::from_millis(40);
+
+/// What came of opening a connection.
+enum Look {
+    Taken(TcpStream),
+    Refused,
+    /// Silence, or the network's trouble.
+    Unknown,
+}
+
 /// Returns whether nobody listens at an address. Silence is no refusal: it may be the
 /// network's.
 pub async fn is_refused(address: SocketAddr) -> bool {
+    match look(address).await {
+        Look::Refused => true,
+        Look::Taken(stream) if closes(&stream).await => {
+            matches!(look(address).await, Look::Refused)
+        }
+        Look::Taken(_) | Look::Unknown => false,
+    }
+}
+
+async fn look(address: SocketAddr) -> Look {
     match timeout(ANSWER_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Err(e)) => e.kind() == ErrorKind::ConnectionRefused,
-        Ok(Ok(_)) | Err(_) => false,
+        Ok(Ok(stream)) => Look::Taken(stream),
+        Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => Look::Refused,
+        Ok(Err(_)) | Err(_) => Look::Unknown,
     }
 }
+
+/// Returns whether the other end closes a connection at once.
+async fn closes(mut stream: &TcpStream) -> bool {
+    let mut byte = [0];
+    let read = timeout(STAYS, stream.read(&mut byte)).await;
+    matches!(read, Ok(Ok(0) | Err(_)))
+}
