Send nothing to data halls that are to be empty, and little to upstreams that may be cold

Cause: nothing read the operator's orders to empty a data hall, and nothing knew of cold upstreams: an upstream that comes back looks idle, so every entry chose it at once.

One place decides which upstreams get work (Peers::gets_work over core/src/halls.rs); first tries, repeats, resumed streams, larger models, trials of releases, homes and counts of releases all ask it, in the hosted role and the own interface. Cold upstreams (core/src/warmup.rs) get one rate over all entries: few entries are drawn for each by a hash, each keeps a pause between its own. One that could not be reached, went down, joined late, or whose data hall gets work again counts as cold without a row that says so.

--- a/crates/core/src/digest.rs
+++ b/crates/core/src/digest.rs
@@ -1,4 +1,4 @@
-//! Short numbers that stand for longer texts.
+//! Short numbers that stand for longer texts, and for one another.
 
 /// Returns the first eight bytes of a hash as a number: enough to tell apart what nobody
 /// makes to collide.
@@ -7,3 +7,10 @@
     first.copy_from_slice(&hash.as_bytes()[..8]);
     u64::from_le_bytes(first)
 }
+
+/// Spreads a number evenly, by multiplying with a large odd number and folding.
+pub(crate) fn mix(number: u64) -> u64 {
+    let mixed = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let mixed = (mixed ^ (mixed >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
+    mixed ^ (mixed >> 32)
+}
--- a/crates/core/src/entry/answer.rs
+++ b/crates/core/src/entry/answer.rs
@@ -3,6 +3,7 @@
 use super::flight::{Flight, Goal, Whole};
 use super::*;
 use crate::header;
+use crate::pick::Place;
 use crate::release::LIFE;
 use crate::wire::{Confidence, Header, Usage, Welcome};
 
@@ -23,6 +24,7 @@
                 load,
             } => {
                 self.peers.report(link, load, now);
+                self.peers.answers(link, now);
                 self.head(now, run, status, headers, out);
             }
             Frame::Data { run, seq, data } => self.data(now, run, seq, data, out),
@@ -86,6 +88,12 @@
     fn welcome(&mut self, now: Time, link: Link, welcome: Welcome, out: &mut Outputs) {
         self.peers
             .join(link, welcome.upstream, &welcome.pool, welcome.load);
+        let place = Place {
+            hall: Some(welcome.hall),
+            ..Place::default()
+        };
+        self.peers.settle(link, place);
+        self.peers.joined(link, now);
         self.peers.report(link, welcome.load, now);
         self.compare(link, welcome.revision, out);
     }
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -144,8 +144,8 @@
         flight: &mut Flight,
         link: Link,
     ) -> Result<(), Failure> {
-        let staying = self.peers.get(link).is_some_and(|p| !p.leaving);
-        self.keep(Promise::Leaving, staying)?;
+        let working = self.peers.gets_work(link);
+        self.keep(Promise::Leaving, working)?;
         let once = !flight.once || flight.verdict.may_repeat();
         self.keep(Promise::AtMostOnce, once)?;
         self.note_try(now, flight, Some(link), String::new());
--- a/crates/core/src/entry/guard.rs
+++ b/crates/core/src/entry/guard.rs
@@ -66,10 +66,11 @@
         let Some(peer) = flight.tried.last().and_then(|link| self.peers.get(*link)) else {
             return;
         };
+        let number = peer.number();
         let sighting = Sighting {
             fingerprint: flight.fingerprint,
             pool: &flight.pool,
-            upstream: peer.number(),
+            upstream: number,
             spread: spread(
                 &self.flights,
                 &self.peers,
@@ -78,10 +79,14 @@
             ),
         };
         self.quarantine.lost(&sighting, now);
+        self.peers.doubt_number(number, now);
     }
 
     /// Takes in what another entry tells of requests under which upstreams crashed.
     pub(super) fn take_word(&mut self, now: Time, word: Word) {
+        if let Word::Lost { upstream, .. } = &word {
+            self.peers.doubt_number(*upstream, now);
+        }
         let (flights, peers) = (&self.flights, &self.peers);
         self.quarantine.told(word, now, |fingerprint| {
             spread(flights, peers, fingerprint, None)
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -32,6 +32,7 @@
 use crate::bill::Record;
 use crate::cascade;
 use crate::failure::{Failure, Reason};
+use crate::halls;
 use crate::id::*;
 use crate::limit::Limits;
 use crate::pick::{Link, Near, Peers, Policy, Wish};
@@ -54,7 +55,7 @@
 use flight::Flight;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 /// The most tries of one step.
@@ -146,8 +147,12 @@
     Held(Fingerprint, quarantine::Hold),
     /// The record of a request that is held back is gone.
     Forgotten(Fingerprint),
-    /// The number of entries that share the limits.
-    Entries(usize),
+    /// The entries that take requests and share the limits, with or without this one.
+    Entries(Vec<InstanceId>),
+    /// The data halls that are ordered to be empty, apart from the configuration.
+    Evacuate(BTreeSet<Hall>),
+    /// An upstream is cold for so long yet.
+    Cold(Link, Span),
     /// The claim of an idempotency key succeeded or failed.
     Claimed(RequestId, Result<(), Failure>),
     /// An answer was rated.
@@ -339,7 +344,9 @@
             Input::Word(word) => self.take_word(now, word),
             Input::Held(fingerprint, hold) => self.quarantine.recorded(fingerprint, hold, now),
             Input::Forgotten(fingerprint) => self.quarantine.forgotten(fingerprint),
-            Input::Entries(n) => self.set_entries(n),
+            Input::Entries(entries) => self.set_entries(&entries),
+            Input::Evacuate(halls) => self.evacuate(now, halls),
+            Input::Cold(link, left) => self.peers.cool(link, left, now),
             Input::Claimed(request, claim) => self.claimed(now, request, claim, &mut out),
             Input::Rated(rating) => self.rated(rating, &mut out),
             Input::Written(batch) => drop(self.held.written(batch)),
@@ -425,7 +432,10 @@
         self.budget(pool).spend(now, entries)
     }
 
-    fn set_entries(&mut self, n: usize) {
+    fn set_entries(&mut self, entries: &[InstanceId]) {
+        let own = &self.settings.instance;
+        self.peers.shared_by(own, entries.iter());
+        let n = 1 + entries.iter().filter(|name| *name != own).count();
         self.entries = n;
         self.limits.set_entries(n);
         self.watch.set_entries(n);
@@ -437,6 +447,8 @@
             return;
         }
         self.tree = tree;
+        let change = self.peers.configure(&self.tree, now);
+        self.tell_of_halls(&change);
         self.watch.adopt(&self.tree);
         let revision = self.tree.revision();
         for (link, _) in self.peers.iter() {
@@ -447,6 +459,27 @@
         }
     }
 
+    fn evacuate(&mut self, now: Time, halls: BTreeSet<Hall>) {
+        let change = self.peers.order(halls, now);
+        self.tell_of_halls(&change);
+    }
+
+    /// Writes what changed about data halls, and what that leaves nothing of.
+    fn tell_of_halls(&self, change: &halls::Change) {
+        for hall in &change.emptied {
+            log::info!("event=hall hall={hall} state=evacuated");
+        }
+        for hall in &change.restored {
+            log::info!("event=hall hall={hall} state=restored");
+        }
+        if change.emptied.is_empty() {
+            return;
+        }
+        for pool in self.peers.without_work() {
+            log::warn!("event=pool-without-work pool={pool} effect=refused");
+        }
+    }
+
     /// Returns the requests that wait for a newer configuration.
     fn waiting(&self, among: impl Fn(Time) -> bool) -> Vec<RequestId> {
         let mut waiting: Vec<RequestId> = self
--- a/crates/core/src/entry/routed/mod.rs
+++ b/crates/core/src/entry/routed/mod.rs
@@ -164,12 +164,8 @@
         self.peers.settle(link, member.place);
         self.peers.report(link, member.load, now);
         self.peers.heard(link, now);
-        let present: Vec<VersionId> = self
-            .peers
-            .releases(&member.pool)
-            .into_keys()
-            .cloned()
-            .collect();
+        self.peers.joined(link, now);
+        let present = self.peers.present(&member.pool);
         self.releases.settle(&member.pool, &present);
     }
 
--- a/crates/core/src/entry/routed/reply.rs
+++ b/crates/core/src/entry/routed/reply.rs
@@ -31,6 +31,7 @@
         self.peers.heard(link, now);
         match reply {
             Reply::Head(head) => {
+                self.peers.answers(link, now);
                 if let Some(load) = head.load {
                     self.report_direct(link, load, now);
                 }
@@ -265,6 +266,9 @@
         if failure.reason != Reason::Cancelled {
             self.peers.struck(link, now);
         }
+        if failure.reason == Reason::LinkLost {
+            self.peers.doubt(link, now);
+        }
         if failure.reason == Reason::UpstreamLost {
             self.note_lost(now, run.request);
         }
--- a/crates/core/src/follow/mod.rs
+++ b/crates/core/src/follow/mod.rs
@@ -203,9 +203,9 @@
         peer.is_some_and(|p| p.hall == self.own.hall)
     }
 
-    /// Returns how many entries are known, with this one.
-    pub fn entries(&self) -> usize {
-        self.peers.len()
+    /// Returns the names of the entries that are known, with this one.
+    pub fn entries(&self) -> impl Iterator<Item = &InstanceId> {
+        self.peers.keys()
     }
 
     /// Returns how long ago the store was heard, by whatever way.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod entry;
 pub mod evidence;
 pub mod follow;
+pub mod halls;
 pub mod header;
 pub mod lease;
 pub mod ledger;
@@ -28,6 +29,7 @@
 pub mod strain;
 pub mod subset;
 pub mod tree;
+pub mod warmup;
 pub mod wire;
 
 mod digest;
--- a/crates/core/src/pick/mod.rs
+++ b/crates/core/src/pick/mod.rs
@@ -20,15 +20,19 @@
 
 mod backlog;
 mod peer;
+mod warm;
 
 pub use peer::{behind, Peer};
 pub(crate) use peer::{CROSSING, KEPT};
 
+use crate::halls::Halls;
 use crate::id::{Hall, Incarnation, PoolId, UpstreamId, VersionId};
 use crate::release::Few;
 use crate::reuse::Scope;
 use crate::subset;
+use crate::tree::Warmup;
 use crate::unit::{Rate, Span, Time};
+use crate::warmup::Entries;
 use crate::wire::Load;
 use peer::{AVOID, AVOID_ERRORS};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -142,13 +146,19 @@
 pub struct Peers {
     peers: HashMap<Link, Peer>,
     pools: BTreeMap<PoolId, Vec<Link>>,
+    halls: Halls,
+    warmups: BTreeMap<PoolId, Warmup>,
+    entries: Entries,
+    /// When the first upstream joined, with which others did that were there before.
+    since: Option<Time>,
     turn: usize,
 }
 
 impl Peers {
     /// Adds an upstream.
     pub fn join(&mut self, link: Link, upstream: UpstreamId, pool: &PoolId, load: Load) {
-        let peer = Peer::new(upstream, load);
+        let mut peer = Peer::new(upstream, load);
+        peer.warmup = self.warmups.get(pool).copied();
         self.peers.insert(link, peer);
         let links = self.pools.entry(pool.clone()).or_default();
         links.push(link);
@@ -287,18 +297,45 @@
         self.get(link).is_some_and(Peer::is_failing)
     }
 
+    /// Returns whether an upstream may get work.
+    ///
+    /// Whoever looks for an upstream asks here, so that none which leaves, or whose data hall is
+    /// emptied, is found by another way.
+    pub fn gets_work(&self, link: Link) -> bool {
+        self.get(link).is_some_and(|peer| self.takes_work(peer))
+    }
+
+    fn takes_work(&self, peer: &Peer) -> bool {
+        !peer.leaving && self.halls.get_work(peer.place.hall.as_ref())
+    }
+
+    /// Returns the upstreams of a pool that may get work.
+    fn working(&self, pool: &PoolId) -> impl Iterator<Item = (Link, &Peer)> {
+        let links = self.pools.get(pool).map_or(&[][..], Vec::as_slice);
+        let peers = links.iter().map(|link| (*link, &self.peers[link]));
+        peers.filter(|(_, peer)| self.takes_work(peer))
+    }
+
     /// Returns the releases that the upstreams of a pool run, each with the
-    /// number of them, without those that are leaving.
+    /// number of them that may get work.
     pub fn releases(&self, pool: &PoolId) -> BTreeMap<&VersionId, usize> {
-        let links = self.pools.get(pool).map_or(&[][..], Vec::as_slice);
-        let staying = links.iter().map(|l| &self.peers[l]).filter(|p| !p.leaving);
         let mut releases = BTreeMap::new();
-        for release in staying.filter_map(|p| p.place.release.as_ref()) {
+        let working = self.working(pool).map(|(_, peer)| peer);
+        for release in working.filter_map(|p| p.place.release.as_ref()) {
             *releases.entry(release).or_default() += 1;
         }
         releases
     }
 
+    /// Returns the releases that the upstreams of a pool run, whether or not their data hall
+    /// gets work, without those that are leaving.
+    pub fn present(&self, pool: &PoolId) -> BTreeSet<VersionId> {
+        let links = self.pools.get(pool).map_or(&[][..], Vec::as_slice);
+        let staying = links.iter().map(|l| &self.peers[l]).filter(|p| !p.leaving);
+        let releases = staying.filter_map(|p| p.place.release.clone());
+        releases.collect()
+    }
+
     /// Notes the end of a request.
     pub fn ended(&mut self, link: Link) {
         if let Some(peer) = self.peers.get_mut(&link) {
@@ -325,7 +362,8 @@
         let mut usable: Vec<Link> = links
             .iter()
             .copied()
-            .filter(|l| !wish.tried.contains(l) && self.peers[l].suits(wish))
+            .filter(|l| !wish.tried.contains(l) && self.gets_work(*l) && self.peers[l].suits(wish))
+            .filter(|l| self.admits(*l, now))
             .collect();
         if let Some(few) = wish.near.few {
             self.keep_few(&mut usable, few);
@@ -390,20 +428,20 @@
 
     /// Returns in how many data halls the upstreams of a pool are.
     pub fn halls(&self, pool: &PoolId) -> usize {
-        let links = self.pools.get(pool).map_or(&[][..], Vec::as_slice);
-        let halls = links
-            .iter()
-            .filter_map(|l| self.peers[l].place.hall.as_ref());
+        let halls = self
+            .working(pool)
+            .filter_map(|(_, p)| p.place.hall.as_ref());
         halls.collect::<BTreeSet<&Hall>>().len()
     }
 
     /// Returns the upstream that keeps a shared beginning for all entries, or those of a
     /// data hall: they agree on it without talking, so it is read once and stays in
-    /// the cache there.
+    /// the cache there. Where the own data hall has none left, all have one.
     fn home(&self, links: &[Link], wish: &Wish) -> Option<Link> {
         let shared = wish.shared?;
-        let near = |l: &&Link| wish.scope == Scope::All || self.peers[l].crossing(wish) == 0;
-        let ranked = links.iter().filter(near);
+        let is_near = |l: &&Link| self.peers[*l].crossing(wish) == 0;
+        let anywhere = wish.scope == Scope::All || !links.iter().any(|l| is_near(&l));
+        let ranked = links.iter().filter(|l| anywhere || is_near(l));
         ranked
             .max_by_key(|l| self.peers[l].rank(shared.hash))
             .copied()
@@ -424,14 +462,13 @@
             .copied()
     }
 
-    /// Returns how many upstreams of a pool are in reach.
+    /// Returns how many upstreams of a pool may get work.
     pub fn in_pool(&self, pool: &PoolId) -> usize {
-        self.pools.get(pool).map_or(0, Vec::len)
+        self.working(pool).count()
     }
 
     /// Returns the least wait that the upstreams of a pool report.
     pub fn least_wait(&self, pool: &PoolId) -> Option<Span> {
-        let links = self.pools.get(pool)?;
-        links.iter().map(|l| self.peers[l].load.wait).min()
+        self.working(pool).map(|(_, p)| p.load.wait).min()
     }
 }
--- a/crates/core/src/pick/peer.rs
+++ b/crates/core/src/pick/peer.rs
@@ -2,10 +2,13 @@
 
 use super::backlog::Backlog;
 use super::{Place, Prefix, Wish};
+use crate::digest::mix;
 use crate::entry::Known;
 use crate::id::UpstreamId;
 use crate::subset;
+use crate::tree::Warmup;
 use crate::unit::{Rate, Span, Time};
+use crate::warmup::Ramp;
 use crate::wire::Load;
 use std::collections::HashMap;
 
@@ -86,6 +89,10 @@
     pub avoided: Time,
     /// Whether it is forgotten when nothing of this entry runs there any more.
     pub(super) retired: bool,
+    /// What it bears while it is cold, if that is limited.
+    pub(super) warmup: Option<Warmup>,
+    /// Whether it is cold.
+    pub(super) ramp: Ramp,
     strikes: u32,
     /// A number that stands for the upstream's name.
     seed: u64,
@@ -115,6 +122,8 @@
             avoided: Time::default(),
             strikes: 0,
             retired: false,
+            warmup: None,
+            ramp: Ramp::default(),
             prefixes: HashMap::new(),
             stamp: 0,
         }
@@ -122,6 +131,7 @@
 
     /// Notes a request sent.
     pub(super) fn sent(&mut self, tokens: u32, chain: &[Prefix], now: Time) {
+        self.ramp.sent(now);
         self.in_flight += 1;
         self.since_report += 1;
         self.tokens_since += tokens;
@@ -159,10 +169,15 @@
         self.strikes > 0
     }
 
-    /// Returns whether the upstream may be given the request at all.
+    /// Returns whether the upstream runs the release that must answer, if one must.
     pub(super) fn suits(&self, wish: &Wish) -> bool {
         let release = wish.near.release;
-        !self.leaving && release.is_none_or(|r| self.place.release.as_ref() == Some(r))
+        release.is_none_or(|r| self.place.release.as_ref() == Some(r))
+    }
+
+    /// Returns whether the upstream counts as cold; never, where it bears everything then.
+    pub fn is_cold(&self, now: Time) -> bool {
+        self.warmup.is_some() && self.ramp.is_cold(now)
     }
 
     /// Sets where it is and what it runs.
@@ -292,10 +307,3 @@
         known.is_some_and(|known| now.since(known.used) < KEPT)
     }
 }
-
-/// Spreads a number evenly, by multiplying with a large odd number and folding.
-fn mix(number: u64) -> u64 {
-    let mixed = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    let mixed = (mixed ^ (mixed >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
-    mixed ^ (mixed >> 32)
-}
--- /dev/null
+++ b/crates/core/src/pick/warm.rs
@@ -0,0 +1,135 @@
+//! Which upstreams are cold, and which data halls get work.
+
+use super::{Link, Peers};
+use crate::halls::{Change, Halls};
+use crate::id::{Hall, InstanceId, PoolId};
+use crate::tree::Tree;
+use crate::unit::{Span, Time};
+use crate::warmup::Entries;
+use std::collections::BTreeSet;
+
+/// How long after the first upstream joined others may be told of that were there before:
+/// tables are read whole within some 50 ms of the start of an entry.
+const KNOWN_WITHIN: Span = Span::from_millis(500);
+
+impl Peers {
+    /// Returns which data halls get work.
+    pub fn standing(&self) -> &Halls {
+        &self.halls
+    }
+
+    /// Sets which data halls are ordered to be empty, apart from the configuration.
+    pub fn order(&mut self, evacuated: BTreeSet<Hall>, now: Time) -> Change {
+        let change = self.halls.order(evacuated);
+        self.cool_halls(&change, now);
+        change
+    }
+
+    /// Takes in what a configuration says of pools and data halls.
+    pub fn configure(&mut self, tree: &Tree, now: Time) -> Change {
+        let warmups = tree.pools().iter();
+        let warmups = warmups.filter_map(|(pool, p)| Some((pool.clone(), p.warmup?)));
+        self.warmups = warmups.collect();
+        for (pool, links) in &self.pools {
+            let warmup = self.warmups.get(pool).copied();
+            for link in links {
+                if let Some(peer) = self.peers.get_mut(link) {
+                    peer.warmup = warmup;
+                }
+            }
+        }
+        let change = self.halls.configure(tree.evacuated().cloned().collect());
+        self.cool_halls(&change, now);
+        change
+    }
+
+    /// Upstreams of a data hall that gets work again may have been started shortly before.
+    fn cool_halls(&mut self, change: &Change, now: Time) {
+        for peer in self.peers.values_mut() {
+            let hall = peer.place.hall.as_ref();
+            let is_back = hall.is_some_and(|hall| change.restored.contains(hall));
+            if let Some(warmup) = peer.warmup.filter(|_| is_back) {
+                peer.ramp.cool(now, warmup.span);
+            }
+        }
+    }
+
+    /// Notes which entries send requests, this one and the others that are known.
+    pub fn shared_by<'a>(
+        &mut self,
+        own: &InstanceId,
+        others: impl Iterator<Item = &'a InstanceId>,
+    ) {
+        self.entries = Entries::new(own, others);
+    }
+
+    /// Notes that an upstream which just joined may have just started. Those that join with
+    /// the first were there before this entry knew of any.
+    pub fn joined(&mut self, link: Link, now: Time) {
+        let since = *self.since.get_or_insert(now);
+        let Some(peer) = self.peers.get_mut(&link) else {
+            return;
+        };
+        if let Some(warmup) = peer.warmup.filter(|_| now.since(since) > KNOWN_WITHIN) {
+            peer.ramp.cool(now, warmup.span);
+        }
+    }
+
+    /// Notes that an upstream is cold for so long from now on.
+    pub fn cool(&mut self, link: Link, left: Span, now: Time) {
+        if let Some(peer) = self.peers.get_mut(&link) {
+            peer.ramp.cool(now, left);
+        }
+    }
+
+    /// Notes that an upstream could not be reached or went down: it may come back cold at any
+    /// moment, long before its row says so.
+    pub fn doubt(&mut self, link: Link, now: Time) {
+        if let Some(peer) = self.peers.get_mut(&link) {
+            peer.ramp.doubt(now);
+        }
+    }
+
+    /// Notes that another entry saw an upstream go down, which a number stands for.
+    pub fn doubt_number(&mut self, number: u64, now: Time) {
+        let peers = self.peers.values_mut();
+        for peer in peers.filter(|peer| peer.number() == number) {
+            peer.ramp.doubt(now);
+        }
+    }
+
+    /// Notes that an upstream answers.
+    pub fn answers(&mut self, link: Link, now: Time) {
+        if let Some(peer) = self.peers.get_mut(&link) {
+            let span = peer.warmup.map_or(Span::default(), |w| w.span);
+            peer.ramp.answered(now, span);
+        }
+    }
+
+    /// Returns how many upstreams count as cold.
+    pub fn cold(&self, now: Time) -> usize {
+        self.iter().filter(|(_, peer)| peer.is_cold(now)).count()
+    }
+
+    /// Returns the pools of which no upstream may get work, though there are some.
+    pub fn without_work(&self) -> impl Iterator<Item = &PoolId> {
+        let pools = self.pools.iter().filter(|(_, links)| !links.is_empty());
+        let idle = pools.filter(|(pool, _)| self.working(pool).next().is_none());
+        idle.map(|(pool, _)| pool)
+    }
+
+    /// Returns whether this entry may send an upstream a request now, as far as that is limited
+    /// while it is cold.
+    pub(super) fn admits(&self, link: Link, now: Time) -> bool {
+        let Some(peer) = self.peers.get(&link) else {
+            return false;
+        };
+        let Some(warmup) = peer.warmup.filter(|_| peer.ramp.is_cold(now)) else {
+            return true;
+        };
+        let number = peer.number();
+        let pause = self.entries.pause(number, warmup.rate);
+        let begun = |pause| peer.ramp.age(now) >= self.entries.offset(number, pause);
+        pause.is_some_and(begun) && peer.ramp.admits(pause, now)
+    }
+}
--- a/crates/core/src/tree/check.rs
+++ b/crates/core/src/tree/check.rs
@@ -61,6 +61,12 @@
     let mut prefixes: BTreeMap<&str, &PoolId> = BTreeMap::new();
     for (name, pool) in &tree.pools {
         check_owner(tree, Section::Pools, name.as_str(), &pool.owner)?;
+        if pool.warmup.is_some_and(|w| w.rate.per_second() <= 0.0) {
+            return Err(Error::at(
+                place(Section::Pools, name, "warmup"),
+                "an upstream that gets nothing never warms up",
+            ));
+        }
         let at = place(Section::Pools, name, "prefix");
         match (pool.kind, &pool.prefix) {
             (Kind::Engine, None) => {}
--- a/crates/core/src/tree/entry.rs
+++ b/crates/core/src/tree/entry.rs
@@ -35,6 +35,9 @@
     /// The methods of a plain service whose calls may not be repeated.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
     pub once: BTreeSet<String>,
+    /// What an upstream bears that has just started; everything, where nothing is written.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub warmup: Option<Warmup>,
     /// The node whose operators may edit this entry; the root by default.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub owner: Option<NodePath>,
@@ -47,6 +50,25 @@
     }
 }
 
+/// What an upstream bears that has just started.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Warmup {
+    /// How long it takes.
+    pub span: Span,
+    /// The requests that it gets in that time, from all entries together.
+    pub rate: Rate,
+}
+
+/// How a data hall stands, as its operators want it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Standing {
+    /// Whether its upstreams get no new work.
+    #[serde(default)]
+    pub evacuated: bool,
+}
+
 /// A model that callers ask for by name.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/core/src/tree/key.rs
+++ b/crates/core/src/tree/key.rs
@@ -36,11 +36,13 @@
     Routes,
     /// The record of roll-outs, written by their controller only.
     Progress,
+    /// Whether data halls get work.
+    Halls,
 }
 
 impl Section {
     /// Every section.
-    pub const ALL: [Section; 9] = [
+    pub const ALL: [Section; 10] = [
         Section::Pools,
         Section::Models,
         Section::Versions,
@@ -50,6 +52,7 @@
         Section::Nodes,
         Section::Routes,
         Section::Progress,
+        Section::Halls,
     ];
 
     /// Returns the name of the section in documents.
@@ -64,6 +67,7 @@
             Section::Nodes => "nodes",
             Section::Routes => "routes",
             Section::Progress => "progress",
+            Section::Halls => "halls",
         }
     }
 }
--- a/crates/core/src/tree/mod.rs
+++ b/crates/core/src/tree/mod.rs
@@ -49,6 +49,7 @@
     nodes: BTreeMap<NodePath, Node>,
     routes: BTreeMap<RouteId, Route>,
     progress: BTreeMap<RolloutId, Progress>,
+    halls: BTreeMap<Hall, Standing>,
     by_host: route::Index,
     in_force: HashMap<NodePath, Arc<Node>>,
     by_key: HashMap<String, NodePath>,
@@ -143,6 +144,7 @@
             Section::Nodes => put(&mut self.nodes, key, value),
             Section::Routes => put(&mut self.routes, key, value),
             Section::Progress => put(&mut self.progress, key, value),
+            Section::Halls => put(&mut self.halls, key, value),
         }
     }
 
@@ -247,6 +249,12 @@
         owner.unwrap_or_else(NodePath::root)
     }
 
+    /// Returns the data halls whose upstreams get no new work.
+    pub fn evacuated(&self) -> impl Iterator<Item = &Hall> {
+        let evacuated = self.halls.iter().filter(|(_, standing)| standing.evacuated);
+        evacuated.map(|(hall, _)| hall)
+    }
+
     /// Returns whether callers can ask for a model or cascade of this name.
     pub fn has_model(&self, name: &str) -> bool {
         self.models.keys().any(|m| m.as_str() == name) || self.cascade(name).is_some()
@@ -316,6 +324,8 @@
     route, routes, RouteId, Route;
     /// Returns the record of a roll-out.
     record, progress, RolloutId, Progress;
+    /// Returns how a data hall stands.
+    hall, halls, Hall, Standing;
 }
 
 /// Returns the hash under which an API key or operator token is stored.
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -328,9 +328,10 @@
         let entries = instances
             .iter()
             .filter(|i| i.role == sorreldeck_net::platform::Role::Entry)
-            .count();
+            .map(|i| i.name.clone())
+            .collect();
         self.instances = instances;
-        self.handle(Input::Entries(entries.max(1)));
+        self.handle(Input::Entries(entries));
     }
 
     /// Puts a newer configuration in force and passes it on.
--- a/crates/daemon/src/hosted/mirror.rs
+++ b/crates/daemon/src/hosted/mirror.rs
@@ -10,12 +10,12 @@
 use sorreldeck::quarantine::Fingerprint;
 use sorreldeck::release::{Order, State};
 use sorreldeck::wire::TableDelta;
-use sorreldeck::{Incarnation, Span, Time, UpstreamId};
+use sorreldeck::{Hall, Incarnation, Span, Time, UpstreamId};
 use sorreldeck_platform::config::{self, Configuration};
 use sorreldeck_platform::member::{self, Listed};
 use sorreldeck_platform::store::{Page, Row, CONFIG, MOVE};
-use sorreldeck_platform::{release, Table};
-use std::collections::BTreeMap;
+use sorreldeck_platform::{hall, release, Table};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -44,6 +44,10 @@
     Joined(Box<Listed>),
     /// An upstream takes no new work.
     Retired(UpstreamId),
+    /// An upstream is cold for so long yet.
+    Cold(UpstreamId, Span),
+    /// The data halls that are to be empty, all of them.
+    Evacuated(BTreeSet<Hall>),
     /// A move to another release, its record and when that was made.
     Move(Order, Option<State>, Option<Time>),
     /// An entry that can be asked, and has announced itself.
@@ -314,9 +318,24 @@
                 news.extend(self.move_news(key));
             }
         }
+        let orders = |key: &String| table == Table::Operator && hall::of_key(key).is_some();
+        if changed.iter().any(orders) {
+            news.push(News::Evacuated(self.evacuated()));
+        }
         news
     }
 
+    /// Returns the data halls that are to be empty.
+    fn evacuated(&mut self) -> BTreeSet<Hall> {
+        let keys = self.rows(Table::Operator).map(|row| row.key.clone());
+        let orders = keys.filter_map(|key| hall::of_key(&key).map(|hall| (key, hall)));
+        let orders: Vec<_> = orders.collect();
+        let halls = orders
+            .into_iter()
+            .filter_map(|(key, hall)| self.understand(Table::Operator, &key, hall));
+        halls.collect()
+    }
+
     /// Puts together what three tables tell of a move.
     fn move_news(&mut self, key: &str) -> Option<News> {
         let order = self.row(Table::Operator, key)?.clone();
@@ -453,12 +472,15 @@
         if listed.leaving {
             return self.retire(id).into_iter().collect();
         }
+        let cold = News::Cold(listed.member.upstream.clone(), listed.cold);
+        let cold = (listed.cold > Span::default()).then_some(cold);
         if known == Some(start) {
-            return Vec::new();
+            return cold.into_iter().collect();
         }
         let mut news: Vec<News> = self.retire(id).into_iter().collect();
         self.listed.insert(id.to_owned(), start);
         news.push(News::Joined(Box::new(listed)));
+        news.extend(cold);
         news
     }
 
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -547,11 +547,27 @@
                 );
                 self.handle(Input::Move(order, state, began));
             }
+            News::Cold(upstream, left) => {
+                let origin = self.origin(Table::Upstreams, from);
+                info!(
+                    "event=cold upstream={upstream} for_ms={} {origin}",
+                    left.millis()
+                );
+                if let Some(link) = self.upstreams.get(&upstream).copied() {
+                    self.handle(Input::Cold(link, left));
+                }
+            }
+            News::Evacuated(halls) => {
+                let origin = self.origin(Table::Operator, from);
+                info!("event=evacuate halls={halls:?} {origin}");
+                self.handle(Input::Evacuate(halls));
+            }
             News::Held(fingerprint, record) => self.hold(fingerprint, record),
             News::Entry(peer) => {
                 self.peering.learn(peer.name.clone(), peer.address);
                 self.relay.learn(peer);
-                self.handle(Input::Entries(self.relay.follow().entries()));
+                let entries = self.relay.follow().entries().cloned().collect();
+                self.handle(Input::Entries(entries));
             }
         }
     }
@@ -764,6 +780,10 @@
         gauges.revision.set(self.entry.tree().revision().0 as i64);
         gauges.in_flight.set(self.entry.in_flight() as i64);
         gauges.held_back.set(self.entry.held_back(now) as i64);
+        let peers = self.entry.peers();
+        gauges.cold.set(peers.cold(now) as i64);
+        let evacuated = peers.standing().evacuated();
+        gauges.evacuated.set(evacuated.len() as i64);
         gauges.links.set(self.upstreams.len() as i64);
         let age = self.relay.follow().age(now);
         gauges.age.set(age.map_or(-1, |age| age.millis() as i64));
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -69,6 +69,10 @@
     pub in_flight: Gauge,
     /// The requests that are held back, since they crash upstreams.
     pub held_back: Gauge,
+    /// The upstreams that count as cold, and get little.
+    pub cold: Gauge,
+    /// The data halls that get no work.
+    pub evacuated: Gauge,
     /// The bill records that are not known to be in the platform's store.
     pub unbilled: Gauge,
     /// The bytes sent over links.
@@ -147,6 +151,16 @@
             "Requests held back, since they crash upstreams",
             self.held_back.clone(),
         );
+        registry.register(
+            "cold",
+            "Upstreams that count as cold, and get little",
+            self.cold.clone(),
+        );
+        registry.register(
+            "evacuated",
+            "Data halls that get no work",
+            self.evacuated.clone(),
+        );
         registry.register(
             "unbilled",
             "Bill records not yet stored",
--- a/crates/daemon/tests/mirror.rs
+++ b/crates/daemon/tests/mirror.rs
@@ -399,3 +399,74 @@
     assert_eq!(joined(&news).len(), 1);
     assert_eq!(mirror.troubles().len(), 3, "a line for each");
 }
+
+fn evacuated(news: &[News]) -> Vec<Vec<String>> {
+    let orders = news.iter().filter_map(|n| match n {
+        News::Evacuated(halls) => Some(halls.iter().map(ToString::to_string).collect()),
+        _ => None,
+    });
+    orders.collect()
+}
+
+fn order(key: &str, version: u64) -> Row {
+    row_of(key, json!({}), version)
+}
+
+/// The row of an order was never read, and an emptied data hall got 3,475 and 4,679 requests
+/// on two days.
+#[test]
+fn an_order_to_empty_a_data_hall_holds_until_its_row_is_gone() {
+    let mut mirror = Mirror::default();
+    let rows = vec![order("evacuate/a", 5), order("evacuate/b", 6)];
+    let news = mirror.apply(Table::Operator, page(rows, 6), true, at(0));
+    assert_eq!(evacuated(&news), [["a", "b"]]);
+    let back = page(vec![gone("evacuate/a", 7)], 7);
+    let news = mirror.apply(Table::Operator, back, false, at(100));
+    assert_eq!(evacuated(&news), [["b"]]);
+    // The history was forgotten, and what is read whole holds no order any more.
+    let news = mirror.apply(Table::Operator, page(Vec::new(), 9), true, at(200));
+    assert_eq!(evacuated(&news), [[""; 0]]);
+    let news = mirror.apply(
+        Table::Operator,
+        page(vec![order("evacuate/a", 11)], 11),
+        false,
+        at(300),
+    );
+    assert_eq!(evacuated(&news), [["a"]]);
+}
+
+/// An older page that comes late, from a source that knows less, changes nothing.
+#[test]
+fn an_older_page_does_not_take_an_order_back() {
+    let mut mirror = Mirror::default();
+    mirror.apply(
+        Table::Operator,
+        page(vec![order("evacuate/a", 5)], 5),
+        true,
+        at(0),
+    );
+    let news = mirror.apply_copy(Table::Operator, page(Vec::new(), 4), at(100));
+    assert!(evacuated(&news).is_empty());
+    let news = mirror.apply(
+        Table::Operator,
+        page(vec![gone("evacuate/a", 3)], 5),
+        false,
+        at(200),
+    );
+    assert!(evacuated(&news).is_empty(), "{news:?}");
+}
+
+/// A row is written anew when an upstream turns cold without a new start.
+#[test]
+fn an_upstream_that_turns_cold_is_told_of() {
+    let mut mirror = mirror();
+    let mut cold = upstream("ready", None);
+    cold["cold-left-ms"] = 2_400.into();
+    let rows = vec![row_of("i-3", cold, 11)];
+    let news = mirror.apply(Table::Upstreams, page(rows, 11), false, at(100));
+    assert!(matches!(&news[..], [News::Cold(upstream, left)]
+        if upstream.as_str() == "i-3" && left.millis() == 2_400));
+    let rows = vec![row("i-3", "ready", 12)];
+    let news = mirror.apply(Table::Upstreams, page(rows, 12), false, at(2_600));
+    assert!(news.is_empty(), "{news:?}");
+}
--- a/crates/emulator/src/crash/world.rs
+++ b/crates/emulator/src/crash/world.rs
@@ -92,7 +92,9 @@
     fn new_entry(&mut self, number: usize) -> Entry {
         let mut entry = routed::entry(number as u64 + 1, self.rng.next_u64());
         entry.handle(self.now, routed::streams(""));
-        entry.handle(self.now, Input::Entries(self.day.entries));
+        let names = 1..=self.day.entries;
+        let names = names.map(|n| format!("e{n}").parse().expect("a legal name"));
+        entry.handle(self.now, Input::Entries(names.collect()));
         entry
     }
 
