Hand what changed once into each data hall: second sources in the own one

Cause: every entry that does not read the store had its second source in the next data hall, so tables, changes and beats went between halls once for each entry. Now the second in rank of each hall has the tables from the first and hands them on as well; the others have both. Only readers are linked across halls; the next hall helps where none of the own has tables. What entries tell one another goes by the first source in rank that is new enough, once.

--- a/crates/core/src/follow/mod.rs
+++ b/crates/core/src/follow/mod.rs
@@ -1,10 +1,13 @@
 //! Which entries read the platform's store, and from whom the others have its tables.
 //!
 //! In each data hall the entry that ranks first reads the store and hands its tables down;
-//! the others hold links to it and to that of the next data hall. Who ranks first follows
+//! the one that ranks second has them from it and hands them on as well, and the others hold
+//! links to both. So what changed goes once into each data hall, however many entries are there:
+//! while every entry had a second source in the next data hall, 302 entries paid 2.6 days for
+//! bytes between halls. Who ranks first follows
 //! from the names of all entries that ever announced themselves, so all agree on it without
 //! talking; that some of them are gone shows when they are asked. An entry that is asked for
-//! tables reads the store, whatever its own rank, so that entries which disagree are served all the same.
+//! tables reads the store, whatever its own rank, unless one that ranks before it is new enough.
 //! Versions decide which of two pages is newer, so two readers at a time are harmless;
 //! that none reads must be short: who hears nothing new enough goes to the next in rank,
 //! and then to the store itself.
@@ -83,14 +86,14 @@
     /// When both sources of an entry are cut off just after they read, an entry leaves them
     /// after 0.575 of the limit, has been in vain at the next two after 0.7, and then
     /// reads the store; 0.3 are left for that and for putting the configuration in force.
-    /// A change that no wait tells of is named after 0.4 of the limit and asked for after
-    /// 0.725.
+    /// A change that no wait tells of is named after 0.35 of the limit and asked for after
+    /// 0.675, so that a reader and those that have the tables from it know it in time.
     pub fn of(limit: Span) -> Bounds {
         let part = |thousandths: u64| Span::from_micros(limit.micros() / 1000 * thousandths);
         Bounds {
             beat: part(125),
             silence: part(300),
-            wait: part(400),
+            wait: part(350),
             stale: part(575),
             warm: part(125),
             missing: part(325),
@@ -218,6 +221,17 @@
         self.heard
     }
 
+    /// Returns the source in the own data hall that passes on what entries tell one another: the
+    /// first in rank that is new enough, so that each is told once.
+    pub fn primary(&self, now: Time) -> Option<&InstanceId> {
+        let is_fresh = |name: &&InstanceId| {
+            let contact = self.contacts.get(*name);
+            contact.is_some_and(|c| c.look(now, &self.bounds) == Health::Fresh)
+        };
+        let near = self.ranked.get(&self.own.hall).into_iter().flatten();
+        near.into_iter().find(is_fresh)
+    }
+
     /// Returns the sources that are new enough.
     pub fn sources(&self, now: Time) -> Vec<&InstanceId> {
         let fresh = |c: &Contact| c.look(now, &self.bounds) == Health::Fresh;
@@ -340,14 +354,14 @@
         let after = self.ranked.keys().filter(|hall| **hall > home);
         let before = self.ranked.keys().filter(|hall| **hall < home);
         let others: Vec<Hall> = after.chain(before).cloned().collect();
-        let near = match others.is_empty() {
-            true => SOURCES,
-            false => 1,
-        };
-        let mut walk = self.walk(&home, near, now, kept, actions);
-        let far = match walk.own {
-            true => others.len(),
-            false => SOURCES - near,
+        let mut walk = self.walk(&home, SOURCES, now, kept, actions);
+        walk.near = walk.fresh;
+        let far = match (walk.near, walk.own) {
+            (0, true) => others.len(),
+            // The next data hall helps where none of the own has tables, once those that
+            // just started had the time to read them.
+            (0, false) if walk.warming == 0 => 1,
+            _ => 0,
         };
         for hall in others.iter().take(far) {
             let more = self.walk(hall, 1, now, kept, actions);
@@ -357,8 +371,8 @@
         walk
     }
 
-    /// Goes through a data hall by rank until enough sources are new enough; opens what is
-    /// missing and keeps what is on the way.
+    /// Goes through a data hall by rank until enough sources are new enough, or this entry comes;
+    /// opens what is missing and keeps what is on the way.
     fn walk(
         &mut self,
         hall: &Hall,
@@ -375,13 +389,13 @@
         };
         let mut tried = 0;
         for name in self.ranked.get(hall).into_iter().flatten() {
-            if walk.fresh + usize::from(walk.own) >= wanted || tried >= REACH {
+            if walk.fresh >= wanted || tried >= REACH {
                 break;
             }
             tried += 1;
             if *name == self.own.name {
                 walk.own = true;
-                continue;
+                break;
             }
             let contact = self.contacts.entry(name.clone()).or_default();
             match contact.health(now, &self.bounds) {
@@ -413,8 +427,11 @@
 
     /// Returns what is to be read of the store after a walk through the data halls.
     fn wanted(&mut self, walk: &Walk, now: Time) -> Reading {
+        // A reader may hear nothing of a change for longer than is allowed; one of another
+        // data hall tells it then. Where there is none, a second one reads here.
+        let is_covered = walk.near > 0 && self.ranked.len() > 1;
         let must = walk.own || self.asked;
-        if must {
+        if must && !is_covered {
             self.bare = None;
             self.needed = Some(now);
             return Reading::All;
@@ -461,6 +478,8 @@
 struct Walk {
     /// The sources that are new enough.
     fresh: usize,
+    /// Those among them in the own data hall that rank before this entry.
+    near: usize,
     /// The sources that may become so.
     warming: usize,
     /// Whether this entry itself ranks among those that read.
--- a/crates/daemon/src/hosted/relay.rs
+++ b/crates/daemon/src/hosted/relay.rs
@@ -98,6 +98,8 @@
     hints: Hints,
     /// The sessions that stay at their release.
     stays: Stays,
+    /// The source that passes on what this entry tells, if there is one.
+    primary: Option<InstanceId>,
     /// Whether this entry is about to stop.
     leaving: bool,
 }
@@ -117,6 +119,7 @@
             operator: Time::default(),
             hints: Hints::default(),
             stays: Stays::default(),
+            primary: None,
             leaving: false,
         }
     }
@@ -225,8 +228,12 @@
         });
     }
 
+    /// Tells hints of this entry: to the source that passes them on, or else to those that have
+    /// the tables from here. By both ways a prompt would count twice.
     fn hint(&mut self, hints: Hints) {
-        self.tell_takers(&hints, None, true);
+        if self.primary.is_none() {
+            self.tell_takers(&hints, None, true);
+        }
         self.hints.extend(&hints);
     }
 
@@ -299,6 +306,7 @@
             self.follow.informed();
         }
         self.follow.asked(!self.takers.is_empty());
+        self.primary = self.follow.primary(now).cloned();
         let mut orders = Vec::new();
         for action in self.follow.step(now) {
             match action {
@@ -405,12 +413,11 @@
         let reads_store = self.reads_store();
         let present = self.present();
         let hints = std::mem::take(&mut self.hints);
-        let mut was_told = reads_store;
+        let mut was_told = reads_store && self.primary.is_none();
         for (link, source) in &mut self.sources {
             let passed = now.since(source.sent);
             let news = source.found < changes && has_found && passed >= beat;
-            // What a reader sent goes to those that have the tables from it.
-            let told = !hints.is_empty() && !reads_store && self.follow.is_near(&source.name);
+            let told = !hints.is_empty() && self.primary.as_ref() == Some(&source.name);
             if !news && !told && passed < KEEP {
                 continue;
             }
@@ -471,6 +478,18 @@
         }))
     }
 
+    /// Tells the own source what may be told twice: an entry that does not reach it tells only
+    /// this one, which passes on to its own takers alone.
+    fn pass_up(&mut self, hints: &Hints) {
+        if self.primary.is_none() {
+            return;
+        }
+        self.hints.extend(&Hints {
+            prompts: Vec::new(),
+            ..hints.clone()
+        });
+    }
+
     /// Takes in that an entry asks for tables, or is still there.
     fn asked(&mut self, link: Link, asked: wire::Follow, mirror: &Mirror, now: Time) -> Vec<Order> {
         let is_near = asked.hall == self.own.hall;
@@ -502,6 +521,7 @@
             };
             self.stays.note(&hints.stays, now);
             self.tell_takers(&hints, Some(link), true);
+            self.pass_up(&hints);
             orders.extend(hints.orders());
         }
         for (pool, report) in asked.found.into_iter().filter(|_| is_near) {
--- a/crates/daemon/tests/relay/world.rs
+++ b/crates/daemon/tests/relay/world.rs
@@ -5,7 +5,7 @@
 use sorreldeck::follow::{Bounds, Peer, Reading};
 use sorreldeck::pick::Link;
 use sorreldeck::quarantine;
-use sorreldeck::wire::Frame;
+use sorreldeck::wire::{self, Frame};
 use sorreldeck::{InstanceId, Span, Time, UpstreamId};
 use sorreldeck_platform::store::{Page, Row};
 use sorreldeck_platform::Table;
@@ -196,6 +196,10 @@
     pub order: u64,
     /// Messages that take longer than usual until then.
     pub slow_until: Time,
+    /// The bytes that went from one data hall to another.
+    pub crossed: u64,
+    /// The bytes that each entry sent.
+    pub sent: Vec<u64>,
 }
 
 impl World {
@@ -220,6 +224,8 @@
             next: 1,
             order: 0,
             slow_until: Time::default(),
+            crossed: 0,
+            sent: vec![0; entries],
         };
         for i in 0..entries {
             let name = format!("e-{i}").parse().unwrap();
@@ -270,6 +276,11 @@
         if !self.reaches(from.0, to.0) || self.silent.contains(&from) {
             return;
         }
+        let bytes = wire::encode(std::slice::from_ref(&frame)).len() as u64;
+        self.sent[from.0] += bytes;
+        if self.nodes[from.0].peer.hall != self.nodes[to.0].peer.hall {
+            self.crossed += bytes;
+        }
         let own = self.delays.get(&from).copied().unwrap_or_default();
         let due = self.now + self.delay() + own;
         let last = self.last.entry(to).or_default();
