--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -109,6 +109,10 @@
 fn a_data_hall_is_emptied_and_restored() {
     task::block_on(async {
         let sample = start().await;
+        while get_work(&sample).await.len() < 2 {
+            // The sidecars are linked some milliseconds after the start.
+            task::sleep(std::time::Duration::from_millis(20)).await;
+        }
         assert!(get_work(&sample).await.iter().all(|works| *works));
         let dry = run(&sample, &["evacuate", "--dry-run", "hall-a"]).await;
         assert!(text(&dry).contains("BORNE"), "{}", text(&dry));
