--- a/crates/core/src/follow/mod.rs
+++ b/crates/core/src/follow/mod.rs
@@ -2,12 +2,14 @@
 //!
 //! In each data hall the entry that ranks first reads the store and hands its tables down;
 //! the one that ranks second has them from it and hands them on as well, and the others hold
-//! links to both. So what changed goes once into each data hall, however many entries are there:
-//! while every entry had a second source in the next data hall, 302 entries paid 2.6 days for
-//! bytes between halls. Who ranks first follows
-//! from the names of all entries that ever announced themselves, so all agree on it without
-//! talking; that some of them are gone shows when they are asked. An entry that is asked for
-//! tables reads the store, whatever its own rank, unless one that ranks before it is new enough.
+//! links to both. So what changed goes once into each data hall, however many entries are there;
+//! while every entry had a second source in the next data hall, the bytes between halls of 302
+//! entries cost 2.6 times what all their requests were worth.
+//!
+//! Who ranks first follows from the names of all entries that ever announced themselves, so all
+//! agree on it without talking; that some of them are gone shows when they are asked. An entry
+//! that is asked for tables reads the store, whatever its own rank, unless one that ranks before
+//! it is new enough.
 //! Versions decide which of two pages is newer, so two readers at a time are harmless;
 //! that none reads must be short: who hears nothing new enough goes to the next in rank,
 //! and then to the store itself.
--- a/crates/core/src/pick/mod.rs
+++ b/crates/core/src/pick/mod.rs
@@ -23,8 +23,6 @@
 mod relief;
 mod warm;
 
-use warm::First;
-
 pub use peer::{behind, Peer};
 pub(crate) use peer::{CROSSING, KEPT};
 pub use relief::Relief;
@@ -40,6 +38,7 @@
 use crate::wire::Load;
 use peer::{AVOID, AVOID_ERRORS};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use warm::First;
 
 /// The number of a link, unique in one run of a process.
 pub type Link = u64;
