--- a/crates/core/tests/random.rs
+++ b/crates/core/tests/random.rs
@@ -1,6 +1,6 @@
 //! A long randomised run of entries and sidecars with links that break,
-//! processes that are killed, versions that are withdrawn and a store whose
-//! answers get lost. The promises are checked inside the program; what only an
+//! processes that are killed, versions that are withdrawn, data halls that are emptied and
+//! a store whose answers get lost. The promises are checked inside the program; what only an
 //! observer can see is checked here.
 //!
 //! `SORRELDECK_CASES` sets the number of cases of up to 800 steps.
@@ -14,7 +14,7 @@
 use sorreldeck::tree::{Edit, Key, Section};
 use sorreldeck::wire::{Call, Confidence, Frame, Run, Usage};
 use sorreldeck::{
-    Failure, Incarnation, Promise, Promises, Reason, RequestId, Span, Time, Tree, Verdict,
+    Failure, Hall, Incarnation, Promise, Promises, Reason, RequestId, Span, Time, Tree, Verdict,
     VersionId,
 };
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -129,13 +129,18 @@
     ))
 }
 
+/// Returns the data hall of a sidecar: one engine is in each, the plain service with the first.
+fn hall_of(sidecar: usize) -> Hall {
+    format!("hall-{}", sidecar % ENGINES).parse().unwrap()
+}
+
 fn new_sidecar(number: usize, incarnation: u64) -> Sidecar {
     Sidecar::new(sidecar::Settings {
         upstream: format!("u{number}").parse().unwrap(),
         pool: if number < ENGINES { "engines" } else { "clock" }
             .parse()
             .unwrap(),
-        hall: "hall".parse().unwrap(),
+        hall: hall_of(number),
         incarnation: Incarnation(incarnation),
         slots: 3,
         reserve: 1,
@@ -252,6 +257,9 @@
     fn entry_output(&mut self, i: usize, output: entry::Output) {
         match output {
             entry::Output::Send(link, frame) => {
+                if matches!(frame, Frame::Start(_)) {
+                    self.check_hall(i, link);
+                }
                 if let Some(wire) = self.wires.get_mut(&link) {
                     wire.to_sidecar.push_back(frame);
                 }
@@ -532,6 +540,29 @@
         self.tree = Arc::new(self.tree.with(&[edit], revision).unwrap());
     }
 
+    /// Empties a data hall, or restores it.
+    fn evacuate(&mut self, nth: usize) {
+        let key = Key::new(Section::Halls, hall_of(nth % ENGINES));
+        let is_empty = self.tree.entries().contains_key(&key);
+        let edit = Edit {
+            key,
+            old: None,
+            new: (!is_empty).then(|| serde_json::json!({"evacuated": true})),
+        };
+        let revision = self.tree.revision().next();
+        self.tree = Arc::new(self.tree.with(&[edit], revision).unwrap());
+    }
+
+    /// Nothing is sent to a data hall that the sender knows to be emptied.
+    fn check_hall(&self, entry: usize, link: Link) {
+        let Some(wire) = self.wires.get(&link) else {
+            return;
+        };
+        let hall = hall_of(wire.sidecar);
+        let mut evacuated = self.entries[entry].tree().evacuated();
+        assert!(evacuated.all(|h| *h != hall), "a request is sent to {hall}");
+    }
+
     fn kill(&mut self, nth: usize) {
         self.incarnations += 1;
         match self.victim {
@@ -624,6 +655,7 @@
                 1 => self.kill(nth),
                 2 => self.replace_leaving(nth),
                 3 => self.duplicate(nth),
+                4 => self.evacuate(nth),
                 _ => self.rate(b % 2 == 0),
             },
             29 => {
