--- a/crates/core/src/follow/mod.rs
+++ b/crates/core/src/follow/mod.rs
@@ -148,8 +148,11 @@
     own: Peer,
     bounds: Bounds,
     peers: BTreeMap<InstanceId, Peer>,
-    /// The names of each data hall in the order of their rank.
+    /// The names of each data hall in the order of their rank, without those learned since the
+    /// last step: 300 entries are learned at once, and each would rank all anew.
     ranked: BTreeMap<Hall, Vec<InstanceId>>,
+    /// Whether some were learned since.
+    learned: bool,
     contacts: BTreeMap<InstanceId, Contact>,
     reading: Reading,
     /// Whether the list of entries is known.
@@ -180,6 +183,7 @@
             bounds,
             peers: BTreeMap::new(),
             ranked: BTreeMap::new(),
+            learned: false,
             contacts: BTreeMap::new(),
             reading: Reading::default(),
             listed: false,
@@ -255,7 +259,7 @@
         if before.is_some_and(|b| b.address != peer.address) {
             self.contacts.remove(&name);
         }
-        self.ranked = rank::by_hall(self.peers.values());
+        self.learned = true;
     }
 
     /// Notes that the list of entries is known.
@@ -323,6 +327,9 @@
 
     /// Returns what is to be done now.
     pub fn step(&mut self, now: Time) -> Vec<Action> {
+        if std::mem::take(&mut self.learned) {
+            self.ranked = rank::by_hall(self.peers.values());
+        }
         let mut actions = Vec::new();
         if !self.listed {
             return self.read(Reading::Entries, actions);
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -505,9 +505,15 @@
 
     /// Takes in news; `from` says whom they are from, for the log.
     fn note_all(&mut self, news: Vec<News>, from: &str) {
+        let has_entries = news.iter().any(|news| matches!(news, News::Entry(_)));
         for news in news {
             self.note(news, from);
         }
+        if has_entries {
+            // Once for all: 300 entries are told of at once where all start.
+            let entries = self.relay.follow().entries().cloned().collect();
+            self.handle(Input::Entries(entries));
+        }
         for held in self.mirror.held() {
             info!(
                 "event=held upstreams={:?} of={} for_ms={}",
@@ -571,8 +577,6 @@
             News::Entry(peer) => {
                 self.peering.learn(peer.name.clone(), peer.address);
                 self.relay.learn(peer);
-                let entries = self.relay.follow().entries().cloned().collect();
-                self.handle(Input::Entries(entries));
             }
         }
     }
--- a/crates/daemon/tests/relay/main.rs
+++ b/crates/daemon/tests/relay/main.rs
@@ -397,3 +397,27 @@
         assert!(world.nodes[starts].stays.contains(&7), "{starts}");
     }
 }
+
+/// An instance with 0.09 of a core is to know 400 entries within a quarter of a second of its start.
+/// Where each that was learned ranked all anew that took 29 ms of a core, now 0.5.
+#[test]
+fn four_hundred_entries_are_learned_in_the_time_of_a_small_instance() {
+    let peer = |i: usize| {
+        let (name, hall) = (format!("front-{i}"), format!("h-{}", i % 3));
+        let address = format!("127.0.0.1:{}", 1 + i).parse().unwrap();
+        Peer::new(name.parse().unwrap(), hall.parse().unwrap(), address)
+    };
+    let play = |_| {
+        let began = std::time::Instant::now();
+        let mut relay = Relay::new(peer(0), Bounds::of(LIMITS[1]));
+        for i in 1..400 {
+            relay.learn(peer(i));
+        }
+        relay.listed(Time(0));
+        relay.step(&mut Mirror::default(), Time(0));
+        began.elapsed()
+    };
+    let took = (0..5).map(play).min().unwrap();
+    println!("400 entries learned in {took:?}");
+    assert!(took.as_micros() < 22_500, "{took:?}");
+}
