Look up packed changes before rows are copied; one place each for rows as they are handed on and for 'informed'

Each hand-on copied all rows that changed, a whole table of them, only to find by their number that they lie packed already, and packing went over them a second time. Replica::share looks first and goes over them once. Rows are turned into what is handed on and back side by side in pack.rs; that an entry knows a configuration was asked in two ways; what an answer of the store means at the start stands where all answers are noted. No change of behaviour.

--- a/crates/daemon/src/hosted/mirror.rs
+++ b/crates/daemon/src/hosted/mirror.rs
@@ -5,8 +5,8 @@
 //! an older page never replaces a newer one.
 
 use super::holds::{self, Record};
-use super::pack::{self, Handed, PACKED_FROM};
-use super::replica::{handed, Replica};
+use super::pack;
+use super::replica::{Replica, Rows, Share};
 use sorreldeck::follow::{Peer, Watermark};
 use sorreldeck::quarantine::Fingerprint;
 use sorreldeck::release::{Order, State};
@@ -136,6 +136,11 @@
         self.tables.get(&table).map_or(0, |t| t.version)
     }
 
+    /// Returns whether anything is known of what the operator wants.
+    pub fn is_informed(&self) -> bool {
+        self.version(Table::Operator) > 0
+    }
+
     /// Returns the version of a row, or 0 if there is none.
     pub fn row_version(&self, table: Table, key: &str) -> u64 {
         self.row(table, key).map_or(0, |row| row.version)
@@ -231,25 +236,18 @@
     /// that version is the newest known.
     pub fn delta(&mut self, table: Table, have: u64) -> Option<TableDelta> {
         let copy = self.tables.get_mut(&table).filter(|t| t.version > have)?;
-        let mut delta = TableDelta {
+        let Share { since, rows } = copy.share(have);
+        let (rows, packed) = match rows {
+            Rows::Plain(rows) => (rows, None),
+            Rows::Packed(bytes) => (Vec::new(), Some(bytes.into())),
+        };
+        Some(TableDelta {
             number: table as usize,
-            since: None,
+            since,
             version: copy.version,
-            rows: Vec::new(),
-            packed: None,
-        };
-        let rows = match copy.changes_after(have) {
-            Some(rows) if have > 0 => {
-                delta.since = Some(have);
-                rows
-            }
-            _ => copy.rows.values().cloned().collect(),
-        };
-        match rows.len() >= PACKED_FROM {
-            true => delta.packed = Some(copy.packed(delta.since).into()),
-            false => delta.rows = rows.into_iter().map(handed).collect(),
-        }
-        Some(delta)
+            rows,
+            packed,
+        })
     }
 
     /// Returns whether rows of a table changed after a version.
@@ -270,10 +268,10 @@
         if delta.since.is_some_and(|since| since > known) {
             return Taken::Gap;
         }
-        let rows = match delta.packed.as_deref().map(|packed| pack::unpack(packed)) {
-            None => delta.rows,
-            Some(Ok(rows)) => rows,
-            Some(Err(message)) => {
+        let unpacked = delta.packed.map(|packed| pack::unpack(&packed));
+        let rows = match unpacked.unwrap_or(Ok(delta.rows)) {
+            Ok(rows) => rows,
+            Err(message) => {
                 self.troubles.push(Trouble {
                     table,
                     key: "a packed table".to_owned(),
@@ -282,13 +280,8 @@
                 return Taken::Gap;
             }
         };
-        let row = |(key, version, value): Handed| Row {
-            key,
-            value: value.map(serde_bytes::ByteBuf::into_vec),
-            version,
-        };
         let page = Page {
-            rows: rows.into_iter().map(row).collect(),
+            rows: rows.into_iter().map(pack::row).collect(),
             version: delta.version,
             now: Duration::ZERO,
         };
--- a/crates/daemon/src/hosted/pack.rs
+++ b/crates/daemon/src/hosted/pack.rs
@@ -8,6 +8,7 @@
 use flate2::write::DeflateEncoder;
 use flate2::Compression;
 use serde_bytes::ByteBuf;
+use sorreldeck_platform::store::Row;
 use std::io::{Read, Write};
 
 /// A row as it is handed on: its key, version and value, or no value where it was dropped.
@@ -18,6 +19,20 @@
 /// The most bytes that are unpacked, some 100,000 rows: what is larger is no table of ours.
 const MOST: u64 = 32 * 1024 * 1024;
 
+/// Returns a row as it is handed on.
+pub fn handed(row: Row) -> Handed {
+    (row.key, row.version, row.value.map(ByteBuf::from))
+}
+
+/// Returns the row that was handed on.
+pub fn row((key, version, value): Handed) -> Row {
+    Row {
+        key,
+        value: value.map(ByteBuf::into_vec),
+        version,
+    }
+}
+
 /// Packs rows.
 pub fn pack(rows: &[Handed]) -> Vec<u8> {
     let mut plain = Vec::new();
--- a/crates/daemon/src/hosted/relay.rs
+++ b/crates/daemon/src/hosted/relay.rs
@@ -78,6 +78,7 @@
 #[derive(Clone, Debug)]
 struct Source {
     name: InstanceId,
+    /// When the link was opened.
     since: Time,
     /// Whether it was asked for the tables.
     asked: bool,
@@ -295,12 +296,13 @@
     /// whole, which is what a hundred entries that start together wait for.
     fn asks_at_once(&self, source: &InstanceId, mirror: &Mirror) -> bool {
         let is_first = !self.sources.values().any(|s| s.asked);
-        knows(mirror) || (is_first && self.follow.is_near(source))
+        mirror.is_informed() || (is_first && self.follow.is_near(source))
     }
 
     /// Asks the other sources once one has told what there is, or has had the time to.
     fn ask_rest(&mut self, mirror: &Mirror, now: Time) -> Vec<Order> {
-        let is_due = |s: &Source| !s.asked && (knows(mirror) || now.since(s.since) >= ASK_REST);
+        let is_due =
+            |s: &Source| !s.asked && (mirror.is_informed() || now.since(s.since) >= ASK_REST);
         let due = self.sources.iter().filter(|(_, s)| is_due(s));
         let due: Vec<(Link, InstanceId)> = due.map(|(l, s)| (*l, s.name.clone())).collect();
         let mut orders = Vec::new();
@@ -340,7 +342,7 @@
 
     /// Returns what is to be done as time passes.
     pub fn step(&mut self, mirror: &mut Mirror, now: Time) -> Vec<Order> {
-        if knows(mirror) {
+        if mirror.is_informed() {
             self.follow.informed();
         }
         self.follow.asked(!self.takers.is_empty());
@@ -643,11 +645,6 @@
     }
 }
 
-/// Returns whether anything is known of what the operator wants.
-fn knows(mirror: &Mirror) -> bool {
-    mirror.version(Table::Operator) > 0
-}
-
 /// Returns the versions of all tables, in their order.
 pub fn versions(mirror: &Mirror) -> Vec<u64> {
     Table::ALL.iter().map(|t| mirror.version(*t)).collect()
--- a/crates/daemon/src/hosted/replica.rs
+++ b/crates/daemon/src/hosted/replica.rs
@@ -1,8 +1,7 @@
 //! One table of the platform's store as it was known last, with its latest changes, so that
 //! they can be handed on one by one.
 
-use super::pack::{self, Handed};
-use serde_bytes::ByteBuf;
+use super::pack::{self, Handed, PACKED_FROM};
 use sorreldeck_platform::store::{Page, Row};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -20,6 +19,24 @@
     bytes: Vec<u8>,
 }
 
+/// What is handed on of a table.
+#[derive(Clone, Debug)]
+pub struct Share {
+    /// The version after which the rows changed, or `None` where they are the whole table.
+    pub since: Option<u64>,
+    /// The rows.
+    pub rows: Rows,
+}
+
+/// Rows that are handed on.
+#[derive(Clone, Debug)]
+pub enum Rows {
+    /// Few, as they are.
+    Plain(Vec<Handed>),
+    /// Many, in one piece.
+    Packed(Vec<u8>),
+}
+
 /// One table as it was known last.
 #[derive(Clone, Debug, Default)]
 pub struct Replica {
@@ -73,46 +90,47 @@
         }
     }
 
-    /// Returns what changed after a version, or the whole table, in one piece. It is made once:
-    /// a hundred entries that have the tables from here have the same already.
-    pub fn packed(&mut self, since: Option<u64>) -> Vec<u8> {
-        let version = self.version;
-        let known = self.packed.as_ref();
-        if let Some(known) = known.filter(|p| p.since == since && p.version == version) {
-            return known.bytes.clone();
+    /// Returns what changed after a version, or the whole table where that is 0 or not all changes
+    /// since are remembered. Many rows go in one piece, which is made once: a hundred entries that
+    /// have the tables from here have the same already.
+    pub fn share(&mut self, have: u64) -> Share {
+        let since = (have > 0 && have >= self.remembered).then_some(have);
+        let is_known = |p: &&Packed| p.since == since && p.version == self.version;
+        if let Some(known) = self.packed.as_ref().filter(is_known) {
+            let rows = Rows::Packed(known.bytes.clone());
+            return Share { since, rows };
+        }
+        let rows = match since {
+            Some(since) => self.changes_after(since),
+            None => self.rows.values().cloned().collect(),
+        };
+        let rows: Vec<Handed> = rows.into_iter().map(pack::handed).collect();
+        if rows.len() < PACKED_FROM {
+            let rows = Rows::Plain(rows);
+            return Share { since, rows };
         }
-        let changes = since.and_then(|since| self.changes_after(since));
-        let rows = changes.unwrap_or_else(|| self.rows.values().cloned().collect());
-        let rows: Vec<Handed> = rows.into_iter().map(handed).collect();
         let bytes = pack::pack(&rows);
         self.packed = Some(Packed {
             since,
-            version,
+            version: self.version,
             bytes: bytes.clone(),
         });
-        bytes
+        let rows = Rows::Packed(bytes);
+        Share { since, rows }
     }
 
-    /// Returns what changed after a version, the latest state of each row, or `None` where not
-    /// all of it is remembered.
-    pub fn changes_after(&self, version: u64) -> Option<Vec<Row>> {
-        if version < self.remembered {
-            return None;
-        }
+    /// Returns what changed after a version since which all is remembered, the latest state of
+    /// each row.
+    fn changes_after(&self, version: u64) -> Vec<Row> {
         let later = self.changes.iter().filter(|row| row.version > version);
         let mut latest: BTreeMap<&str, &Row> = BTreeMap::new();
         for row in later {
             latest.insert(&row.key, row);
         }
-        Some(latest.into_values().cloned().collect())
+        latest.into_values().cloned().collect()
     }
 }
 
-/// Returns a row as it is handed on.
-pub fn handed(row: Row) -> Handed {
-    (row.key, row.version, row.value.map(ByteBuf::from))
-}
-
 fn size_of(row: &Row) -> usize {
     row.key.len() + row.value.as_ref().map_or(0, Vec::len)
 }
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -118,7 +118,7 @@
     store: Store,
     door: Arc<Door>,
     grace: Span,
-    /// Since when the store is out of reach, where it does not answer at once from the start.
+    /// Since when the store is out of reach: at the start, until it has answered.
     failing_since: Option<Time>,
     told: Time,
     asked: Time,
@@ -336,10 +336,6 @@
                     .filter(|_| !page.now.is_zero())
                     .map_or(now, |at| at.min(now));
                 self.note_reached(table, heard);
-                if self.mirror.version(Table::Operator) == 0 {
-                    // What is not known yet is on its way.
-                    self.failing_since = None;
-                }
                 let news = self.mirror.apply(table, page, whole, now);
                 self.note_all(news, "store");
                 self.answers.note(table, now);
@@ -482,8 +478,11 @@
             info!("event=store-regained table={table:?}");
         }
         self.relay.reached(table, now);
-        if table == Table::Operator {
+        // At the start any answer shows that the store is there, and the rest is on its way.
+        if table == Table::Operator || !self.mirror.is_informed() {
             self.failing_since = None;
+        }
+        if table == Table::Operator {
             self.in_vain = 0;
         }
     }
