Decode and log what upstreams say of themselves in answers

Neither lines nor figures of an entry told whether an upstream's word that it leaves, wants rest or names a rate had reached it: the headers had no reader. platform/ now decodes the three, the hosted role passes them to the decisions, also from refusals and answers that are not given, and each is a line. Nothing follows from them yet.

--- a/crates/core/src/entry/routed/mod.rs
+++ b/crates/core/src/entry/routed/mod.rs
@@ -12,6 +12,7 @@
 
 use super::flight::Flight;
 use super::*;
+use crate::notice::Notice;
 use crate::pick::{Place, Prefix};
 use crate::reading::Subject;
 use crate::tree::Route;
@@ -138,6 +139,8 @@
     pub confidence: Option<Confidence>,
     /// What runs and waits at the upstream, and how much it runs at a time.
     pub load: Option<(u32, u32, u32)>,
+    /// What the upstream says of itself.
+    pub notice: Notice,
 }
 
 /// What an upstream that is called directly does with a run.
@@ -145,6 +148,8 @@
 pub enum Reply {
     /// The answer begins.
     Head(Head),
+    /// An answer that is not given says this of its upstream.
+    Notice(Notice),
     /// Bytes of the answer; of a stream, whole events.
     Data {
         /// The bytes.
--- a/crates/core/src/entry/routed/reply.rs
+++ b/crates/core/src/entry/routed/reply.rs
@@ -35,8 +35,10 @@
                 if let Some(load) = head.load {
                     self.report_direct(link, load, now);
                 }
+                self.note_notice(link, head.notice);
                 self.routed_head(now, link, run, head, out);
             }
+            Reply::Notice(notice) => self.note_notice(link, notice),
             Reply::Data { data, last } => self.routed_data(run, data, last, out),
             Reply::End => self.routed_end(now, link, run, out),
             Reply::Fail(failure) => self.routed_fail(now, link, run, failure, out),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod ledger;
 pub mod limit;
 pub mod merit;
+pub mod notice;
 pub mod pick;
 pub mod quarantine;
 pub mod queue;
--- a/crates/core/tests/evacuation.rs
+++ b/crates/core/tests/evacuation.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use sorreldeck::entry::{Entry, Head, Input, Output, Part, Reply};
+use sorreldeck::notice::Notice;
 use sorreldeck::pick::{Link, Place};
 use sorreldeck::release::{Order, State};
 use sorreldeck::wire::{Confidence, Frame, Run};
@@ -126,6 +127,7 @@
         headers: Vec::new(),
         confidence: confidence.map(Confidence),
         load: Some((0, 0, 8)),
+        notice: Notice::default(),
     })
 }
 
--- a/crates/core/tests/load.rs
+++ b/crates/core/tests/load.rs
@@ -8,6 +8,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sorreldeck::entry::{Entry, Head, Input, Output, Reply, Routed};
+use sorreldeck::notice::Notice;
 use sorreldeck::pick::{Link, Place};
 use sorreldeck::wire::{Frame, Run};
 use sorreldeck::{RequestId, Span, Time};
@@ -135,6 +136,7 @@
                 headers: Vec::new(),
                 confidence: None,
                 load: Some((1, 0, 16)),
+                notice: Notice::default(),
             };
             self.tell(
                 prompt.entry,
--- a/crates/core/tests/routed.rs
+++ b/crates/core/tests/routed.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use sorreldeck::entry::{Entry, Head, Input, Member, Output, Part, Reply, Routed, Settings};
+use sorreldeck::notice::Notice;
 use sorreldeck::pick::{Link, Place};
 use sorreldeck::release::{Order as MoveOrder, State};
 use sorreldeck::wire::{Confidence, Frame, Load, Order, Run};
@@ -145,6 +146,7 @@
             headers: Vec::new(),
             confidence: confidence.map(Confidence),
             load: None,
+            notice: Notice::default(),
         });
         self.tell(Input::Reply(sent.link, sent.run, head))
     }
@@ -628,6 +630,7 @@
         headers: Vec::new(),
         confidence: None,
         load: Some((3, 1, 4)),
+        notice: Notice::default(),
     });
     stand.tell(Input::Reply(first.link, first.run, head));
     stand.pass(100);
--- a/crates/daemon/src/hosted/run.rs
+++ b/crates/daemon/src/hosted/run.rs
@@ -209,7 +209,13 @@
         let told = call::told(status, &headers);
         let order = self.order.as_ref();
         let label = order.map(|o| o.label.as_str());
-        if told.label.is_some() && told.label.as_deref() != label {
+        let is_foreign = told.label.is_some() && told.label.as_deref() != label;
+        let is_given = !is_foreign && !told.not_run && (status >= 300 || told.receipt);
+        if let Some(notice) = told.notice.filter(|_| !is_given) {
+            // What the upstream says of itself holds whatever becomes of the request.
+            self.say(Reply::Notice(notice)).await;
+        }
+        if is_foreign {
             let message = "the answer belongs to another request";
             return Err(Failure::new(
                 Reason::ForeignAnswer,
@@ -233,6 +239,7 @@
             headers,
             confidence: told.confidence,
             load: told.load,
+            notice: told.notice.unwrap_or_default(),
         }))
         .await;
         Ok(Answer::Ran(response))
--- a/crates/emulator/src/routed.rs
+++ b/crates/emulator/src/routed.rs
@@ -12,6 +12,7 @@
 //! ```
 
 use sorreldeck::entry::{Ask, Entry, Head, Input, Member, Reply, Routed, Settings, What};
+use sorreldeck::notice::Notice;
 use sorreldeck::pick::Place;
 use sorreldeck::tree::parse_toml;
 use sorreldeck::wire::{Call, Load};
@@ -59,6 +60,7 @@
         headers: Vec::new(),
         confidence: None,
         load: None,
+        notice: Notice::default(),
     })
 }
 
