--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod crash;
 pub mod engine;
+pub mod notice;
 pub mod plain;
 pub mod quality;
 pub mod routed;
--- /dev/null
+++ b/crates/emulator/src/notice/world.rs
@@ -0,0 +1,346 @@
+//! Several entries before one pool of upstreams that speak of themselves, with the time passed
+//! by hand.
+
+use super::{Day, Limited, Says, Tally, Trouble};
+use crate::routed;
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use sorreldeck::entry::{Entry, Input, Output, Part, Reply};
+use sorreldeck::notice::Notice;
+use sorreldeck::pick::{Link, Place};
+use sorreldeck::wire::{Frame, Run};
+use sorreldeck::{Failure, InstanceId, Rate, Reason, RequestId, Span, Time};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+const TICK: Span = Span::from_millis(20);
+/// How long an answer takes to begin, and to end after that, in milliseconds.
+const BEGINS_MS: std::ops::RangeInclusive<u64> = 20..=80;
+const ENDS_MS: std::ops::RangeInclusive<u64> = 20..=1_500;
+/// The way to an upstream and back, in milliseconds.
+const WAY_MS: std::ops::RangeInclusive<u64> = 1..=4;
+/// How long after it was asked for rest an entry is held to it.
+const RESTS_AFTER: Span = Span::from_millis(500);
+/// What an upstream runs at a time.
+const SLOTS: u32 = 32;
+
+#[derive(Debug)]
+enum Event {
+    Ask,
+    Reach(usize, Link, Run),
+    Head(usize, Link, Run),
+    Reply(usize, Link, Run, Reply),
+    Tick,
+    Restart,
+}
+
+/// What an entry was told by an upstream, and what it sent there since.
+#[derive(Clone, Copy, Debug, Default)]
+struct Heard {
+    leaving: Option<Time>,
+    rest: Option<(Time, Time)>,
+    sent_while: usize,
+}
+
+/// The entries and upstreams of a day.
+pub struct World {
+    day: Day,
+    start: Time,
+    now: Time,
+    rng: ChaCha8Rng,
+    entries: Vec<Entry>,
+    /// How often each entry has started.
+    lives: Vec<u64>,
+    next: u64,
+    queue: BinaryHeap<Reverse<(Time, u64)>>,
+    events: BTreeMap<u64, Event>,
+    asked: BTreeMap<RequestId, (usize, Time)>,
+    heard: BTreeMap<(usize, Link), Heard>,
+    tally: Tally,
+}
+
+impl World {
+    /// Creates the entries and upstreams of a day; `seed` decides its luck.
+    pub fn new(day: Day, seed: u64) -> World {
+        let start = Time(1_000_000);
+        let mut world = World {
+            start,
+            now: start,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            entries: Vec::new(),
+            lives: vec![0; day.entries],
+            next: 1,
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            asked: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            tally: Tally::default(),
+            day,
+        };
+        for number in 0..world.day.entries {
+            let entry = world.new_entry(number);
+            world.entries.push(entry);
+        }
+        world
+    }
+
+    fn new_entry(&mut self, number: usize) -> Entry {
+        let mut entry = routed::entry(number as u64 + 1, self.rng.next_u64());
+        entry.handle(self.now, routed::streams(""));
+        let names = 1..=self.day.entries + self.day.gone;
+        let names = names.map(|n| format!("e{n}").parse().expect("a legal name"));
+        let names: Vec<InstanceId> = names.collect();
+        entry.handle(self.now, Input::Entries(names));
+        for link in 1..=self.day.upstreams as Link {
+            let place = Place {
+                release: Some("v1".parse().expect("a legal name")),
+                ..Place::default()
+            };
+            let member = routed::member(link, place, SLOTS);
+            entry.handle(self.now, Input::Join(link, Box::new(member)));
+        }
+        entry
+    }
+
+    fn at(&mut self, time: Time, event: Event) {
+        self.next += 1;
+        self.events.insert(self.next, event);
+        self.queue.push(Reverse((time, self.next)));
+    }
+
+    fn after(&mut self, ms: std::ops::RangeInclusive<u64>) -> Time {
+        self.now + Span::from_micros(self.rng.random_range(ms.start() * 1_000..=ms.end() * 1_000))
+    }
+
+    /// Plays the day and returns what came of it.
+    pub fn play(mut self) -> Tally {
+        let end = self.start + self.day.lasts;
+        self.at(self.start, Event::Tick);
+        if let Some(each) = self.day.restart_each {
+            self.at(self.start + each, Event::Restart);
+        }
+        let count = (self.day.asked * self.day.lasts.secs_f64()) as usize;
+        for _ in 0..count {
+            let at = self.rng.random_range(0..self.day.lasts.micros());
+            self.at(self.start + Span::from_micros(at), Event::Ask);
+        }
+        while let Some(Reverse((at, number))) = self.queue.pop() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            let event = self.events.remove(&number).expect("each is queued once");
+            self.happen(event);
+        }
+        self.tally
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Ask => self.ask(),
+            Event::Reach(entry, link, run) => self.reach(entry, link, run),
+            Event::Head(entry, link, run) => {
+                let notice = self.notice(link);
+                let reply = routed::head_with(200, notice);
+                let arrives = self.after(WAY_MS);
+                self.at(arrives, Event::Reply(entry, link, run, reply));
+                let ends = self.after(ENDS_MS);
+                let ends = ends.max(arrives + Span::from_millis(1));
+                self.at(ends, Event::Reply(entry, link, run, Reply::End));
+            }
+            Event::Reply(entry, link, run, reply) => self.reply(entry, link, run, reply),
+            Event::Tick => {
+                for entry in 0..self.entries.len() {
+                    self.tell(entry, Input::Tick);
+                }
+                self.at(self.now + TICK, Event::Tick);
+            }
+            Event::Restart => self.restart(),
+        }
+    }
+
+    /// Kills an entry, drawn at random, and starts it anew.
+    fn restart(&mut self) {
+        let number = self.rng.random_range(0..self.entries.len());
+        self.entries[number] = self.new_entry(number);
+        self.lives[number] += 1;
+        self.asked.retain(|_, (entry, _)| *entry != number);
+        self.heard.retain(|(entry, _), _| *entry != number);
+        for limited in self.tally.limited.values_mut() {
+            limited.told.remove(&number);
+        }
+        if let Some(each) = self.day.restart_each {
+            self.at(self.now + each, Event::Restart);
+        }
+    }
+
+    fn ask(&mut self) {
+        let entry = self.rng.random_range(0..self.entries.len());
+        self.next += 1;
+        let request = RequestId::new(self.lives[entry], self.next);
+        self.asked.insert(request, (entry, self.now));
+        let call = routed::routed(format!("r{}", self.next), "/drafts/1");
+        self.tell(entry, routed::ask(request, None, call));
+    }
+
+    /// Returns what an upstream says now.
+    fn says(&self, link: Link) -> impl Iterator<Item = &Trouble> {
+        let passed = self.now.since(self.start);
+        let is_now = move |t: &&Trouble| {
+            link <= t.upstreams as Link && t.at <= passed && passed < t.at + t.lasts
+        };
+        self.day.troubles.iter().filter(is_now)
+    }
+
+    /// Returns the limit that an upstream names now, and from when to when it names one.
+    fn limit(&self, link: Link) -> Option<(Rate, Time, Time)> {
+        let second = self.now.since(self.start).millis() / 1_000;
+        self.says(link).find_map(|trouble| {
+            let rate = match trouble.says {
+                Says::Limit(rate) => rate,
+                Says::Varying(from, to) => {
+                    // Drawn anew for each upstream and second.
+                    let mut rng = ChaCha8Rng::seed_from_u64(link << 32 | second);
+                    let share = rng.random::<f64>();
+                    let spread = to.per_second() - from.per_second();
+                    Rate::from_per_second(from.per_second() + share * spread)
+                }
+                Says::Leaving | Says::Rest(_) => return None,
+            };
+            let from = self.start + trouble.at;
+            Some((rate, from, from + trouble.lasts))
+        })
+    }
+
+    /// Returns what an upstream says of itself in whatever it answers now.
+    fn notice(&mut self, link: Link) -> Notice {
+        let leaving = self.says(link).any(|t| t.says == Says::Leaving);
+        let limit = self.limit(link);
+        if let Some((rate, from, until)) = limit {
+            let limited = self.tally.limited.entry(link).or_insert_with(|| Limited {
+                named: from..until,
+                limits: vec![(from, rate)],
+                ..Limited::default()
+            });
+            if limited.limits.last().is_some_and(|(_, last)| *last != rate) {
+                let second = self.now.since(self.start).millis() / 1_000;
+                let at = self.start + Span::from_millis(second * 1_000);
+                limited.limits.push((at, rate));
+            }
+        }
+        Notice {
+            leaving,
+            rest: None,
+            limit: limit.map(|(rate, _, _)| rate),
+        }
+    }
+
+    /// A request reaches its upstream.
+    fn reach(&mut self, entry: usize, link: Link, run: Run) {
+        let now = self.now;
+        let heard = self.heard.entry((entry, link)).or_default();
+        if let Some(at) = heard.leaving {
+            self.tally.latest = self.tally.latest.max(now.since(at));
+        }
+        if let Some((from, until)) = heard.rest {
+            if (from..until).contains(&now) {
+                heard.sent_while += 1;
+                self.tally.while_resting = self.tally.while_resting.max(heard.sent_while);
+            }
+        }
+        if let Some(limited) = self.tally.limited.get_mut(&link) {
+            limited.got.push((now, entry));
+        }
+        let notice = self.notice(link);
+        let rest = self.says(link).find_map(|t| match t.says {
+            Says::Rest(span) => Some(span),
+            _ => None,
+        });
+        let Some(rest) = rest else {
+            let begins = self.after(BEGINS_MS);
+            return self.at(begins, Event::Head(entry, link, run));
+        };
+        self.tally.turned_away += 1;
+        let notice = Notice {
+            rest: Some(rest),
+            ..notice
+        };
+        let arrives = self.after(WAY_MS);
+        let refused = Failure::not_run(Reason::Overloaded, "refused with 503");
+        self.at(
+            arrives,
+            Event::Reply(entry, link, run, Reply::Notice(notice)),
+        );
+        self.at(
+            arrives,
+            Event::Reply(entry, link, run, Reply::Fail(refused)),
+        );
+    }
+
+    fn reply(&mut self, entry: usize, link: Link, run: Run, reply: Reply) {
+        if run.request.origin().0 != self.lives[entry] {
+            return;
+        }
+        let notice = match &reply {
+            Reply::Head(head) => Some(head.notice),
+            Reply::Notice(notice) => Some(*notice),
+            _ => None,
+        };
+        if let Some(notice) = notice {
+            self.note_told(entry, link, notice);
+        }
+        self.tell(entry, Input::Reply(link, run, reply));
+    }
+
+    /// Notes what an entry is told, for the tally.
+    fn note_told(&mut self, entry: usize, link: Link, notice: Notice) {
+        let now = self.now;
+        let heard = self.heard.entry((entry, link)).or_default();
+        if notice.leaving {
+            heard.leaving.get_or_insert(now);
+        }
+        if let Some(rest) = notice.rest {
+            heard.rest = Some((now + RESTS_AFTER, now + rest));
+            heard.sent_while = 0;
+        }
+        if notice.limit.is_some() {
+            if let Some(limited) = self.tally.limited.get_mut(&link) {
+                limited.told.entry(entry).or_insert(now);
+            }
+        }
+    }
+
+    fn tell(&mut self, entry: usize, input: Input) {
+        for output in self.entries[entry].handle(self.now, input) {
+            self.output(entry, output);
+        }
+    }
+
+    fn output(&mut self, entry: usize, output: Output) {
+        match output {
+            Output::Send(link, Frame::Start(start)) => {
+                let reaches = self.after(WAY_MS);
+                self.at(reaches, Event::Reach(entry, link, start.run));
+            }
+            Output::Answer(request, part) => self.answered(request, &part),
+            _ => {}
+        }
+    }
+
+    fn answered(&mut self, request: RequestId, part: &Part) {
+        let is_served = match part {
+            Part::Head { .. } => true,
+            Part::Fail(_) => false,
+            _ => return,
+        };
+        let Some((_, at)) = self.asked.remove(&request) else {
+            return;
+        };
+        self.tally.asked.push((at, is_served));
+        if let Part::Fail(failure) = part {
+            self.tally.come_back.push((self.now, failure.retry_after));
+            let held = self.now.since(at);
+            self.tally.longest_refused = self.tally.longest_refused.max(held);
+        }
+    }
+}
--- a/crates/emulator/src/routed.rs
+++ b/crates/emulator/src/routed.rs
@@ -55,12 +55,17 @@
 
 /// Returns the head of an answer that tells nothing besides its status.
 pub fn head(status: u16) -> Reply {
+    head_with(status, Notice::default())
+}
+
+/// Returns the head of an answer in which the upstream says this of itself.
+pub fn head_with(status: u16, notice: Notice) -> Reply {
     Reply::Head(Head {
         status,
         headers: Vec::new(),
         confidence: None,
         load: None,
-        notice: Notice::default(),
+        notice,
     })
 }
 
