Send nothing to an upstream that says in its answers that it leaves

Callers got whole answers, but up to 5.6 s after an entry had passed on an answer in which an upstream said that it leaves, the entry sent it requests: the store was away, and its row could not say so.

Cause: who leaves was known from rows and links alone; the word in answers had no reader. Ruled out: that requests were chosen before the word came (seconds lay between them).

Why it holds: the word lies with the upstream's start, not with its row or link, so rows that vanish, come back or say ready still do not undo it; another start knows nothing of it. Where rows name no start, the address tells starts apart. The one place that gives out work asks for it, and entries tell one another. Over sockets: good answers, errors, refusals, foreign and unsigned answers, streams, and a second entry that is told.

--- a/crates/core/src/notice/board.rs
+++ b/crates/core/src/notice/board.rs
@@ -13,12 +13,16 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Known {
     heard: Time,
+    /// Since when it is known to leave; nothing undoes that.
+    leaving: Option<Time>,
     limit: Option<Limit>,
 }
 
 /// A change of what holds of an upstream, for the log.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Change {
+    /// It takes no new requests any more.
+    Leaving,
     /// It takes only so many requests a second from all entries.
     Limited(Rate),
     /// It takes what it gets again.
@@ -44,36 +48,32 @@
         asked: Time,
         entries: &Entries,
         now: Time,
-    ) -> Option<Change> {
+    ) -> Vec<Change> {
         if notice.is_empty() && !self.known.contains_key(&upstream) {
-            return None;
+            return Vec::new();
         }
         let known = self.entry(upstream, now);
-        match (notice.limit, &mut known.limit) {
-            (Some(rate), None) => {
-                known.limit = Some(Limit::new(upstream, rate, false, entries, now));
-                self.words.push(Word::Limit(upstream, rate));
-                Some(Change::Limited(rate))
-            }
-            (Some(rate), Some(limit)) => {
-                let differs = limit.change(upstream, rate, entries, now);
-                differs.then(|| {
-                    self.words.push(Word::Limit(upstream, rate));
-                    Change::Limited(rate)
-                })
-            }
-            (None, Some(limit)) if limit.ends_by(asked) => {
-                known.limit = None;
-                self.words.push(Word::Unlimited(upstream));
-                Some(Change::Unlimited)
-            }
-            (None, _) => None,
+        let leaving = notice.leaving && known.leaving.is_none();
+        if leaving {
+            known.leaving = Some(now);
         }
+        let leaving = leaving.then_some(Change::Leaving);
+        let limit = known.hear_limit(upstream, notice.limit, asked, entries, now);
+        let changes: Vec<Change> = [leaving, limit].into_iter().flatten().collect();
+        let words = changes.iter().map(|change| change.word(upstream));
+        self.words.extend(words);
+        changes
     }
 
     /// Takes in what another entry tells.
     pub fn told(&mut self, word: Word, entries: &Entries, now: Time) -> Option<Change> {
         match word {
+            Word::Leaving(upstream) => {
+                let known = self.entry(upstream, now);
+                let is_news = known.leaving.is_none();
+                known.leaving.get_or_insert(now);
+                is_news.then_some(Change::Leaving)
+            }
             Word::Limit(upstream, rate) => {
                 let known = self.entry(upstream, now);
                 match &mut known.limit {
@@ -114,6 +114,11 @@
         }
     }
 
+    /// Returns since when an upstream is known to leave, if it does.
+    pub fn leaving(&self, upstream: u64) -> Option<Time> {
+        self.known.get(&upstream)?.leaving
+    }
+
     /// Returns from when on this entry may send an upstream a request, as far as it has said.
     pub fn opens(&self, upstream: u64) -> Time {
         let known = self.known.get(&upstream);
@@ -146,3 +151,42 @@
         self.known.retain(|_, known| known.heard > median);
     }
 }
+
+impl Known {
+    /// Takes in the rate that an answer to a request sent then names, or that it names none.
+    fn hear_limit(
+        &mut self,
+        upstream: u64,
+        named: Option<Rate>,
+        asked: Time,
+        entries: &Entries,
+        now: Time,
+    ) -> Option<Change> {
+        match (named, &mut self.limit) {
+            (Some(rate), None) => {
+                self.limit = Some(Limit::new(upstream, rate, false, entries, now));
+                Some(Change::Limited(rate))
+            }
+            (Some(rate), Some(limit)) => {
+                let differs = limit.change(upstream, rate, entries, now);
+                differs.then_some(Change::Limited(rate))
+            }
+            (None, Some(limit)) if limit.ends_by(asked) => {
+                self.limit = None;
+                Some(Change::Unlimited)
+            }
+            (None, _) => None,
+        }
+    }
+}
+
+impl Change {
+    /// Returns what other entries are told of it.
+    fn word(&self, upstream: u64) -> Word {
+        match self {
+            Change::Leaving => Word::Leaving(upstream),
+            Change::Limited(rate) => Word::Limit(upstream, *rate),
+            Change::Unlimited => Word::Unlimited(upstream),
+        }
+    }
+}
--- a/crates/core/src/notice/mod.rs
+++ b/crates/core/src/notice/mod.rs
@@ -41,12 +41,22 @@
 /// What entries tell one another of upstreams, which numbers stand for.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Word {
+    /// An upstream takes no new requests any more.
+    Leaving(u64),
     /// An upstream takes so many requests a second from all entries together.
     Limit(u64, Rate),
     /// An upstream names no limit any more.
     Unlimited(u64),
 }
 
+impl Word {
+    /// Returns the number of the upstream.
+    pub fn upstream(&self) -> u64 {
+        let (Word::Leaving(upstream) | Word::Limit(upstream, _) | Word::Unlimited(upstream)) = self;
+        *upstream
+    }
+}
+
 impl Notice {
     /// Returns whether the answer says nothing of the upstream.
     pub fn is_empty(&self) -> bool {
--- a/crates/core/src/pick/heard.rs
+++ b/crates/core/src/pick/heard.rs
@@ -12,22 +12,21 @@
             return;
         };
         let before = self.notices.limit(number);
-        let change = self.notices.hear(number, notice, asked, &self.entries, now);
-        if let Some(change) = change {
-            self.note_change(number, change, before, "answer", now);
+        let entries = &self.entries;
+        for change in self.notices.hear(number, notice, asked, entries, now) {
+            self.log_change(number, change, before, "answer", now);
         }
     }
 
     /// Takes in what another entry tells of an upstream.
     pub fn heard_of(&mut self, word: Word, now: Time) {
-        let (Word::Limit(number, _) | Word::Unlimited(number)) = word;
-        let before = self.notices.limit(number);
+        let before = self.notices.limit(word.upstream());
         if let Some(change) = self.notices.told(word, &self.entries, now) {
-            self.note_change(number, change, before, "entry", now);
+            self.log_change(word.upstream(), change, before, "entry", now);
         }
     }
 
-    fn note_change(
+    fn log_change(
         &self,
         number: u64,
         change: Change,
@@ -39,16 +38,31 @@
         let Some(peer) = peers.find(|peer| peer.number() == number) else {
             return;
         };
+        let upstream = &peer.upstream;
         let age = before.map_or(-1, |(_, heard)| now.since(heard).millis() as i64);
         let before = before.map_or_else(|| "none".to_owned(), |(rate, _)| rate.to_string());
-        let limit = match change {
-            Change::Limited(rate) => rate.to_string(),
-            Change::Unlimited => "none".to_owned(),
-        };
-        log::info!(
-            "event=notice upstream={} limit={limit} before={before} age_ms={age} from={from}",
-            peer.upstream
-        );
+        match change {
+            Change::Leaving => {
+                log::info!("event=notice upstream={upstream} leaving=true from={from}");
+            }
+            Change::Limited(rate) => log::info!(
+                "event=notice upstream={upstream} limit={rate} before={before} age_ms={age} from={from}"
+            ),
+            Change::Unlimited => log::info!(
+                "event=notice upstream={upstream} limit=none before={before} age_ms={age} from={from}"
+            ),
+        }
+    }
+
+    /// Returns whether an upstream takes no new requests any more, by whatever way that is known.
+    pub(super) fn is_leaving(&self, peer: &Peer) -> bool {
+        peer.leaving || self.notices.leaving(peer.number()).is_some()
+    }
+
+    /// Returns how many upstreams have said that they leave.
+    pub fn leaving(&self) -> usize {
+        let leaving = |peer: &&Peer| self.notices.leaving(peer.number()).is_some();
+        self.peers.values().filter(leaving).count()
     }
 
     /// Returns what other entries are to be told of upstreams.
--- a/crates/core/src/pick/mod.rs
+++ b/crates/core/src/pick/mod.rs
@@ -313,7 +313,7 @@
     }
 
     fn takes_work(&self, peer: &Peer) -> bool {
-        !peer.leaving && self.halls.is_open(peer.place.hall.as_ref())
+        !self.is_leaving(peer) && self.halls.is_open(peer.place.hall.as_ref())
     }
 
     /// Returns the upstreams of a pool in reach.
@@ -342,7 +342,7 @@
     /// Returns the releases that the upstreams of a pool run, whether or not their data hall
     /// gets work, without those that are leaving.
     pub fn present(&self, pool: &PoolId) -> BTreeSet<VersionId> {
-        let staying = self.of_pool(pool).filter(|(_, p)| !p.leaving);
+        let staying = self.of_pool(pool).filter(|(_, p)| !self.is_leaving(p));
         let releases = staying.filter_map(|(_, p)| p.place.release.clone());
         releases.collect()
     }
--- a/crates/core/tests/leaving_in_answers.rs
+++ b/crates/core/tests/leaving_in_answers.rs
@@ -3,12 +3,30 @@
 //! An upstream that leaves says so in all its answers. The platform's store was away, so its row
 //! did not say so, and the entry went on sending requests there, up to 5.6 s after it had passed
 //! on such an answer. Callers got whole answers; some would have been cut off at the end.
+//!
+//! Cause: nothing read the word; who leaves was known from rows and links alone. Evidence: the
+//! day below asks such upstreams until its end where the word is dropped, and a line of the
+//! entry showed that the word had come.
+
+mod common;
 
-use sorreldeck::Span;
+use common::{ask, entry, head, member, routed, streams};
+use sorreldeck::entry::{Entry, Input, Output, Part, Reply};
+use sorreldeck::notice::{Notice, Word};
+use sorreldeck::pick::{Link, Place};
+use sorreldeck::wire::{Frame, Run};
+use sorreldeck::{Failure, Incarnation, Reason, RequestId, Span, Time, Verdict};
 use sorreldeck_emulator::notice::{Day, Says, Trouble, World};
+use sorreldeck_emulator::routed::head_with;
+use test_case::test_case;
 
 /// How long an entry that was told may still send requests there.
 const BOUND: Span = Span::from_millis(2_000);
+const LEAVES: Notice = Notice {
+    leaving: true,
+    rest: None,
+    limit: None,
+};
 
 #[test]
 fn an_upstream_gets_nothing_after_it_has_said_that_it_leaves() {
@@ -30,3 +48,172 @@
         tally.latest
     );
 }
+
+/// An entry before some upstreams.
+struct Stand {
+    entry: Entry,
+    now: Time,
+    next: u64,
+}
+
+impl Stand {
+    fn new(upstreams: u64) -> Stand {
+        let mut stand = Stand {
+            entry: entry(1, 7),
+            now: Time(1_000_000),
+            next: 0,
+        };
+        stand.tell(streams(""));
+        for link in 1..=upstreams {
+            stand.join(link, link, 1);
+        }
+        stand
+    }
+
+    fn tell(&mut self, input: Input) -> Vec<Output> {
+        self.now = self.now + Span::from_millis(1);
+        self.entry.handle(self.now, input)
+    }
+
+    fn join(&mut self, link: Link, name: u64, start: u64) {
+        let place = Place {
+            start: Some(Incarnation(start)),
+            ..Place::default()
+        };
+        self.tell(Input::Join(link, Box::new(member(name, place, 8))));
+    }
+
+    fn ask(&mut self) -> Vec<Output> {
+        self.next += 1;
+        let call = routed(format!("r{}", self.next), "/drafts/1");
+        self.tell(ask(RequestId::new(1, self.next), None, call))
+    }
+
+    /// Asks until the upstream at a link is chosen.
+    fn reach(&mut self, link: Link) -> Run {
+        let mut runs = (0..100).filter_map(|_| start(&self.ask()));
+        let found = runs.find(|(at, _)| *at == link);
+        found.expect("each upstream gets work").1
+    }
+
+    /// Returns the links to which the next requests go.
+    fn reached(&mut self) -> Vec<Link> {
+        let starts = (0..60).filter_map(|_| start(&self.ask()));
+        let mut reached: Vec<Link> = starts.map(|(link, _)| link).collect();
+        reached.sort_unstable();
+        reached.dedup();
+        reached
+    }
+}
+
+fn start(outputs: &[Output]) -> Option<(Link, Run)> {
+    outputs.iter().find_map(|output| match output {
+        Output::Send(link, Frame::Start(start)) => Some((*link, start.run)),
+        _ => None,
+    })
+}
+
+fn refused(outputs: &[Output]) -> Option<&Failure> {
+    outputs.iter().find_map(|output| match output {
+        Output::Answer(_, Part::Fail(failure)) => Some(failure),
+        _ => None,
+    })
+}
+
+/// Each row: what an upstream answers when it says that it leaves.
+#[test_case(&[head_with(200, LEAVES, None)]; "a good answer")]
+#[test_case(&[head_with(500, LEAVES, None)]; "an error")]
+#[test_case(&[head_with(504, LEAVES, None)]; "out of time")]
+#[test_case(&[Reply::Notice(LEAVES), Reply::Fail(Failure::not_run(Reason::Overloaded, "503"))]; "a refusal")]
+#[test_case(&[Reply::Notice(LEAVES), Reply::Fail(Failure::new(Reason::ForeignAnswer, Verdict::MayHaveRun, "foreign"))]; "an answer that is not given")]
+#[test_case(&[head(200), Reply::Notice(LEAVES)]; "a word that comes late")]
+fn a_word_counts_in_whatever_is_answered(replies: &[Reply]) {
+    for caller_left in [false, true] {
+        let mut stand = Stand::new(3);
+        let run = stand.reach(2);
+        if caller_left {
+            stand.tell(Input::Gone(run.request));
+        }
+        for reply in replies {
+            stand.tell(Input::Reply(2, run, reply.clone()));
+        }
+        // What a failure passes over for a while is asked again after that.
+        stand.now = stand.now + Span::from_millis(60_000);
+        assert_eq!(stand.reached(), [1, 3], "its caller left: {caller_left}");
+    }
+}
+
+#[test]
+fn other_entries_are_told_once() {
+    let mut stand = Stand::new(3);
+    let run = stand.reach(2);
+    let mut words = Vec::new();
+    for _ in 0..2 {
+        let outputs = stand.tell(Input::Reply(2, run, Reply::Notice(LEAVES)));
+        words.extend(outputs.into_iter().filter_map(|output| match output {
+            Output::Notice(word) => Some(word),
+            _ => None,
+        }));
+    }
+    assert!(matches!(words[..], [Word::Leaving(_)]), "{words:?}");
+    let mut other = Stand::new(3);
+    let outputs = other.tell(Input::Notice(words[0]));
+    assert!(
+        outputs.is_empty(),
+        "what is told is not told on: {outputs:?}"
+    );
+    assert_eq!(other.reached(), [1, 3]);
+}
+
+/// A row that vanished while the store was away, or that says ready still, is older than the word.
+#[test]
+fn a_row_does_not_undo_the_word() {
+    let mut stand = Stand::new(3);
+    let run = stand.reach(2);
+    stand.tell(Input::Reply(2, run, Reply::Notice(LEAVES)));
+    stand.tell(Input::Retire(2));
+    stand.join(12, 2, 1);
+    assert_eq!(stand.reached(), [1, 3]);
+}
+
+#[test]
+fn another_start_under_the_name_knows_nothing_of_the_word() {
+    let mut stand = Stand::new(3);
+    let run = stand.reach(2);
+    stand.tell(Input::Reply(2, run, Reply::Notice(LEAVES)));
+    stand.tell(Input::Retire(2));
+    stand.join(12, 2, 2);
+    assert_eq!(stand.reached(), [1, 3, 12]);
+}
+
+/// What was sent before the word goes on, and what fails there goes elsewhere.
+#[test]
+fn what_runs_there_goes_on() {
+    let mut stand = Stand::new(2);
+    let run = stand.reach(2);
+    stand.tell(Input::Reply(2, run, Reply::Notice(LEAVES)));
+    stand.tell(Input::Reply(2, run, head(200)));
+    let data = Reply::Data {
+        data: b"id:1\n\n".to_vec(),
+        last: Some(1),
+    };
+    stand.tell(Input::Reply(2, run, data));
+    let broken = Failure::new(Reason::LinkLost, Verdict::MayHaveRun, "broke off");
+    let outputs = stand.tell(Input::Reply(2, run, Reply::Fail(broken)));
+    let resumed = start(&outputs).map(|(link, _)| link);
+    assert_eq!(resumed, Some(1));
+}
+
+#[test]
+fn where_all_leave_the_next_request_is_refused_at_once() {
+    let mut stand = Stand::new(2);
+    for link in [1, 2] {
+        let run = stand.reach(link);
+        stand.tell(Input::Reply(link, run, Reply::Notice(LEAVES)));
+    }
+    let outputs = stand.ask();
+    let failure = refused(&outputs).expect("a refusal");
+    assert_eq!(failure.verdict, Verdict::NotRun);
+    assert_eq!(failure.reason, Reason::NoUpstream);
+    assert!(failure.retry_after.is_some());
+}
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -23,13 +23,13 @@
 use sorreldeck::pick::Link;
 use sorreldeck::quarantine::{self, Fingerprint, Hold};
 use sorreldeck::wire::{Frame, Run};
-use sorreldeck::{Failure, InstanceId, RequestId, Revision, Span, Time, UpstreamId};
+use sorreldeck::{Failure, Incarnation, InstanceId, RequestId, Revision, Span, Time, UpstreamId};
 use sorreldeck_net::h1::Door;
 use sorreldeck_net::link::{Event, Outbox};
 use sorreldeck_platform::member::Listed;
 use sorreldeck_platform::{Settings, Store, Table};
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -612,7 +612,11 @@
         self.handle(Input::Tree(Arc::new(config.tree)));
     }
 
-    fn join(&mut self, listed: Listed, from: &str) {
+    fn join(&mut self, mut listed: Listed, from: &str) {
+        // Where rows do not tell starts apart the address does: what one start said of itself
+        // must not be taken for another's.
+        let start = &mut listed.member.place.start;
+        start.get_or_insert_with(|| start_at(listed.address));
         let link = self.next_link;
         self.next_link += 1;
         let member = &listed.member;
@@ -800,3 +804,12 @@
         self.metrics.text()
     }
 }
+
+/// Returns a number that stands for whatever start of an upstream is at an address.
+fn start_at(address: SocketAddr) -> Incarnation {
+    let host = match address.ip() {
+        IpAddr::V4(ip) => u64::from(u32::from(ip)),
+        IpAddr::V6(ip) => u128::from(ip) as u64,
+    };
+    Incarnation(host << u16::BITS | u64::from(address.port()))
+}
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -10,6 +10,7 @@
 mod silent_start;
 mod store;
 mod suspended;
+mod words_of_upstreams;
 
 use async_std::net::TcpStream;
 use async_std::task;
--- a/crates/daemon/tests/hosted/runner.rs
+++ b/crates/daemon/tests/hosted/runner.rs
@@ -32,6 +32,8 @@
     left: Arc<Mutex<u32>>,
     connections: Arc<Mutex<u32>>,
     refused: Refused,
+    /// Header lines that stand in all its answers.
+    says: Arc<Mutex<String>>,
     /// Open as long as the process lives.
     life: (Sender<()>, Receiver<()>),
 }
@@ -49,6 +51,7 @@
             left: Arc::default(),
             connections: Arc::default(),
             refused: refused.clone(),
+            says: Arc::default(),
             life: async_channel::bounded(1),
         };
         let serving = runner.clone();
@@ -81,6 +84,11 @@
         let _ = self.life.1.recv().await;
     }
 
+    /// Has header lines stand in all answers from now on, each with its end.
+    pub fn say(&self, lines: &str) {
+        lines.clone_into(&mut self.says.lock().unwrap());
+    }
+
     /// Returns what was asked so far.
     pub fn seen(&self) -> Vec<Seen> {
         self.seen.lock().unwrap().clone()
@@ -225,6 +233,13 @@
             ),
             _ => (good("body"), true),
         };
+        let says = self.says.lock().unwrap().clone();
+        let text = match text.split_once("\r\n") {
+            Some((first, rest)) if first.starts_with("HTTP/") => {
+                format!("{first}\r\n{says}{rest}")
+            }
+            _ => text,
+        };
         stream.write_all(text.as_bytes()).await.is_ok() && goes_on
     }
 
--- /dev/null
+++ b/crates/daemon/tests/hosted/words_of_upstreams.rs
@@ -0,0 +1,91 @@
+//! What upstreams say of themselves in answers, over sockets: the stories are told by the tests
+//! of the decisions, `named_rate`, `leaving_in_answers` and `rest_asked_for`.
+
+use super::*;
+use test_case::test_case;
+
+/// Makes calls until a runner has been asked.
+async fn until_asked(stand: &Stand, runner: usize, path: &str) {
+    let before = stand.runners[runner].seen().len();
+    eventually("the runner is asked", || async {
+        stand.call(path).await;
+        stand.runners[runner].seen().len() > before
+    })
+    .await;
+}
+
+#[test_case("/once/body"; "a good answer")]
+#[test_case("/once/error"; "an error")]
+#[test_case("/once/full"; "a refusal")]
+#[test_case("/once/foreign"; "an answer to another request")]
+#[test_case("/once/unsigned"; "an answer without a receipt")]
+fn an_upstream_that_says_it_leaves_gets_nothing_new(path: &str) {
+    task::block_on(async {
+        let stand = Stand::start().await;
+        stand.runners[0].say("server-leaving: 1\r\n");
+        until_asked(&stand, 0, path).await;
+        // Longer than a failure passes it over.
+        task::sleep(Duration::from_millis(1_200)).await;
+        assert_eq!(stand.reaching(0, 12).await, 0);
+        assert!(stand.reaching(1, 1).await > 0, "the other one serves on");
+    });
+}
+
+#[test]
+fn a_stream_that_says_so_is_given_whole() {
+    task::block_on(async {
+        let stand = Stand::start().await;
+        stand.runners[2].say("server-leaving: 1\r\n");
+        until_asked(&stand, 2, "/talk/stream").await;
+        let before = stand.runners[2].seen().len();
+        for _ in 0..12 {
+            let answer = stand.call("/talk/stream").await;
+            assert!(answer.contains("id: 2\ndata: b"), "{answer}");
+        }
+        assert_eq!(stand.runners[2].seen().len(), before);
+    });
+}
+
+#[test]
+fn an_entry_is_told_by_another_that_an_upstream_leaves() {
+    task::block_on(async {
+        let stand = Stand::start().await;
+        let other = start_entry(&stand.store, "front-2", &[]).await;
+        eventually("the other entry is ready", || async {
+            let text = "GET /ready HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+            ask(other.ready, text).await.starts_with("HTTP/1.1 200")
+        })
+        .await;
+        task::sleep(Duration::from_millis(1_500)).await;
+        stand.runners[0].say("server-leaving: 1\r\n");
+        until_asked(&stand, 0, "/once/body").await;
+        task::sleep(Duration::from_millis(1_000)).await;
+        let before = stand.runners[0].seen().len();
+        for _ in 0..12 {
+            let answer = ask(other.callers, &request("/once/body", "")).await;
+            assert_eq!(status(&answer), 200, "{answer}");
+        }
+        assert_eq!(stand.runners[0].seen().len(), before);
+    });
+}
+
+#[test]
+fn an_upstream_that_names_a_rate_gets_no_more() {
+    task::block_on(async {
+        let stand = Stand::start().await;
+        stand.runners[0].say("server-limit: 2\r\n");
+        until_asked(&stand, 0, "/once/body").await;
+        let before = stand.runners[0].seen().len();
+        let began = Instant::now();
+        while began.elapsed() < Duration::from_secs(4) {
+            assert_eq!(status(&stand.call("/once/body").await), 200);
+            task::sleep(Duration::from_millis(20)).await;
+        }
+        let got = stand.runners[0].seen().len() - before;
+        // What it takes in 4 s, and what the pace may be ahead.
+        assert!((4..=10).contains(&got), "{got} in 4 s");
+        stand.runners[0].say("");
+        until_asked(&stand, 0, "/once/body").await;
+        assert!(stand.reaching(0, 40).await > 5, "it gets its part again");
+    });
+}
--- a/crates/daemon/tests/relay/main.rs
+++ b/crates/daemon/tests/relay/main.rs
@@ -386,11 +386,8 @@
     }
     world.pass(15);
     assert_all_are_told(&world, |node| {
-        let unlimited = node.notices.iter().filter_map(|word| match word {
-            notice::Word::Unlimited(upstream) => Some(*upstream),
-            notice::Word::Limit(..) => None,
-        });
-        unlimited.collect()
+        let upstreams = node.notices.iter().map(notice::Word::upstream);
+        upstreams.collect()
     });
 }
 
