Keep to the rest that an upstream asks for

Callers waited while their requests went from one upstream that turned them away to the next; such upstreams got up to six requests from an entry within the 3 s of rest they had asked it for, where two are allowed.

Cause: the time of rest had no reader. A refusal passed the upstream over for 250 ms, and any good answer to an earlier request ended that. Ruled out: requests chosen before the word and sent after it (seconds lay between).

Why it holds: the rest lies with the upstream's start and only its end ends it.

--- a/crates/core/src/entry/routed/reply.rs
+++ b/crates/core/src/entry/routed/reply.rs
@@ -291,7 +291,9 @@
         };
         flight.verdict = flight.verdict.raise(failure.verdict);
         flight.failed = Some(failure.clone());
-        if failure.reason != Reason::Cancelled {
+        // One that has said for how long it wants none is not passed over for longer.
+        let has_said = failure.reason == Reason::Overloaded && self.peers.is_resting(link, now);
+        if failure.reason != Reason::Cancelled && !has_said {
             self.peers.struck(link, now);
         }
         if failure.reason == Reason::LinkLost {
--- a/crates/core/src/notice/board.rs
+++ b/crates/core/src/notice/board.rs
@@ -2,7 +2,7 @@
 
 use super::limit::Limit;
 use super::{Notice, Word};
-use crate::unit::{Rate, Time};
+use crate::unit::{Rate, Span, Time};
 use crate::warmup::Entries;
 use std::collections::HashMap;
 
@@ -15,6 +15,8 @@
     heard: Time,
     /// Since when it is known to leave; nothing undoes that.
     leaving: Option<Time>,
+    /// Until when it wants no requests of this entry.
+    rests_until: Time,
     limit: Option<Limit>,
 }
 
@@ -23,6 +25,8 @@
 pub enum Change {
     /// It takes no new requests any more.
     Leaving,
+    /// It wants no requests of this entry for this long.
+    Resting(Span),
     /// It takes only so many requests a second from all entries.
     Limited(Rate),
     /// It takes what it gets again.
@@ -58,8 +62,9 @@
             known.leaving = Some(now);
         }
         let leaving = leaving.then_some(Change::Leaving);
+        let rest = notice.rest.and_then(|rest| known.hear_rest(rest, now));
         let limit = known.hear_limit(upstream, notice.limit, asked, entries, now);
-        let changes: Vec<Change> = [leaving, limit].into_iter().flatten().collect();
+        let changes: Vec<Change> = [leaving, rest, limit].into_iter().flatten().collect();
         let words = changes.iter().map(|change| change.word(upstream));
         self.words.extend(words);
         changes
@@ -74,6 +79,8 @@
                 known.leaving.get_or_insert(now);
                 is_news.then_some(Change::Leaving)
             }
+            // Each entry is asked for rest by itself.
+            Word::Resting(..) => None,
             Word::Limit(upstream, rate) => {
                 let known = self.entry(upstream, now);
                 match &mut known.limit {
@@ -119,11 +126,19 @@
         self.known.get(&upstream)?.leaving
     }
 
+    /// Returns until when an upstream wants no requests of this entry, or a time that has passed.
+    pub fn rests_until(&self, upstream: u64) -> Time {
+        let known = self.known.get(&upstream);
+        known.map_or(Time::default(), |known| known.rests_until)
+    }
+
     /// Returns from when on this entry may send an upstream a request, as far as it has said.
     pub fn opens(&self, upstream: u64) -> Time {
-        let known = self.known.get(&upstream);
-        let limit = known.and_then(|known| known.limit.as_ref());
-        limit.map_or(Time::default(), Limit::opens)
+        let Some(known) = self.known.get(&upstream) else {
+            return Time::default();
+        };
+        let paced = known.limit.as_ref().map_or(Time::default(), Limit::opens);
+        paced.max(known.rests_until)
     }
 
     /// Returns the rate that an upstream takes from all entries, if it names one, and when it, or
@@ -153,6 +168,14 @@
 }
 
 impl Known {
+    /// Takes in for how long it wants no requests of this entry. What is asked for last does not
+    /// shorten what was asked for before: refusals may overtake one another.
+    fn hear_rest(&mut self, rest: Span, now: Time) -> Option<Change> {
+        let was_resting = now < self.rests_until;
+        self.rests_until = self.rests_until.max(now + rest);
+        (!was_resting).then_some(Change::Resting(rest))
+    }
+
     /// Takes in the rate that an answer to a request sent then names, or that it names none.
     fn hear_limit(
         &mut self,
@@ -185,6 +208,7 @@
     fn word(&self, upstream: u64) -> Word {
         match self {
             Change::Leaving => Word::Leaving(upstream),
+            Change::Resting(rest) => Word::Resting(upstream, *rest),
             Change::Limited(rate) => Word::Limit(upstream, *rate),
             Change::Unlimited => Word::Unlimited(upstream),
         }
--- a/crates/core/src/notice/mod.rs
+++ b/crates/core/src/notice/mod.rs
@@ -43,6 +43,8 @@
 pub enum Word {
     /// An upstream takes no new requests any more.
     Leaving(u64),
+    /// An upstream turns requests away and has asked the entry that tells for this long a rest.
+    Resting(u64, Span),
     /// An upstream takes so many requests a second from all entries together.
     Limit(u64, Rate),
     /// An upstream names no limit any more.
@@ -52,8 +54,12 @@
 impl Word {
     /// Returns the number of the upstream.
     pub fn upstream(&self) -> u64 {
-        let (Word::Leaving(upstream) | Word::Limit(upstream, _) | Word::Unlimited(upstream)) = self;
-        *upstream
+        match self {
+            Word::Leaving(upstream)
+            | Word::Resting(upstream, _)
+            | Word::Limit(upstream, _)
+            | Word::Unlimited(upstream) => *upstream,
+        }
     }
 }
 
--- a/crates/core/src/pick/heard.rs
+++ b/crates/core/src/pick/heard.rs
@@ -1,5 +1,6 @@
 //! What upstreams have said of themselves, as far as it decides who gets work.
 
+use super::peer::AVOID_MOST;
 use super::{Link, Peer, Peers};
 use crate::id::PoolId;
 use crate::notice::{Change, Notice, Word};
@@ -20,12 +21,24 @@
 
     /// Takes in what another entry tells of an upstream.
     pub fn heard_of(&mut self, word: Word, now: Time) {
+        if let Word::Resting(number, rest) = word {
+            return self.spare(number, rest, now);
+        }
         let before = self.notices.limit(word.upstream());
         if let Some(change) = self.notices.told(word, &self.entries, now) {
             self.log_change(word.upstream(), change, before, "entry", now);
         }
     }
 
+    /// Passes an upstream over that turns the requests of another entry away, as long as others
+    /// are there: this entry would be turned away too, and try one such upstream after another.
+    fn spare(&mut self, number: u64, rest: Span, now: Time) {
+        let peers = self.peers.values_mut();
+        for peer in peers.filter(|peer| peer.number() == number) {
+            peer.avoided = peer.avoided.max(now + rest.min(AVOID_MOST));
+        }
+    }
+
     fn log_change(
         &self,
         number: u64,
@@ -45,6 +58,10 @@
             Change::Leaving => {
                 log::info!("event=notice upstream={upstream} leaving=true from={from}");
             }
+            Change::Resting(rest) => {
+                let for_ms = rest.millis();
+                log::info!("event=notice upstream={upstream} rest_ms={for_ms} from={from}");
+            }
             Change::Limited(rate) => log::info!(
                 "event=notice upstream={upstream} limit={rate} before={before} age_ms={age} from={from}"
             ),
@@ -59,6 +76,18 @@
         peer.leaving || self.notices.leaving(peer.number()).is_some()
     }
 
+    /// Returns whether an upstream has asked this entry for rest that has not ended.
+    pub fn is_resting(&self, link: Link, now: Time) -> bool {
+        let number = self.get(link).map(Peer::number);
+        number.is_some_and(|number| now < self.notices.rests_until(number))
+    }
+
+    /// Returns how many upstreams want no requests of this entry for a while.
+    pub fn resting(&self, now: Time) -> usize {
+        let resting = |peer: &&Peer| now < self.notices.rests_until(peer.number());
+        self.peers.values().filter(resting).count()
+    }
+
     /// Returns how many upstreams have said that they leave.
     pub fn leaving(&self) -> usize {
         let leaving = |peer: &&Peer| self.notices.leaving(peer.number()).is_some();
--- a/crates/core/src/pick/peer.rs
+++ b/crates/core/src/pick/peer.rs
@@ -35,7 +35,7 @@
 /// The most doublings.
 const AVOID_DOUBLINGS: u32 = 4;
 /// The longest: a little longer than a lapsed heartbeat takes.
-const AVOID_MOST: Span = Span::from_millis(4_000);
+pub(super) const AVOID_MOST: Span = Span::from_millis(4_000);
 /// The prompt tokens a second assumed until an upstream reports its own.
 const PREFILL: u32 = 8000;
 /// How long a report of load counts in full; it fades over the same time again.
--- a/crates/core/tests/leaving_in_answers.rs
+++ b/crates/core/tests/leaving_in_answers.rs
@@ -10,12 +10,11 @@
 
 mod common;
 
-use common::{ask, entry, head, member, routed, streams};
-use sorreldeck::entry::{Entry, Input, Output, Part, Reply};
+use common::head;
+use common::stand::{refused, start, Stand};
+use sorreldeck::entry::{Input, Output, Reply};
 use sorreldeck::notice::{Notice, Word};
-use sorreldeck::pick::{Link, Place};
-use sorreldeck::wire::{Frame, Run};
-use sorreldeck::{Failure, Incarnation, Reason, RequestId, Span, Time, Verdict};
+use sorreldeck::{Failure, Reason, Span, Verdict};
 use sorreldeck_emulator::notice::{Day, Says, Trouble, World};
 use sorreldeck_emulator::routed::head_with;
 use test_case::test_case;
@@ -49,77 +48,6 @@
     );
 }
 
-/// An entry before some upstreams.
-struct Stand {
-    entry: Entry,
-    now: Time,
-    next: u64,
-}
-
-impl Stand {
-    fn new(upstreams: u64) -> Stand {
-        let mut stand = Stand {
-            entry: entry(1, 7),
-            now: Time(1_000_000),
-            next: 0,
-        };
-        stand.tell(streams(""));
-        for link in 1..=upstreams {
-            stand.join(link, link, 1);
-        }
-        stand
-    }
-
-    fn tell(&mut self, input: Input) -> Vec<Output> {
-        self.now = self.now + Span::from_millis(1);
-        self.entry.handle(self.now, input)
-    }
-
-    fn join(&mut self, link: Link, name: u64, start: u64) {
-        let place = Place {
-            start: Some(Incarnation(start)),
-            ..Place::default()
-        };
-        self.tell(Input::Join(link, Box::new(member(name, place, 8))));
-    }
-
-    fn ask(&mut self) -> Vec<Output> {
-        self.next += 1;
-        let call = routed(format!("r{}", self.next), "/drafts/1");
-        self.tell(ask(RequestId::new(1, self.next), None, call))
-    }
-
-    /// Asks until the upstream at a link is chosen.
-    fn reach(&mut self, link: Link) -> Run {
-        let mut runs = (0..100).filter_map(|_| start(&self.ask()));
-        let found = runs.find(|(at, _)| *at == link);
-        found.expect("each upstream gets work").1
-    }
-
-    /// Returns the links to which the next requests go.
-    fn reached(&mut self) -> Vec<Link> {
-        let starts = (0..60).filter_map(|_| start(&self.ask()));
-        let mut reached: Vec<Link> = starts.map(|(link, _)| link).collect();
-        reached.sort_unstable();
-        reached.dedup();
-        reached
-    }
-}
-
-fn start(outputs: &[Output]) -> Option<(Link, Run)> {
-    outputs.iter().find_map(|output| match output {
-        Output::Send(link, Frame::Start(start)) => Some((*link, start.run)),
-        _ => None,
-    })
-}
-
-fn refused(outputs: &[Output]) -> Option<&Failure> {
-    outputs.iter().find_map(|output| match output {
-        Output::Answer(_, Part::Fail(failure)) => Some(failure),
-        _ => None,
-    })
-}
-
 /// Each row: what an upstream answers when it says that it leaves.
 #[test_case(&[head_with(200, LEAVES, None)]; "a good answer")]
 #[test_case(&[head_with(500, LEAVES, None)]; "an error")]
--- a/crates/daemon/tests/hosted/words_of_upstreams.rs
+++ b/crates/daemon/tests/hosted/words_of_upstreams.rs
@@ -89,3 +89,41 @@
         assert!(stand.reaching(0, 40).await > 5, "it gets its part again");
     });
 }
+
+#[test]
+fn an_upstream_that_asks_for_rest_gets_it() {
+    task::block_on(async {
+        let stand = Stand::start().await;
+        stand.runners[0].say("retry-after: 2\r\n");
+        until_asked(&stand, 0, "/once/full").await;
+        let rested = Instant::now();
+        // What turned it away is passed over for less than this.
+        task::sleep(Duration::from_millis(1_000)).await;
+        let mut got = 0;
+        while rested.elapsed() < Duration::from_millis(1_800) {
+            got += stand.reaching(0, 1).await;
+        }
+        assert_eq!(got, 0);
+        task::sleep(Duration::from_millis(400)).await;
+        assert!(stand.reaching(0, 12).await > 0, "it is asked again");
+    });
+}
+
+#[test]
+fn where_all_rest_callers_are_told_when_to_come_back() {
+    task::block_on(async {
+        let stand = Stand::start().await;
+        for runner in &stand.runners {
+            runner.say("retry-after: 3\r\n");
+        }
+        // The first is turned away by both.
+        stand.call("/once/full").await;
+        let began = Instant::now();
+        let answer = stand.call("/once/body").await;
+        assert_eq!(status(&answer), 503, "{answer}");
+        assert!(began.elapsed() < Duration::from_millis(500));
+        let after = store::header(&answer, "retry-after").and_then(|v| v.parse::<f64>().ok());
+        let after = after.expect("a time to come back");
+        assert!((2.0..=3.0).contains(&after), "{answer}");
+    });
+}
