--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -139,14 +139,7 @@
     println!();
     table(&["INSTANCE", "ROLE", "HALL", "ADDRESS", "LEAVING"], &lines);
     let columns = [
-        "upstream",
-        "pool",
-        "hall",
-        "running",
-        "slots",
-        "queued",
-        "leaving",
-        "gets_work",
+        "upstream", "pool", "hall", "running", "slots", "queued", "work",
     ];
     let lines: Vec<Vec<String>> = rows(&answer["upstreams"])
         .iter()
@@ -154,14 +147,7 @@
         .collect();
     println!();
     let titles = [
-        "UPSTREAM",
-        "POOL",
-        "HALL",
-        "RUNNING",
-        "SLOTS",
-        "QUEUED",
-        "LEAVING",
-        "GETS WORK",
+        "UPSTREAM", "POOL", "HALL", "RUNNING", "SLOTS", "QUEUED", "WORK",
     ];
     table(&titles, &lines);
     let columns = ["rollout", "to", "intent"];
--- a/crates/core/src/pick/mod.rs
+++ b/crates/core/src/pick/mod.rs
@@ -23,10 +23,12 @@
 mod peer;
 mod relief;
 mod warm;
+mod work;
 
 pub use peer::{behind, Peer};
 pub(crate) use peer::{CROSSING, KEPT};
 pub use relief::Relief;
+pub use work::Work;
 
 use crate::halls::Halls;
 use crate::id::{Hall, Incarnation, PoolId, UpstreamId, VersionId};
--- /dev/null
+++ b/crates/core/tests/work.rs
@@ -0,0 +1,32 @@
+//! What people are told of the work that an upstream gets.
+
+mod common;
+
+use common::stand::Stand;
+use sorreldeck::entry::{Input, Reply};
+use sorreldeck::notice::Notice;
+use sorreldeck::{Failure, Rate, Reason, Span};
+use test_case::test_case;
+
+fn says(notice: Notice) -> Vec<Reply> {
+    vec![Reply::Notice(notice)]
+}
+
+fn fails() -> Vec<Reply> {
+    vec![Reply::Fail(Failure::not_run(Reason::LinkLost, "refused"))]
+}
+
+#[test_case(Vec::new(), "all")]
+#[test_case(says(Notice { leaving: true, ..Notice::default() }), "none: leaving")]
+#[test_case(says(Notice { rest: Some(Span::from_millis(3_000)), ..Notice::default() }), "none: rests for 3000ms")]
+#[test_case(says(Notice { limit: Some(Rate::from_per_second(0.5)), ..Notice::default() }), "part of 0.50/s, next in 1500ms")]
+#[test_case(fails(), "passed over for 250ms")]
+fn it_says_why_and_for_how_long(replies: Vec<Reply>, expected: &str) {
+    let mut stand = Stand::new(2);
+    let run = stand.reach(2);
+    for reply in replies {
+        stand.tell(Input::Reply(2, run, reply));
+    }
+    let work = stand.entry.peers().work(2, stand.now).unwrap();
+    assert_eq!(work.to_string(), expected);
+}
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -503,6 +503,7 @@
 
 fn status_of(room: &mut Room, operator: &Operator) -> Value {
     let tree = room.entry.tree().clone();
+    let now = room.clock.now();
     let upstreams: Vec<Value> = room
         .entry
         .peers()
@@ -516,6 +517,7 @@
                 "pool": pool,
                 "hall": peer.place.hall,
                 "gets_work": room.entry.peers().gets_work(link),
+                "work": room.entry.peers().work(link, now).map(|work| work.to_string()),
                 "running": peer.load.running,
                 "slots": peer.load.slots,
                 "queued": peer.load.queued,
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -796,6 +796,9 @@
         gauges.held_back.set(self.entry.held_back(now) as i64);
         let peers = self.entry.peers();
         gauges.cold.set(peers.cold(now) as i64);
+        gauges.leaving.set(peers.leaving() as i64);
+        gauges.resting.set(peers.resting(now) as i64);
+        gauges.limited.set(peers.limited() as i64);
         let evacuated = peers.standing().evacuated();
         gauges.evacuated.set(evacuated.len() as i64);
         gauges.links.set(self.upstreams.len() as i64);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -71,6 +71,12 @@
     pub held_back: Gauge,
     /// The upstreams that count as cold, and get little.
     pub cold: Gauge,
+    /// The upstreams that said that they leave.
+    pub leaving: Gauge,
+    /// The upstreams that asked this entry for rest.
+    pub resting: Gauge,
+    /// The upstreams that take only so many requests a second from all entries.
+    pub limited: Gauge,
     /// The data halls that get no work.
     pub evacuated: Gauge,
     /// The bill records that are not known to be in the platform's store.
@@ -156,6 +162,21 @@
             "Upstreams that count as cold, and get little",
             self.cold.clone(),
         );
+        registry.register(
+            "leaving",
+            "Upstreams that said that they leave, and get nothing",
+            self.leaving.clone(),
+        );
+        registry.register(
+            "resting",
+            "Upstreams that asked this entry for rest, and get nothing until its end",
+            self.resting.clone(),
+        );
+        registry.register(
+            "limited",
+            "Upstreams that named the rate they take from all entries",
+            self.limited.clone(),
+        );
         registry.register(
             "evacuated",
             "Data halls that get no work",
