Take in the load that a refusal tells

Found on looking for the same cause elsewhere: an upstream that turns a request away tells in that answer what runs and waits there; it was read and dropped, so a full upstream went on looking as it had with its last good answer. Test first red (load of before), now the load of the refusal.

--- a/crates/core/src/entry/routed/mod.rs
+++ b/crates/core/src/entry/routed/mod.rs
@@ -148,8 +148,9 @@
 pub enum Reply {
     /// The answer begins.
     Head(Head),
-    /// An answer that is not given says this of its upstream.
-    Notice(Notice),
+    /// An answer that is not given says this of its upstream: of itself, and what runs and waits
+    /// there and how much it runs at a time.
+    Notice(Notice, Option<(u32, u32, u32)>),
     /// Bytes of the answer; of a stream, whole events.
     Data {
         /// The bytes.
--- a/crates/core/src/entry/routed/reply.rs
+++ b/crates/core/src/entry/routed/reply.rs
@@ -39,7 +39,12 @@
                 self.peers.hear(link, head.notice, asked, now);
                 self.routed_head(now, link, run, head, out);
             }
-            Reply::Notice(notice) => self.peers.hear(link, notice, Time::default(), now),
+            Reply::Notice(notice, load) => {
+                if let Some(load) = load {
+                    self.report_direct(link, load, now);
+                }
+                self.peers.hear(link, notice, Time::default(), now);
+            }
             Reply::Data { data, last } => self.routed_data(run, data, last, out),
             Reply::End => self.routed_end(now, link, run, out),
             Reply::Fail(failure) => self.routed_fail(now, link, run, failure, out),
--- a/crates/core/tests/leaving_in_answers.rs
+++ b/crates/core/tests/leaving_in_answers.rs
@@ -52,9 +52,9 @@
 #[test_case(&[head_with(200, LEAVES, None)]; "a good answer")]
 #[test_case(&[head_with(500, LEAVES, None)]; "an error")]
 #[test_case(&[head_with(504, LEAVES, None)]; "out of time")]
-#[test_case(&[Reply::Notice(LEAVES), Reply::Fail(Failure::not_run(Reason::Overloaded, "503"))]; "a refusal")]
-#[test_case(&[Reply::Notice(LEAVES), Reply::Fail(Failure::new(Reason::ForeignAnswer, Verdict::MayHaveRun, "foreign"))]; "an answer that is not given")]
-#[test_case(&[head(200), Reply::Notice(LEAVES)]; "a word that comes late")]
+#[test_case(&[Reply::Notice(LEAVES, None), Reply::Fail(Failure::not_run(Reason::Overloaded, "503"))]; "a refusal")]
+#[test_case(&[Reply::Notice(LEAVES, None), Reply::Fail(Failure::new(Reason::ForeignAnswer, Verdict::MayHaveRun, "foreign"))]; "an answer that is not given")]
+#[test_case(&[head(200), Reply::Notice(LEAVES, None)]; "a word that comes late")]
 fn a_word_counts_in_whatever_is_answered(replies: &[Reply]) {
     for caller_left in [false, true] {
         let mut stand = Stand::new(3);
@@ -77,7 +77,7 @@
     let run = stand.reach(2);
     let mut words = Vec::new();
     for _ in 0..2 {
-        let outputs = stand.tell(Input::Reply(2, run, Reply::Notice(LEAVES)));
+        let outputs = stand.tell(Input::Reply(2, run, Reply::Notice(LEAVES, None)));
         words.extend(outputs.into_iter().filter_map(|output| match output {
             Output::Notice(word) => Some(word),
             _ => None,
@@ -98,7 +98,7 @@
 fn a_row_does_not_undo_the_word() {
     let mut stand = Stand::new(3);
     let run = stand.reach(2);
-    stand.tell(Input::Reply(2, run, Reply::Notice(LEAVES)));
+    stand.tell(Input::Reply(2, run, Reply::Notice(LEAVES, None)));
     stand.tell(Input::Retire(2));
     stand.join(12, 2, 1);
     assert_eq!(stand.reached(), [1, 3]);
@@ -108,7 +108,7 @@
 fn another_start_under_the_name_knows_nothing_of_the_word() {
     let mut stand = Stand::new(3);
     let run = stand.reach(2);
-    stand.tell(Input::Reply(2, run, Reply::Notice(LEAVES)));
+    stand.tell(Input::Reply(2, run, Reply::Notice(LEAVES, None)));
     stand.tell(Input::Retire(2));
     stand.join(12, 2, 2);
     assert_eq!(stand.reached(), [1, 3, 12]);
@@ -119,7 +119,7 @@
 fn what_runs_there_goes_on() {
     let mut stand = Stand::new(2);
     let run = stand.reach(2);
-    stand.tell(Input::Reply(2, run, Reply::Notice(LEAVES)));
+    stand.tell(Input::Reply(2, run, Reply::Notice(LEAVES, None)));
     stand.tell(Input::Reply(2, run, head(200)));
     let data = Reply::Data {
         data: b"id:1\n\n".to_vec(),
@@ -137,7 +137,7 @@
     let mut stand = Stand::new(2);
     for link in [1, 2] {
         let run = stand.reach(link);
-        stand.tell(Input::Reply(link, run, Reply::Notice(LEAVES)));
+        stand.tell(Input::Reply(link, run, Reply::Notice(LEAVES, None)));
     }
     let outputs = stand.ask();
     let failure = refused(&outputs).expect("a refusal");
--- a/crates/core/tests/rest_asked_for.rs
+++ b/crates/core/tests/rest_asked_for.rs
@@ -70,7 +70,7 @@
             rest: Some(Span::from_millis(rest)),
             ..Notice::default()
         };
-        self.tell(Input::Reply(link, run, Reply::Notice(notice)));
+        self.tell(Input::Reply(link, run, Reply::Notice(notice, None)));
         let failure = Failure::not_run(Reason::Overloaded, "refused with 503");
         self.tell(Input::Reply(link, run, Reply::Fail(failure)));
     }
@@ -144,3 +144,14 @@
     stand.wait(after);
     assert_eq!(start(&stand.ask()).map(|(link, _)| link), Some(2));
 }
+
+/// What an upstream tells of its load while it turns a request away is the newest that is known.
+#[test]
+fn the_load_that_a_refusal_tells_counts() {
+    let mut stand = Stand::new(1);
+    let run = stand.reach(1);
+    let full = Reply::Notice(Notice::default(), Some((8, 5, 8)));
+    stand.tell(Input::Reply(1, run, full));
+    let load = stand.entry.peers().get(1).unwrap().load;
+    assert_eq!((load.running, load.queued, load.slots), (8, 5, 8));
+}
--- a/crates/core/tests/work.rs
+++ b/crates/core/tests/work.rs
@@ -9,7 +9,7 @@
 use test_case::test_case;
 
 fn says(notice: Notice) -> Vec<Reply> {
-    vec![Reply::Notice(notice)]
+    vec![Reply::Notice(notice, None)]
 }
 
 fn fails() -> Vec<Reply> {
--- a/crates/daemon/src/hosted/run.rs
+++ b/crates/daemon/src/hosted/run.rs
@@ -213,7 +213,7 @@
         let is_given = !is_foreign && !told.not_run && (status >= 300 || told.receipt);
         if let Some(notice) = told.notice.filter(|_| !is_given) {
             // What the upstream says of itself holds whatever becomes of the request.
-            self.say(Reply::Notice(notice)).await;
+            self.say(Reply::Notice(notice, told.load)).await;
         }
         if is_foreign {
             let message = "the answer belongs to another request";
--- a/crates/emulator/src/notice/world.rs
+++ b/crates/emulator/src/notice/world.rs
@@ -312,7 +312,7 @@
         let refused = Failure::not_run(Reason::Overloaded, "refused with 503");
         self.at(
             arrives,
-            Event::Reply(entry, link, run, Reply::Notice(notice)),
+            Event::Reply(entry, link, run, Reply::Notice(notice, None)),
         );
         self.at(
             arrives,
@@ -326,7 +326,7 @@
         }
         let notice = match &reply {
             Reply::Head(head) => Some(head.notice),
-            Reply::Notice(notice) => Some(*notice),
+            Reply::Notice(notice, _) => Some(*notice),
             _ => None,
         };
         if let Some(notice) = notice {
