--- a/crates/bench/src/crash.rs
+++ b/crates/bench/src/crash.rs
@@ -1,6 +1,6 @@
 //! What requests that crash upstreams cost, and how soon all entries know them.
 
-use crate::stats::{print_last, round};
+use crate::stats::{print_last, Spread};
 use bpaf::Bpaf;
 use eyre::Result;
 use serde::Serialize;
@@ -45,14 +45,6 @@
     pub json: bool,
 }
 
-/// The least, the median and the most over all days.
-#[derive(Clone, Copy, Debug, Serialize)]
-struct Spread {
-    min: f64,
-    median: f64,
-    max: f64,
-}
-
 #[derive(Debug, Serialize)]
 struct Summary {
     upstreams_lost: Spread,
@@ -119,7 +111,7 @@
 }
 
 fn summary(options: &Options, tallies: &[Tally]) -> Summary {
-    let over = |what: &dyn Fn(&Tally) -> f64| spread(tallies.iter().map(what).collect());
+    let over = |what: &dyn Fn(&Tally) -> f64| Spread::of(tallies.iter().map(what).collect());
     let late_sends = over(&|t| t.late() as f64);
     Summary {
         upstreams_lost: over(&|t| t.crashes as f64),
@@ -136,16 +128,6 @@
     }
 }
 
-fn spread(mut values: Vec<f64>) -> Spread {
-    values.sort_by(f64::total_cmp);
-    let at = |place: usize| values.get(place).copied().map_or(0.0, round);
-    Spread {
-        min: at(0),
-        median: at(values.len() / 2),
-        max: at(values.len().saturating_sub(1)),
-    }
-}
-
 fn print_table(summary: &Summary) {
     println!("{:<24}{:>9}{:>9}{:>9}", "", "min", "median", "max");
     for (name, spread) in [
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod limits;
 mod load;
+mod notice;
 mod overload;
 mod path;
 mod plan;
@@ -47,6 +48,9 @@
     /// Send requests that crash whatever upstream runs them
     #[bpaf(command)]
     Crash(#[bpaf(external(crash::options))] crash::Options),
+    /// Have upstreams leave, ask for rest and name the rate that they take
+    #[bpaf(command)]
+    Notice(#[bpaf(external(notice::options))] notice::Options),
     /// Hit real processes with faults under load and check the promises
     #[bpaf(command)]
     Faults(#[bpaf(external(faults::options))] faults::Options),
@@ -72,6 +76,7 @@
         Options::Cascade(options) => run(cascade::run(options))?,
         Options::Spread(options) => run(spread::run(options))?,
         Options::Crash(options) => crash::run(&options)?,
+        Options::Notice(options) => notice::run(&options)?,
         Options::Faults(options) => run(faults::run(options))?,
         Options::StandIns(options) => run(stand::run(options))?,
         Options::Daemon(options) => {
--- /dev/null
+++ b/crates/bench/src/notice.rs
@@ -0,0 +1,187 @@
+//! What upstreams get that leave, want rest or name a rate, and what that costs callers.
+
+use crate::stats::{print_last, Spread};
+use bpaf::Bpaf;
+use eyre::Result;
+use serde::Serialize;
+use sorreldeck::{Rate, Span};
+use sorreldeck_emulator::notice::{Day, Limited, Says, Tally, Trouble, World};
+
+/// How long an entry may send requests after it was told that an upstream leaves.
+const LEAVES_WITHIN: Span = Span::from_millis(2_000);
+/// The most requests of one entry while an upstream rests.
+const WHILE_RESTING: usize = 2;
+
+/// The parameters of the experiment.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Options {
+    /// The seed of the first day
+    #[bpaf(long, argument("N"), fallback(1))]
+    pub seed: u64,
+    /// How many days are played, each with the next seed
+    #[bpaf(long, argument("N"), fallback(10), display_fallback)]
+    pub days: u64,
+    /// The entries
+    #[bpaf(long, argument("N"), fallback(3), display_fallback)]
+    pub entries: usize,
+    /// The upstreams of the pool
+    #[bpaf(long, argument("N"), fallback(18), display_fallback)]
+    pub upstreams: usize,
+    /// How many of them speak of themselves
+    #[bpaf(long, argument("N"), fallback(3), display_fallback)]
+    pub speaking: usize,
+    /// The requests a second that they take, from all entries
+    #[bpaf(long, argument("X"), fallback(1.9), display_fallback)]
+    pub rate: f64,
+    /// The seconds of rest that they ask for
+    #[bpaf(long, argument("S"), fallback(3.0), display_fallback)]
+    pub rest: f64,
+    /// The requests in a second
+    #[bpaf(long, argument("X"), fallback(100.0), display_fallback)]
+    pub asked: f64,
+    /// Whether entries hear nothing of one another
+    #[bpaf(long)]
+    pub deaf: bool,
+    /// Print nothing but the last line
+    #[bpaf(long)]
+    pub json: bool,
+}
+
+#[derive(Debug, Serialize)]
+struct Summary {
+    /// Of days on which some leave.
+    latest_after_leaving_s: Spread,
+    served_while_leaving: Spread,
+    /// Of days on which some want rest.
+    most_while_resting: Spread,
+    turned_away: Spread,
+    served_while_resting: Spread,
+    /// Of days on which some name a rate.
+    over_the_rate: Spread,
+    used_of_the_rate: Spread,
+    after_the_rate_per_s: Spread,
+    served_while_limited: Spread,
+    days: u64,
+    seed: u64,
+    pass: bool,
+}
+
+/// The days of one seed.
+struct Three {
+    leaving: Tally,
+    resting: Tally,
+    limited: Tally,
+}
+
+/// Runs the experiment; returns whether its invariants held.
+///
+/// # Errors
+///
+/// Fails when no day is asked for.
+pub fn run(options: &Options) -> Result<bool> {
+    eyre::ensure!(options.days > 0, "--days must be above 0");
+    let mut days = Vec::new();
+    for seed in options.seed..options.seed + options.days {
+        let three = play(options, seed);
+        if !options.json {
+            eprintln!("seed {seed}: {}", line(&three));
+        }
+        days.push(three);
+    }
+    let summary = summary(options, &days);
+    if !options.json {
+        print_table(&summary);
+    }
+    print_last(&summary);
+    Ok(summary.pass)
+}
+
+fn play(options: &Options, seed: u64) -> Three {
+    let rest = Span::from_secs_f64(options.rest);
+    let limit = Rate::from_per_second(options.rate);
+    let play = |says| World::new(day(options, says), seed).play();
+    Three {
+        leaving: play(Says::Leaving),
+        resting: play(Says::Rest(rest)),
+        limited: play(Says::Limit(limit)),
+    }
+}
+
+fn day(options: &Options, says: Says) -> Day {
+    let trouble = Trouble {
+        at: Span::from_millis(5_000),
+        lasts: Span::from_millis(15_000),
+        upstreams: options.speaking,
+        says,
+    };
+    Day {
+        entries: options.entries,
+        upstreams: options.upstreams,
+        asked: options.asked,
+        troubles: vec![trouble],
+        is_deaf: options.deaf,
+        ..Day::default()
+    }
+}
+
+fn line(three: &Three) -> String {
+    format!(
+        "latest {} after leaving, {} while resting, {:.1} over the rate",
+        three.leaving.latest,
+        three.resting.while_resting,
+        three.limited.excess()
+    )
+}
+
+fn summary(options: &Options, days: &[Three]) -> Summary {
+    let over = |what: &dyn Fn(&Three) -> f64| Spread::of(days.iter().map(what).collect());
+    let latest = over(&|d| d.leaving.latest.secs_f64());
+    let most = over(&|d| d.resting.while_resting as f64);
+    let excess = over(&|d| d.limited.excess());
+    let pass = latest.max <= LEAVES_WITHIN.secs_f64()
+        && most.max <= WHILE_RESTING as f64
+        && excess.max <= 0.0;
+    Summary {
+        latest_after_leaving_s: latest,
+        served_while_leaving: over(&|d| d.leaving.served()),
+        most_while_resting: most,
+        turned_away: over(&|d| d.resting.turned_away as f64),
+        served_while_resting: over(&|d| d.resting.served()),
+        over_the_rate: excess,
+        used_of_the_rate: over(&|d| d.limited.used()),
+        after_the_rate_per_s: over(&|d| after(&d.limited)),
+        served_while_limited: over(&|d| d.limited.served()),
+        days: options.days,
+        seed: options.seed,
+        pass,
+    }
+}
+
+/// Returns how many requests a second an upstream gets some seconds after it has stopped naming
+/// a rate: the least of all that did.
+fn after(tally: &Tally) -> f64 {
+    let (from, to) = (Span::from_millis(3_000), Span::from_millis(8_000));
+    let rates = tally.limited.values().map(|l: &Limited| l.after(from, to));
+    rates.reduce(f64::min).unwrap_or(0.0)
+}
+
+fn print_table(summary: &Summary) {
+    println!("{:<28}{:>9}{:>9}{:>9}", "", "min", "median", "max");
+    for (name, spread) in [
+        ("latest after leaving, s", summary.latest_after_leaving_s),
+        ("served while some leave", summary.served_while_leaving),
+        ("most while resting", summary.most_while_resting),
+        ("turned away", summary.turned_away),
+        ("served while some rest", summary.served_while_resting),
+        ("over the rate in 4 s", summary.over_the_rate),
+        ("used of the rate", summary.used_of_the_rate),
+        ("a second after the rate", summary.after_the_rate_per_s),
+        (
+            "served while some are limited",
+            summary.served_while_limited,
+        ),
+    ] {
+        let Spread { min, median, max } = spread;
+        println!("{name:<30}{min:>9}{median:>9}{max:>9}");
+    }
+}
