Go and ask an upstream whose named rate nobody has confirmed for a while

Callers of installations with hundreds of entries: an upstream that takes everything again got nothing for some 5 s at the median. Cause: each of 302 entries has a request for one of 160 upstreams once in 50 s, so none of those that may send did. Now the few that keep a pace send their next request there once the rate is 6 s old.

--- a/crates/core/src/notice/board.rs
+++ b/crates/core/src/notice/board.rs
@@ -141,6 +141,13 @@
         paced.max(known.rests_until)
     }
 
+    /// Returns whether the next request is to go to an upstream, wherever else it would go, since
+    /// the rate that it named may not hold any more.
+    pub fn wants_trial(&self, upstream: u64, now: Time) -> bool {
+        let limit = self.known.get(&upstream).and_then(|known| known.limit);
+        limit.is_some_and(|limit| limit.wants_trial(now))
+    }
+
     /// Returns the rate that an upstream takes from all entries, if it names one, and when it, or
     /// another entry, said so last.
     pub fn limit(&self, upstream: u64) -> Option<(Rate, Time)> {
--- a/crates/core/src/notice/limit.rs
+++ b/crates/core/src/notice/limit.rs
@@ -14,6 +14,10 @@
 /// the upstream takes more again, and together they use what the few are not asked for.
 const OF_PACED: f64 = 0.6;
 const OF_OTHERS: f64 = 0.3;
+/// How long a rate may go unconfirmed before an entry that keeps a pace goes and asks: where many
+/// entries share an upstream each has a request for it once a minute, and that it names no rate any
+/// more would show as late.
+const UNCONFIRMED: Span = Span::from_millis(6_000);
 /// By which part of the rate a new one must differ to be told to other entries.
 const DIFFERS: f64 = 0.25;
 
@@ -113,6 +117,12 @@
         Time(self.due.0.saturating_sub(burst.micros()))
     }
 
+    /// Returns whether the next request is to go there, wherever else it would go.
+    pub fn wants_trial(&self, now: Time) -> bool {
+        let unconfirmed = now.since(self.heard) >= UNCONFIRMED;
+        unconfirmed && matches!(self.part, Part::Paced(_)) && now >= self.opens()
+    }
+
     /// Notes a request sent.
     pub fn sent(&mut self, now: Time) {
         self.due = self.due.max(now) + self.part.pause();
--- a/crates/core/src/pick/mod.rs
+++ b/crates/core/src/pick/mod.rs
@@ -388,6 +388,10 @@
         if usable.is_empty() {
             return None;
         }
+        let wants_trial = |l: &Link| self.notices.wants_trial(self.peers[l].number(), now);
+        if let Some(link) = usable.iter().copied().find(wants_trial) {
+            usable = vec![link];
+        }
         let home = self.home(&usable, wish);
         let start = (draw * usable.len() as f64) as usize % usable.len();
         let link = match policy {
