Keep to the rest that engines behind sidecars ask for

Callers of the own interface: an engine that turns requests away with 503 (or 429) and a time of rest got the next one at once, from each entry; its sidecar dropped the time. Now the sidecar sends its engine nothing until the end of the rest and refuses at once what waits, entries send such a sidecar nothing, and where all rest callers are told when the first takes requests again. Both interfaces read the header in one place. A sidecar that links anew is believed anew: it says itself what still holds.

--- a/crates/core/src/entry/answer.rs
+++ b/crates/core/src/entry/answer.rs
@@ -3,6 +3,7 @@
 use super::flight::{Flight, Goal, Whole};
 use super::*;
 use crate::header;
+use crate::notice::Notice;
 use crate::pick::Place;
 use crate::release::LIFE;
 use crate::wire::{Confidence, Header, Usage, Welcome};
@@ -25,6 +26,7 @@
             } => {
                 self.peers.report(link, load, now);
                 self.peers.answers(link, now);
+                self.note_rest(link, header::rest_in(status, &headers), now);
                 self.head(now, run, status, headers, out);
             }
             Frame::Data { run, seq, data } => self.data(now, run, seq, data, out),
@@ -47,6 +49,10 @@
                 load,
             } => {
                 self.report(now, link, run, load, record);
+                let is_its_own = failure.reason == Reason::UpstreamFailed;
+                if is_its_own && failure.verdict == Verdict::NotRun {
+                    self.note_rest(link, failure.retry_after, now);
+                }
                 self.failed(now, run, failure, out);
             }
             Frame::Load(load) => self.peers.report(link, load, now),
@@ -93,6 +99,8 @@
             ..Place::default()
         };
         self.peers.settle(link, place);
+        // Its sidecar knows what still holds, and says it with the next refusal.
+        self.peers.forget_notices(link);
         self.peers.joined(link, now);
         self.peers.report(link, welcome.load, now);
         self.compare(link, welcome.revision, out);
@@ -127,6 +135,15 @@
         }
     }
 
+    /// Notes that an upstream behind a sidecar wants no requests for this long.
+    fn note_rest(&mut self, link: Link, rest: Option<Span>, now: Time) {
+        let notice = Notice {
+            rest,
+            ..Notice::default()
+        };
+        self.peers.hear(link, notice, Time::default(), now);
+    }
+
     /// Notes that the run under way is no longer at its upstream.
     pub(super) fn landed(&mut self, request: RequestId) {
         self.end_reading(request);
--- a/crates/core/src/header.rs
+++ b/crates/core/src/header.rs
@@ -1,9 +1,16 @@
 //! The names of the headers that callers and upstreams see.
 //!
 //! ```
-//! assert_eq!(sorreldeck::header::SESSION, "x-sorreldeck-session");
+//! use sorreldeck::{header, Span};
+//!
+//! assert_eq!(header::SESSION, "x-sorreldeck-session");
+//! assert_eq!(header::rest("1.5"), Some(Span::from_millis(1_500)));
+//! assert_eq!(header::rest("Fri, 31 Dec 1999 23:59:59 GMT"), None);
 //! ```
 
+use crate::unit::Span;
+use crate::wire::Header;
+
 /// The session token: sent by the caller to stay on a version, and given back
 /// with every answer of a model.
 pub const SESSION: &str = "x-sorreldeck-session";
@@ -29,3 +36,27 @@
 pub const RUN: &str = "x-request-id";
 /// The priority of a run as an engine sees it; lower goes first.
 pub const PRIORITY: &str = "x-priority";
+/// For how long whoever turns a request away wants no other, in seconds.
+pub const REST: &str = "retry-after";
+
+/// The statuses with which an upstream turns a request away for now.
+const TURNED_AWAY: [u16; 2] = [429, 503];
+
+/// The longest rest that is kept: nothing else would show that an upstream which names a longer
+/// one has changed its mind.
+const LONGEST_REST_S: f64 = 60.0;
+
+/// Reads for how long an upstream wants no requests. What is no number of seconds above 0, such as
+/// a date, counts as not said.
+pub fn rest(value: &str) -> Option<Span> {
+    let seconds: f64 = value.trim().parse().ok()?;
+    (seconds > 0.0).then(|| Span::from_secs_f64(seconds.min(LONGEST_REST_S)))
+}
+
+/// Returns for how long an upstream wants no requests by an answer that turns one away; of two
+/// times the longer counts.
+pub fn rest_in(status: u16, headers: &[Header]) -> Option<Span> {
+    let named = headers.iter().filter(|h| h.name == REST);
+    let longest = named.filter_map(|h| rest(&h.value)).max();
+    longest.filter(|_| TURNED_AWAY.contains(&status))
+}
--- a/crates/core/src/notice/board.rs
+++ b/crates/core/src/notice/board.rs
@@ -99,6 +99,11 @@
         }
     }
 
+    /// Forgets what an upstream has said.
+    pub fn forget(&mut self, upstream: u64) {
+        self.known.remove(&upstream);
+    }
+
     /// Returns what other entries are to be told.
     pub fn words(&mut self) -> Vec<Word> {
         std::mem::take(&mut self.words)
--- a/crates/core/src/pick/heard.rs
+++ b/crates/core/src/pick/heard.rs
@@ -94,6 +94,13 @@
         self.peers.values().filter(leaving).count()
     }
 
+    /// Forgets what the upstream at a link has said, since it may be another start of it.
+    pub fn forget_notices(&mut self, link: Link) {
+        if let Some(number) = self.get(link).map(Peer::number) {
+            self.notices.forget(number);
+        }
+    }
+
     /// Returns what other entries are to be told of upstreams.
     pub fn words(&mut self) -> Vec<Word> {
         self.notices.words()
--- a/crates/core/src/sidecar.rs
+++ b/crates/core/src/sidecar.rs
@@ -26,6 +26,7 @@
 use crate::entry::Pool;
 use crate::evidence::Evidence;
 use crate::failure::{Failure, Reason};
+use crate::header;
 use crate::id::*;
 use crate::ledger::Ledger;
 use crate::limit::{Allocator, Demand};
@@ -162,6 +163,8 @@
     pool: Pool,
     /// What entries told of requests under which upstreams crashed.
     told: Told,
+    /// Until when the upstream wants no requests.
+    rests_until: Time,
     leaving: bool,
     service: f64,
     reported: Time,
@@ -205,6 +208,7 @@
             allocator: Allocator::default(),
             pool: Pool::default(),
             told: Told::default(),
+            rests_until: Time::default(),
             leaving: false,
             service: SERVICE_PER_TOKEN,
             reported: Time::default(),
@@ -387,7 +391,7 @@
             // A copy of a frame: the first one is being dealt with.
             return;
         }
-        if let Err(failure) = self.admit(&start) {
+        if let Err(failure) = self.admit(&start).and_then(|()| self.rested(now)) {
             return self.refuse(link, run, failure, out);
         }
         let before = self
@@ -463,6 +467,24 @@
         Ok(())
     }
 
+    /// Checks that the upstream has not asked for rest. Another may take the request at once, so
+    /// it does not wait here.
+    fn rested(&self, now: Time) -> Result<(), Failure> {
+        if now >= self.rests_until {
+            return Ok(());
+        }
+        let left = self.rests_until.since(now);
+        let failure = Failure::not_run(Reason::UpstreamFailed, "the upstream asked for rest");
+        Err(failure.retry_after(left))
+    }
+
+    /// Notes that the upstream turned a request away and wants none for this long.
+    fn note_rest(&mut self, rest: Option<Span>, now: Time) {
+        if let Some(rest) = rest {
+            self.rests_until = self.rests_until.max(now + rest);
+        }
+    }
+
     fn refuse(&mut self, link: Link, run: Run, failure: Failure, out: &mut Outputs) {
         let untouched = !self.runs.contains_key(&run);
         let failure = match self.promises.check(Promise::NotRun, untouched) {
@@ -508,7 +530,7 @@
         let start = waiting.start;
         let run = start.run;
         // The configuration may have changed while the request waited.
-        if let Err(failure) = self.admit_again(&start) {
+        if let Err(failure) = self.admit_again(&start).and_then(|()| self.rested(now)) {
             return self.refuse(waiting.link, run, failure, out);
         }
         let first = self.ledger.start(run);
@@ -570,7 +592,10 @@
 
     fn upstream(&mut self, now: Time, run: Run, event: Event, out: &mut Outputs) {
         match event {
-            Event::Head { status, headers } => self.head(run, status, headers, out),
+            Event::Head { status, headers } => {
+                self.note_rest(header::rest_in(status, &headers), now);
+                self.head(run, status, headers, out);
+            }
             Event::Data(data) => self.data(run, data, out),
             Event::End(usage, confidence) => self.end(now, run, usage, Ok(confidence), out),
             Event::Fail(failure, usage) => self.end(now, run, usage, Err(failure), out),
@@ -635,6 +660,9 @@
             }
             Err(failure) => {
                 self.counters.failed += 1;
+                if failure.verdict == Verdict::NotRun {
+                    self.note_rest(failure.retry_after, now);
+                }
                 Frame::Fail {
                     run,
                     failure,
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -193,7 +193,14 @@
         let message = format!("the engine answered with status {}", incoming.status);
         match incoming.status {
             // These say that the engine took nothing in.
-            429 | 503 => Err(Failure::not_run(Reason::UpstreamFailed, message)),
+            429 | 503 => {
+                let failure = Failure::not_run(Reason::UpstreamFailed, message);
+                let retry_after = header::rest_in(incoming.status, &incoming.headers);
+                Err(Failure {
+                    retry_after,
+                    ..failure
+                })
+            }
             500.. => Err(Failure::new(
                 Reason::UpstreamFailed,
                 Verdict::MayHaveRun,
--- a/crates/daemon/tests/bad_input.rs
+++ b/crates/daemon/tests/bad_input.rs
@@ -7,9 +7,11 @@
 use async_std::net::TcpStream;
 use async_std::task;
 use common::{ask, chat, json_of, start};
-use sorreldeck_emulator::engine::Knobs;
+use sorreldeck_emulator::engine::{Engine, Knobs};
 use sorreldeck_emulator::text;
+use sorreldeck_net::http::find_header;
 use sorreldeckd::standalone::{Sample, KEY};
+use std::time::Duration;
 use test_case::test_case;
 
 /// A node whose limits are small enough to be reached in a test.
@@ -261,3 +263,34 @@
         goes_on(&sample).await;
     });
 }
+
+/// The stories are told in the tests of the decisions, `rest_asked_for` and `rest_behind_sidecars`.
+#[test]
+fn an_engine_that_asks_for_rest_gets_it() {
+    task::block_on(async {
+        let sample = start("").await;
+        let knobs = Knobs {
+            rest: Some(2.0),
+            ..Knobs::default()
+        };
+        set_knobs(&sample, knobs);
+        let away = || sample.engines.iter().map(Engine::turned_away).sum::<u64>();
+        for _ in 0..20 {
+            let reply = ask(&sample, &chat("scribe", "rest"), &[]).await;
+            assert_eq!(json_of(&reply)["error"]["verdict"], "not-run");
+            assert!(
+                reply.status == 502 || reply.status == 503,
+                "{}",
+                reply.text()
+            );
+        }
+        let engines = sample.engines.len() as u64;
+        assert!(away() <= engines, "{} reached {engines} engines", away());
+        let reply = ask(&sample, &chat("scribe", "rest"), &[]).await;
+        let after = find_header(&reply.headers, "retry-after").expect("a time to come back");
+        assert!((1..=2).contains(&after.parse::<u64>().unwrap()), "{after}");
+        set_knobs(&sample, Knobs::default());
+        task::sleep(Duration::from_millis(2_100)).await;
+        goes_on(&sample).await;
+    });
+}
--- a/crates/emulator/src/engine.rs
+++ b/crates/emulator/src/engine.rs
@@ -82,6 +82,8 @@
 pub struct Knobs {
     /// The share of requests that fail with status 500.
     pub fail: f64,
+    /// Requests are turned away, and rest of so many seconds is asked for.
+    pub rest: Option<f64>,
     /// Requests break off after so many tokens.
     pub close_after: Option<u32>,
     /// Answers carry the id of another request.
@@ -116,6 +118,7 @@
     reports: VecDeque<(Instant, Value)>,
     ran: BTreeMap<String, Ran>,
     arrivals: u64,
+    turned_away: u64,
 }
 
 /// What a run came to, by the id that the caller gave it.
@@ -188,6 +191,19 @@
         self.state().versions.insert(version.to_owned());
     }
 
+    /// Counts a request that has come, and returns the seconds of rest for which it is turned away.
+    fn rest(&self) -> Option<f64> {
+        let mut state = self.state();
+        let rest = state.knobs.rest?;
+        state.turned_away += 1;
+        Some(rest)
+    }
+
+    /// Returns how many requests were turned away.
+    pub fn turned_away(&self) -> u64 {
+        self.state().turned_away
+    }
+
     /// Sets the switches for faults.
     pub fn set_knobs(&self, knobs: Knobs) {
         self.state().knobs = knobs;
@@ -455,6 +471,11 @@
     let id = given(header::RUN).unwrap_or_else(|| "none".into());
     let priority = given(header::PRIORITY).and_then(|v| v.parse().ok());
     let resumable = given("x-resumable").is_some();
+    if let Some(rest) = engine.rest() {
+        let mut response = failure(503, "the engine rests");
+        response.insert_header(header::REST, rest.to_string());
+        return Ok(response);
+    }
     let (fails, foreign, loaded) = {
         let state = engine.state();
         let fails = text::unit(&id, 7) < state.knobs.fail;
