--- a/crates/core/tests/random.rs
+++ b/crates/core/tests/random.rs
@@ -111,6 +111,8 @@
     samples: Vec<(usize, Sample)>,
     stored: Vec<Record>,
     victim: Victim,
+    /// Until when the engine of each sidecar wants no requests.
+    rests: BTreeMap<usize, Time>,
     writes: u64,
 }
 
@@ -177,6 +179,7 @@
             samples: Vec::new(),
             stored: Vec::new(),
             victim,
+            rests: BTreeMap::new(),
             writes: 0,
         };
         world.spread();
@@ -332,6 +335,11 @@
     }
 
     fn start(&mut self, sidecar: usize, start: &sorreldeck::wire::Start) {
+        let rests_until = self.rests.get(&sidecar).copied().unwrap_or_default();
+        assert!(
+            self.now >= rests_until,
+            "u{sidecar} is asked while it rests"
+        );
         let request = start.run.request;
         let starts = self.starts.entry(request).or_default();
         *starts += 1;
@@ -526,6 +534,24 @@
         self.tell_sidecar(sidecar, sidecar::Input::Upstream(run, event));
     }
 
+    /// Has an engine turn a run away that has not begun, and ask for rest.
+    fn turn_away(&mut self, nth: usize, rest_ms: u64) {
+        let waiting = self.running.iter().filter(|(_, at)| !at.headed);
+        let waiting: Vec<Run> = waiting.map(|(run, _)| *run).collect();
+        let Some(run) = waiting.get(nth % waiting.len().max(1)).copied() else {
+            return;
+        };
+        let at = self.running.remove(&run).unwrap();
+        let starts = self.starts.get_mut(&run.request);
+        *starts.expect("a run was started") -= 1;
+        let rest = Span::from_millis(rest_ms);
+        let until = self.rests.entry(at.sidecar).or_default();
+        *until = (*until).max(self.now + rest);
+        let failure = Failure::not_run(Reason::UpstreamFailed, "turned away").retry_after(rest);
+        let event = Event::Fail(failure, Usage::default());
+        self.tell_sidecar(at.sidecar, sidecar::Input::Upstream(run, event));
+    }
+
     fn toggle(&mut self, version: &str) {
         let version: VersionId = version.parse().unwrap();
         let key = Key::new(Section::Versions, &version);
@@ -572,6 +598,7 @@
                 self.cut_where(|w| w.sidecar == i);
                 self.running.retain(|_, at| at.sidecar != i);
                 self.sidecars[i] = new_sidecar(i, self.incarnations);
+                self.rests.remove(&i);
                 self.tell_sidecar(i, sidecar::Input::Tree(self.tree.clone()));
             }
             Victim::Entry => {
@@ -606,6 +633,7 @@
             self.incarnations += 1;
             self.cut_where(|w| w.sidecar == i);
             self.sidecars[i] = new_sidecar(i, self.incarnations);
+            self.rests.remove(&i);
             self.tell_sidecar(i, sidecar::Input::Tree(self.tree.clone()));
             self.connect_all();
         }
@@ -640,6 +668,7 @@
             6..=11 => self.deliver(nth, true),
             12..=17 => self.deliver(nth, false),
             18..=23 => self.progress(nth, false),
+            24 if b % 2 == 0 => self.turn_away(nth, u64::from(b) * 10),
             24 => self.progress(nth, true),
             25 => self.tick(nth, u64::from(b)),
             26 => {
