Refuse what is less urgent first where all upstreams take only so much

The rank is the one that engines are told. The words that upstreams say of themselves are among those that the decoders are given at random.

--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -113,6 +113,8 @@
             pool: &flight.pool,
             tokens: flight.prompt_tokens(),
             urgent: flight.site.class == Class::Priority,
+            // Upstreams behind sidecars name no rates.
+            rank: 0,
             chain: flight.chain(),
             shared: None,
             last: flight.session.as_ref().and_then(|s| s.upstream.as_ref()),
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -533,6 +533,8 @@
             pool: &flight.pool,
             tokens: flight.prompt_tokens(),
             urgent: flight.site.class == Class::Priority,
+            // Upstreams behind sidecars name no rates.
+            rank: 0,
             chain: flight.chain(),
             shared: None,
             last: None,
--- a/crates/core/src/entry/routed/send.rs
+++ b/crates/core/src/entry/routed/send.rs
@@ -76,6 +76,7 @@
             pool: &flight.pool,
             tokens: flight.prompt_tokens(),
             urgent: false,
+            rank: flight.rank(),
             chain: flight.chain(),
             shared: flight.shared(),
             last: None,
@@ -157,7 +158,7 @@
             account: flight.site.node.account.is_some().then(|| account.clone()),
             upstream: flight.upstream.clone(),
             model: terms.route.sizes.get(terms.size).cloned(),
-            rank: rank(&flight.site, &terms.route, routed.resumes),
+            rank: flight.rank(),
             last: terms.last,
             stream: terms.route.stream,
             once: flight.once,
@@ -178,21 +179,25 @@
     }
 }
 
-/// Returns the order among waiting requests: that of the client account goes
-/// before that of the route.
-///
-/// What goes on with a stream that broke off goes behind all that is as urgent for
-/// its account: it is late already, and after a loss of power to all entries the
-/// streams of ten seconds come back at once.
-fn rank(site: &Site, route: &Route, resumes: bool) -> u8 {
-    /// The ranks of routes that one rank of an account stands above.
-    const ROUTES: u8 = 3;
-    /// The last rank that engines know.
-    const LAST: u8 = 9;
-    let account = site.node.rank.unwrap_or(0);
-    account
-        .saturating_add(u8::from(resumes))
-        .saturating_mul(ROUTES)
-        .saturating_add(route.rank.min(ROUTES - 1))
-        .min(LAST)
+impl Flight {
+    /// Returns the order among waiting requests: that of the client account goes before that of
+    /// the route.
+    ///
+    /// What goes on with a stream that broke off goes behind all that is as urgent for
+    /// its account: it is late already, and after a loss of power to all entries the
+    /// streams of ten seconds come back at once.
+    fn rank(&self) -> u8 {
+        /// The ranks of routes that one rank of an account stands above.
+        const ROUTES: u8 = 3;
+        /// The last rank that engines know.
+        const LAST: u8 = 9;
+        let account = self.site.node.rank.unwrap_or(0);
+        let resumes = self.routed().is_some_and(|r| r.resumes);
+        let route = self.terms.as_ref().map_or(0, |t| t.route.rank);
+        account
+            .saturating_add(u8::from(resumes))
+            .saturating_mul(ROUTES)
+            .saturating_add(route.min(ROUTES - 1))
+            .min(LAST)
+    }
 }
--- a/crates/core/src/notice/board.rs
+++ b/crates/core/src/notice/board.rs
@@ -153,6 +153,12 @@
         limit.is_some_and(|limit| limit.wants_trial(now))
     }
 
+    /// Returns whether an upstream takes only so many requests a second from all entries.
+    pub fn is_limited(&self, upstream: u64) -> bool {
+        let known = self.known.get(&upstream);
+        known.is_some_and(|known| known.limit.is_some())
+    }
+
     /// Returns the rate that an upstream takes from all entries, if it names one, and when it, or
     /// another entry, said so last.
     pub fn limit(&self, upstream: u64) -> Option<(Rate, Time)> {
--- a/crates/core/src/pick/mod.rs
+++ b/crates/core/src/pick/mod.rs
@@ -13,7 +13,7 @@
 //! let mut peers = Peers::default();
 //! let pool = "assistant".parse()?;
 //! peers.join(1, "u1".parse()?, &pool, Load { slots: 4, ..Load::default() });
-//! let wish = Wish { pool: &pool, tokens: 100, urgent: false, chain: &[], shared: None, last: None, tried: &[], near: Near::default(), rate: None, scope: Scope::Hall };
+//! let wish = Wish { pool: &pool, tokens: 100, urgent: false, rank: 0, chain: &[], shared: None, last: None, tried: &[], near: Near::default(), rate: None, scope: Scope::Hall };
 //! assert_eq!(peers.pick(&wish, Policy::FirstToken, Time(0), 0.5), Some(1));
 //! # Ok::<(), sorreldeck::Error>(())
 //! ```
@@ -44,6 +44,10 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use warm::First;
 
+/// How long an upstream that takes only so much is left to requests of a rank before those of the
+/// next one may go there, where all take only so much.
+const STANDS_BACK: Span = Span::from_millis(200);
+
 /// The number of a link, unique in one run of a process.
 pub type Link = u64;
 
@@ -120,6 +124,8 @@
     pub tokens: u32,
     /// Whether the request may take a place kept for the priority class.
     pub urgent: bool,
+    /// What goes before it where upstreams take only so much: 0 goes first.
+    pub rank: u8,
     /// The beginnings of the prompt that may be cached, the shortest first.
     pub chain: &'a [Prefix],
     /// The longest beginning that other requests share.
@@ -385,13 +391,25 @@
         if usable.iter().any(sound) {
             usable.retain(sound);
         }
-        if usable.is_empty() {
-            return None;
+        if !usable.is_empty()
+            && usable
+                .iter()
+                .all(|l| self.notices.is_limited(self.peers[l].number()))
+        {
+            // What is more urgent has some time to take what they take.
+            let opened = Time(
+                now.0
+                    .saturating_sub(STANDS_BACK.micros() * u64::from(wish.rank)),
+            );
+            usable.retain(|l| self.notices.opens(self.peers[l].number()) <= opened);
         }
         let wants_trial = |l: &Link| self.notices.wants_trial(self.peers[l].number(), now);
         if let Some(link) = usable.iter().copied().find(wants_trial) {
             usable = vec![link];
         }
+        if usable.is_empty() {
+            return None;
+        }
         let home = self.home(&usable, wish);
         let start = (draw * usable.len() as f64) as usize % usable.len();
         let link = match policy {
--- a/crates/core/tests/home.rs
+++ b/crates/core/tests/home.rs
@@ -66,6 +66,7 @@
             pool: &self.pool,
             tokens: 12_000,
             urgent: false,
+            rank: 0,
             chain: &chain,
             shared: Some(shared),
             last: None,
--- a/crates/core/tests/named_rate.rs
+++ b/crates/core/tests/named_rate.rs
@@ -8,7 +8,7 @@
 //! requests in the first, where what answers say is dropped; and an entry to which the
 //! word came wrote a line of it and sent on.
 
-use sorreldeck::{Rate, Span};
+use sorreldeck::{Rate, Span, Time};
 use sorreldeck_emulator::notice::{Day, Says, Tally, Trouble, World};
 use test_case::test_case;
 
@@ -153,3 +153,20 @@
     assert!(!tally.come_back.is_empty());
     assert!(tally.come_back.iter().all(|(_, after)| after.is_some()));
 }
+
+/// Where all upstreams name rates, what is less urgent is refused first.
+#[test_case(3, 18)]
+#[test_case(21, 40)]
+fn what_is_urgent_is_served_first(entries: usize, upstreams: usize) {
+    let day = Day {
+        later: 0.5,
+        ..day(entries, upstreams, upstreams, limit(1.9))
+    };
+    let tally = World::new(day, 11).play();
+    assert_kept(&tally, "ranks");
+    let limited = |at: Time| (Time(0) + FROM..Time(0) + FROM + LASTS).contains(&at);
+    let urgent = tally.served_of(|a| !a.is_later && limited(a.at));
+    let later = tally.served_of(|a| a.is_later && limited(a.at));
+    println!("served {urgent:.2} of what is urgent, {later:.2} of the rest");
+    assert!(urgent > 3.0 * later, "{urgent} and {later}");
+}
--- a/crates/core/tests/reading.rs
+++ b/crates/core/tests/reading.rs
@@ -87,6 +87,7 @@
         pool,
         tokens: 1_000,
         urgent: false,
+        rank: 0,
         chain: &[],
         shared: None,
         last: None,
--- a/crates/daemon/tests/other_writers.rs
+++ b/crates/daemon/tests/other_writers.rs
@@ -144,8 +144,9 @@
         let _ = (release::decode(&bytes, 1), release::decode_state(&bytes), wire::decode(&bytes));
         let text = String::from_utf8_lossy(&bytes).into_owned();
         let _ = Settings::from_json(&text);
-        let names = ["deadline-ms", "token-usage", "prompt-prefix", "session", "connection", "server-load", "confidence"];
+        let names = ["deadline-ms", "token-usage", "prompt-prefix", "session", "connection", "server-load", "confidence",
+            "server-leaving", "server-limit", "retry-after"];
         let headers: Vec<Header> = names.iter().map(|name| Header::new(*name, &text)).collect();
-        let _ = (call::asked(&headers), call::told(200, &headers), call::last_event(&bytes));
+        let _ = (call::asked(&headers), call::told(200, &headers), call::told(503, &headers), call::last_event(&bytes));
     }
 }
--- a/crates/emulator/src/notice/day.rs
+++ b/crates/emulator/src/notice/day.rs
@@ -37,6 +37,8 @@
     pub upstreams: usize,
     /// The requests in a second.
     pub asked: f64,
+    /// The part of them that goes to a route of a lower rank.
+    pub later: f64,
     /// How long the day lasts.
     pub lasts: Span,
     /// What upstreams say.
@@ -56,6 +58,7 @@
             entries: 3,
             upstreams: 18,
             asked: 100.0,
+            later: 0.0,
             lasts: Span::from_millis(30_000),
             troubles: Vec::new(),
             is_deaf: false,
--- a/crates/emulator/src/notice/mod.rs
+++ b/crates/emulator/src/notice/mod.rs
@@ -15,5 +15,5 @@
 mod world;
 
 pub use day::{Day, Says, Trouble};
-pub use tally::{Limited, Tally};
+pub use tally::{Asked, Limited, Tally};
 pub use world::World;
--- a/crates/emulator/src/notice/tally.rs
+++ b/crates/emulator/src/notice/tally.rs
@@ -82,6 +82,17 @@
     }
 }
 
+/// What became of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked {
+    /// When it was asked.
+    pub at: Time,
+    /// Whether it went to the route of a lower rank.
+    pub is_later: bool,
+    /// Whether it was served.
+    pub is_served: bool,
+}
+
 /// What came of a day.
 #[derive(Clone, Debug, Default)]
 pub struct Tally {
@@ -94,8 +105,8 @@
     pub while_resting: usize,
     /// How many requests upstreams turned away.
     pub turned_away: usize,
-    /// When each request was asked and whether it was served.
-    pub asked: Vec<(Time, bool)>,
+    /// What became of each request.
+    pub asked: Vec<Asked>,
     /// When callers that were refused were told to come back, and when they were told so.
     pub come_back: Vec<(Time, Option<Span>)>,
     /// The longest that a request was held before it was refused.
@@ -105,14 +116,13 @@
 impl Tally {
     /// Returns the part of the requests that were served.
     pub fn served(&self) -> f64 {
-        self.served_within(Time(0)..Time(u64::MAX))
+        self.served_of(|_| true)
     }
 
-    /// Returns the part of the requests of a span of time that were served.
-    pub fn served_within(&self, span: Range<Time>) -> f64 {
-        let asked = self.asked.iter().filter(|(at, _)| span.contains(at));
-        let asked: Vec<bool> = asked.map(|(_, is_served)| *is_served).collect();
-        let served = asked.iter().filter(|is_served| **is_served).count();
+    /// Returns the part of some requests that were served.
+    pub fn served_of(&self, among: impl Fn(&Asked) -> bool) -> f64 {
+        let asked: Vec<&Asked> = self.asked.iter().filter(|a| among(a)).collect();
+        let served = asked.iter().filter(|a| a.is_served).count();
         served as f64 / asked.len().max(1) as f64
     }
 
--- a/crates/emulator/src/notice/world.rs
+++ b/crates/emulator/src/notice/world.rs
@@ -1,7 +1,7 @@
 //! Several entries before one pool of upstreams that speak of themselves, with the time passed
 //! by hand.
 
-use super::{Day, Limited, Says, Tally, Trouble};
+use super::{Asked, Day, Limited, Says, Tally, Trouble};
 use crate::routed;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -23,6 +23,20 @@
 const LINKS_MS: std::ops::RangeInclusive<u64> = 20..=150;
 /// How long after it was asked for rest an entry is held to it.
 const RESTS_AFTER: Span = Span::from_millis(500);
+/// What the tree of the streams has besides: the rank of their route, and a route of a lower one.
+const LATER: &str = r#"
+    rank = 0
+    [routes.later]
+    host = "pay.example"
+    prefix = "/later/"
+    pools = { engines = 1 }
+    timeout = "20s"
+    tries = 3
+    public = true
+    repeat = "resume"
+    stream = true
+    rank = 2
+"#;
 /// How many beginnings prompts share, their tokens and those of whole prompts.
 const BEGINNINGS: u64 = 1_000;
 const SHARED: u32 = 1_500;
@@ -62,7 +76,8 @@
     next: u64,
     queue: BinaryHeap<Reverse<(Time, u64)>>,
     events: BTreeMap<u64, Event>,
-    asked: BTreeMap<RequestId, (usize, Time)>,
+    /// What was asked of which entry and has not been answered, as if it were not served.
+    asked: BTreeMap<RequestId, (usize, Asked)>,
     heard: BTreeMap<(usize, Link), Heard>,
     /// What runs at each upstream.
     running: BTreeMap<Link, u32>,
@@ -97,7 +112,7 @@
 
     fn new_entry(&mut self, number: usize) -> Entry {
         let mut entry = routed::entry(number as u64 + 1, self.rng.next_u64());
-        entry.handle(self.now, routed::streams(""));
+        entry.handle(self.now, routed::streams(LATER));
         let names = 1..=self.day.entries + self.day.gone;
         let names = names.map(|n| format!("e{n}").parse().expect("a legal name"));
         let names: Vec<InstanceId> = names.collect();
@@ -198,7 +213,14 @@
         let entry = self.rng.random_range(0..self.entries.len());
         self.next += 1;
         let request = RequestId::new(self.lives[entry], self.next);
-        self.asked.insert(request, (entry, self.now));
+        let is_later = self.rng.random_bool(self.day.later);
+        let asked = Asked {
+            at: self.now,
+            is_later,
+            is_served: false,
+        };
+        self.asked.insert(request, (entry, asked));
+        let path = if is_later { "/later/1" } else { "/drafts/1" };
         let shared = Prefix {
             hash: self.rng.random_range(0..BEGINNINGS),
             tokens: SHARED,
@@ -210,7 +232,7 @@
         let call = Routed {
             tokens: PROMPT,
             chain: vec![shared, own],
-            ..routed::routed(format!("r{}", self.next), "/drafts/1")
+            ..routed::routed(format!("r{}", self.next), path)
         };
         self.tell(entry, routed::ask(request, None, call));
     }
@@ -382,13 +404,13 @@
             Part::Fail(_) => false,
             _ => return,
         };
-        let Some((_, at)) = self.asked.remove(&request) else {
+        let Some((_, asked)) = self.asked.remove(&request) else {
             return;
         };
-        self.tally.asked.push((at, is_served));
+        self.tally.asked.push(Asked { is_served, ..asked });
         if let Part::Fail(failure) = part {
             self.tally.come_back.push((self.now, failure.retry_after));
-            let held = self.now.since(at);
+            let held = self.now.since(asked.at);
             self.tally.longest_refused = self.tally.longest_refused.max(held);
         }
     }
