--- a/crates/core/src/entry/guard.rs
+++ b/crates/core/src/entry/guard.rs
@@ -14,10 +14,8 @@
 const TRIAL: Span = Span::from_millis(1_000);
 
 impl Entry {
-    /// Checks that a request may be sent to an upstream, the first time or once more.
-    ///
-    /// Where nothing was held against requests, one that came five times a second had
-    /// crashed 35 upstreams after 7 s, and 0.28 to 0.57 of all others were served.
+    /// Checks that a request may be sent to an upstream, the first time or once more: one that crashes
+    /// whatever runs it would take the whole pool with it.
     pub(super) fn admit_again(&mut self, now: Time, flight: &Flight) -> Result<(), Failure> {
         let after = match self.quarantine.admits(flight.fingerprint, now) {
             Admission::Free => return Ok(()),
@@ -30,8 +28,7 @@
 
     /// Returns whether a request whose upstream crashed is to be sent to another by this entry. A
     /// suspect is not while another run of it is under way: what comes of that one shows whether
-    /// it was the cause. Without this one entry lost up to 9 upstreams to a request that came
-    /// five times a second, with it 6 (six days of the test `crash`).
+    /// it was the cause, before more upstreams are lost.
     pub(super) fn may_follow(&self, now: Time, request: RequestId) -> bool {
         let Some(flight) = self.flights.get(&request) else {
             return false;
--- a/crates/core/src/entry/routed/learn.rs
+++ b/crates/core/src/entry/routed/learn.rs
@@ -70,8 +70,8 @@
     }
 
     /// Tells the releases of a run that has been waited for so long already that it is slow,
-    /// whenever it begins. Without this a release on trial that hangs holds the evidence
-    /// against it back for as long as is waited; one of 16 was moved to.
+    /// whenever it begins: a release on trial that hangs would hold the evidence against it back
+    /// for as long as is waited.
     pub(super) fn learn_waiting(&mut self, now: Time, request: RequestId) {
         let Some(flight) = self.flights.get(&request).filter(|f| !f.headed) else {
             return;
--- a/crates/core/src/entry/routed/overdue.rs
+++ b/crates/core/src/entry/routed/overdue.rs
@@ -78,9 +78,7 @@
     /// Returns how long a stream that has begun may be silent.
     ///
     /// Another upstream reads the prompt first. Where that alone makes the pause too long,
-    /// an upstream that is only busy is the sooner one, until the pause is too long: a prompt of 25,000 tokens takes a
-    /// second with the largest model, and 20 of 87 late answers of one data hall had been begun anew
-    /// elsewhere after 0.7 s.
+    /// an upstream that is only busy is the sooner one, until the pause is too long.
     fn patience_midway(&self, flight: &Flight, terms: &Terms) -> Span {
         let subject = terms.subject(&flight.pool);
         let anew = self.readings.expect(&subject, terms.outlook.fresh);
--- a/crates/core/src/entry/routed/send.rs
+++ b/crates/core/src/entry/routed/send.rs
@@ -6,9 +6,7 @@
 use crate::wire::Order;
 
 /// The reading from which on other entries are told of it: it reaches them after some
-/// 60 ms, and what is shorter is mostly over by then. Told, 9% of long prompts are late by
-/// half a second, blind 28%: 20 entries, 16 upstreams at 40%, half of it prompts of 0.8 s, five
-/// seeds of the test `load`.
+/// 60 ms, and what is shorter is mostly over by then.
 const TELL_FROM: Span = Span::from_millis(100);
 
 impl Entry {
--- a/crates/core/src/follow/mod.rs
+++ b/crates/core/src/follow/mod.rs
@@ -2,9 +2,7 @@
 //!
 //! In each data hall the entry that ranks first reads the store and hands its tables down;
 //! the one that ranks second has them from it and hands them on as well, and the others hold
-//! links to both. So what changed goes once into each data hall, however many entries are there;
-//! while every entry had a second source in the next data hall, the bytes between halls of 302
-//! entries cost 2.6 times what all their requests were worth.
+//! links to both. So what changed goes once into each data hall, however many entries are there.
 //!
 //! Who ranks first follows from the names of all entries that ever announced themselves, so all
 //! agree on it without talking; that some of them are gone shows when they are asked. An entry
@@ -53,9 +51,8 @@
 /// the store: callers are served 150 ms after a loss of all entries, of which the start
 /// and the reading take 50.
 const START_WAIT: Span = Span::from_millis(100);
-/// How much longer it waits for each entry of its data hall: where a hundred started together and
-/// had waited 0.1 s, all read the store or took all tables from another data hall, 172 MB at 302
-/// entries and 3,001 upstreams, and none was served for 30 s.
+/// How much longer it waits for each entry of its data hall: where a hundred start together, all
+/// would read the store, or take all tables from another data hall.
 const START_WAIT_EACH: Span = Span::from_millis(10);
 /// How long an entry that reads the operator's table for want of a source goes on with
 /// that alone once the store is back: most sources are back within their pause of 0.6 s,
--- a/crates/core/src/pick/peer.rs
+++ b/crates/core/src/pick/peer.rs
@@ -19,18 +19,16 @@
 /// the usual load an engine reads as much as its memory holds in some 15 s.
 pub(crate) const KEPT: Span = Span::from_millis(10_000);
 /// What crossing to another data hall is taken to cost: so much longer may the
-/// wait in the own hall be. Bytes between halls are dear, a prompt of 12 kB
-/// costs about 3% of what its answer is worth.
+/// wait in the own hall be. Bytes between halls are dear.
 pub(crate) const CROSSING: Span = Span::from_millis(60);
 /// What reading a shared prompt token again costs beyond the time it takes, in
-/// microseconds of wait: by the prices of both sites a thousand tokens cost a
-/// quarter of what crossing costs, and the reading holds up what else runs there.
+/// microseconds of wait: it holds up what else runs there.
 const REREAD_US: u64 = 30;
 /// How long an upstream is passed over after its first failure in a row; each
 /// further one doubles it.
 pub(super) const AVOID: Span = Span::from_millis(250);
-/// The same after an error that an upstream of a plain service answers with: 32
-/// entries share 117 requests/s to five of them, so each asks one every 1.4 s.
+/// The same after an error that an upstream of a plain service answers with: many entries share
+/// few of them, so each asks one about that often.
 pub(super) const AVOID_ERRORS: Span = Span::from_millis(1_000);
 /// The most doublings.
 const AVOID_DOUBLINGS: u32 = 4;
@@ -240,9 +238,7 @@
     pub(super) fn first_token(&self, wish: &Wish, is_home: bool, now: Time) -> u64 {
         let fresh = u64::from(self.fresh(wish, is_home, now));
         // Who leaves the home of its beginning has that read again beside the prompts of others:
-        // counting what others sent there doubled such reading, 16.8 to 31.5 million tokens of a
-        // day with trouble of 32 entries and 58 upstreams, whose worth fell from 0.61 to 0.56;
-        // without, 14.3 million and 0.60, two plays each.
+        // so what others sent to the home does not count.
         let unread = match is_home {
             true => self.unread,
             false => self.unread(now),
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -47,9 +47,8 @@
 const CRASHES_MOST: usize = 24;
 /// How likely it may be that a request which crashes nothing was there each time.
 const BY_CHANCE: f64 = 0.001;
-/// Upstreams that crash within this time do so for one reason, and count once. Without it, where all
-/// upstreams crashed at once, what many asked for was refused 1,072 times of some 3,000 at the
-/// median of 20 days of the test `crash`; with it never.
+/// Upstreams that crash within this time do so for one reason, and count once: where all crash at
+/// once, what many ask for must not be refused.
 const MOMENT: Span = Span::from_millis(50);
 /// Within which time what is told of one upstream belongs to one crash: entries hear of it
 /// within some 150 ms of one another, and an upstream is away for seconds.
@@ -363,9 +362,8 @@
     /// Returns the chance that a run in a pool ends with its upstream's crash for another reason
     /// than a request: how often that befell runs that ended lately where the request was not.
     ///
-    /// Where another request was as often it may be the reason by itself. Without this, three
-    /// requests that crashed 20 upstreams a second hid one another, each by what ran beside the others: 58
-    /// sends of one after its third crash at the median of six days of the test `crash`, with it one, its trial.
+    /// Where another request was as often it may be the reason by itself: several requests that
+    /// crash upstreams must not hide one another, each by what ran beside the others.
     fn chance(&self, fingerprint: Fingerprint, pool: &PoolId, now: Time) -> f64 {
         let elsewhere = |c: &&Crash| {
             let lately = now.since(c.at) < fate::LATELY;
--- a/crates/core/src/warmup.rs
+++ b/crates/core/src/warmup.rs
@@ -30,11 +30,7 @@
 use crate::id::InstanceId;
 use crate::unit::{Rate, Span, Time};
 
-/// The entries that share the rate of a cold upstream.
-///
-/// Where all entries want to send all the time and 18 requests a second are borne, the busiest
-/// second of an upstream holds 18, at 3, 21 and 302 entries; where every entry has its part, from
-/// a moment of its own on, 18, 21 and 36 (most of 200 upstreams in the test `warmup`).
+/// The entries that share a rate of an upstream.
 #[derive(Clone, Debug, Default)]
 pub struct Entries {
     own: u64,
--- a/crates/daemon/src/hosted/feed.rs
+++ b/crates/daemon/src/hosted/feed.rs
@@ -25,22 +25,18 @@
 /// How long the other tables are waited on; every call is priced.
 const WAIT_OTHERS: Duration = Duration::from_millis(20_000);
 /// How long after a change the next one is waited for, so that changes that come
-/// one after another cost one call: on the larger sites 32 entries paid 0.12 of a
-/// day for each upstream's row by itself. A leaving upstream must get nothing
-/// more after 2 s, a configuration be in force after 2 s, and a bad release be
-/// left sooner.
+/// one after another cost one call. A leaving upstream must get nothing more after 2 s, a
+/// configuration be in force after 2 s, and a bad release be left sooner.
 const GATHER_UPSTREAMS: Duration = Duration::from_millis(600);
 const GATHER_OPERATOR: Duration = Duration::from_millis(250);
 const GATHER_PROGRESS: Duration = Duration::from_millis(250);
-/// What entries tell one another of a trial comes from all of them at once: 32
-/// entries paid 775 of 2,434 calls of a quiet day for it at 250 ms. The first of
-/// it comes at once.
+/// What entries tell one another of a trial comes from all of them at once, and the first of it
+/// comes at once.
 const GATHER_OWN: Duration = Duration::from_millis(1_000);
 /// The pauses after failures: from the first to the most.
 const PAUSE_FIRST: Duration = Duration::from_millis(150);
 const PAUSE_MOST: Duration = Duration::from_millis(600);
-/// The pause of the other tables, which begin anew anyway when the operator's can be read:
-/// an outage of 8 s cost 2,900 calls of 103 entries when they all went on asking.
+/// The pause of the other tables, which begin anew anyway when the operator's can be read.
 const PAUSE_OTHERS: Duration = Duration::from_millis(2_000);
 /// The pauses of an entry that asks only whether the store is there, since its sources
 /// cannot reach it: within these bounds at random, so that not all ask at once when it
--- a/crates/daemon/src/hosted/mirror.rs
+++ b/crates/daemon/src/hosted/mirror.rs
@@ -27,8 +27,7 @@
 /// nothing more after 2 s.
 const COMES_BACK: Span = Span::from_millis(1_800);
 /// The upstreams that vanish at once from which on their leases are taken to have lapsed, and
-/// the part of all that they must be. After an outage 18 to 21 of 21 upstreams vanished in one
-/// page; a few that leave together look alike in one page, too.
+/// the part of all that they must be: a few that leave together vanish in one page, too.
 const MANY: usize = 3;
 const MANY_OF: usize = 2;
 
@@ -446,8 +445,7 @@
     ///
     /// The rows themselves tell it, whatever befell the calls of this entry or of those that
     /// it has the tables from: what fails there may be one connection, or the way of one entry
-    /// to a store that is well. Where failed calls counted, upstreams that left without a word
-    /// got requests for up to 4.1 s.
+    /// to a store that is well, and upstreams that left without a word would be kept.
     fn have_lapsed(&self, gone: usize) -> bool {
         let vanished = gone + self.missing.len();
         vanished >= MANY && vanished * MANY_OF >= self.listed.len()
--- a/crates/daemon/src/hosted/relay.rs
+++ b/crates/daemon/src/hosted/relay.rs
@@ -282,8 +282,7 @@
             return Vec::new();
         };
         if !self.follow.opened(&name, now) {
-            // Kept, it would have made the other end read the store for good: five of 32
-            // entries did, where three data halls need three.
+            // Kept, it would make the other end read the store for good.
             return vec![Order::Close(link)];
         }
         let asked = self.asks_at_once(&name, mirror);
@@ -388,8 +387,7 @@
     /// Asks anew for tables whose waits tell nothing, while the store answers for others.
     ///
     /// A wait can hang on a dead connection, or hear nothing after the store forgot its
-    /// history, for all of its 20 s. Entries that took the answers for the operator's table
-    /// for those of all sent requests to upstreams up to 13 s after they had left.
+    /// history, until its own end; that the operator's table is answered for says nothing of it.
     fn ask_anew(&mut self, mirror: &Mirror, now: Time) -> Vec<Order> {
         if !self.reads_store() || self.failing {
             return Vec::new();
