Look up what upstreams said only of those that said something

Whoever chooses asks of every upstream of the pool, of which hundreds may be there and few have spoken: three look-ups each would add some 9,000 to a decision among 3,000. No decision changes; the tests of the words are as they were.

--- a/crates/core/src/notice/board.rs
+++ b/crates/core/src/notice/board.rs
@@ -99,6 +99,11 @@
         }
     }
 
+    /// Returns whether an upstream has said anything of itself.
+    pub fn knows(&self, upstream: u64) -> bool {
+        self.known.contains_key(&upstream)
+    }
+
     /// Forgets what an upstream has said.
     pub fn forget(&mut self, upstream: u64) {
         self.known.remove(&upstream);
--- a/crates/core/src/pick/heard.rs
+++ b/crates/core/src/pick/heard.rs
@@ -14,7 +14,12 @@
         };
         let before = self.notices.limit(number);
         let entries = &self.entries;
-        for change in self.notices.hear(number, notice, asked, entries, now) {
+        let changes = self.notices.hear(number, notice, asked, entries, now);
+        if changes.is_empty() {
+            return;
+        }
+        self.note_spoken(number);
+        for change in changes {
             self.log_change(number, change, before, "answer", now);
         }
     }
@@ -26,10 +31,18 @@
         }
         let before = self.notices.limit(word.upstream());
         if let Some(change) = self.notices.told(word, &self.entries, now) {
+            self.note_spoken(word.upstream());
             self.log_change(word.upstream(), change, before, "entry", now);
         }
     }
 
+    fn note_spoken(&mut self, number: u64) {
+        let peers = self.peers.values_mut();
+        for peer in peers.filter(|peer| peer.number() == number) {
+            peer.has_spoken = true;
+        }
+    }
+
     /// Passes an upstream over that turns the requests of another entry away, as long as others
     /// are there: this entry would be turned away too, and try one such upstream after another.
     fn spare(&mut self, number: u64, rest: Span, now: Time) {
@@ -73,7 +86,24 @@
 
     /// Returns whether an upstream takes no new requests any more, by whatever way that is known.
     pub(super) fn is_leaving(&self, peer: &Peer) -> bool {
-        peer.leaving || self.notices.leaving(peer.number()).is_some()
+        peer.leaving || (peer.has_spoken && self.notices.leaving(peer.number()).is_some())
+    }
+
+    /// Returns from when on an upstream takes requests of this entry, as far as it has said.
+    pub(super) fn opens(&self, peer: &Peer) -> Time {
+        match peer.has_spoken {
+            true => self.notices.opens(peer.number()),
+            false => Time::default(),
+        }
+    }
+
+    pub(super) fn is_limited(&self, peer: &Peer) -> bool {
+        peer.has_spoken && self.notices.is_limited(peer.number())
+    }
+
+    /// Returns whether the next request is to go to an upstream to hear what it says now.
+    pub(super) fn wants_trial(&self, peer: &Peer, now: Time) -> bool {
+        peer.has_spoken && self.notices.wants_trial(peer.number(), now)
     }
 
     /// Returns whether an upstream has asked this entry for rest that has not ended.
@@ -96,8 +126,9 @@
 
     /// Forgets what the upstream at a link has said, since it may be another start of it.
     pub fn forget_notices(&mut self, link: Link) {
-        if let Some(number) = self.get(link).map(Peer::number) {
-            self.notices.forget(number);
+        if let Some(peer) = self.peers.get_mut(&link) {
+            self.notices.forget(peer.number());
+            peer.has_spoken = false;
         }
     }
 
@@ -106,29 +137,20 @@
         self.notices.words()
     }
 
-    /// Returns the rate that an upstream takes from all entries, if it names one, and when that
-    /// was heard last.
-    pub fn limit(&self, link: Link) -> Option<(Rate, Time)> {
-        self.notices.limit(self.get(link)?.number())
-    }
-
     /// Returns how many upstreams take only so many requests a second from all entries.
     pub fn limited(&self) -> usize {
-        let limited = |peer: &&Peer| self.notices.limit(peer.number()).is_some();
-        self.peers.values().filter(limited).count()
+        self.peers.values().filter(|p| self.is_limited(p)).count()
     }
 
     /// Returns whether this entry may send an upstream a request now.
     pub(super) fn admits(&self, peer: &Peer, now: Time) -> bool {
-        self.is_warm_enough(peer, now) && self.notices.opens(peer.number()) <= now
+        self.is_warm_enough(peer, now) && self.opens(peer) <= now
     }
 
     /// Returns how long it takes until an upstream of a pool may get a request that gets none now,
     /// as far as upstreams have said; `None` where none has said anything.
     pub fn opens_in(&self, pool: &PoolId, now: Time) -> Option<Span> {
-        let opens = self
-            .working(pool)
-            .map(|(_, peer)| self.notices.opens(peer.number()));
+        let opens = self.working(pool).map(|(_, peer)| self.opens(peer));
         let next = opens.filter(|at| *at > now).min()?;
         Some(next.since(now))
     }
--- a/crates/core/src/pick/mod.rs
+++ b/crates/core/src/pick/mod.rs
@@ -266,6 +266,7 @@
     pub fn settle(&mut self, link: Link, place: Place) {
         if let Some(peer) = self.peers.get_mut(&link) {
             peer.settle(place);
+            peer.has_spoken = self.notices.knows(peer.number());
         }
     }
 
@@ -391,19 +392,13 @@
         if usable.iter().any(sound) {
             usable.retain(sound);
         }
-        if !usable.is_empty()
-            && usable
-                .iter()
-                .all(|l| self.notices.is_limited(self.peers[l].number()))
-        {
+        if usable.iter().all(|l| self.is_limited(&self.peers[l])) {
             // What is more urgent has some time to take what they take.
-            let opened = Time(
-                now.0
-                    .saturating_sub(STANDS_BACK.micros() * u64::from(wish.rank)),
-            );
-            usable.retain(|l| self.notices.opens(self.peers[l].number()) <= opened);
+            let stands_back = STANDS_BACK.micros() * u64::from(wish.rank);
+            let opened = Time(now.0.saturating_sub(stands_back));
+            usable.retain(|l| self.opens(&self.peers[l]) <= opened);
         }
-        let wants_trial = |l: &Link| self.notices.wants_trial(self.peers[l].number(), now);
+        let wants_trial = |l: &Link| self.wants_trial(&self.peers[l], now);
         if let Some(link) = usable.iter().copied().find(wants_trial) {
             usable = vec![link];
         }
--- a/crates/core/src/pick/peer.rs
+++ b/crates/core/src/pick/peer.rs
@@ -91,6 +91,8 @@
     pub(super) warmup: Option<Warmup>,
     /// Whether it is cold.
     pub(super) ramp: Ramp,
+    /// Whether it has said anything of itself: most have not, and whoever chooses asks of all.
+    pub(super) has_spoken: bool,
     strikes: u32,
     /// A number that stands for the upstream's name.
     seed: u64,
@@ -122,6 +124,7 @@
             retired: false,
             warmup: None,
             ramp: Ramp::default(),
+            has_spoken: false,
             prefixes: HashMap::new(),
             stamp: 0,
         }
