Forget half of too many upstreams' words, and log a told rate only where it differs

Found on reading: where more upstreams spoke than are remembered, all heard at one moment were forgotten, also the newest; each told rate wrote a line.

--- a/crates/core/src/notice/board.rs
+++ b/crates/core/src/notice/board.rs
@@ -83,14 +83,13 @@
             Word::Resting(..) => None,
             Word::Limit(upstream, rate) => {
                 let known = self.entry(upstream, now);
-                match &mut known.limit {
-                    Some(limit) => {
-                        limit.change(upstream, rate, entries, now);
-                        limit.is_told(rate);
-                    }
-                    None => known.limit = Some(Limit::new(upstream, rate, true, entries, now)),
-                }
-                Some(Change::Limited(rate))
+                let Some(limit) = &mut known.limit else {
+                    known.limit = Some(Limit::new(upstream, rate, true, entries, now));
+                    return Some(Change::Limited(rate));
+                };
+                let differs = limit.change(upstream, rate, entries, now);
+                limit.is_told(rate);
+                differs.then_some(Change::Limited(rate))
             }
             Word::Unlimited(upstream) => {
                 let known = self.known.get_mut(&upstream)?;
@@ -182,11 +181,16 @@
 
     /// Forgets the half that was heard longest ago.
     fn forget_oldest(&mut self) {
-        let mut heard: Vec<Time> = self.known.values().map(|known| known.heard).collect();
-        let middle = heard.len() / 2;
-        let (_, median, _) = heard.select_nth_unstable(middle);
-        let median = *median;
-        self.known.retain(|_, known| known.heard > median);
+        let heard = self
+            .known
+            .iter()
+            .map(|(upstream, known)| (known.heard, *upstream));
+        let mut heard: Vec<(Time, u64)> = heard.collect();
+        let half = heard.len() / 2;
+        heard.select_nth_unstable(half);
+        for (_, upstream) in &heard[..half] {
+            self.known.remove(upstream);
+        }
     }
 }
 
