--- a/crates/bench/src/crash.rs
+++ b/crates/bench/src/crash.rs
@@ -1,6 +1,6 @@
 //! What requests that crash upstreams cost, and how soon all entries know them.
 
-use crate::stats::{print_last, Spread};
+use crate::days::{self, Spread};
 use bpaf::Bpaf;
 use eyre::Result;
 use serde::Serialize;
@@ -13,18 +13,8 @@
 /// The parameters of the experiment.
 #[derive(Clone, Debug, Bpaf)]
 pub struct Options {
-    /// The seed of the first day
-    #[bpaf(long, argument("N"), fallback(1))]
-    pub seed: u64,
-    /// How many days are played, each with the next seed
-    #[bpaf(long, argument("N"), fallback(10), display_fallback)]
-    pub days: u64,
-    /// The entries
-    #[bpaf(long, argument("N"), fallback(3), display_fallback)]
-    pub entries: usize,
-    /// The upstreams of the pool
-    #[bpaf(long, argument("N"), fallback(18), display_fallback)]
-    pub upstreams: usize,
+    #[bpaf(external(days::options))]
+    pub days: days::Options,
     /// The requests that crash upstreams, each five times a second
     #[bpaf(long, argument("N"), fallback(1), display_fallback)]
     pub crashing: usize,
@@ -40,9 +30,6 @@
     /// The seconds of a day
     #[bpaf(long, argument("S"), fallback(30.0), display_fallback)]
     pub seconds: f64,
-    /// Print nothing but the last line
-    #[bpaf(long)]
-    pub json: bool,
 }
 
 #[derive(Debug, Serialize)]
@@ -66,27 +53,17 @@
 ///
 /// Fails when no day is asked for.
 pub fn run(options: &Options) -> Result<bool> {
-    eyre::ensure!(options.days > 0, "--days must be above 0");
-    let mut tallies = Vec::new();
-    for seed in options.seed..options.seed + options.days {
-        let tally = World::new(day(options), seed).play();
-        if !options.json {
-            eprintln!("seed {seed}: {}", line(&tally));
-        }
-        tallies.push(tally);
-    }
+    let play = |seed| World::new(day(options), seed).play();
+    let tallies = options.days.play(play, line)?;
     let summary = summary(options, &tallies);
-    if !options.json {
-        print_table(&summary);
-    }
-    print_last(&summary);
+    options.days.print(&summary.table(), &summary);
     Ok(summary.pass)
 }
 
 fn day(options: &Options) -> Day {
     Day {
-        entries: options.entries,
-        upstreams: options.upstreams,
+        entries: options.days.entries,
+        upstreams: options.days.upstreams,
         crashing: options.crashing,
         crashes: options.crashes,
         others: options.others,
@@ -111,7 +88,7 @@
 }
 
 fn summary(options: &Options, tallies: &[Tally]) -> Summary {
-    let over = |what: &dyn Fn(&Tally) -> f64| Spread::of(tallies.iter().map(what).collect());
+    let over = |figure: &dyn Fn(&Tally) -> f64| Spread::over(tallies, figure);
     let late_sends = over(&|t| t.late() as f64);
     Summary {
         upstreams_lost: over(&|t| t.crashes as f64),
@@ -121,26 +98,25 @@
         served_while: over(&|t| t.served(t.unknown())),
         served_after: over(&|t| t.served(t.unknown().end..Time(u64::MAX))),
         held_back_wrongly: over(&|t| wrongly(t) as f64),
-        days: options.days,
-        seed: options.seed,
+        days: options.days.days,
+        seed: options.days.seed,
         pass: late_sends.max <= SENDS as f64,
         late_sends,
     }
 }
 
-fn print_table(summary: &Summary) {
-    println!("{:<24}{:>9}{:>9}{:>9}", "", "min", "median", "max");
-    for (name, spread) in [
-        ("upstreams lost", summary.upstreams_lost),
-        ("sends late", summary.late_sends),
-        ("latest send, s", summary.latest_send_s),
-        ("all know after, s", summary.known_after_s),
-        ("others served before", summary.served_before),
-        ("others served while", summary.served_while),
-        ("others served after", summary.served_after),
-        ("refused wrongly", summary.held_back_wrongly),
-    ] {
-        let Spread { min, median, max } = spread;
-        println!("{name:<24}{min:>9}{median:>9}{max:>9}");
+impl Summary {
+    /// Returns the rows of the table.
+    fn table(&self) -> Vec<(&'static str, Spread)> {
+        vec![
+            ("upstreams lost", self.upstreams_lost),
+            ("sends late", self.late_sends),
+            ("latest send, s", self.latest_send_s),
+            ("all know after, s", self.known_after_s),
+            ("others served before", self.served_before),
+            ("others served while", self.served_while),
+            ("others served after", self.served_after),
+            ("refused wrongly", self.held_back_wrongly),
+        ]
     }
 }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,6 +4,7 @@
 mod call;
 mod cascade;
 mod crash;
+mod days;
 mod faults;
 mod fleet;
 mod limits;
--- a/crates/bench/src/notice.rs
+++ b/crates/bench/src/notice.rs
@@ -1,6 +1,6 @@
 //! What upstreams get that leave, want rest or name a rate, and what that costs callers.
 
-use crate::stats::{print_last, Spread};
+use crate::days::{self, Spread};
 use bpaf::Bpaf;
 use eyre::Result;
 use serde::Serialize;
@@ -15,18 +15,8 @@
 /// The parameters of the experiment.
 #[derive(Clone, Debug, Bpaf)]
 pub struct Options {
-    /// The seed of the first day
-    #[bpaf(long, argument("N"), fallback(1))]
-    pub seed: u64,
-    /// How many days are played, each with the next seed
-    #[bpaf(long, argument("N"), fallback(10), display_fallback)]
-    pub days: u64,
-    /// The entries
-    #[bpaf(long, argument("N"), fallback(3), display_fallback)]
-    pub entries: usize,
-    /// The upstreams of the pool
-    #[bpaf(long, argument("N"), fallback(18), display_fallback)]
-    pub upstreams: usize,
+    #[bpaf(external(days::options))]
+    pub days: days::Options,
     /// How many of them speak of themselves
     #[bpaf(long, argument("N"), fallback(3), display_fallback)]
     pub speaking: usize,
@@ -42,9 +32,6 @@
     /// Whether entries hear nothing of one another
     #[bpaf(long)]
     pub deaf: bool,
-    /// Print nothing but the last line
-    #[bpaf(long)]
-    pub json: bool,
 }
 
 #[derive(Debug, Serialize)]
@@ -79,20 +66,9 @@
 ///
 /// Fails when no day is asked for.
 pub fn run(options: &Options) -> Result<bool> {
-    eyre::ensure!(options.days > 0, "--days must be above 0");
-    let mut days = Vec::new();
-    for seed in options.seed..options.seed + options.days {
-        let three = play(options, seed);
-        if !options.json {
-            eprintln!("seed {seed}: {}", line(&three));
-        }
-        days.push(three);
-    }
+    let days = options.days.play(|seed| play(options, seed), line)?;
     let summary = summary(options, &days);
-    if !options.json {
-        print_table(&summary);
-    }
-    print_last(&summary);
+    options.days.print(&summary.table(), &summary);
     Ok(summary.pass)
 }
 
@@ -115,8 +91,8 @@
         says,
     };
     Day {
-        entries: options.entries,
-        upstreams: options.upstreams,
+        entries: options.days.entries,
+        upstreams: options.days.upstreams,
         asked: options.asked,
         troubles: vec![trouble],
         is_deaf: options.deaf,
@@ -134,7 +110,7 @@
 }
 
 fn summary(options: &Options, days: &[Three]) -> Summary {
-    let over = |what: &dyn Fn(&Three) -> f64| Spread::of(days.iter().map(what).collect());
+    let over = |figure: &dyn Fn(&Three) -> f64| Spread::over(days, figure);
     let latest = over(&|d| d.leaving.latest.secs_f64());
     let most = over(&|d| d.resting.while_resting as f64);
     let excess = over(&|d| d.limited.excess());
@@ -151,8 +127,8 @@
         used_of_the_rate: over(&|d| d.limited.used()),
         after_the_rate_per_s: over(&|d| after(&d.limited)),
         served_while_limited: over(&|d| d.limited.served()),
-        days: options.days,
-        seed: options.seed,
+        days: options.days.days,
+        seed: options.days.seed,
         pass,
     }
 }
@@ -165,23 +141,19 @@
     rates.reduce(f64::min).unwrap_or(0.0)
 }
 
-fn print_table(summary: &Summary) {
-    println!("{:<28}{:>9}{:>9}{:>9}", "", "min", "median", "max");
-    for (name, spread) in [
-        ("latest after leaving, s", summary.latest_after_leaving_s),
-        ("served while some leave", summary.served_while_leaving),
-        ("most while resting", summary.most_while_resting),
-        ("turned away", summary.turned_away),
-        ("served while some rest", summary.served_while_resting),
-        ("over the rate in 4 s", summary.over_the_rate),
-        ("used of the rate", summary.used_of_the_rate),
-        ("a second after the rate", summary.after_the_rate_per_s),
-        (
-            "served while some are limited",
-            summary.served_while_limited,
-        ),
-    ] {
-        let Spread { min, median, max } = spread;
-        println!("{name:<30}{min:>9}{median:>9}{max:>9}");
+impl Summary {
+    /// Returns the rows of the table.
+    fn table(&self) -> Vec<(&'static str, Spread)> {
+        vec![
+            ("latest after leaving, s", self.latest_after_leaving_s),
+            ("served while some leave", self.served_while_leaving),
+            ("most while resting", self.most_while_resting),
+            ("turned away", self.turned_away),
+            ("served while some rest", self.served_while_resting),
+            ("over the rate in 4 s", self.over_the_rate),
+            ("used of the rate", self.used_of_the_rate),
+            ("a second after the rate", self.after_the_rate_per_s),
+            ("served while some are limited", self.served_while_limited),
+        ]
     }
 }
--- a/crates/bench/src/stats.rs
+++ b/crates/bench/src/stats.rs
@@ -32,27 +32,6 @@
     }
 }
 
-/// The least, the median and the most of some values.
-#[derive(Clone, Copy, Debug, Serialize)]
-pub struct Spread {
-    pub min: f64,
-    pub median: f64,
-    pub max: f64,
-}
-
-impl Spread {
-    /// Returns the spread of values, or zeros without any.
-    pub fn of(mut values: Vec<f64>) -> Spread {
-        values.sort_by(f64::total_cmp);
-        let at = |place: usize| values.get(place).copied().map_or(0.0, round);
-        Spread {
-            min: at(0),
-            median: at(values.len() / 2),
-            max: at(values.len().saturating_sub(1)),
-        }
-    }
-}
-
 /// Rounds to three decimals.
 pub fn round(x: f64) -> f64 {
     (x * 1000.0).round() / 1000.0
--- a/crates/emulator/src/crash/world.rs
+++ b/crates/emulator/src/crash/world.rs
@@ -3,6 +3,7 @@
 use super::calls;
 use super::{Day, Kind, Tally};
 use crate::routed;
+use crate::schedule::Schedule;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sorreldeck::entry::{Entry, Input, Output, Part, Reply};
@@ -10,8 +11,7 @@
 use sorreldeck::quarantine::{Fingerprint, Hold, News, Word};
 use sorreldeck::wire::{Frame, Run};
 use sorreldeck::{Failure, Reason, RequestId, Span, Time, Verdict};
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// How long a request that crashes its upstream has run by then.
 const CRASHES_AFTER: Span = Span::from_millis(100);
@@ -51,8 +51,7 @@
     upstreams: BTreeMap<Link, Upstream>,
     next_link: Link,
     next: u64,
-    queue: BinaryHeap<Reverse<(Time, u64)>>,
-    events: BTreeMap<u64, Event>,
+    schedule: Schedule<Event>,
     asked: BTreeMap<RequestId, (usize, Kind, Time)>,
     /// What is recorded, and which entry did so.
     records: BTreeMap<Fingerprint, (Hold, usize)>,
@@ -71,8 +70,7 @@
             upstreams: BTreeMap::new(),
             next_link: 1,
             next: 1,
-            queue: BinaryHeap::new(),
-            events: BTreeMap::new(),
+            schedule: Schedule::default(),
             asked: BTreeMap::new(),
             records: BTreeMap::new(),
             holding: BTreeSet::new(),
@@ -99,9 +97,7 @@
     }
 
     fn at(&mut self, time: Time, event: Event) {
-        self.next += 1;
-        self.events.insert(self.next, event);
-        self.queue.push(Reverse((time, self.next)));
+        self.schedule.at(time, event);
     }
 
     fn after_ms(&mut self, from: u64, to: u64) -> Time {
@@ -137,12 +133,11 @@
             };
             self.at(at, Event::Ask(kind));
         }
-        while let Some(Reverse((at, number))) = self.queue.pop() {
+        while let Some((at, event)) = self.schedule.pop() {
             if at > end {
                 break;
             }
             self.now = at;
-            let event = self.events.remove(&number).unwrap();
             self.happen(event);
         }
         self.tally
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod plain;
 pub mod quality;
 pub mod routed;
+pub mod schedule;
 pub mod server;
 pub mod text;
 
--- a/crates/emulator/src/notice/world.rs
+++ b/crates/emulator/src/notice/world.rs
@@ -3,6 +3,7 @@
 
 use super::{Asked, Day, Limited, Says, Tally, Trouble};
 use crate::routed;
+use crate::schedule::Schedule;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sorreldeck::entry::{Entry, Input, Output, Part, Reply, Routed};
@@ -10,8 +11,7 @@
 use sorreldeck::pick::{Link, Place, Prefix};
 use sorreldeck::wire::{Frame, Run};
 use sorreldeck::{Failure, InstanceId, Rate, Reason, RequestId, Span, Time};
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::BTreeMap;
 
 const TICK: Span = Span::from_millis(20);
 /// How long an answer takes to begin, and to end after that, in milliseconds.
@@ -23,20 +23,6 @@
 const LINKS_MS: std::ops::RangeInclusive<u64> = 20..=150;
 /// How long after it was asked for rest an entry is held to it.
 const RESTS_AFTER: Span = Span::from_millis(500);
-/// What the tree of the streams has besides: the rank of their route, and a route of a lower one.
-const LATER: &str = r#"
-    rank = 0
-    [routes.later]
-    host = "pay.example"
-    prefix = "/later/"
-    pools = { engines = 1 }
-    timeout = "20s"
-    tries = 3
-    public = true
-    repeat = "resume"
-    stream = true
-    rank = 2
-"#;
 /// How many beginnings prompts share, their tokens and those of whole prompts.
 const BEGINNINGS: u64 = 1_000;
 const SHARED: u32 = 1_500;
@@ -74,8 +60,7 @@
     /// How often each entry has started.
     lives: Vec<u64>,
     next: u64,
-    queue: BinaryHeap<Reverse<(Time, u64)>>,
-    events: BTreeMap<u64, Event>,
+    schedule: Schedule<Event>,
     /// What was asked of which entry and has not been answered, as if it were not served.
     asked: BTreeMap<RequestId, (usize, Asked)>,
     heard: BTreeMap<(usize, Link), Heard>,
@@ -95,8 +80,7 @@
             entries: Vec::new(),
             lives: vec![0; day.entries],
             next: 1,
-            queue: BinaryHeap::new(),
-            events: BTreeMap::new(),
+            schedule: Schedule::default(),
             asked: BTreeMap::new(),
             heard: BTreeMap::new(),
             running: BTreeMap::new(),
@@ -112,7 +96,8 @@
 
     fn new_entry(&mut self, number: usize) -> Entry {
         let mut entry = routed::entry(number as u64 + 1, self.rng.next_u64());
-        entry.handle(self.now, routed::streams(LATER));
+        let later = routed::route("later", "rank = 2");
+        entry.handle(self.now, routed::streams(&format!("rank = 0\n{later}")));
         let names = 1..=self.day.entries + self.day.gone;
         let names = names.map(|n| format!("e{n}").parse().expect("a legal name"));
         let names: Vec<InstanceId> = names.collect();
@@ -129,9 +114,7 @@
     }
 
     fn at(&mut self, time: Time, event: Event) {
-        self.next += 1;
-        self.events.insert(self.next, event);
-        self.queue.push(Reverse((time, self.next)));
+        self.schedule.at(time, event);
     }
 
     fn after(&mut self, ms: std::ops::RangeInclusive<u64>) -> Time {
@@ -150,12 +133,11 @@
             let at = self.rng.random_range(0..self.day.lasts.micros());
             self.at(self.start + Span::from_micros(at), Event::Ask);
         }
-        while let Some(Reverse((at, number))) = self.queue.pop() {
+        while let Some((at, event)) = self.schedule.pop() {
             if at > end {
                 break;
             }
             self.now = at;
-            let event = self.events.remove(&number).expect("each is queued once");
             self.happen(event);
         }
         self.tally
--- a/crates/emulator/src/routed.rs
+++ b/crates/emulator/src/routed.rs
@@ -102,17 +102,13 @@
     Input::Tree(Arc::new(tree))
 }
 
-/// Returns the input that puts a tree in force with streams of one pool, `engines`, below
-/// `/drafts/`; `more` is added to their route.
-pub fn streams(more: &str) -> Input {
-    tree(&format!(
+/// Returns the text of a route of streams of the pool `engines` below `/NAME/`; `more` is added to it.
+pub fn route(name: &str, more: &str) -> String {
+    format!(
         r#"
-        [pools.engines]
-        kind = "engine"
-        [nodes."/"]
-        [routes.drafts]
+        [routes.{name}]
         host = "pay.example"
-        prefix = "/drafts/"
+        prefix = "/{name}/"
         pools = {{ engines = 1 }}
         timeout = "20s"
         tries = 3
@@ -121,5 +117,19 @@
         stream = true
         {more}
         "#
+    )
+}
+
+/// Returns the input that puts a tree in force with streams of one pool, `engines`, below
+/// `/drafts/`; `more` is added to their route.
+pub fn streams(more: &str) -> Input {
+    let drafts = route("drafts", more);
+    tree(&format!(
+        r#"
+        [pools.engines]
+        kind = "engine"
+        [nodes."/"]
+        {drafts}
+        "#
     ))
 }
--- /dev/null
+++ b/crates/emulator/src/schedule.rs
@@ -0,0 +1,51 @@
+//! What happens when on a day whose time is passed by hand.
+//!
+//! ```
+//! use sorreldeck::Time;
+//! use sorreldeck_emulator::schedule::Schedule;
+//!
+//! let mut schedule = Schedule::default();
+//! schedule.at(Time(7), "later");
+//! schedule.at(Time(5), "first");
+//! schedule.at(Time(7), "last");
+//! let order = std::iter::from_fn(|| schedule.pop()).map(|(_, event)| event);
+//! assert_eq!(order.collect::<Vec<_>>(), ["first", "later", "last"]);
+//! ```
+
+use sorreldeck::Time;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+/// Events in the order of their times; those of one time in the order in which they were put in.
+#[derive(Debug)]
+pub struct Schedule<E> {
+    queue: BinaryHeap<Reverse<(Time, u64)>>,
+    events: BTreeMap<u64, E>,
+    next: u64,
+}
+
+impl<E> Default for Schedule<E> {
+    fn default() -> Schedule<E> {
+        Schedule {
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            next: 0,
+        }
+    }
+}
+
+impl<E> Schedule<E> {
+    /// Puts an event in.
+    pub fn at(&mut self, time: Time, event: E) {
+        self.next += 1;
+        self.events.insert(self.next, event);
+        self.queue.push(Reverse((time, self.next)));
+    }
+
+    /// Takes out the next event and its time.
+    pub fn pop(&mut self) -> Option<(Time, E)> {
+        let Reverse((time, number)) = self.queue.pop()?;
+        let event = self.events.remove(&number)?;
+        Some((time, event))
+    }
+}
