--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -139,69 +139,62 @@
 
 impl Gauges {
     fn register(&self, registry: &mut Registry) {
-        registry.register("revision", "Revision in force", self.revision.clone());
-        registry.register(
-            "revision_since_microseconds",
-            "When the revision came in force, since 1970-01-01 UTC",
-            self.since.clone(),
-        );
-        registry.register("links", "Links that are up", self.links.clone());
-        registry.register(
-            "tables_age_milliseconds",
-            "Age of what is known of the platform's store by whatever way, -1 if nothing is",
-            self.age.clone(),
-        );
-        registry.register("in_flight", "Requests under way", self.in_flight.clone());
-        registry.register(
-            "held_back",
-            "Requests held back, since they crash upstreams",
-            self.held_back.clone(),
-        );
-        registry.register(
-            "cold",
-            "Upstreams that count as cold, and get little",
-            self.cold.clone(),
-        );
-        registry.register(
-            "leaving",
-            "Upstreams that said that they leave, and get nothing",
-            self.leaving.clone(),
-        );
-        registry.register(
-            "resting",
-            "Upstreams that asked this entry for rest, and get nothing until its end",
-            self.resting.clone(),
-        );
-        registry.register(
-            "limited",
-            "Upstreams that named the rate they take from all entries",
-            self.limited.clone(),
-        );
-        registry.register(
-            "evacuated",
-            "Data halls that get no work",
-            self.evacuated.clone(),
-        );
-        registry.register(
-            "unbilled",
-            "Bill records not yet stored",
-            self.unbilled.clone(),
-        );
-        registry.register(
-            "link_sent_bytes",
-            "Bytes sent over links",
-            self.sent.clone(),
-        );
-        registry.register(
-            "link_control_bytes",
-            "Bytes sent over links for control",
-            self.control.clone(),
-        );
-        registry.register(
-            "link_received_bytes",
-            "Bytes received over links",
-            self.received.clone(),
-        );
+        let gauges = [
+            ("revision", "Revision in force", &self.revision),
+            (
+                "revision_since_microseconds",
+                "When the revision came in force, since 1970-01-01 UTC",
+                &self.since,
+            ),
+            ("links", "Links that are up", &self.links),
+            (
+                "tables_age_milliseconds",
+                "Age of what is known of the platform's store by whatever way, -1 if nothing is",
+                &self.age,
+            ),
+            ("in_flight", "Requests under way", &self.in_flight),
+            (
+                "held_back",
+                "Requests held back, since they crash upstreams",
+                &self.held_back,
+            ),
+            (
+                "cold",
+                "Upstreams that count as cold, and get little",
+                &self.cold,
+            ),
+            (
+                "leaving",
+                "Upstreams that said that they leave, and get nothing",
+                &self.leaving,
+            ),
+            (
+                "resting",
+                "Upstreams that asked this entry for rest, and get nothing until its end",
+                &self.resting,
+            ),
+            (
+                "limited",
+                "Upstreams that named the rate they take from all entries",
+                &self.limited,
+            ),
+            ("evacuated", "Data halls that get no work", &self.evacuated),
+            ("unbilled", "Bill records not yet stored", &self.unbilled),
+            ("link_sent_bytes", "Bytes sent over links", &self.sent),
+            (
+                "link_control_bytes",
+                "Bytes sent over links for control",
+                &self.control,
+            ),
+            (
+                "link_received_bytes",
+                "Bytes received over links",
+                &self.received,
+            ),
+        ];
+        for (name, help, gauge) in gauges {
+            registry.register(name, help, gauge.clone());
+        }
     }
 
     /// Reads off the bytes that went over links.
