One word for what an upstream's change is and what entries tell of it, and one way to find upstreams by number

notice::Word repeated Change with the number in each of its four cases, and a match translated one into the other; a word is a number and a change now. The Display of a notice was dead since lines tell changes. Five loops looked for the upstreams for which a number stands: Peers::numbered does. A head and an answer that is not given took in load and word by the same lines: Entry::hear. The own interface wrote the refusal of routed::none_left out again. Most answers say nothing and most upstreams never spoke: both are seen before anything is looked up, once, instead of in the board. Tests state the same in the new shape.

--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -132,8 +132,7 @@
                 let opens = self.peers.opens_in(&flight.pool, now);
                 let wait = opens.or_else(|| self.peers.least_wait(&flight.pool));
                 let wait = wait.unwrap_or(RETRY_AFTER).max(RETRY_AFTER);
-                let message = format!("no upstream of {} takes the request", flight.pool);
-                Failure::not_run(Reason::NoUpstream, message).retry_after(wait)
+                routed::none_left(&flight.pool).retry_after(wait)
             })?;
         self.begin_run(now, flight, link)?;
         let start = self.start_of(now, flight);
--- a/crates/core/src/entry/routed/reply.rs
+++ b/crates/core/src/entry/routed/reply.rs
@@ -32,25 +32,33 @@
         match reply {
             Reply::Head(head) => {
                 self.peers.answers(link, now);
-                if let Some(load) = head.load {
-                    self.report_direct(link, load, now);
-                }
                 let asked = self.asked_at(run, head.status);
-                self.peers.hear(link, head.notice, asked, now);
+                self.hear(link, head.notice, head.load, asked, now);
                 self.routed_head(now, link, run, head, out);
             }
-            Reply::Notice(notice, load) => {
-                if let Some(load) = load {
-                    self.report_direct(link, load, now);
-                }
-                self.peers.hear(link, notice, Time::default(), now);
-            }
+            Reply::Notice(notice, load) => self.hear(link, notice, load, Time::default(), now),
             Reply::Data { data, last } => self.routed_data(run, data, last, out),
             Reply::End => self.routed_end(now, link, run, out),
             Reply::Fail(failure) => self.routed_fail(now, link, run, failure, out),
         }
     }
 
+    /// Takes in what an upstream says of itself and of its load in the answer to a request sent
+    /// then.
+    fn hear(
+        &mut self,
+        link: Link,
+        notice: Notice,
+        load: Option<(u32, u32, u32)>,
+        asked: Time,
+        now: Time,
+    ) {
+        if let Some(load) = load {
+            self.report_direct(link, load, now);
+        }
+        self.peers.hear(link, notice, asked, now);
+    }
+
     /// Returns when a run was sent to an upstream that answers it, or the earliest time where what
     /// the answer leaves unsaid says nothing: an error, or an answer to a run that was dropped.
     fn asked_at(&mut self, run: Run, status: u16) -> Time {
--- a/crates/core/src/notice/board.rs
+++ b/crates/core/src/notice/board.rs
@@ -1,7 +1,7 @@
 //! What all upstreams have said of themselves, and what holds of it.
 
 use super::limit::Limit;
-use super::{Notice, Word};
+use super::{Change, Notice, Word};
 use crate::unit::{Rate, Span, Time};
 use crate::warmup::Entries;
 use std::collections::HashMap;
@@ -20,19 +20,6 @@
     limit: Option<Limit>,
 }
 
-/// A change of what holds of an upstream, for the log.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Change {
-    /// It takes no new requests any more.
-    Leaving,
-    /// It wants no requests of this entry for this long.
-    Resting(Span),
-    /// It takes only so many requests a second from all entries.
-    Limited(Rate),
-    /// It takes what it gets again.
-    Unlimited,
-}
-
 /// What upstreams have said of themselves.
 ///
 /// An upstream is known by a number that stands for one start of it, so what was heard outlasts
@@ -53,9 +40,6 @@
         entries: &Entries,
         now: Time,
     ) -> Vec<Change> {
-        if notice.is_empty() && !self.known.contains_key(&upstream) {
-            return Vec::new();
-        }
         let known = self.entry(upstream, now);
         let leaving = notice.leaving && known.leaving.is_none();
         if leaving {
@@ -65,23 +49,25 @@
         let rest = notice.rest.and_then(|rest| known.hear_rest(rest, now));
         let limit = known.hear_limit(upstream, notice.limit, asked, entries, now);
         let changes: Vec<Change> = [leaving, rest, limit].into_iter().flatten().collect();
-        let words = changes.iter().map(|change| change.word(upstream));
-        self.words.extend(words);
+        let words = changes.iter().copied();
+        self.words
+            .extend(words.map(|change| Word { upstream, change }));
         changes
     }
 
     /// Takes in what another entry tells.
     pub fn told(&mut self, word: Word, entries: &Entries, now: Time) -> Option<Change> {
-        match word {
-            Word::Leaving(upstream) => {
+        let upstream = word.upstream;
+        match word.change {
+            Change::Leaving => {
                 let known = self.entry(upstream, now);
                 let is_news = known.leaving.is_none();
                 known.leaving.get_or_insert(now);
                 is_news.then_some(Change::Leaving)
             }
             // Each entry is asked for rest by itself.
-            Word::Resting(..) => None,
-            Word::Limit(upstream, rate) => {
+            Change::Resting(_) => None,
+            Change::Limited(rate) => {
                 let known = self.entry(upstream, now);
                 let Some(limit) = &mut known.limit else {
                     known.limit = Some(Limit::new(upstream, rate, true, entries, now));
@@ -91,7 +77,7 @@
                 limit.is_told(rate);
                 differs.then_some(Change::Limited(rate))
             }
-            Word::Unlimited(upstream) => {
+            Change::Unlimited => {
                 let known = self.known.get_mut(&upstream)?;
                 known.limit.take().map(|_| Change::Unlimited)
             }
@@ -229,15 +215,3 @@
         }
     }
 }
-
-impl Change {
-    /// Returns what other entries are told of it.
-    fn word(&self, upstream: u64) -> Word {
-        match self {
-            Change::Leaving => Word::Leaving(upstream),
-            Change::Resting(rest) => Word::Resting(upstream, *rest),
-            Change::Limited(rate) => Word::Limit(upstream, *rate),
-            Change::Unlimited => Word::Unlimited(upstream),
-        }
-    }
-}
--- a/crates/core/src/notice/mod.rs
+++ b/crates/core/src/notice/mod.rs
@@ -21,11 +21,10 @@
 mod board;
 mod limit;
 
-pub use board::{Board, Change};
+pub use board::Board;
 
 use crate::unit::{Rate, Span};
 use serde::{Deserialize, Serialize};
-use std::fmt;
 
 /// What an upstream says of itself in one answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -38,29 +37,26 @@
     pub limit: Option<Rate>,
 }
 
-/// What entries tell one another of upstreams, which numbers stand for.
+/// A change of what holds of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Word {
-    /// An upstream takes no new requests any more.
-    Leaving(u64),
-    /// An upstream turns requests away and has asked the entry that tells for this long a rest.
-    Resting(u64, Span),
-    /// An upstream takes so many requests a second from all entries together.
-    Limit(u64, Rate),
-    /// An upstream names no limit any more.
-    Unlimited(u64),
+pub enum Change {
+    /// It takes no new requests any more.
+    Leaving,
+    /// It wants no requests for this long of the entry that it has answered.
+    Resting(Span),
+    /// It takes only so many requests a second from all entries.
+    Limited(Rate),
+    /// It takes what it gets again.
+    Unlimited,
 }
 
-impl Word {
-    /// Returns the number of the upstream.
-    pub fn upstream(&self) -> u64 {
-        match self {
-            Word::Leaving(upstream)
-            | Word::Resting(upstream, _)
-            | Word::Limit(upstream, _)
-            | Word::Unlimited(upstream) => *upstream,
-        }
-    }
+/// What entries tell one another of an upstream, which a number stands for.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Word {
+    /// The number of the upstream.
+    pub upstream: u64,
+    /// What has changed.
+    pub change: Change,
 }
 
 impl Notice {
@@ -69,13 +65,3 @@
         *self == Notice::default()
     }
 }
-
-impl fmt::Display for Notice {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let leaving = self.leaving.then(|| "leaving".to_owned());
-        let rest = self.rest.map(|rest| format!("rest={rest}"));
-        let limit = self.limit.map(|limit| format!("limit={limit}"));
-        let parts: Vec<String> = [leaving, rest, limit].into_iter().flatten().collect();
-        f.write_str(&parts.join(","))
-    }
-}
--- a/crates/core/src/pick/heard.rs
+++ b/crates/core/src/pick/heard.rs
@@ -9,49 +9,54 @@
 impl Peers {
     /// Takes in what an upstream says of itself in the answer to a request sent then.
     pub fn hear(&mut self, link: Link, notice: Notice, asked: Time, now: Time) {
-        let Some(number) = self.get(link).map(Peer::number) else {
+        let Some(peer) = self.get(link) else {
             return;
         };
-        let before = self.notices.limit(number);
-        let entries = &self.entries;
-        let changes = self.notices.hear(number, notice, asked, entries, now);
-        if changes.is_empty() {
+        if notice.is_empty() && !peer.has_spoken {
             return;
         }
-        self.note_spoken(number);
-        for change in changes {
-            self.log_change(number, change, before, "answer", now);
+        let number = peer.number();
+        let before = self.notices.limit(number);
+        let entries = &self.entries;
+        for change in self.notices.hear(number, notice, asked, entries, now) {
+            self.note_change(number, change, before, "answer", now);
         }
     }
 
     /// Takes in what another entry tells of an upstream.
     pub fn heard_of(&mut self, word: Word, now: Time) {
-        if let Word::Resting(number, rest) = word {
+        let number = word.upstream;
+        if let Change::Resting(rest) = word.change {
             return self.spare(number, rest, now);
         }
-        let before = self.notices.limit(word.upstream());
+        let before = self.notices.limit(number);
         if let Some(change) = self.notices.told(word, &self.entries, now) {
-            self.note_spoken(word.upstream());
-            self.log_change(word.upstream(), change, before, "entry", now);
-        }
-    }
-
-    fn note_spoken(&mut self, number: u64) {
-        let peers = self.peers.values_mut();
-        for peer in peers.filter(|peer| peer.number() == number) {
-            peer.has_spoken = true;
+            self.note_change(number, change, before, "entry", now);
         }
     }
 
     /// Passes an upstream over that turns the requests of another entry away, as long as others
     /// are there: this entry would be turned away too, and try one such upstream after another.
     fn spare(&mut self, number: u64, rest: Span, now: Time) {
-        let peers = self.peers.values_mut();
-        for peer in peers.filter(|peer| peer.number() == number) {
+        for peer in self.numbered(number) {
             peer.avoided = peer.avoided.max(now + rest.min(AVOID_MOST));
         }
     }
 
+    fn note_change(
+        &mut self,
+        number: u64,
+        change: Change,
+        before: Option<(Rate, Time)>,
+        from: &str,
+        now: Time,
+    ) {
+        for peer in self.numbered(number) {
+            peer.has_spoken = true;
+        }
+        self.log_change(number, change, before, from, now);
+    }
+
     fn log_change(
         &self,
         number: u64,
--- a/crates/core/src/pick/mod.rs
+++ b/crates/core/src/pick/mod.rs
@@ -236,7 +236,9 @@
     pub fn sent(&mut self, link: Link, tokens: u32, chain: &[Prefix], now: Time) {
         if let Some(peer) = self.peers.get_mut(&link) {
             peer.sent(tokens, chain, now);
-            self.notices.sent(peer.number(), now);
+            if peer.has_spoken {
+                self.notices.sent(peer.number(), now);
+            }
         }
     }
 
@@ -256,12 +258,18 @@
 
     /// Notes that another entry sent an upstream a prompt that takes this long to be read.
     pub fn told(&mut self, number: u64, reading: Span, now: Time) {
-        let peer = self.peers.values_mut().find(|p| p.number() == number);
-        if let Some(peer) = peer {
+        if let Some(peer) = self.numbered(number).next() {
             peer.told(reading, now);
         }
     }
 
+    /// Returns the upstreams for which a number stands: one that left and has requests here still
+    /// may have joined again.
+    fn numbered(&mut self, number: u64) -> impl Iterator<Item = &mut Peer> {
+        let peers = self.peers.values_mut();
+        peers.filter(move |peer| peer.number() == number)
+    }
+
     /// Sets where an upstream is and what it runs.
     pub fn settle(&mut self, link: Link, place: Place) {
         if let Some(peer) = self.peers.get_mut(&link) {
--- a/crates/core/src/pick/warm.rs
+++ b/crates/core/src/pick/warm.rs
@@ -132,8 +132,7 @@
 
     /// Notes that another entry saw an upstream go down, which a number stands for.
     pub fn doubt_number(&mut self, number: u64) {
-        let peers = self.peers.values_mut();
-        for peer in peers.filter(|peer| peer.number() == number) {
+        for peer in self.numbered(number) {
             peer.ramp.doubt();
         }
     }
--- a/crates/core/tests/leaving_in_answers.rs
+++ b/crates/core/tests/leaving_in_answers.rs
@@ -13,7 +13,7 @@
 use common::head;
 use common::stand::{refused, start, Stand};
 use sorreldeck::entry::{Input, Output, Reply};
-use sorreldeck::notice::{Notice, Word};
+use sorreldeck::notice::{Change, Notice, Word};
 use sorreldeck::{Failure, Reason, Span, Verdict};
 use sorreldeck_emulator::notice::{Day, Says, Trouble, World};
 use sorreldeck_emulator::routed::head_with;
@@ -83,7 +83,8 @@
             _ => None,
         }));
     }
-    assert!(matches!(words[..], [Word::Leaving(_)]), "{words:?}");
+    let leaving = |word: &Word| word.change == Change::Leaving;
+    assert!(words.len() == 1 && leaving(&words[0]), "{words:?}");
     let mut other = Stand::new(3);
     let outputs = other.tell(Input::Notice(words[0]));
     assert!(
--- a/crates/core/tests/notice.rs
+++ b/crates/core/tests/notice.rs
@@ -35,7 +35,10 @@
         board.hear(7, notice, Time(0), &entries, Time(0));
         told.extend(board.words());
     }
-    let limit = |per_second| Word::Limit(7, Rate::from_per_second(per_second));
+    let limit = |per_second| Word {
+        upstream: 7,
+        change: Change::Limited(Rate::from_per_second(per_second)),
+    };
     assert_eq!(told, [limit(2.0), limit(2.6)]);
     let again = board.told(limit(2.5), &entries, Time(0));
     assert_eq!(again, None);
--- a/crates/daemon/tests/relay/main.rs
+++ b/crates/daemon/tests/relay/main.rs
@@ -381,12 +381,15 @@
     let mut world = World::new(14, halls, entries);
     world.pass(250);
     for teller in 0..entries {
-        let word = notice::Word::Unlimited(teller as u64);
+        let word = notice::Word {
+            upstream: teller as u64,
+            change: notice::Change::Unlimited,
+        };
         world.nodes[teller].relay.note_notice(word);
     }
     world.pass(15);
     assert_all_are_told(&world, |node| {
-        let upstreams = node.notices.iter().map(notice::Word::upstream);
+        let upstreams = node.notices.iter().map(|word| word.upstream);
         upstreams.collect()
     });
 }
