Tell which era the store names, and which of its answers change nothing

Callers saw configurations and leavings that never came in force. Lines and figures could not tell whether an answer of the store was taken in or thrown away, nor that the store had come back from a copy. Store-Era is decoded now; lines 'store-era' and 'page-ignored', figures store_era and pages_ignored_total. No decision is changed.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cascade;
 pub mod config;
 pub mod entry;
+pub mod era;
 pub mod evidence;
 pub mod follow;
 pub mod halls;
--- a/crates/daemon/src/hosted/mirror.rs
+++ b/crates/daemon/src/hosted/mirror.rs
@@ -7,6 +7,7 @@
 use super::holds::{self, Record};
 use super::pack;
 use super::replica::{Replica, Rows, Share};
+use sorreldeck::era::Era;
 use sorreldeck::follow::{Peer, Watermark};
 use sorreldeck::quarantine::Fingerprint;
 use sorreldeck::release::{Order, State};
@@ -79,6 +80,19 @@
     pub span: Span,
 }
 
+/// A page that was read and changes nothing, since a later version is known; for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ignored {
+    /// The table.
+    pub table: Table,
+    /// The version that the page names.
+    pub version: u64,
+    /// The version that is known.
+    pub known: u64,
+    /// The era that the store told with it.
+    pub era: Option<Era>,
+}
+
 /// What became of changes that another entry handed on.
 #[derive(Debug)]
 pub enum Taken {
@@ -112,6 +126,9 @@
     ahead: Option<i64>,
     troubles: Vec<Trouble>,
     held: Vec<Held>,
+    ignored: Vec<Ignored>,
+    /// The era that the store told last.
+    era: Option<Era>,
 }
 
 impl Default for Mirror {
@@ -125,6 +142,8 @@
             ahead: None,
             troubles: Vec::new(),
             held: Vec::new(),
+            ignored: Vec::new(),
+            era: None,
         }
     }
 }
@@ -166,6 +185,16 @@
         std::mem::take(&mut self.held)
     }
 
+    /// Returns the pages that were ignored since the last call.
+    pub fn ignored(&mut self) -> Vec<Ignored> {
+        std::mem::take(&mut self.ignored)
+    }
+
+    /// Returns the era that the store told last, if it told any.
+    pub fn era(&self) -> Option<Era> {
+        self.era
+    }
+
     /// Returns the time on the store's clock, if one was heard.
     pub fn store_time(&self, now: Time) -> Option<u64> {
         let ahead = self.ahead?;
@@ -195,6 +224,16 @@
         }
         self.tables.entry(table).or_default().failing = false;
         let version = page.version;
+        self.era = page.era.or(self.era);
+        let known = self.version(table);
+        if version < known {
+            self.ignored.push(Ignored {
+                table,
+                version,
+                known,
+                era: page.era,
+            });
+        }
         let news = self.put(table, page, whole, now);
         self.watermark.named(version, now);
         news
@@ -283,6 +322,7 @@
             rows: rows.into_iter().map(pack::row).collect(),
             version: delta.version,
             now: Duration::ZERO,
+            era: None,
         };
         let whole = delta.since.is_none();
         Taken::News(self.put(table, page, whole, now))
--- a/crates/daemon/src/hosted/mod.rs
+++ b/crates/daemon/src/hosted/mod.rs
@@ -26,7 +26,7 @@
 
 pub use holds::Record;
 pub use log::start as start_log;
-pub use mirror::{Held, Mirror, News, Taken, Trouble};
+pub use mirror::{Held, Ignored, Mirror, News, Taken, Trouble};
 pub use relay::{Order, Relay};
 pub use room::{Links, Message, Room};
 pub use shared::Shared;
--- a/crates/daemon/src/hosted/peer.rs
+++ b/crates/daemon/src/hosted/peer.rs
@@ -57,6 +57,7 @@
             rows: self.rows,
             version: self.version,
             now: Duration::ZERO,
+            era: None,
         }
     }
 }
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -19,6 +19,7 @@
 use sorreldeck::entry::{
     Ask, Done, Entry, Input, Output, Part, Reply, Settings as Decisions, What,
 };
+use sorreldeck::era::Era;
 use sorreldeck::follow::{Bounds, Peer, Reading};
 use sorreldeck::pick::Link;
 use sorreldeck::quarantine::{self, Fingerprint, Hold};
@@ -336,7 +337,9 @@
                     .filter(|_| !page.now.is_zero())
                     .map_or(now, |at| at.min(now));
                 self.note_reached(table, heard);
+                let era = self.mirror.era();
                 let news = self.mirror.apply(table, page, whole, now);
+                self.tell_of_era(table, era);
                 self.note_all(news, "store");
                 self.answers.note(table, now);
                 if table == Table::Own && self.starts_until.is_none() {
@@ -530,6 +533,26 @@
         }
     }
 
+    /// Tells that the store came back from a copy, and which of its answers were ignored.
+    fn tell_of_era(&mut self, table: Table, before: Option<Era>) {
+        let era = self.mirror.era();
+        if let Some((era, before)) = era.zip(before).filter(|(now, before)| now != before) {
+            warn!("event=store-era era={era} before={before} table={table:?}");
+        }
+        for ignored in self.mirror.ignored() {
+            self.metrics.ignored();
+            warn!(
+                "event=page-ignored table={:?} version={} known={} era={}",
+                ignored.table,
+                ignored.version,
+                ignored.known,
+                ignored
+                    .era
+                    .map_or_else(|| "-".to_owned(), |e| e.to_string())
+            );
+        }
+    }
+
     /// Returns what a line tells of where news of a table are from: from whom, up to which
     /// version the table is known, and how long the store had not answered for it here.
     fn origin(&self, table: Table, from: &str) -> String {
@@ -803,6 +826,9 @@
         gauges.evacuated.set(evacuated.len() as i64);
         gauges.links.set(self.upstreams.len() as i64);
         let age = self.relay.follow().age(now);
+        gauges
+            .era
+            .set(self.mirror.era().map_or(-1, |era| era.0 as i64));
         gauges.age.set(age.map_or(-1, |age| age.millis() as i64));
         self.metrics.text()
     }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -51,6 +51,7 @@
     violated: Family<OfPromise, Gauge>,
     versions: Family<OfTable, Gauge>,
     silences: Family<OfTable, Gauge>,
+    ignored: Counter,
     gauges: Gauges,
 }
 
@@ -65,6 +66,8 @@
     pub links: Gauge,
     /// How old what is known of the platform's store is, in milliseconds.
     pub age: Gauge,
+    /// The era that the platform's store told last, -1 if it told none.
+    pub era: Gauge,
     /// The requests under way.
     pub in_flight: Gauge,
     /// The requests that are held back, since they crash upstreams.
@@ -122,6 +125,12 @@
             "Time since the platform's store answered for a table, -1 if it never did",
             silences.clone(),
         );
+        let ignored = Counter::default();
+        registry.register(
+            "pages_ignored",
+            "Answers of the platform's store that changed nothing, since a later version is known",
+            ignored.clone(),
+        );
         gauges.register(&mut registry);
         Metrics {
             registry,
@@ -132,6 +141,7 @@
             violated,
             versions,
             silences,
+            ignored,
             gauges,
         }
     }
@@ -152,6 +162,11 @@
                 "Age of what is known of the platform's store by whatever way, -1 if nothing is",
                 &self.age,
             ),
+            (
+                "store_era",
+                "Era that the platform's store told last, -1 if it told none",
+                &self.era,
+            ),
             ("in_flight", "Requests under way", &self.in_flight),
             (
                 "held_back",
@@ -271,6 +286,11 @@
         self.silences.get_or_create(&label).set(silence);
     }
 
+    /// Counts an answer of the platform's store that changed nothing.
+    pub fn ignored(&self) {
+        self.ignored.inc();
+    }
+
     /// Writes all metrics.
     pub fn text(&self) -> String {
         let mut buf = String::new();
--- a/crates/daemon/tests/mirror.rs
+++ b/crates/daemon/tests/mirror.rs
@@ -48,6 +48,7 @@
         rows,
         version,
         now: Duration::ZERO,
+        era: None,
     }
 }
 
--- a/crates/daemon/tests/relay/main.rs
+++ b/crates/daemon/tests/relay/main.rs
@@ -244,6 +244,7 @@
         rows,
         version,
         now: Duration::ZERO,
+        era: None,
     }
 }
 
--- a/crates/daemon/tests/relay/world.rs
+++ b/crates/daemon/tests/relay/world.rs
@@ -89,6 +89,7 @@
             rows: rows.collect(),
             version: self.version,
             now: Duration::from_micros(now.0),
+            era: None,
         };
         (page, since.is_none())
     }
