Versions of the store count only with its era, so what follows a restore is taken in

Callers saw: requests reached an upstream 2,444 ms after its leaving was confirmed, and a key that had been taken away was let in 2.5 s after that was confirmed. Keys, routes and leavings came in force late or never.

Cause: the store came back from a copy and gave its versions out again. Entries knew version 31 and took each page of a lower version for an older one, whole tables too, while the call counted as heard. Waits were begun from 31, which the store did not have, and where its versions passed 31 meanwhile, what was written below was never asked for. Class: a version is compared outside the history that it belongs to.

Now: era::Stamp orders (era, version), and pages, waits, deltas over links, what an asked entry gives, and the versions that are accounted for are all judged by it. An answer of another era than the wait began from makes the table be read whole; a late answer of an earlier era is left; a source that knows an earlier era is not new enough. A table that must be read whole again and again is asked for with a growing pause. Entries of builds without an era are not followed where the store tells one. The schedules of entries let the store come back from copies.

--- a/crates/core/src/era/mod.rs
+++ b/crates/core/src/era/mod.rs
@@ -13,6 +13,10 @@
 //! assert_eq!(after.to_string(), "5:27");
 //! ```
 
+mod heard;
+
+pub use heard::{Eras, Heard};
+
 use crate::error::{Category, Error, Result};
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -55,6 +59,13 @@
     }
 }
 
+impl From<u64> for Stamp {
+    /// Returns the stamp of a version where the store tells no era.
+    fn from(version: u64) -> Stamp {
+        Stamp::new(Era::default(), version)
+    }
+}
+
 impl fmt::Display for Stamp {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}:{}", self.era, self.version)
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -12,6 +12,7 @@
 //! ```
 
 use crate::bill::Record;
+use crate::era::Era;
 use crate::error::{Category, Error, Result};
 use crate::evidence::Evidence;
 use crate::failure::Failure;
@@ -188,6 +189,9 @@
     pub order: Option<Box<Order>>,
 }
 
+/// The tables of the platform's store that entries follow.
+pub const TABLES: usize = 4;
+
 /// A table of the platform's store as one entry gives it to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TableCopy {
@@ -195,10 +199,43 @@
     pub number: usize,
     /// The version of the store that the copy shows.
     pub version: u64,
+    /// The era of that version.
+    #[serde(default)]
+    pub era: Era,
     /// Keys, versions and values.
     pub rows: Vec<(String, u64, serde_bytes::ByteBuf)>,
 }
 
+/// Up to which versions an entry knows the tables of the platform's store, in one era.
+///
+/// It is written as the list of the versions and the era after them: builds that know no era
+/// read the versions.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(from = "Vec<u64>", into = "Vec<u64>")]
+pub struct Have {
+    /// The version of each table, 0 where it is not known in this era.
+    pub versions: [u64; TABLES],
+    /// The era.
+    pub era: Era,
+}
+
+impl From<Vec<u64>> for Have {
+    fn from(list: Vec<u64>) -> Have {
+        let number = |at: usize| list.get(at).copied().unwrap_or(0);
+        Have {
+            versions: std::array::from_fn(number),
+            era: Era(number(TABLES)),
+        }
+    }
+}
+
+impl From<Have> for Vec<u64> {
+    fn from(have: Have) -> Vec<u64> {
+        let era = std::iter::once(have.era.0);
+        have.versions.into_iter().chain(era).collect()
+    }
+}
+
 /// What changed in a table of the platform's store, as one entry hands it to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TableDelta {
@@ -209,6 +246,9 @@
     pub since: Option<u64>,
     /// The version that the table then has.
     pub version: u64,
+    /// The era of these versions.
+    #[serde(default)]
+    pub era: Era,
     /// Keys, versions and values; no value where a row was dropped.
     pub rows: Vec<(String, u64, Option<serde_bytes::ByteBuf>)>,
     /// The rows, packed, in place of `rows`.
@@ -224,7 +264,7 @@
     /// Its data hall.
     pub hall: Hall,
     /// The versions of the tables that it has, where they are to be sent from there.
-    pub have: Option<Vec<u64>>,
+    pub have: Option<Have>,
     /// Whether it reads the store itself.
     pub reads_store: bool,
     /// What it has found of moves to other releases.
@@ -250,6 +290,9 @@
     pub heard_us: Option<u64>,
     /// The time on the store's clock, in microseconds, where it is known.
     pub clock_us: Option<u64>,
+    /// The era of the store that the entry knows.
+    #[serde(default)]
+    pub era: Era,
     /// Whether the entry is about to stop.
     pub leaving: bool,
     /// What changed in the tables.
@@ -310,7 +353,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
     /// An entry's request for tables that are newer than these versions.
-    Want(Vec<u64>),
+    Want(Have),
     /// The tables that were asked for.
     Tables(Vec<TableCopy>),
     /// An entry asks for the tables from now on, and tells what it has found.
--- a/crates/daemon/src/hosted/feed.rs
+++ b/crates/daemon/src/hosted/feed.rs
@@ -7,16 +7,17 @@
 
 use super::room::Message;
 use super::shared::Shared;
-use crate::clock;
+use crate::clock::{self, Clock};
 use async_channel::{Receiver, Sender};
 use async_std::task;
 use futures_lite::FutureExt;
+use sorreldeck::era::Stamp;
 use sorreldeck::follow::Reading;
-use sorreldeck::Span;
+use sorreldeck::{Span, Time};
 use sorreldeck_platform::store::{Page, Trouble};
 use sorreldeck_platform::{Store, Table};
 use std::sync::atomic::{AtomicU64, AtomicU8, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 /// How long the operator's table is waited on: a configuration must be in force
@@ -45,12 +46,20 @@
 
 /// What a follower tells.
 pub enum Update {
-    /// Rows; `true` says that they are the whole table.
-    Page(Page, bool),
+    /// Rows.
+    Page {
+        /// The rows.
+        page: Page,
+        /// Whether they are the whole table.
+        whole: bool,
+        /// When they were asked for.
+        asked: Time,
+    },
     /// The table could not be read.
     Failed(Trouble),
-    /// The changes after the version that was known are forgotten; the table is read whole.
-    Forgotten(u64),
+    /// The changes after the version that was known are forgotten, or it is of another era; the
+    /// table is read whole.
+    Forgotten(Stamp),
 }
 
 /// What the follower of a table is to do.
@@ -70,8 +79,8 @@
 #[derive(Debug, Default)]
 struct Wanted {
     task: AtomicU8,
-    /// The version that is known from elsewhere.
-    known: AtomicU64,
+    /// What is known from wherever, if that is of the era of the store.
+    known: Mutex<Option<Stamp>>,
     /// How long the operator's table is waited on at most, in microseconds; 0 for as long as
     /// usual.
     wait: AtomicU64,
@@ -87,6 +96,15 @@
         }
     }
 
+    /// Returns what is known from wherever, if that is of the era of the store.
+    fn known(&self) -> Option<Stamp> {
+        *self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn set_known(&self, known: Option<Stamp>) {
+        *self.known.lock().unwrap_or_else(PoisonError::into_inner) = known;
+    }
+
     /// Notes that the table was read; where it was to be read once, nothing more is to be
     /// done, unless the loop wants more already.
     fn done_once(&self) {
@@ -105,7 +123,7 @@
 
 impl Feed {
     /// Starts the followers, which read nothing yet.
-    pub fn start(store: &Store, shared: &Shared) -> Feed {
+    pub fn start(store: &Store, shared: &Shared, clock: &Clock) -> Feed {
         let mut feed = Feed {
             wanted: Vec::new(),
             bells: Vec::new(),
@@ -131,7 +149,9 @@
                 shared: shared.clone(),
                 table,
                 wanted: feed.wanted[number].clone(),
+                clock: clock.clone(),
                 version: None,
+                forgotten: 0,
                 answered: false,
                 failures: 0,
             };
@@ -169,10 +189,9 @@
         ring(&self.bells[table as usize]);
     }
 
-    /// Notes up to which version a table is known, from wherever.
-    pub fn known(&self, table: Table, version: u64) {
-        let known = &self.wanted[table as usize].known;
-        known.fetch_max(version, Ordering::Relaxed);
+    /// Notes up to which version a table is known, from wherever, in the era of the store.
+    pub fn known(&self, table: Table, known: Option<Stamp>) {
+        self.wanted[table as usize].set_known(known);
     }
 }
 
@@ -199,10 +218,19 @@
     }
 }
 
+/// What was read of a table.
+struct Read {
+    page: Page,
+    /// Whether it is the whole table.
+    whole: bool,
+    /// When it was asked for.
+    asked: Time,
+}
+
 /// What a follower does next.
 enum Turn {
     /// Pass on what was read.
-    Read(Result<(Page, bool), Trouble>),
+    Read(Result<Read, Trouble>),
     /// Begin the wait anew.
     Anew,
     /// End, as the process does.
@@ -222,7 +250,11 @@
     shared: Shared,
     table: Table,
     wanted: Arc<Wanted>,
-    version: Option<u64>,
+    clock: Clock,
+    /// Up to which version the table was read here; `None` where it must be read whole.
+    version: Option<Stamp>,
+    /// How often in a row the table had to be read whole.
+    forgotten: u32,
     /// Whether the store has answered since the reading began.
     answered: bool,
     failures: u32,
@@ -298,16 +330,33 @@
         }
     }
 
-    async fn next(&self) -> Result<(Page, bool), Trouble> {
-        let known = self.wanted.known.load(Ordering::Relaxed);
-        // What was handed on by others may be newer than what was read here.
-        match self.version.or((known > 0).then_some(known)) {
-            None => self.store.read(self.table).await.map(|page| (page, true)),
-            Some(version) => {
-                let version = version.max(known);
-                let page = self.store.follow(self.table, version, self.wait()).await?;
-                Ok((page, false))
-            }
+    /// Returns the version from which changes are waited for, or `None` where the table is read
+    /// whole.
+    fn base(&self) -> Option<Stamp> {
+        match self.forgotten {
+            // What was handed on by others may be newer than what was read here.
+            0 => self.version.max(self.wanted.known()),
+            _ => self.version,
+        }
+    }
+
+    async fn next(&self) -> Result<Read, Trouble> {
+        let asked = self.clock.now();
+        let Some(base) = self.base() else {
+            let page = self.store.read(self.table).await?;
+            let whole = true;
+            return Ok(Read { page, whole, asked });
+        };
+        let page = self.store.follow(self.table, base.version, self.wait());
+        let page = page.await?;
+        // Versions of another era say nothing about what came after this one.
+        match page.era.is_none_or(|era| era == base.era) {
+            true => Ok(Read {
+                page,
+                whole: false,
+                asked,
+            }),
+            false => Err(Trouble::Forgotten),
         }
     }
 
@@ -315,27 +364,33 @@
     /// ends.
     async fn tell(
         &mut self,
-        told: Result<(Page, bool), Trouble>,
+        told: Result<Read, Trouble>,
         bells: &[Sender<()>],
     ) -> Option<Duration> {
-        let gathers = matches!(&told, Ok((page, false)) if !page.rows.is_empty());
+        let gathers = matches!(&told, Ok(read) if !read.whole && !read.page.rows.is_empty());
         let told = match told {
-            Ok((page, whole)) => {
-                self.version = Some(page.version);
+            Ok(Read { page, whole, asked }) => {
+                if !whole {
+                    self.forgotten = 0;
+                }
+                let era = page.era.or(self.base().map(|base| base.era));
+                self.version = Some(Stamp::new(era.unwrap_or_default(), page.version));
                 self.answered = true;
                 self.wanted.done_once();
                 if self.failures > 0 {
                     self.failures = 0;
                     bells.iter().for_each(ring);
                 }
-                Update::Page(page, whole)
+                Update::Page { page, whole, asked }
             }
             Err(Trouble::Forgotten) => {
-                let known = self.wanted.known.swap(0, Ordering::Relaxed);
-                let known = self.version.take().unwrap_or(0).max(known);
+                let known = self.base().unwrap_or_default();
+                self.version = None;
+                let pause = PAUSE_MOST.min(PAUSE_FIRST * self.forgotten.min(4));
+                self.forgotten = self.forgotten.saturating_add(1);
                 let message = Message::Store(self.table, Update::Forgotten(known));
                 self.shared.send.send(message).await.ok()?;
-                return Some(Duration::ZERO);
+                return Some(pause);
             }
             Err(trouble) => {
                 self.failures += 1;
--- a/crates/daemon/src/hosted/mirror.rs
+++ b/crates/daemon/src/hosted/mirror.rs
@@ -7,11 +7,11 @@
 use super::holds::{self, Record};
 use super::pack;
 use super::replica::{Replica, Rows, Share};
-use sorreldeck::era::Era;
+use sorreldeck::era::{Era, Eras, Heard, Stamp};
 use sorreldeck::follow::{Peer, Watermark};
 use sorreldeck::quarantine::Fingerprint;
 use sorreldeck::release::{Order, State};
-use sorreldeck::wire::TableDelta;
+use sorreldeck::wire::{Have, TableDelta};
 use sorreldeck::{Hall, Incarnation, Span, Time, UpstreamId};
 use sorreldeck_platform::config::{self, Configuration};
 use sorreldeck_platform::member::{self, Listed};
@@ -80,15 +80,16 @@
     pub span: Span,
 }
 
-/// A page that was read and changes nothing, since a later version is known; for the log.
+/// A page that was read and changes nothing, since a later version is known or the table must
+/// be read whole; for the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Ignored {
     /// The table.
     pub table: Table,
     /// The version that the page names.
     pub version: u64,
-    /// The version that is known.
-    pub known: u64,
+    /// What is known.
+    pub known: Stamp,
     /// The era that the store told with it.
     pub era: Option<Era>,
 }
@@ -127,8 +128,9 @@
     troubles: Vec<Trouble>,
     held: Vec<Held>,
     ignored: Vec<Ignored>,
-    /// The era that the store told last.
-    era: Option<Era>,
+    eras: Eras,
+    /// The era before the store came back from a copy, until that is told of.
+    restored: Option<Era>,
 }
 
 impl Default for Mirror {
@@ -143,15 +145,39 @@
             troubles: Vec::new(),
             held: Vec::new(),
             ignored: Vec::new(),
-            era: None,
+            eras: Eras::default(),
+            restored: None,
         }
     }
 }
 
 impl Mirror {
-    /// Returns the version up to which a table is known.
+    /// Returns the version up to which a table is known, in whichever era.
     pub fn version(&self, table: Table) -> u64 {
-        self.tables.get(&table).map_or(0, |t| t.version)
+        self.stamp(table).version
+    }
+
+    /// Returns up to which version of which era a table is known.
+    pub fn stamp(&self, table: Table) -> Stamp {
+        self.tables
+            .get(&table)
+            .map_or_else(Stamp::default, |t| t.stamp)
+    }
+
+    /// Returns the version after which changes of a table can be asked for, or `None` where the
+    /// table must be read whole, since it is not known in the era of the store.
+    pub fn base(&self, table: Table) -> Option<u64> {
+        let stamp = self.stamp(table);
+        let is_known = stamp.version > 0 && stamp.era == self.era();
+        is_known.then_some(stamp.version)
+    }
+
+    /// Returns up to which versions all tables are known in the era of the store.
+    pub fn have(&self) -> Have {
+        Have {
+            versions: Table::ALL.map(|table| self.base(table).unwrap_or(0)),
+            era: self.era(),
+        }
     }
 
     /// Returns whether anything is known of what the operator wants.
@@ -190,9 +216,36 @@
         std::mem::take(&mut self.ignored)
     }
 
-    /// Returns the era that the store told last, if it told any.
-    pub fn era(&self) -> Option<Era> {
-        self.era
+    /// Returns the era before the store came back from a copy, if it did since the last call.
+    pub fn restored(&mut self) -> Option<Era> {
+        self.restored.take()
+    }
+
+    /// Returns the era of the store that is known.
+    pub fn era(&self) -> Era {
+        self.eras.current()
+    }
+
+    /// Takes in the era that the store told in answer to a call begun at `asked`. After a
+    /// [restore](Heard::Restored) nothing but whole tables may be [applied](Mirror::apply).
+    pub fn hear(&mut self, told: Option<Era>, asked: Time, now: Time) -> Heard {
+        let heard = self.eras.hear(told, asked, now);
+        self.note_era(heard);
+        heard
+    }
+
+    /// Takes in the era that another entry tells.
+    fn learn_era(&mut self, told: Era, now: Time) -> Heard {
+        let heard = self.eras.learn(told, now);
+        self.note_era(heard);
+        heard
+    }
+
+    fn note_era(&mut self, heard: Heard) {
+        if let Heard::Restored { before } = heard {
+            self.restored.get_or_insert(before);
+            self.watermark = Watermark::new(Table::ALL.len());
+        }
     }
 
     /// Returns the time on the store's clock, if one was heard.
@@ -224,30 +277,30 @@
         }
         self.tables.entry(table).or_default().failing = false;
         let version = page.version;
-        self.era = page.era.or(self.era);
-        let known = self.version(table);
-        if version < known {
+        let known = self.stamp(table);
+        let is_same_era = known.era == self.era();
+        let is_older = is_same_era && version < known.version;
+        if is_older || !(whole || is_same_era) {
             self.ignored.push(Ignored {
                 table,
                 version,
                 known,
                 era: page.era,
             });
+            return Vec::new();
         }
         let news = self.put(table, page, whole, now);
         self.watermark.named(version, now);
         news
     }
 
-    /// Takes in a page from wherever, unless it is older than what is known.
+    /// Takes in a page of the era that is known, which is not older than what is known.
     fn put(&mut self, table: Table, page: Page, whole: bool, now: Time) -> Vec<News> {
+        let era = self.era();
         let copy = self.tables.entry(table).or_default();
-        if page.version < copy.version {
-            return Vec::new();
-        }
         let changes = page.rows.iter().map(|row| row.version);
         self.watermark.known(table as usize, page.version, changes);
-        let changed = copy.take(page, whole);
+        let changed = copy.take(page, era, whole);
         match table {
             Table::Operator | Table::Progress => self.operator_news(table, &changed),
             Table::Own => self.own_news(&changed),
@@ -257,7 +310,9 @@
 
     /// Takes in a page from another entry, which may know less or more.
     pub fn apply_copy(&mut self, table: Table, page: Page, now: Time) -> Vec<News> {
-        if page.version <= self.version(table) {
+        let stamp = Stamp::new(page.era.unwrap_or_default(), page.version);
+        let is_late = self.learn_era(stamp.era, now) == Heard::Late;
+        if is_late || stamp <= self.stamp(table) {
             return Vec::new();
         }
         self.put(table, page, true, now)
@@ -272,8 +327,12 @@
 
     /// Returns what changed in a table after a version, to be handed on, or `None` where
     /// that version is the newest known.
-    pub fn delta(&mut self, table: Table, have: u64) -> Option<TableDelta> {
-        let copy = self.tables.get_mut(&table).filter(|t| t.version > have)?;
+    pub fn delta(&mut self, table: Table, have: Stamp) -> Option<TableDelta> {
+        let copy = self.tables.get_mut(&table).filter(|t| t.stamp > have)?;
+        let have = match have.era == copy.stamp.era {
+            true => have.version,
+            false => 0,
+        };
         let Share { since, rows } = copy.share(have);
         let (rows, packed) = match rows {
             Rows::Plain(rows) => (rows, None),
@@ -282,16 +341,17 @@
         Some(TableDelta {
             number: table as usize,
             since,
-            version: copy.version,
+            version: copy.stamp.version,
+            era: copy.stamp.era,
             rows,
             packed,
         })
     }
 
     /// Returns whether rows of a table changed after a version.
-    pub fn has_changed(&self, table: Table, have: u64) -> bool {
-        let copy = self.tables.get(&table).filter(|t| t.version > have);
-        copy.is_some_and(|t| t.newest > have)
+    pub fn has_changed(&self, table: Table, have: Stamp) -> bool {
+        let copy = self.tables.get(&table).filter(|t| t.stamp > have);
+        copy.is_some_and(|t| Stamp::new(t.stamp.era, t.newest) > have)
     }
 
     /// Takes in changes that another entry hands on.
@@ -299,11 +359,16 @@
         let Some(table) = Table::ALL.get(delta.number).copied() else {
             return Taken::Old;
         };
-        let known = self.version(table);
-        if delta.version <= known {
+        let stamp = Stamp::new(delta.era, delta.version);
+        let is_late = self.learn_era(stamp.era, now) == Heard::Late;
+        if is_late || stamp <= self.stamp(table) {
             return Taken::Old;
         }
-        if delta.since.is_some_and(|since| since > known) {
+        let known = self.stamp(table);
+        if delta
+            .since
+            .is_some_and(|since| Stamp::new(stamp.era, since) > known)
+        {
             return Taken::Gap;
         }
         let unpacked = delta.packed.map(|packed| pack::unpack(&packed));
@@ -322,7 +387,7 @@
             rows: rows.into_iter().map(pack::row).collect(),
             version: delta.version,
             now: Duration::ZERO,
-            era: None,
+            era: Some(stamp.era),
         };
         let whole = delta.since.is_none();
         Taken::News(self.put(table, page, whole, now))
--- a/crates/daemon/src/hosted/peer.rs
+++ b/crates/daemon/src/hosted/peer.rs
@@ -7,7 +7,6 @@
 //! said over them is [`relay`](super::relay)'s.
 
 use super::mirror::Mirror;
-use super::relay::versions;
 use super::room::Message;
 use super::shared::Shared;
 use crate::clock;
@@ -16,8 +15,9 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use log::{info, warn};
+use sorreldeck::era::{Era, Stamp};
 use sorreldeck::pick::Link;
-use sorreldeck::wire::{Frame, TableCopy};
+use sorreldeck::wire::{Frame, Have, TableCopy};
 use sorreldeck::InstanceId;
 use sorreldeck_net::link::{self, Event, Keys, Outbox};
 use sorreldeck_platform::store::{Page, Row};
@@ -47,6 +47,7 @@
     /// Which table.
     pub table: Table,
     version: u64,
+    era: Era,
     rows: Vec<Row>,
 }
 
@@ -57,7 +58,7 @@
             rows: self.rows,
             version: self.version,
             now: Duration::ZERO,
-            era: None,
+            era: Some(self.era),
         }
     }
 }
@@ -134,7 +135,7 @@
         let mut others: Vec<SocketAddr> = known.filter(|a| Some(*a) != self.own).collect();
         others.sort_unstable();
         others.dedup();
-        let have = versions(mirror);
+        let have = mirror.have();
         for _ in 0..AT_ONCE.min(others.len()) {
             self.turn = self.turn.wrapping_add(1);
             let address = others[self.turn % others.len()];
@@ -159,7 +160,7 @@
     }
 
     /// Answers an entry that asks for tables once.
-    pub fn answer(&self, link: Link, have: &[u64], mirror: &Mirror) {
+    pub fn answer(&self, link: Link, have: &Have, mirror: &Mirror) {
         let copies = newer(mirror, have);
         info!("event=asked-by-entry link={link} tables={}", copies.len());
         self.send(link, Frame::Tables(copies));
@@ -167,12 +168,12 @@
 }
 
 /// Returns the tables that are newer here than at whoever asks.
-fn newer(mirror: &Mirror, have: &[u64]) -> Vec<TableCopy> {
+fn newer(mirror: &Mirror, have: &Have) -> Vec<TableCopy> {
     let mut copies = Vec::new();
     for (number, table) in Table::ALL.iter().enumerate() {
-        let theirs = have.get(number).copied().unwrap_or(0);
-        let version = mirror.version(*table);
-        if version <= theirs {
+        let theirs = Stamp::new(have.era, have.versions[number]);
+        let own = mirror.stamp(*table);
+        if own <= theirs {
             continue;
         }
         let row = |row: &Row| {
@@ -181,7 +182,8 @@
         };
         copies.push(TableCopy {
             number,
-            version,
+            version: own.version,
+            era: own.era,
             rows: mirror.rows(*table).filter_map(row).collect(),
         });
     }
@@ -197,6 +199,7 @@
     Some(Snapshot {
         table: *Table::ALL.get(copy.number)?,
         version: copy.version,
+        era: copy.era,
         rows: copy.rows.into_iter().map(row).collect(),
     })
 }
@@ -205,7 +208,7 @@
     address: SocketAddr,
     keys: &Keys,
     shared: &Shared,
-    have: Vec<u64>,
+    have: Have,
 ) -> eyre::Result<Vec<Snapshot>> {
     let open = link::connect(address, keys, shared.incarnation, clock::random()).await?;
     let (send, events) = async_channel::unbounded();
--- a/crates/daemon/src/hosted/relay.rs
+++ b/crates/daemon/src/hosted/relay.rs
@@ -9,12 +9,13 @@
 use super::found::Found;
 use super::hints::{Hints, Stays};
 use super::mirror::{Mirror, News, Taken};
+use sorreldeck::era::Stamp;
 use sorreldeck::follow::{Action, Bounds, Follow, Peer, Reading, Word};
 use sorreldeck::notice;
 use sorreldeck::pick::Link;
 use sorreldeck::quarantine;
 use sorreldeck::release::{Report, Stay};
-use sorreldeck::wire::{self, Feed, Frame};
+use sorreldeck::wire::{self, Feed, Frame, TABLES};
 use sorreldeck::{Hall, InstanceId, PoolId, Span, Time};
 use sorreldeck_platform::Table;
 use std::collections::BTreeMap;
@@ -67,7 +68,7 @@
     entry: InstanceId,
     hall: Hall,
     /// The versions that were sent.
-    have: Vec<u64>,
+    have: [Stamp; TABLES],
     sent: Time,
     /// Up to which count of changes what was found has been sent.
     found: u64,
@@ -100,9 +101,9 @@
     /// Whether the store did not answer this entry the last time.
     failing: bool,
     /// Which tables the store has answered for since it was away, or since they are read.
-    answered: [bool; 4],
+    answered: [bool; TABLES],
     /// When each table was asked for anew last, or began to be read.
-    asked: [Time; 4],
+    asked: [Time; TABLES],
     /// When it has answered for the operator's.
     operator: Time,
     /// What this entry's sources are to be told.
@@ -125,8 +126,8 @@
             takers: BTreeMap::new(),
             found: Found::default(),
             failing: false,
-            answered: [false; 4],
-            asked: [Time::default(); 4],
+            answered: [false; TABLES],
+            asked: [Time::default(); TABLES],
             operator: Time::default(),
             hints: Hints::default(),
             stays: Stays::default(),
@@ -171,7 +172,7 @@
         if table == Table::Operator {
             if std::mem::take(&mut self.failing) {
                 // The others begin anew by themselves.
-                self.asked = [now; 4];
+                self.asked = [now; TABLES];
             }
             self.operator = now;
             self.follow.reached(now);
@@ -185,10 +186,15 @@
         }
     }
 
+    /// Notes that the store came back from a copy: no table has been read whole since.
+    pub fn restored(&mut self, now: Time) {
+        self.woke(now);
+    }
+
     /// Notes that the machine was suspended: no table has been answered for since.
     pub fn woke(&mut self, now: Time) {
-        self.answered = [false; 4];
-        self.asked = [now; 4];
+        self.answered = [false; TABLES];
+        self.asked = [now; TABLES];
     }
 
     /// Notes that the store has not answered for a table. One that does not answer for the
@@ -197,7 +203,7 @@
         self.answered[table as usize] = false;
         if table == Table::Operator {
             self.failing = true;
-            self.answered = [false; 4];
+            self.answered = [false; TABLES];
             self.follow.missed();
         }
     }
@@ -363,8 +369,8 @@
                 Action::Open(name, address) => orders.push(Order::Open(name, address)),
                 Action::Read(reading) => {
                     self.failing &= reading != Reading::Nothing;
-                    self.answered = [false; 4];
-                    self.asked = [now; 4];
+                    self.answered = [false; TABLES];
+                    self.asked = [now; TABLES];
                     orders.push(Order::Read(reading));
                 }
                 Action::Close(name) => {
@@ -437,6 +443,7 @@
         let feed = Feed {
             heard_us: self.follow.heard_at().and_then(|at| mirror.store_time(at)),
             clock_us: mirror.store_time(now),
+            era: mirror.era(),
             leaving: self.leaving,
             tables,
             found,
@@ -447,7 +454,7 @@
         };
         let taker = self.takers.get_mut(&link)?;
         for table in &feed.tables {
-            taker.have[table.number] = table.version;
+            taker.have[table.number] = Stamp::new(table.era, table.version);
         }
         taker.sent = now;
         taker.found = self.found.changes();
@@ -526,7 +533,7 @@
             false => Vec::new(),
         };
         Frame::Follow(Box::new(wire::Follow {
-            have: Some(versions(mirror)),
+            have: Some(mirror.have()),
             stays,
             ..self.present()
         }))
@@ -553,8 +560,8 @@
         now: Time,
     ) -> Vec<Order> {
         let is_near = asked.hall == self.own.hall;
-        if let Some(mut have) = asked.have {
-            have.resize(Table::ALL.len(), 0);
+        if let Some(have) = asked.have {
+            let have = have.versions.map(|version| Stamp::new(have.era, version));
             let taker = Taker {
                 entry: asked.entry.clone(),
                 hall: asked.hall,
@@ -623,7 +630,9 @@
         }
         // An age without the changes that go with it would make what is known look newer
         // than it is, here and at all that have the tables from here.
-        let heard = feed.heard_us.filter(|_| !gap);
+        // So would that of a source which does not know yet that the store came back from a copy.
+        let is_current = !gap && feed.era >= mirror.era();
+        let heard = feed.heard_us.filter(|_| is_current);
         let word = Word {
             store: heard.and_then(|micros| mirror.own_time(micros)),
             leaving: feed.leaving,
@@ -659,8 +668,3 @@
         (news, orders)
     }
 }
-
-/// Returns the versions of all tables, in their order.
-pub fn versions(mirror: &Mirror) -> Vec<u64> {
-    Table::ALL.iter().map(|t| mirror.version(*t)).collect()
-}
--- a/crates/daemon/src/hosted/replica.rs
+++ b/crates/daemon/src/hosted/replica.rs
@@ -2,6 +2,7 @@
 //! they can be handed on one by one.
 
 use super::pack::{self, Handed, PACKED_FROM};
+use sorreldeck::era::{Era, Stamp};
 use sorreldeck_platform::store::{Page, Row};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -40,8 +41,8 @@
 /// One table as it was known last.
 #[derive(Clone, Debug, Default)]
 pub struct Replica {
-    /// The version up to which it is known.
-    pub version: u64,
+    /// Up to which version of which era it is known.
+    pub stamp: Stamp,
     /// Its rows by key.
     pub rows: BTreeMap<String, Row>,
     /// The latest changes, in the order of their versions.
@@ -60,10 +61,20 @@
 impl Replica {
     /// Takes in a page that is not older than what is known; `whole` says that rows which are
     /// not in it are gone. Returns the keys of the rows that changed.
-    pub fn take(&mut self, page: Page, whole: bool) -> Vec<String> {
+    ///
+    /// In a new era the page holds the whole table, and versions say nothing about which of two
+    /// states of a row is the later one.
+    pub fn take(&mut self, page: Page, era: Era, whole: bool) -> Vec<String> {
         self.remember(&page, whole);
-        self.version = page.version;
-        merge(&mut self.rows, page.rows, whole)
+        let is_restored = era != self.stamp.era;
+        if is_restored {
+            self.packed = None;
+        }
+        self.stamp = Stamp::new(era, page.version);
+        match is_restored {
+            true => replace(&mut self.rows, page.rows),
+            false => merge(&mut self.rows, page.rows, whole),
+        }
     }
 
     /// Remembers the changes of a page, or begins anew where it shows the whole table.
@@ -75,7 +86,7 @@
             self.newest = page.version;
             return;
         }
-        let known = self.version;
+        let known = self.stamp.version;
         for row in page.rows.iter().filter(|row| row.version > known) {
             self.bytes += size_of(row);
             self.newest = self.newest.max(row.version);
@@ -90,12 +101,12 @@
         }
     }
 
-    /// Returns what changed after a version, or the whole table where that is 0 or not all changes
-    /// since are remembered. Many rows go in one piece, which is made once: a hundred entries that
+    /// Returns what changed after a version of this era, or the whole table where that is 0 or not
+    /// all changes since are remembered. Many rows go in one piece, which is made once: a hundred entries that
     /// have the tables from here have the same already.
     pub fn share(&mut self, have: u64) -> Share {
         let since = (have > 0 && have >= self.remembered).then_some(have);
-        let is_known = |p: &&Packed| p.since == since && p.version == self.version;
+        let is_known = |p: &&Packed| p.since == since && p.version == self.stamp.version;
         if let Some(known) = self.packed.as_ref().filter(is_known) {
             let rows = Rows::Packed(known.bytes.clone());
             return Share { since, rows };
@@ -112,7 +123,7 @@
         let bytes = pack::pack(&rows);
         self.packed = Some(Packed {
             since,
-            version: self.version,
+            version: self.stamp.version,
             bytes: bytes.clone(),
         });
         let rows = Rows::Packed(bytes);
@@ -135,6 +146,18 @@
     row.key.len() + row.value.as_ref().map_or(0, Vec::len)
 }
 
+/// Takes the rows of another era in place of those that are known; returns the keys of those
+/// whose values differ.
+fn replace(known: &mut BTreeMap<String, Row>, rows: Vec<Row>) -> Vec<String> {
+    let rows = rows.into_iter().filter(|row| row.value.is_some());
+    let rows: BTreeMap<String, Row> = rows.map(|row| (row.key.clone(), row)).collect();
+    let before = std::mem::replace(known, rows);
+    let value = |rows: &BTreeMap<String, Row>, key: &str| rows.get(key).map(|r| r.value.clone());
+    let keys: BTreeSet<&String> = before.keys().chain(known.keys()).collect();
+    let differs = |key: &&String| value(&before, key) != value(known, key);
+    keys.into_iter().filter(differs).cloned().collect()
+}
+
 /// Takes rows in and returns the keys that changed.
 fn merge(known: &mut BTreeMap<String, Row>, rows: Vec<Row>, whole: bool) -> Vec<String> {
     let mut changed = Vec::new();
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -19,7 +19,7 @@
 use sorreldeck::entry::{
     Ask, Done, Entry, Input, Output, Part, Reply, Settings as Decisions, What,
 };
-use sorreldeck::era::Era;
+use sorreldeck::era::Heard;
 use sorreldeck::follow::{Bounds, Peer, Reading};
 use sorreldeck::pick::Link;
 use sorreldeck::quarantine::{self, Fingerprint, Hold};
@@ -185,7 +185,7 @@
             recorder: Recorder::new(&settings.instance),
             peering: Peering::new(options.link_keys.clone(), settings, links.events),
             relay: Relay::new(own.clone(), bounds),
-            feed: Feed::start(&store, &shared),
+            feed: Feed::start(&store, &shared, &clock),
             caller: Caller::new(shared.send.clone(), clock.clone()),
             clock,
             runs: HashMap::new(),
@@ -329,17 +329,20 @@
                 }
                 self.handle(Input::Reply(link, run, reply));
             }
-            Message::Store(table, Update::Page(page, whole)) => {
+            Message::Store(table, Update::Page { page, whole, asked }) => {
                 let now = self.clock.now();
+                if self.mirror.hear(page.era, asked, now) == Heard::Late {
+                    return;
+                }
+                self.note_restored("store");
                 // An answer may have lain here while the machine was suspended.
                 let told = self.mirror.own_time(page.now.as_micros() as u64);
                 let heard = told
                     .filter(|_| !page.now.is_zero())
                     .map_or(now, |at| at.min(now));
                 self.note_reached(table, heard);
-                let era = self.mirror.era();
                 let news = self.mirror.apply(table, page, whole, now);
-                self.tell_of_era(table, era);
+                self.tell_of_ignored();
                 self.note_all(news, "store");
                 self.answers.note(table, now);
                 if table == Table::Own && self.starts_until.is_none() {
@@ -408,12 +411,16 @@
             return self.peering.answer(link, have, &self.mirror);
         }
         let now = self.clock.now();
+        let era = self.mirror.era();
         let (news, orders) = self.relay.frame(link, frame, &mut self.mirror, now);
         let handed_on = !news.is_empty();
         // Most frames bring no news, so the name is not copied for them.
-        let source = self.relay.source(link).filter(|_| handed_on);
+        let is_news = handed_on || self.mirror.era() != era;
+        let source = self.relay.source(link).filter(|_| is_news);
         let from = source.map(InstanceId::to_string);
-        self.note_all(news, from.as_deref().unwrap_or("unknown"));
+        let from = from.as_deref().unwrap_or("unknown");
+        self.note_restored(from);
+        self.note_all(news, from);
         self.carry_out(orders);
         if handed_on {
             let orders = self.relay.hand_down(&mut self.mirror, now);
@@ -428,7 +435,9 @@
         }
         self.starts_until = None;
         for table in Table::ALL {
-            self.feed.known(table, self.mirror.version(table));
+            let known = self.mirror.base(table);
+            self.feed
+                .known(table, known.map(|_| self.mirror.stamp(table)));
         }
         let wait = self.relay.follow().bounds().wait;
         let before = self.relay.follow().reading();
@@ -495,9 +504,10 @@
         let now = self.clock.now();
         for copy in copies {
             let table = copy.table;
-            let before = self.mirror.version(table);
+            let before = self.mirror.stamp(table);
             let news = self.mirror.apply_copy(table, copy.page(), now);
-            let version = self.mirror.version(table);
+            self.note_restored("asked");
+            let version = self.mirror.stamp(table);
             if version > before {
                 self.in_vain = 0;
                 info!("event=learned-from-entry table={table:?} version={version} before={before}");
@@ -533,12 +543,24 @@
         }
     }
 
-    /// Tells that the store came back from a copy, and which of its answers were ignored.
-    fn tell_of_era(&mut self, table: Table, before: Option<Era>) {
+    /// Takes in that the store came back from a copy: what is known holds until all tables are
+    /// read whole, and no wait that is under way tells of what comes.
+    fn note_restored(&mut self, from: &str) {
+        let Some(before) = self.mirror.restored() else {
+            return;
+        };
+        let now = self.clock.now();
         let era = self.mirror.era();
-        if let Some((era, before)) = era.zip(before).filter(|(now, before)| now != before) {
-            warn!("event=store-era era={era} before={before} table={table:?}");
+        warn!("event=store-era era={era} before={before} from={from}");
+        self.relay.restored(now);
+        for table in Table::ALL {
+            self.feed.known(table, None);
+            self.feed.ask(table);
         }
+    }
+
+    /// Tells which answers of the store were ignored.
+    fn tell_of_ignored(&mut self) {
         for ignored in self.mirror.ignored() {
             self.metrics.ignored();
             warn!(
@@ -826,9 +848,7 @@
         gauges.evacuated.set(evacuated.len() as i64);
         gauges.links.set(self.upstreams.len() as i64);
         let age = self.relay.follow().age(now);
-        gauges
-            .era
-            .set(self.mirror.era().map_or(-1, |era| era.0 as i64));
+        gauges.era.set(self.mirror.era().0 as i64);
         gauges.age.set(age.map_or(-1, |age| age.millis() as i64));
         self.metrics.text()
     }
--- a/crates/daemon/tests/mirror.rs
+++ b/crates/daemon/tests/mirror.rs
@@ -243,7 +243,7 @@
 fn handed(teller: &mut Mirror, have: u64) -> sorreldeck::wire::TableDelta {
     let rows = vec![row("i-0", "draining", 11), gone("i-1", 12)];
     teller.apply(Table::Upstreams, page(rows, 13), false, at(100));
-    teller.delta(Table::Upstreams, have).unwrap()
+    teller.delta(Table::Upstreams, have.into()).unwrap()
 }
 
 #[test]
@@ -314,9 +314,9 @@
             at(version),
         );
     }
-    assert_eq!(teller.delta(Table::Own, 2).unwrap().since, None);
-    assert_eq!(teller.delta(Table::Own, 38).unwrap().since, Some(38));
-    assert!(teller.delta(Table::Own, 39).is_none());
+    assert_eq!(teller.delta(Table::Own, 2.into()).unwrap().since, None);
+    assert_eq!(teller.delta(Table::Own, 38.into()).unwrap().since, Some(38));
+    assert!(teller.delta(Table::Own, 39.into()).is_none());
 }
 
 fn joined(news: &[News]) -> Vec<Option<u64>> {
--- a/crates/daemon/tests/other_writers.rs
+++ b/crates/daemon/tests/other_writers.rs
@@ -83,6 +83,7 @@
         rows,
         version,
         now: Duration::from_millis(version),
+        era: None,
     }
 }
 
--- a/crates/daemon/tests/relay/main.rs
+++ b/crates/daemon/tests/relay/main.rs
@@ -9,6 +9,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use sorreldeck::era::Era;
 use sorreldeck::follow::{Bounds, Peer, Reading};
 use sorreldeck::notice;
 use sorreldeck::pick::Link;
@@ -290,6 +291,7 @@
             number: Table::Upstreams as usize,
             since: Some(since),
             version: 7,
+            era: Era::default(),
             rows: Vec::new(),
             packed: None,
         };
--- a/crates/daemon/tests/relay/trouble.rs
+++ b/crates/daemon/tests/relay/trouble.rs
@@ -31,7 +31,7 @@
     pub fn impair(&mut self) {
         let until = self.now + Span::from_millis(self.rng.random_range(300..7_000));
         let share = [0.05, 0.3, 0.9][self.rng.random_range(0..3)];
-        let kind = self.rng.random_range(0..11);
+        let kind = self.rng.random_range(0..13);
         if kind >= 7 {
             return self.impair_all(kind, until);
         }
@@ -82,6 +82,27 @@
         }
     }
 
+    /// Lets the store come back from a copy that is some seconds old. The operator and the
+    /// upstreams write again what they wrote, each at a time of its own; some never do.
+    pub fn restore(&mut self, back: Time) {
+        let copies = self.store.copies.len();
+        if copies == 0 {
+            return;
+        }
+        let copy = self.store.copies[self.rng.random_range(0..copies)].clone();
+        self.store.is_silent = self.rng.random_bool(0.5);
+        for (table, row) in self.store.restore(copy, back) {
+            let after = Span::from_millis(self.rng.random_range(0..3_000));
+            if table == Table::Own || self.rng.random_bool(0.9) {
+                self.store.again.push((back + after, table, row));
+            }
+        }
+        let open = self.nodes.iter_mut().flat_map(|node| &mut node.polls);
+        for poll in open.filter(|poll| !poll.is_dead) {
+            *poll = Poll::default();
+        }
+    }
+
     pub fn impair_all(&mut self, kind: usize, until: Time) {
         match kind {
             7 => {
@@ -90,6 +111,7 @@
                 self.store.is_silent = self.rng.random_bool(0.5);
             }
             8 => self.forget(),
+            11 | 12 => self.restore(until),
             9 => {
                 // All open links at once, while new ones work.
                 self.silent.extend(self.links.keys());
--- a/crates/daemon/tests/relay/world.rs
+++ b/crates/daemon/tests/relay/world.rs
@@ -2,6 +2,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use sorreldeck::era::{Era, Heard, Stamp};
 use sorreldeck::follow::{Bounds, Peer, Reading};
 use sorreldeck::notice;
 use sorreldeck::pick::Link;
@@ -11,7 +12,7 @@
 use sorreldeck_platform::store::{Page, Row};
 use sorreldeck_platform::Table;
 use sorreldeckd::hosted::{Mirror, News, Order, Relay};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// The times within which a change must be known, as installations of some three, 30 and 100
@@ -41,12 +42,32 @@
     })
 }
 
+/// How often the store is copied, and how many of its copies are kept.
+const COPY_EVERY: Span = Span::from_millis(500);
+const COPIES: usize = 16;
+
+/// Rows by table and key.
+pub type Rows = BTreeMap<(Table, String), Row>;
+
+/// A state of the store that it may come back from.
+#[derive(Clone)]
+pub struct Copy {
+    pub at: Time,
+    pub version: u64,
+    pub rows: Rows,
+}
+
 /// The store, with the time of each change.
 #[derive(Default)]
 pub struct Store {
+    pub era: Era,
     pub version: u64,
-    pub rows: BTreeMap<(Table, String), Row>,
+    pub rows: Rows,
+    /// The changes of this era.
     pub changes: Vec<(Time, Table, u64)>,
+    pub copies: VecDeque<Copy>,
+    /// What was lost and is written again by those who wrote it, unless the row was changed.
+    pub again: Vec<(Time, Table, Row)>,
     pub forgotten: u64,
     pub calls: u64,
     pub down_until: Time,
@@ -68,9 +89,61 @@
         self.changes.push((now, table, self.version));
     }
 
-    /// Returns when the change was made that got a version; each gets the next one.
+    /// Returns when the change was made that got a version, or was copied with it.
     pub fn changed_at(&self, version: u64) -> Time {
-        self.changes[version as usize - 1].0
+        let mut changes = self.changes.iter().rev();
+        let change = changes.find(|(_, _, v)| *v == version);
+        change.map_or(self.back_since, |(at, ..)| *at)
+    }
+
+    /// Takes a copy now and then.
+    pub fn copy(&mut self, now: Time) {
+        let last = self.copies.back().map(|copy| copy.at);
+        if last.is_some_and(|at| now.since(at) < COPY_EVERY) {
+            return;
+        }
+        self.copies.push_back(Copy {
+            at: now,
+            version: self.version,
+            rows: self.rows.clone(),
+        });
+        if self.copies.len() > COPIES {
+            self.copies.pop_front();
+        }
+    }
+
+    /// Comes back from a copy at a time; returns the rows that are lost, as they stood last.
+    pub fn restore(&mut self, copy: Copy, back: Time) -> Vec<(Table, Row)> {
+        let rows = std::mem::replace(&mut self.rows, copy.rows);
+        self.version = copy.version;
+        self.forgotten = copy.version;
+        self.era = Era(self.era.0 + 1);
+        self.changes.clear();
+        self.down_until = back;
+        self.back_since = self.back_since.max(back);
+        self.copies.clear();
+        let is_lost = |place: &(Table, String), row: &Row| {
+            let copied = self.rows.get(place);
+            copied.is_none_or(|copied| copied.version != row.version)
+        };
+        let lost = rows.into_iter().filter(|(place, row)| is_lost(place, row));
+        lost.map(|((table, _), row)| (table, row)).collect()
+    }
+
+    /// Writes again what is due, where nobody changed the row since.
+    pub fn write_again(&mut self, now: Time) {
+        let due = |(at, ..): &mut (Time, Table, Row)| now >= *at;
+        let due: Vec<_> = self.again.extract_if(.., due).collect();
+        for (_, table, row) in due {
+            let current = self.rows.get(&(table, row.key.clone()));
+            let is_changed = |current: &Row| {
+                let mut changes = self.changes.iter();
+                changes.any(|(_, _, version)| *version == current.version)
+            };
+            if !current.is_some_and(is_changed) {
+                self.put(table, &row.key, row.value, now);
+            }
+        }
     }
 
     pub fn newest(&self, table: Table) -> u64 {
@@ -79,7 +152,8 @@
     }
 
     pub fn page(&self, table: Table, since: Option<u64>, now: Time) -> (Page, bool) {
-        let since = since.filter(|v| *v >= self.forgotten);
+        let is_had = |v: &u64| (self.forgotten..=self.version).contains(v);
+        let since = since.filter(is_had);
         let of = self.rows.iter().filter(|((t, _), _)| *t == table);
         let rows = of.map(|(_, row)| row.clone()).filter(|row| match since {
             Some(version) => row.version > version,
@@ -89,7 +163,7 @@
             rows: rows.collect(),
             version: self.version,
             now: Duration::from_micros(now.0),
-            era: None,
+            era: Some(self.era),
         };
         (page, since.is_none())
     }
@@ -130,7 +204,7 @@
     pub words: Vec<quarantine::Word>,
     pub notices: Vec<notice::Word>,
     /// The newest version that was seen of each row in this life.
-    pub seen: BTreeMap<(Table, String), u64>,
+    pub seen: BTreeMap<(Table, String), Stamp>,
     /// The upstreams that may get requests.
     pub uses: BTreeSet<UpstreamId>,
 }
@@ -388,6 +462,7 @@
                 }
                 let n = &mut self.nodes[end.0];
                 let (news, orders) = n.relay.frame(end.1, *frame, &mut n.mirror, now);
+                self.note_restored(end.0);
                 self.take_news(end.0, news);
                 self.carry_out(end.0, orders);
                 let n = &mut self.nodes[end.0];
@@ -485,13 +560,21 @@
         let now = self.now;
         let wait = self.wait(node, table);
         let n = &mut self.nodes[node];
-        let known = n.mirror.version(table);
+        let known = n.mirror.base(table);
         let hears = !n.polls[table as usize].is_deaf;
-        let news = known == 0 || (hears && self.store.newest(table) > known);
-        if !news && now.since(since) < wait {
+        let is_news = |known| {
+            let is_had = known <= self.store.version;
+            !is_had || (hears && self.store.newest(table) > known)
+        };
+        if !known.is_none_or(is_news) && now.since(since) < wait {
             return;
         }
-        let (page, whole) = self.store.page(table, (known > 0).then_some(known), now);
+        // What was waited for from another era is left, and the table read whole.
+        let known = known.filter(|_| n.mirror.era() == self.store.era);
+        let (page, whole) = self.store.page(table, known, now);
+        let heard = n.mirror.hear(page.era, since, now);
+        assert_ne!(heard, Heard::Late);
+        self.note_restored(node);
         let n = &mut self.nodes[node];
         if table == Table::Operator && n.polls[table as usize].failures > 0 {
             // The others begin anew.
@@ -516,6 +599,15 @@
         self.carry_out(node, orders);
     }
 
+    /// Begins all waits of an entry anew where it has just heard that the store was restored.
+    pub fn note_restored(&mut self, node: usize) {
+        let n = &mut self.nodes[node];
+        if n.mirror.restored().is_some() {
+            n.polls = [Poll::default(); 4];
+            n.relay.restored(self.now);
+        }
+    }
+
     pub fn refuse(&mut self, node: usize, table: Table, since: Time) {
         let now = self.now;
         let n = &mut self.nodes[node];
@@ -549,6 +641,10 @@
 
     pub fn tick(&mut self) {
         self.now = self.now + TICK;
+        if self.now >= self.store.down_until {
+            self.store.copy(self.now);
+            self.store.write_again(self.now);
+        }
         while let Some(((time, _), _)) = self.events.first_key_value() {
             if *time > self.now {
                 break;
@@ -582,10 +678,12 @@
     pub fn check_rows(&mut self, node: usize) {
         let n = &mut self.nodes[node];
         for table in [Table::Operator, Table::Progress] {
+            let era = n.mirror.stamp(table).era;
             for row in n.mirror.rows(table) {
+                let stamp = Stamp::new(era, row.version);
                 let seen = n.seen.entry((table, row.key.clone())).or_default();
-                assert!(row.version >= *seen, "{} went back", row.key);
-                *seen = row.version;
+                assert!(stamp >= *seen, "{} went back", row.key);
+                *seen = stamp;
             }
         }
     }
@@ -634,9 +732,9 @@
                 let Some((at, _, version)) = due.next() else {
                     continue;
                 };
-                let known = n.mirror.version(table);
+                let known = n.mirror.stamp(table);
                 assert!(
-                    known >= *version,
+                    known >= Stamp::new(self.store.era, *version),
                     "{} at {:?} does not know {table:?} {version} of {:?} but {known}; reads {:?} of {:?}",
                     n.peer.name,
                     self.now,
