--- a/crates/daemon/tests/relay/world.rs
+++ b/crates/daemon/tests/relay/world.rs
@@ -132,8 +132,9 @@
 
     /// Writes again what is due, where nobody changed the row since.
     pub fn write_again(&mut self, now: Time) {
-        let due = |(at, ..): &mut (Time, Table, Row)| now >= *at;
-        let due: Vec<_> = self.again.extract_if(.., due).collect();
+        let again = std::mem::take(&mut self.again).into_iter();
+        let (due, later): (Vec<_>, Vec<_>) = again.partition(|(at, ..)| now >= *at);
+        self.again = later;
         for (_, table, row) in due {
             let current = self.rows.get(&(table, row.key.clone()));
             let is_changed = |current: &Row| {
