--- /dev/null
+++ b/crates/core/src/era/kept.rs
@@ -0,0 +1,194 @@
+//! What becomes of what was known of a row when the store came back from a copy.
+//!
+//! The store has lost what was written since the copy was made; whoever wrote it writes it again,
+//! in any order and some seconds late. What was in force stays so meanwhile.
+
+use crate::digest::short;
+use crate::unit::Span;
+use std::collections::{HashSet, VecDeque};
+
+/// How long an order holds that is not in the copy: the operator writes it again within seconds.
+const ORDER: Span = Span::from_millis(30_000);
+/// How long what is known of a row holds against another state of it that may be an earlier one.
+const UNSURE: Span = Span::from_millis(3_000);
+/// How long an upstream that is not in the copy is used: it checks in each 1.2 s, and one that left
+/// must get nothing more after 2 s.
+const RETURN: Span = Span::from_millis(1_800);
+/// How long an upstream that was gone and is in the copy is not used: the store drops it after
+/// three check-ins of silence.
+const LEASE: Span = Span::from_millis(4_500);
+/// The rows that must be as they were known for what is earlier than all of them to have been copied:
+/// one may have been written again under its former version.
+const UNCHANGED: usize = 3;
+/// The most former states of rows that are remembered: those of some minutes.
+const MOST: usize = 4_096;
+
+/// A row as it stood at a version of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Seen<'a> {
+    /// The key.
+    pub key: &'a str,
+    /// The version.
+    pub version: u64,
+    /// The value.
+    pub value: &'a [u8],
+}
+
+impl Seen<'_> {
+    fn digest(&self) -> u64 {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&self.version.to_be_bytes());
+        hasher.update(&(self.key.len() as u64).to_be_bytes());
+        hasher.update(self.key.as_bytes());
+        hasher.update(self.value);
+        short(&hasher.finalize())
+    }
+}
+
+/// The former states of rows, the latest of them.
+#[derive(Clone, Debug, Default)]
+pub struct Past {
+    known: HashSet<u64>,
+    order: VecDeque<u64>,
+}
+
+impl Past {
+    /// Notes a state that another one has replaced.
+    pub fn note(&mut self, row: Seen) {
+        let digest = row.digest();
+        if !self.known.insert(digest) {
+            return;
+        }
+        self.order.push_back(digest);
+        if self.order.len() > MOST {
+            let first = self.order.pop_front();
+            first.map(|digest| self.known.remove(&digest));
+        }
+    }
+
+    /// Returns whether a row stood so before.
+    pub fn holds(&self, row: Seen) -> bool {
+        self.known.contains(&row.digest())
+    }
+}
+
+/// What was surely in the copy from which the store came back.
+#[derive(Clone, Debug, Default)]
+pub struct Copied {
+    /// The version up to which changes were copied.
+    version: u64,
+}
+
+impl Copied {
+    /// Returns what follows from the versions of rows that are as they were known.
+    pub fn of(unchanged: impl IntoIterator<Item = u64>) -> Copied {
+        let mut versions: Vec<u64> = unchanged.into_iter().collect();
+        versions.sort_unstable();
+        let version = versions.iter().rev().nth(UNCHANGED - 1);
+        Copied {
+            version: version.copied().unwrap_or(0),
+        }
+    }
+
+    /// Returns whether a change that was made before the copy would be in it.
+    pub fn holds(&self, version: u64) -> bool {
+        version <= self.version
+    }
+}
+
+/// What the store holds of a row after it came back, against what was known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// What was known.
+    Same,
+    /// Nothing, though it was copied: it was dropped since the store is back.
+    Dropped,
+    /// Nothing.
+    Missing,
+    /// What was known before the latest change, which is lost.
+    Outdated,
+    /// Something else under a version that was given out before: a state between two that were
+    /// heard of, or one that was written since the store is back.
+    Unsure,
+    /// Something that was not known.
+    Written,
+}
+
+impl Standing {
+    /// Compares a row of the store with what was known of it, and before; `newest` is the version
+    /// up to which the table was known.
+    pub fn of(
+        stored: Option<Seen>,
+        known: Option<Seen>,
+        past: &Past,
+        copied: &Copied,
+        newest: u64,
+    ) -> Standing {
+        let Some(stored) = stored else {
+            return match known.is_some_and(|known| copied.holds(known.version)) {
+                true => Standing::Dropped,
+                false => Standing::Missing,
+            };
+        };
+        let is_reused = known.is_some() && stored.version <= newest;
+        match known {
+            Some(known) if known == stored => Standing::Same,
+            _ if past.holds(stored) => Standing::Outdated,
+            _ if is_reused && copied.holds(stored.version) => Standing::Outdated,
+            _ if is_reused => Standing::Unsure,
+            _ => Standing::Written,
+        }
+    }
+}
+
+/// What a row tells of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// The configuration, which names its own revision.
+    Configuration,
+    /// An order of the operator.
+    Order,
+    /// An upstream, which writes its row itself.
+    Upstream,
+    /// What entries record.
+    Record,
+}
+
+/// What was known of a row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Known {
+    /// That it is not there.
+    Gone,
+    /// Its value.
+    Present,
+    /// A value that is later than the one in the store by its own account: a higher revision, or
+    /// that the same start of an upstream leaves.
+    Later,
+}
+
+/// What becomes of what was known of a row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// The row in the store takes its place.
+    Take,
+    /// It holds until the row is written again, or for so long.
+    Keep(Option<Span>),
+}
+
+impl Fate {
+    /// Decides what becomes of what was known of a row.
+    pub fn of(kind: Kind, standing: Standing, known: Known) -> Fate {
+        match (kind, standing, known) {
+            (_, Standing::Same, _) | (_, Standing::Missing, Known::Gone) => Fate::Take,
+            (Kind::Configuration, Standing::Missing, _) => Fate::Keep(None),
+            (Kind::Configuration | Kind::Upstream, _, Known::Later) => Fate::Keep(None),
+            (Kind::Configuration, ..) => Fate::Take,
+            (Kind::Order, Standing::Missing | Standing::Outdated, _) => Fate::Keep(Some(ORDER)),
+            (Kind::Order | Kind::Record, Standing::Unsure, _) => Fate::Keep(Some(UNSURE)),
+            (Kind::Upstream, Standing::Missing, _) => Fate::Keep(Some(RETURN)),
+            (Kind::Upstream, Standing::Outdated, Known::Gone) => Fate::Keep(Some(LEASE)),
+            (Kind::Record, Standing::Missing | Standing::Outdated, _) => Fate::Keep(None),
+            _ => Fate::Take,
+        }
+    }
+}
--- a/crates/core/src/era/mod.rs
+++ b/crates/core/src/era/mod.rs
@@ -1,21 +1,34 @@
-//! Which life of the platform's store a version belongs to.
+//! What is known of the platform's store after it came back from a copy.
 //!
-//! A store that comes back from a copy has lost its latest changes and gives their versions
-//! out again. Each time its era rises by one, so a version alone says nothing about which of
-//! two states is the later one.
+//! Such a store has lost its latest changes and gives their versions out again. Each time its era
+//! rises by one, so a version alone says nothing about which of two states is the later one. All
+//! tables are read whole then, and of each row that differs it is decided what holds meanwhile.
 //!
 //! ```
-//! use sorreldeck::era::{Era, Stamp};
+//! use sorreldeck::era::{Copied, Era, Eras, Fate, Heard, Kind, Known, Past, Seen, Stamp, Standing};
+//! use sorreldeck::Time;
 //!
-//! let before = Stamp::new(Era(4), 31);
-//! let after = Stamp::new(Era(5), 27);
-//! assert!(after > before);
-//! assert_eq!(after.to_string(), "5:27");
+//! let mut eras = Eras::default();
+//! assert_eq!(eras.hear(Some(Era(4)), Time(0), Time(5)), Heard::Current);
+//! let restored = eras.hear(Some(Era(5)), Time(10), Time(15));
+//! assert_eq!(restored, Heard::Restored { before: Era(4) });
+//! assert_eq!(eras.hear(Some(Era(4)), Time(9), Time(16)), Heard::Late);
+//! assert!(Stamp::new(Era(5), 27) > Stamp::new(Era(4), 31));
+//!
+//! let row = |version, value| Seen { key: "evacuate/a", version, value };
+//! let mut past = Past::default();
+//! past.note(row(20, b"{}"));
+//! let standing = Standing::of(Some(row(20, b"{}")), None, &past, &Copied::default(), 31);
+//! assert_eq!(standing, Standing::Outdated);
+//! // The operator had taken the order back, so it does not hold again.
+//! assert!(matches!(Fate::of(Kind::Order, standing, Known::Gone), Fate::Keep(Some(_))));
 //! ```
 
 mod heard;
+mod kept;
 
 pub use heard::{Eras, Heard};
+pub use kept::{Copied, Fate, Kind, Known, Past, Seen, Standing};
 
 use crate::error::{Category, Error, Result};
 use serde::{Deserialize, Serialize};
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -204,6 +204,9 @@
     pub era: Era,
     /// Keys, versions and values.
     pub rows: Vec<(String, u64, serde_bytes::ByteBuf)>,
+    /// What holds though the store has lost it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub kept: Vec<KeptRow>,
 }
 
 /// Up to which versions an entry knows the tables of the platform's store, in one era.
@@ -236,6 +239,22 @@
     }
 }
 
+/// What was known of a row that the store lost when it came back from a copy, and that holds
+/// until it is written again.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct KeptRow {
+    /// The key.
+    pub key: String,
+    /// The era in which it was written.
+    pub era: Era,
+    /// The version that it got there.
+    pub version: u64,
+    /// The value, or `None` where it was dropped.
+    pub value: Option<serde_bytes::ByteBuf>,
+    /// For how long it holds; `None` where that is not bound.
+    pub left: Option<Span>,
+}
+
 /// What changed in a table of the platform's store, as one entry hands it to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TableDelta {
@@ -254,6 +273,9 @@
     /// The rows, packed, in place of `rows`.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub packed: Option<serde_bytes::ByteBuf>,
+    /// What holds though the store has lost it, where the whole table is handed on.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub kept: Vec<KeptRow>,
 }
 
 /// What an entry tells one from which it has the tables of the platform's store.
--- a/crates/daemon/src/hosted/mirror.rs
+++ b/crates/daemon/src/hosted/mirror.rs
@@ -6,7 +6,8 @@
 
 use super::holds::{self, Record};
 use super::pack;
-use super::replica::{Replica, Rows, Share};
+use super::replica::{Case, Kept, Replica, Rows, Share};
+use super::rules;
 use sorreldeck::era::{Era, Eras, Heard, Stamp};
 use sorreldeck::follow::{Peer, Watermark};
 use sorreldeck::quarantine::Fingerprint;
@@ -32,6 +33,9 @@
 const MANY: usize = 3;
 const MANY_OF: usize = 2;
 
+/// The longest time between two answers of the store that is not away: a wait takes up to 1.4 s.
+const HEARD: Span = Span::from_millis(1_500);
+
 /// The upstreams whose latest start is remembered before those that left are forgotten: at 600
 /// upstreams and a move of all of them a minute, some 7 minutes.
 const MOST_BORN: usize = 4_096;
@@ -94,6 +98,19 @@
     pub era: Option<Era>,
 }
 
+/// A table that was read whole after the store came back from a copy; for the log.
+#[derive(Clone, Debug)]
+pub struct Replaced {
+    /// The table.
+    pub table: Table,
+    /// What was known of it.
+    pub before: Stamp,
+    /// What is known of it now.
+    pub now: Stamp,
+    /// The keys of rows that hold though the store has lost them.
+    pub kept: Vec<String>,
+}
+
 /// What became of changes that another entry handed on.
 #[derive(Debug)]
 pub enum Taken {
@@ -123,11 +140,14 @@
     /// The latest start of each upstream that tells it, also of those that left.
     born: BTreeMap<String, Incarnation>,
     missing: BTreeMap<String, Time>,
+    /// Up to when it was looked at what holds no longer.
+    ticked: Time,
     /// How far this process's clock is ahead of the store's, in microseconds.
     ahead: Option<i64>,
     troubles: Vec<Trouble>,
     held: Vec<Held>,
     ignored: Vec<Ignored>,
+    replaced: Vec<Replaced>,
     eras: Eras,
     /// The era before the store came back from a copy, until that is told of.
     restored: Option<Era>,
@@ -141,10 +161,12 @@
             listed: BTreeMap::new(),
             born: BTreeMap::new(),
             missing: BTreeMap::new(),
+            ticked: Time::default(),
             ahead: None,
             troubles: Vec::new(),
             held: Vec::new(),
             ignored: Vec::new(),
+            replaced: Vec::new(),
             eras: Eras::default(),
             restored: None,
         }
@@ -185,20 +207,33 @@
         self.version(Table::Operator) > 0
     }
 
-    /// Returns the version of a row, or 0 if there is none.
+    /// Returns the version of a row in the store, or 0 if there is none.
     pub fn row_version(&self, table: Table, key: &str) -> u64 {
-        self.row(table, key).map_or(0, |row| row.version)
+        let replica = self.tables.get(&table);
+        replica.map_or(0, |t| t.stored_version(key))
     }
 
-    /// Returns a row.
+    /// Returns a row as it holds.
     pub fn row(&self, table: Table, key: &str) -> Option<&Row> {
-        self.tables.get(&table)?.rows.get(key)
+        self.tables.get(&table)?.row(key)
     }
 
-    /// Returns the rows of a table.
+    /// Returns the rows of a table as they hold.
     pub fn rows(&self, table: Table) -> impl Iterator<Item = &Row> {
         let replica = self.tables.get(&table);
-        replica.into_iter().flat_map(|t| t.rows.values())
+        replica.into_iter().flat_map(Replica::rows)
+    }
+
+    /// Returns the rows of a table in the store.
+    pub fn stored(&self, table: Table) -> impl Iterator<Item = &Row> {
+        let replica = self.tables.get(&table);
+        replica.into_iter().flat_map(Replica::stored)
+    }
+
+    /// Returns what holds of a table though the store has lost it.
+    pub fn kept(&self, table: Table) -> impl Iterator<Item = &Kept> {
+        let replica = self.tables.get(&table);
+        replica.into_iter().flat_map(Replica::kept)
     }
 
     /// Returns what could not be understood since the last call.
@@ -216,6 +251,12 @@
         std::mem::take(&mut self.ignored)
     }
 
+    /// Returns the tables that were read whole after the store came back from a copy, since the
+    /// last call.
+    pub fn replaced(&mut self) -> Vec<Replaced> {
+        std::mem::take(&mut self.replaced)
+    }
+
     /// Returns the era before the store came back from a copy, if it did since the last call.
     pub fn restored(&mut self) -> Option<Era> {
         self.restored.take()
@@ -289,33 +330,66 @@
             });
             return Vec::new();
         }
-        let news = self.put(table, page, whole, now);
+        let news = self.put(table, page, whole, Vec::new(), now);
         self.watermark.named(version, now);
         news
     }
 
     /// Takes in a page of the era that is known, which is not older than what is known.
-    fn put(&mut self, table: Table, page: Page, whole: bool, now: Time) -> Vec<News> {
+    fn put(
+        &mut self,
+        table: Table,
+        page: Page,
+        whole: bool,
+        kept: Vec<Kept>,
+        now: Time,
+    ) -> Vec<News> {
         let era = self.era();
         let copy = self.tables.entry(table).or_default();
+        let before = copy.stamp;
         let changes = page.rows.iter().map(|row| row.version);
         self.watermark.known(table as usize, page.version, changes);
-        let changed = copy.take(page, era, whole);
+        let fate = |case: &Case<'_>| rules::fate(table, case);
+        let mut changed = copy.take(page, era, whole, fate);
+        changed.extend(copy.keep(kept));
+        if before.era != era {
+            self.ticked = self.ticked.max(now);
+        }
+        if before.era != era && before.version > 0 {
+            let kept = copy.kept().map(|kept| kept.row.key.clone());
+            self.replaced.push(Replaced {
+                table,
+                before,
+                now: copy.stamp,
+                kept: kept.collect(),
+            });
+        }
+        self.news(table, &changed, now)
+    }
+
+    /// Returns what it means that rows changed.
+    fn news(&mut self, table: Table, changed: &[String], now: Time) -> Vec<News> {
         match table {
-            Table::Operator | Table::Progress => self.operator_news(table, &changed),
-            Table::Own => self.own_news(&changed),
-            Table::Upstreams => self.upstream_news(&changed, now),
+            Table::Operator | Table::Progress => self.operator_news(table, changed),
+            Table::Own => self.own_news(changed),
+            Table::Upstreams => self.upstream_news(changed, now),
         }
     }
 
     /// Takes in a page from another entry, which may know less or more.
-    pub fn apply_copy(&mut self, table: Table, page: Page, now: Time) -> Vec<News> {
+    pub fn apply_copy(
+        &mut self,
+        table: Table,
+        page: Page,
+        kept: Vec<Kept>,
+        now: Time,
+    ) -> Vec<News> {
         let stamp = Stamp::new(page.era.unwrap_or_default(), page.version);
         let is_late = self.learn_era(stamp.era, now) == Heard::Late;
         if is_late || stamp <= self.stamp(table) {
             return Vec::new();
         }
-        self.put(table, page, true, now)
+        self.put(table, page, true, kept, now)
     }
 
     /// Returns the tables that must be asked anew, since the store named a version that long
@@ -338,7 +412,10 @@
             Rows::Plain(rows) => (rows, None),
             Rows::Packed(bytes) => (Vec::new(), Some(bytes.into())),
         };
+        let kept = copy.kept().filter(|_| since.is_none());
+        let kept = kept.map(pack::kept_row).collect();
         Some(TableDelta {
+            kept,
             number: table as usize,
             since,
             version: copy.stamp.version,
@@ -390,7 +467,8 @@
             era: Some(stamp.era),
         };
         let whole = delta.since.is_none();
-        Taken::News(self.put(table, page, whole, now))
+        let kept = delta.kept.into_iter().map(pack::kept);
+        Taken::News(self.put(table, page, whole, kept.collect(), now))
     }
 
     /// Takes in the time on the store's clock as another entry tells it.
@@ -400,11 +478,35 @@
         self.ahead = Some(self.ahead.map_or(ahead, |known| known.min(ahead)));
     }
 
-    /// Returns the upstreams whose rows have not come back in time.
-    pub fn tick(&mut self, now: Time) -> Vec<News> {
+    /// Returns what it means that rows have not come back in time.
+    ///
+    /// `heard` is when the store was heard last, by whatever way: what holds for a while though
+    /// the store has lost it holds while nobody can write it again.
+    pub fn tick(&mut self, now: Time, heard: Option<Time>) -> Vec<News> {
         let due = self.missing.iter().filter(|(_, at)| now >= **at);
         let due: Vec<String> = due.map(|(id, _)| id.clone()).collect();
-        due.iter().filter_map(|id| self.retire(id)).collect()
+        let mut news: Vec<News> = due.iter().filter_map(|id| self.retire(id)).collect();
+        let is_heard = heard.is_some_and(|at| now.since(at) <= HEARD);
+        let passed = match is_heard {
+            true => now.since(self.ticked),
+            false => Span::default(),
+        };
+        self.ticked = self.ticked.max(now);
+        for table in Table::ALL {
+            let copy = self.tables.get_mut(&table);
+            let over = copy.map_or_else(Vec::new, |t| t.expire(passed));
+            if table == Table::Upstreams {
+                // They had their time, however many there are.
+                let (stored, gone): (Vec<_>, Vec<_>) = over
+                    .into_iter()
+                    .partition(|id| self.row(table, id).is_some());
+                news.extend(gone.iter().filter_map(|id| self.retire(id)));
+                news.extend(self.upstream_news(&stored, now));
+            } else {
+                news.extend(self.news(table, &over, now));
+            }
+        }
+        news
     }
 
     fn understand<T>(&mut self, table: Table, key: &str, read: sorreldeck::Result<T>) -> Option<T> {
--- a/crates/daemon/src/hosted/mod.rs
+++ b/crates/daemon/src/hosted/mod.rs
@@ -20,13 +20,14 @@
 mod relay;
 mod replica;
 mod room;
+mod rules;
 mod run;
 mod shared;
 mod web;
 
 pub use holds::Record;
 pub use log::start as start_log;
-pub use mirror::{Held, Ignored, Mirror, News, Taken, Trouble};
+pub use mirror::{Held, Ignored, Mirror, News, Replaced, Taken, Trouble};
 pub use relay::{Order, Relay};
 pub use room::{Links, Message, Room};
 pub use shared::Shared;
--- a/crates/daemon/src/hosted/pack.rs
+++ b/crates/daemon/src/hosted/pack.rs
@@ -4,10 +4,12 @@
 //! a reader that hands it to a hundred others on 200 Mbit/s 2 s. Packed it is 66 KB, an eighth
 //! (test `whole_tables_are_packed`).
 
+use super::replica::Kept;
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
 use flate2::Compression;
 use serde_bytes::ByteBuf;
+use sorreldeck::wire::KeptRow;
 use sorreldeck_platform::store::Row;
 use std::io::{Read, Write};
 
@@ -33,6 +35,30 @@
     }
 }
 
+/// Returns what is kept of a row as it is handed on.
+pub fn kept_row(kept: &Kept) -> KeptRow {
+    KeptRow {
+        key: kept.row.key.clone(),
+        era: kept.era,
+        version: kept.row.version,
+        value: kept.row.value.clone().map(ByteBuf::from),
+        left: kept.left,
+    }
+}
+
+/// Returns what was handed on of a row that is kept.
+pub fn kept(row: KeptRow) -> Kept {
+    Kept {
+        row: Row {
+            key: row.key,
+            value: row.value.map(ByteBuf::into_vec),
+            version: row.version,
+        },
+        era: row.era,
+        left: row.left,
+    }
+}
+
 /// Packs rows.
 pub fn pack(rows: &[Handed]) -> Vec<u8> {
     let mut plain = Vec::new();
--- a/crates/daemon/src/hosted/peer.rs
+++ b/crates/daemon/src/hosted/peer.rs
@@ -7,6 +7,8 @@
 //! said over them is [`relay`](super::relay)'s.
 
 use super::mirror::Mirror;
+use super::pack;
+use super::replica::Kept;
 use super::room::Message;
 use super::shared::Shared;
 use crate::clock;
@@ -17,7 +19,7 @@
 use log::{info, warn};
 use sorreldeck::era::{Era, Stamp};
 use sorreldeck::pick::Link;
-use sorreldeck::wire::{Frame, Have, TableCopy};
+use sorreldeck::wire::{Frame, Have, KeptRow, TableCopy};
 use sorreldeck::InstanceId;
 use sorreldeck_net::link::{self, Event, Keys, Outbox};
 use sorreldeck_platform::store::{Page, Row};
@@ -49,17 +51,20 @@
     version: u64,
     era: Era,
     rows: Vec<Row>,
+    kept: Vec<KeptRow>,
 }
 
 impl Snapshot {
-    /// Returns the copy as a page of the store.
-    pub fn page(self) -> Page {
-        Page {
+    /// Returns the copy as a page of the store, and what holds though the store has lost it.
+    pub fn page(self) -> (Page, Vec<Kept>) {
+        let page = Page {
             rows: self.rows,
             version: self.version,
             now: Duration::ZERO,
             era: Some(self.era),
-        }
+        };
+        let kept = self.kept.into_iter().map(pack::kept);
+        (page, kept.collect())
     }
 }
 
@@ -184,7 +189,8 @@
             number,
             version: own.version,
             era: own.era,
-            rows: mirror.rows(*table).filter_map(row).collect(),
+            rows: mirror.stored(*table).filter_map(row).collect(),
+            kept: mirror.kept(*table).map(pack::kept_row).collect(),
         });
     }
     copies
@@ -201,6 +207,7 @@
         version: copy.version,
         era: copy.era,
         rows: copy.rows.into_iter().map(row).collect(),
+        kept: copy.kept,
     })
 }
 
--- a/crates/daemon/src/hosted/replica.rs
+++ b/crates/daemon/src/hosted/replica.rs
@@ -2,7 +2,8 @@
 //! they can be handed on one by one.
 
 use super::pack::{self, Handed, PACKED_FROM};
-use sorreldeck::era::{Era, Stamp};
+use sorreldeck::era::{Copied, Era, Fate, Past, Seen, Stamp, Standing};
+use sorreldeck::Span;
 use sorreldeck_platform::store::{Page, Row};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -38,13 +39,47 @@
     Packed(Vec<u8>),
 }
 
+/// A row of the store, and since which of its eras it stands so.
+#[derive(Clone, Debug)]
+struct Stored {
+    row: Row,
+    since: Era,
+}
+
+/// What was known of a row, and holds though the store has lost it.
+#[derive(Clone, Debug)]
+pub struct Kept {
+    /// The row; without a value where it was dropped.
+    pub row: Row,
+    /// The era in which it was written.
+    pub era: Era,
+    /// For how long it holds while the store is heard; `None` until it is written again.
+    pub left: Option<Span>,
+}
+
+/// A row of a table, for the decision which of two states holds.
+pub struct Case<'a> {
+    /// The key.
+    pub key: &'a str,
+    /// What the store holds of it, against what was known.
+    pub standing: Standing,
+    /// What was known of it.
+    pub known: Option<&'a Row>,
+    /// What the store holds of it.
+    pub stored: Option<&'a Row>,
+}
+
 /// One table as it was known last.
 #[derive(Clone, Debug, Default)]
 pub struct Replica {
     /// Up to which version of which era it is known.
     pub stamp: Stamp,
-    /// Its rows by key.
-    pub rows: BTreeMap<String, Row>,
+    /// The rows of the store by key.
+    rows: BTreeMap<String, Stored>,
+    /// What holds in place of these, or besides them.
+    kept: BTreeMap<String, Kept>,
+    /// What rows were before.
+    past: Past,
     /// The latest changes, in the order of their versions.
     changes: VecDeque<Row>,
     bytes: usize,
@@ -62,18 +97,238 @@
     /// Takes in a page that is not older than what is known; `whole` says that rows which are
     /// not in it are gone. Returns the keys of the rows that changed.
     ///
-    /// In a new era the page holds the whole table, and versions say nothing about which of two
-    /// states of a row is the later one.
-    pub fn take(&mut self, page: Page, era: Era, whole: bool) -> Vec<String> {
+    /// In a new era the page holds the whole table, and `fate` decides for each row that differs
+    /// whether what was known of it holds.
+    pub fn take(
+        &mut self,
+        page: Page,
+        era: Era,
+        whole: bool,
+        fate: impl Fn(&Case) -> Fate,
+    ) -> Vec<String> {
         self.remember(&page, whole);
-        let is_restored = era != self.stamp.era;
+        let before = std::mem::replace(&mut self.stamp, Stamp::new(era, page.version));
+        let is_restored = era != before.era;
         if is_restored {
             self.packed = None;
         }
-        self.stamp = Stamp::new(era, page.version);
         match is_restored {
-            true => replace(&mut self.rows, page.rows),
-            false => merge(&mut self.rows, page.rows, whole),
+            true => self.replace(page.rows, before.version, fate),
+            false => self.merge(page.rows, whole, fate),
+        }
+    }
+
+    /// Returns a row as it holds.
+    pub fn row(&self, key: &str) -> Option<&Row> {
+        match self.kept.get(key) {
+            Some(kept) => Some(&kept.row).filter(|row| row.value.is_some()),
+            None => self.rows.get(key).map(|stored| &stored.row),
+        }
+    }
+
+    /// Returns when a row that holds was written.
+    pub fn row_stamp(&self, key: &str) -> Option<Stamp> {
+        let row = self.row(key)?;
+        let era = match self.kept.get(key) {
+            Some(kept) => kept.era,
+            None => self.rows.get(key)?.since,
+        };
+        Some(Stamp::new(era, row.version))
+    }
+
+    /// Returns the rows as they hold.
+    pub fn rows(&self) -> impl Iterator<Item = &Row> {
+        let stored = self.rows.iter();
+        let stored = stored.filter(|(key, _)| !self.kept.contains_key(*key));
+        let kept = self.kept.values().map(|kept| &kept.row);
+        let kept = kept.filter(|row| row.value.is_some());
+        stored.map(|(_, stored)| &stored.row).chain(kept)
+    }
+
+    /// Returns the version of a row in the store, or 0 if there is none.
+    pub fn stored_version(&self, key: &str) -> u64 {
+        self.rows.get(key).map_or(0, |stored| stored.row.version)
+    }
+
+    /// Returns the rows of the store.
+    pub fn stored(&self) -> impl Iterator<Item = &Row> {
+        self.rows.values().map(|stored| &stored.row)
+    }
+
+    /// Returns what holds though the store has lost it.
+    pub fn kept(&self) -> impl Iterator<Item = &Kept> {
+        self.kept.values()
+    }
+
+    /// Takes over what another entry keeps with the table that was just taken from it, but for
+    /// what is known better here; returns the keys.
+    pub fn keep(&mut self, kept: Vec<Kept>) -> Vec<String> {
+        let mut changed = Vec::new();
+        for kept in kept {
+            let key = kept.row.key.clone();
+            let stamp = Stamp::new(kept.era, kept.row.version);
+            let is_later = |own: &Kept| Stamp::new(own.era, own.row.version) >= stamp;
+            let is_known = self.kept.get(&key).is_some_and(is_later);
+            if !is_known {
+                self.kept.insert(key.clone(), kept);
+                changed.push(key);
+            }
+        }
+        changed
+    }
+
+    /// Drops what holds no longer after the store was heard for so long more; returns the keys.
+    pub fn expire(&mut self, passed: Span) -> Vec<String> {
+        let mut over = Vec::new();
+        for (key, kept) in &mut self.kept {
+            kept.left = kept.left.map(|left| left - passed);
+            if kept.left == Some(Span::default()) {
+                over.push(key.clone());
+            }
+        }
+        for key in &over {
+            self.kept.remove(key);
+        }
+        over
+    }
+
+    /// Takes the rows of another era in place of those that are known; returns the keys of those
+    /// whose values differ then. `newest` is the version up to which the table was known.
+    fn replace(
+        &mut self,
+        rows: Vec<Row>,
+        newest: u64,
+        fate: impl Fn(&Case) -> Fate,
+    ) -> Vec<String> {
+        let era = self.stamp.era;
+        let rows = rows.into_iter().filter(|row| row.value.is_some());
+        let rows: BTreeMap<String, Row> = rows.map(|row| (row.key.clone(), row)).collect();
+        let is_same = |row: &&Row| self.row(&row.key) == Some(*row);
+        let copied = Copied::of(rows.values().filter(is_same).map(|row| row.version));
+        let mut keys: BTreeSet<String> =
+            self.rows.keys().chain(self.kept.keys()).cloned().collect();
+        keys.extend(rows.keys().cloned());
+        let (mut stored, mut kept, mut changed) = (BTreeMap::new(), BTreeMap::new(), Vec::new());
+        for key in keys {
+            let known = self.row(&key);
+            let new = rows.get(&key);
+            let (past, known_as) = (&self.past, known.and_then(seen));
+            // What was kept before is of another history than what was copied.
+            let copied = match self.kept.contains_key(&key) {
+                true => &Copied::default(),
+                false => &copied,
+            };
+            let standing = Standing::of(new.and_then(seen), known_as, past, copied, newest);
+            let case = Case {
+                key: &key,
+                standing,
+                known,
+                stored: new,
+            };
+            let holds = match fate(&case) {
+                Fate::Take => None,
+                Fate::Keep(left) => Some(self.as_kept(&key, left)),
+            };
+            let since = match standing {
+                Standing::Same => self.row_stamp(&key).map_or(era, |stamp| stamp.era),
+                _ => era,
+            };
+            let value = |row: Option<&Row>| row.and_then(|row| row.value.clone());
+            if holds.is_none() && value(known) != value(new) {
+                changed.push(key.clone());
+            }
+            if let Some(row) = new.cloned() {
+                stored.insert(key.clone(), Stored { row, since });
+            }
+            kept.extend(holds.map(|holds| (key, holds)));
+        }
+        for before in std::mem::replace(&mut self.rows, stored).into_values() {
+            if self.rows.get(&before.row.key).map(|s| &s.row) != Some(&before.row) {
+                self.remember_past(&before.row);
+            }
+        }
+        self.kept = kept;
+        changed
+    }
+
+    /// Returns what is known of a row, to be kept.
+    fn as_kept(&self, key: &str, left: Option<Span>) -> Kept {
+        if let Some(kept) = self.kept.get(key).cloned() {
+            return Kept { left, ..kept };
+        }
+        let gone = Row {
+            key: key.to_owned(),
+            value: None,
+            version: 0,
+        };
+        let known = self.rows.get(key);
+        Kept {
+            row: known.map_or(gone, |stored| stored.row.clone()),
+            era: known.map_or(Era::default(), |stored| stored.since),
+            left,
+        }
+    }
+
+    /// Takes rows of the same era in; returns the keys that changed.
+    fn merge(&mut self, rows: Vec<Row>, whole: bool, fate: impl Fn(&Case) -> Fate) -> Vec<String> {
+        let mut changed = Vec::new();
+        let mut noted = BTreeSet::new();
+        if whole {
+            let present: BTreeSet<&str> = rows.iter().map(|r| r.key.as_str()).collect();
+            let is_gone = |key: &&String| !present.contains(key.as_str());
+            let gone: Vec<String> = self.rows.keys().filter(is_gone).cloned().collect();
+            for key in gone {
+                self.forget(&key);
+                changed.push(key);
+            }
+        }
+        for row in rows {
+            if self.stored_version(&row.key) >= row.version {
+                continue;
+            }
+            let key = row.key.clone();
+            let holds = self.still_holds(&row, &fate);
+            self.forget(&key);
+            if row.value.is_some() {
+                let since = self.stamp.era;
+                self.rows.insert(key.clone(), Stored { row, since });
+            }
+            if holds {
+                continue;
+            }
+            self.kept.remove(&key);
+            if noted.insert(key.clone()) {
+                changed.push(key);
+            }
+        }
+        changed.retain(|key| !self.kept.contains_key(key));
+        changed
+    }
+
+    /// Returns whether what is kept of a row holds though the row was written since.
+    fn still_holds(&self, row: &Row, fate: impl Fn(&Case) -> Fate) -> bool {
+        let Some(kept) = self.kept.get(&row.key) else {
+            return false;
+        };
+        let case = Case {
+            key: &row.key,
+            standing: Standing::Written,
+            known: Some(&kept.row).filter(|row| row.value.is_some()),
+            stored: Some(row).filter(|row| row.value.is_some()),
+        };
+        fate(&case) != Fate::Take
+    }
+
+    /// Drops a row of the store, and remembers what it was.
+    fn forget(&mut self, key: &str) {
+        if let Some(before) = self.rows.remove(key) {
+            self.remember_past(&before.row);
+        }
+    }
+
+    fn remember_past(&mut self, row: &Row) {
+        if let Some(row) = seen(row) {
+            self.past.note(row);
         }
     }
 
@@ -113,7 +368,7 @@
         }
         let rows = match since {
             Some(since) => self.changes_after(since),
-            None => self.rows.values().cloned().collect(),
+            None => self.stored().cloned().collect(),
         };
         let rows: Vec<Handed> = rows.into_iter().map(pack::handed).collect();
         if rows.len() < PACKED_FROM {
@@ -146,40 +401,11 @@
     row.key.len() + row.value.as_ref().map_or(0, Vec::len)
 }
 
-/// Takes the rows of another era in place of those that are known; returns the keys of those
-/// whose values differ.
-fn replace(known: &mut BTreeMap<String, Row>, rows: Vec<Row>) -> Vec<String> {
-    let rows = rows.into_iter().filter(|row| row.value.is_some());
-    let rows: BTreeMap<String, Row> = rows.map(|row| (row.key.clone(), row)).collect();
-    let before = std::mem::replace(known, rows);
-    let value = |rows: &BTreeMap<String, Row>, key: &str| rows.get(key).map(|r| r.value.clone());
-    let keys: BTreeSet<&String> = before.keys().chain(known.keys()).collect();
-    let differs = |key: &&String| value(&before, key) != value(known, key);
-    keys.into_iter().filter(differs).cloned().collect()
-}
-
-/// Takes rows in and returns the keys that changed.
-fn merge(known: &mut BTreeMap<String, Row>, rows: Vec<Row>, whole: bool) -> Vec<String> {
-    let mut changed = Vec::new();
-    let mut noted = BTreeSet::new();
-    if whole {
-        let present: BTreeSet<&str> = rows.iter().map(|r| r.key.as_str()).collect();
-        let gone = known.keys().filter(|k| !present.contains(k.as_str()));
-        changed.extend(gone.cloned().collect::<Vec<_>>());
-        known.retain(|k, _| present.contains(k.as_str()));
-    }
-    for row in rows {
-        let before = known.get(&row.key);
-        if before.is_some_and(|b| b.version >= row.version) {
-            continue;
-        }
-        if noted.insert(row.key.clone()) {
-            changed.push(row.key.clone());
-        }
-        match row.value {
-            Some(_) => drop(known.insert(row.key.clone(), row)),
-            None => drop(known.remove(&row.key)),
-        }
-    }
-    changed
+/// Returns what is compared of a row.
+fn seen(row: &Row) -> Option<Seen<'_>> {
+    Some(Seen {
+        key: &row.key,
+        version: row.version,
+        value: row.value.as_deref()?,
+    })
 }
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -281,7 +281,8 @@
         self.wake();
         self.handle(Input::Tick);
         let now = self.clock.now();
-        let lapsed = self.mirror.tick(now);
+        let heard = self.relay.follow().heard_at();
+        let lapsed = self.mirror.tick(now, heard);
         self.note_all(lapsed, "lapsed");
         let ready = self.entry.is_ready() && !stopping;
         if self.shared.set_ready(ready) != ready {
@@ -505,7 +506,8 @@
         for copy in copies {
             let table = copy.table;
             let before = self.mirror.stamp(table);
-            let news = self.mirror.apply_copy(table, copy.page(), now);
+            let (page, kept) = copy.page();
+            let news = self.mirror.apply_copy(table, page, kept, now);
             self.note_restored("asked");
             let version = self.mirror.stamp(table);
             if version > before {
@@ -527,6 +529,12 @@
             let entries = self.relay.follow().entries().cloned().collect();
             self.handle(Input::Entries(entries));
         }
+        for replaced in self.mirror.replaced() {
+            info!(
+                "event=table-restored table={:?} stamp={} before={} kept={:?} from={from}",
+                replaced.table, replaced.now, replaced.before, replaced.kept
+            );
+        }
         for held in self.mirror.held() {
             info!(
                 "event=held upstreams={:?} of={} for_ms={}",
--- a/crates/daemon/tests/mirror.rs
+++ b/crates/daemon/tests/mirror.rs
@@ -119,9 +119,9 @@
     let back = page(back.collect(), 25);
     let news = mirror.apply(Table::Upstreams, back, false, at(6_000));
     assert!(news.is_empty(), "they were never left: {news:?}");
-    assert!(mirror.tick(at(7_100)).is_empty());
-    assert_eq!(retired(&mirror.tick(at(7_200))), ["i-6"]);
-    assert_eq!(retired(&mirror.tick(at(7_700))), ["i-7"]);
+    assert!(mirror.tick(at(7_100), None).is_empty());
+    assert_eq!(retired(&mirror.tick(at(7_200), None)), ["i-6"]);
+    assert_eq!(retired(&mirror.tick(at(7_700), None)), ["i-7"]);
 }
 
 /// An upstream that left without a word got requests for up to 4.1 s, where what befell calls
@@ -157,7 +157,7 @@
     let rows = (0..8).map(|i| gone(&format!("i-{i}"), 11 + i)).collect();
     let news = mirror.apply(Table::Upstreams, page(rows, 18), false, at(100));
     assert!(news.is_empty(), "{news:?}");
-    assert_eq!(retired(&mirror.tick(at(2_000))).len(), 8);
+    assert_eq!(retired(&mirror.tick(at(2_000), None)).len(), 8);
 }
 
 #[test]
@@ -166,7 +166,7 @@
     let news = mirror.apply(Table::Upstreams, page(Vec::new(), 9), true, at(100));
     assert!(news.is_empty());
     assert_eq!(mirror.version(Table::Upstreams), 10);
-    let news = mirror.apply_copy(Table::Upstreams, page(Vec::new(), 10), at(100));
+    let news = mirror.apply_copy(Table::Upstreams, page(Vec::new(), 10), Vec::new(), at(100));
     assert!(news.is_empty());
 }
 
@@ -446,7 +446,7 @@
         true,
         at(0),
     );
-    let news = mirror.apply_copy(Table::Operator, page(Vec::new(), 4), at(100));
+    let news = mirror.apply_copy(Table::Operator, page(Vec::new(), 4), Vec::new(), at(100));
     assert!(evacuated(&news).is_empty());
     let news = mirror.apply(
         Table::Operator,
--- a/crates/daemon/tests/other_writers.rs
+++ b/crates/daemon/tests/other_writers.rs
@@ -104,7 +104,7 @@
             let row = Row { key: key.clone(), value: value.clone(), version };
             let now = Time(1_000_000_000 + version * 10_000_000);
             let mut news = mirror.apply(Table::Upstreams, page(vec![row], version), false, now);
-            news.extend(mirror.tick(now + sorreldeck::Span::from_millis(5_000)));
+            news.extend(mirror.tick(now + sorreldeck::Span::from_millis(5_000), None));
             for news in news {
                 match news {
                     News::Joined(listed) => {
--- a/crates/daemon/tests/relay/main.rs
+++ b/crates/daemon/tests/relay/main.rs
@@ -2,7 +2,7 @@
 //! freezes, cuts, slow links, doubled messages, a store that refuses, is silent or forgets,
 //! waits that hear nothing, connections and links that are dead while new ones work.
 //!
-//! Simulated time, no socket. `SORRELDECK_CASES` sets the number of cases.
+//! Simulated time, no socket. `SORRELDECK_CASES` sets the number of cases, `SORRELDECK_FIRST` the seed of the first.
 
 mod trouble;
 mod world;
@@ -25,9 +25,17 @@
 use test_case::test_case;
 use world::{upstream, Node, World, LIMITS, UPSTREAMS};
 
+fn number_in(variable: &str) -> Option<u64> {
+    std::env::var(variable).ok()?.parse().ok()
+}
+
 fn cases() -> u64 {
-    let cases = std::env::var("SORRELDECK_CASES").ok();
-    cases.and_then(|n| n.parse().ok()).unwrap_or(24)
+    number_in("SORRELDECK_CASES").unwrap_or(24)
+}
+
+/// The seed of the first schedule, so that several runs can share many.
+fn first() -> u64 {
+    number_in("SORRELDECK_FIRST").unwrap_or(0)
 }
 
 /// Plays a schedule; returns the steps of single entries.
@@ -62,7 +70,7 @@
 
 #[test]
 fn whoever_reaches_the_store_knows_its_changes_in_time() {
-    let steps: u64 = (0..cases())
+    let steps: u64 = (first()..first() + cases())
         .map(|seed| {
             println!("seed {seed}");
             play(seed)
@@ -294,6 +302,7 @@
             era: Era::default(),
             rows: Vec::new(),
             packed: None,
+            kept: Vec::new(),
         };
         let feed = sorreldeck::wire::Feed {
             clock_us: Some(1_000),
--- a/crates/daemon/tests/relay/trouble.rs
+++ b/crates/daemon/tests/relay/trouble.rs
@@ -1,7 +1,7 @@
 //! What changes and what fails at random in a schedule.
 
 use super::world::{upstream, Poll, World, UPSTREAMS};
-use rand::{Rng, RngExt};
+use rand::RngExt;
 use sorreldeck::follow::Reading;
 use sorreldeck::{Span, Time};
 use sorreldeck_platform::Table;
@@ -20,10 +20,9 @@
             true => Table::Operator,
             false => Table::Progress,
         };
-        let value = self
-            .rng
-            .random_bool(0.8)
-            .then(|| vec![self.rng.next_u32() as u8]);
+        self.store.made += 1;
+        let made = (1 + self.store.made).to_be_bytes().to_vec();
+        let value = self.rng.random_bool(0.8).then_some(made);
         self.store.put(table, &key, value, self.now);
     }
 
@@ -93,8 +92,8 @@
         self.store.is_silent = self.rng.random_bool(0.5);
         for (table, row) in self.store.restore(copy, back) {
             let after = Span::from_millis(self.rng.random_range(0..3_000));
-            if table == Table::Own || self.rng.random_bool(0.9) {
-                self.store.again.push((back + after, table, row));
+            if table != Table::Upstreams || self.rng.random_bool(0.9) {
+                self.store.later(back + after, table, row);
             }
         }
         let open = self.nodes.iter_mut().flat_map(|node| &mut node.polls);
--- a/crates/daemon/tests/relay/world.rs
+++ b/crates/daemon/tests/relay/world.rs
@@ -66,10 +66,12 @@
     /// The changes of this era.
     pub changes: Vec<(Time, Table, u64)>,
     pub copies: VecDeque<Copy>,
-    /// What was lost and is written again by those who wrote it, unless the row was changed.
+    /// What was lost and is written again by those who wrote it, unless they change it before.
     pub again: Vec<(Time, Table, Row)>,
     pub forgotten: u64,
     pub calls: u64,
+    /// The changes that were ever made by [`World::change`].
+    pub made: u64,
     pub down_until: Time,
     pub back_since: Time,
     pub is_silent: bool,
@@ -87,6 +89,8 @@
         };
         self.rows.insert((table, key.to_owned()), row);
         self.changes.push((now, table, self.version));
+        self.again
+            .retain(|(_, t, r)| (*t, r.key.as_str()) != (table, key));
     }
 
     /// Returns when the change was made that got a version, or was copied with it.
@@ -130,23 +134,23 @@
         lost.map(|((table, _), row)| (table, row)).collect()
     }
 
-    /// Writes again what is due, where nobody changed the row since.
+    /// Writes again what is due.
     pub fn write_again(&mut self, now: Time) {
         let again = std::mem::take(&mut self.again).into_iter();
         let (due, later): (Vec<_>, Vec<_>) = again.partition(|(at, ..)| now >= *at);
         self.again = later;
         for (_, table, row) in due {
-            let current = self.rows.get(&(table, row.key.clone()));
-            let is_changed = |current: &Row| {
-                let mut changes = self.changes.iter();
-                changes.any(|(_, _, version)| *version == current.version)
-            };
-            if !current.is_some_and(is_changed) {
-                self.put(table, &row.key, row.value, now);
-            }
+            self.put(table, &row.key, row.value, now);
         }
     }
 
+    /// Notes that a row is to be written again at a time.
+    pub fn later(&mut self, at: Time, table: Table, row: Row) {
+        self.again
+            .retain(|(_, t, r)| (*t, &r.key) != (table, &row.key));
+        self.again.push((at, table, row));
+    }
+
     pub fn newest(&self, table: Table) -> u64 {
         let of = self.rows.iter().filter(|((t, _), _)| *t == table);
         of.map(|(_, row)| row.version).max().unwrap_or(0)
@@ -204,8 +208,8 @@
     /// What was told of requests under which upstreams crashed.
     pub words: Vec<quarantine::Word>,
     pub notices: Vec<notice::Word>,
-    /// The newest version that was seen of each row in this life.
-    pub seen: BTreeMap<(Table, String), Stamp>,
+    /// The number of the latest change that was seen of each row in this life.
+    pub seen: BTreeMap<(Table, String), u64>,
     /// The upstreams that may get requests.
     pub uses: BTreeSet<UpstreamId>,
 }
@@ -658,7 +662,8 @@
                 continue;
             }
             let (now, n) = (self.now, &mut self.nodes[node]);
-            let lapsed = n.mirror.tick(now);
+            let heard = n.relay.follow().heard_at();
+            let lapsed = n.mirror.tick(now, heard);
             self.take_news(node, lapsed);
             let n = &mut self.nodes[node];
             let orders = n.relay.step(&mut n.mirror, now);
@@ -675,16 +680,21 @@
         }
     }
 
-    /// No row goes back to an older version within one life.
+    /// No row goes back to an earlier state within one life, also where the store does.
     pub fn check_rows(&mut self, node: usize) {
         let n = &mut self.nodes[node];
         for table in [Table::Operator, Table::Progress] {
-            let era = n.mirror.stamp(table).era;
             for row in n.mirror.rows(table) {
-                let stamp = Stamp::new(era, row.version);
+                let number = number_of(row);
                 let seen = n.seen.entry((table, row.key.clone())).or_default();
-                assert!(stamp >= *seen, "{} went back", row.key);
-                *seen = stamp;
+                assert!(
+                    number >= *seen,
+                    "{} of {} went back from {seen} to {number} at {:?}",
+                    row.key,
+                    n.peer.name,
+                    self.now
+                );
+                *seen = number;
             }
         }
     }
@@ -748,6 +758,12 @@
     }
 }
 
+/// Returns the number of the change that a row shows.
+fn number_of(row: &Row) -> u64 {
+    let bytes = row.value.iter().flatten();
+    bytes.fold(0, |number, byte| number << 8 | u64::from(*byte))
+}
+
 /// Returns whether a frame holds the whole table of upstreams.
 fn is_whole(frame: &Frame) -> bool {
     let Frame::Feed(feed) = frame else {
--- /dev/null
+++ b/crates/daemon/tests/restored.rs
@@ -0,0 +1,365 @@
+//! What holds of the store's tables after it came back from a copy.
+
+use serde_json::{json, Value};
+use sorreldeck::era::{Era, Heard, Stamp};
+use sorreldeck::Time;
+use sorreldeck_platform::store::{Page, Row};
+use sorreldeck_platform::Table;
+use sorreldeckd::hosted::{Mirror, News, Taken};
+use std::collections::BTreeSet;
+use std::time::Duration;
+use test_case::test_case;
+
+fn at(ms: u64) -> Time {
+    Time(1_000_000_000 + ms * 1000)
+}
+
+fn row(key: &str, value: &Value, version: u64) -> Row {
+    Row {
+        key: key.into(),
+        value: Some(value.to_string().into_bytes()),
+        version,
+    }
+}
+
+fn gone(key: &str, version: u64) -> Row {
+    Row {
+        key: key.into(),
+        value: None,
+        version,
+    }
+}
+
+fn upstream(id: &str, state: &str, version: u64) -> Row {
+    let value = json!({"service": "engines", "address": "127.0.0.1:9", "zone": "a",
+        "version": "v1", "slots": 8, "state": state, "cold-left-ms": 0, "sequence": 1});
+    row(id, &value, version)
+}
+
+fn config(revision: u64, version: u64) -> Row {
+    let value = json!({"version": revision, "routes": [], "services": [], "tenants": [],
+        "limits": {"max-header-bytes": 16384, "max-body-bytes": 100_000,
+            "header-timeout-ms": 3000, "idle-timeout-ms": 15000}});
+    row("config", &value, version)
+}
+
+/// How often the store is heard, in milliseconds.
+const STEP: u64 = 200;
+
+/// A process that follows the store's tables.
+struct Follower {
+    mirror: Mirror,
+    era: u64,
+    now: u64,
+}
+
+impl Follower {
+    fn new() -> Follower {
+        Follower {
+            mirror: Mirror::default(),
+            era: 4,
+            now: 0,
+        }
+    }
+
+    fn page(&self, rows: Vec<Row>, version: u64) -> Page {
+        Page {
+            rows,
+            version,
+            now: Duration::ZERO,
+            era: Some(Era(self.era)),
+        }
+    }
+
+    /// Takes in an answer of the store.
+    fn read(&mut self, table: Table, rows: Vec<Row>, version: u64, whole: bool) -> Vec<News> {
+        let page = self.page(rows, version);
+        let heard = self.mirror.hear(page.era, at(self.now), at(self.now));
+        assert_ne!(heard, Heard::Late);
+        self.mirror.apply(table, page, whole, at(self.now))
+    }
+
+    fn whole(&mut self, table: Table, rows: Vec<Row>, version: u64) -> Vec<News> {
+        self.read(table, rows, version, true)
+    }
+
+    fn changed(&mut self, table: Table, row: Row) -> Vec<News> {
+        let version = row.version;
+        self.read(table, vec![row], version, false)
+    }
+
+    /// The store comes back from a copy.
+    fn restored(&mut self) {
+        self.era += 1;
+        self.now += 3_000;
+    }
+
+    /// Lets time pass in which the store is heard.
+    fn passes(&mut self, ms: u64) -> Vec<News> {
+        let mut news = Vec::new();
+        for _ in 0..ms / STEP {
+            self.now += STEP;
+            let now = at(self.now);
+            news.extend(self.mirror.tick(now, Some(now)));
+        }
+        news
+    }
+
+    /// Lets time pass in which it is not.
+    fn passes_unheard(&mut self, ms: u64) -> Vec<News> {
+        let heard = at(self.now);
+        self.now += ms;
+        self.mirror.tick(at(self.now), Some(heard))
+    }
+}
+
+fn retired(news: &[News]) -> BTreeSet<String> {
+    let names = news.iter().filter_map(|news| match news {
+        News::Retired(upstream) => Some(upstream.to_string()),
+        _ => None,
+    });
+    names.collect()
+}
+
+fn joined(news: &[News]) -> BTreeSet<String> {
+    let names = news.iter().filter_map(|news| match news {
+        News::Joined(listed) => Some(listed.member.upstream.to_string()),
+        _ => None,
+    });
+    names.collect()
+}
+
+fn revisions(news: &[News]) -> Vec<u64> {
+    let told = news.iter().filter_map(|news| match news {
+        News::Config(config) => Some(config.tree.revision().0),
+        _ => None,
+    });
+    told.collect()
+}
+
+fn evacuated(news: &[News]) -> Vec<usize> {
+    let told = news.iter().filter_map(|news| match news {
+        News::Evacuated(halls) => Some(halls.len()),
+        _ => None,
+    });
+    told.collect()
+}
+
+fn names<const N: usize>(names: [&str; N]) -> BTreeSet<String> {
+    names.map(str::to_owned).into()
+}
+
+/// A follower of ten upstreams, of which the last joined after the copy at version 20.
+fn with_upstreams() -> Follower {
+    let mut follower = Follower::new();
+    let rows = (0..9).map(|i| upstream(&format!("i-{i}"), "ready", 10 + i));
+    follower.whole(Table::Upstreams, rows.collect(), 20);
+    follower.changed(Table::Upstreams, upstream("i-9", "ready", 21));
+    follower
+}
+
+/// The rows of the copy at version 20.
+fn copied() -> Vec<Row> {
+    let rows = (0..9).map(|i| upstream(&format!("i-{i}"), "ready", 10 + i));
+    rows.collect()
+}
+
+#[test]
+fn an_upstream_that_joined_after_the_copy_is_used_until_it_had_time_to_write() {
+    let mut follower = with_upstreams();
+    follower.restored();
+    let news = follower.whole(Table::Upstreams, copied(), 20);
+    assert!(news.is_empty(), "{news:?}");
+    assert!(follower.passes(1_600).is_empty());
+    assert_eq!(retired(&follower.passes(400)), names(["i-9"]));
+}
+
+/// It was copied, so its row went since the store is back.
+#[test]
+fn an_upstream_that_leaves_before_the_first_answer_is_left_at_once() {
+    let mut follower = with_upstreams();
+    follower.restored();
+    let rows = copied().into_iter().filter(|row| row.key != "i-3");
+    let news = follower.whole(Table::Upstreams, rows.collect(), 21);
+    assert_eq!(retired(&news), names(["i-3"]));
+}
+
+#[test]
+fn an_upstream_that_writes_again_after_a_restore_stays() {
+    let mut follower = with_upstreams();
+    follower.restored();
+    follower.whole(Table::Upstreams, copied(), 20);
+    let news = follower.changed(Table::Upstreams, upstream("i-9", "ready", 21));
+    assert!(retired(&news).is_empty() && joined(&news).is_empty());
+    assert!(follower.passes(5_000).is_empty());
+}
+
+#[test]
+fn a_copy_older_than_all_upstreams_takes_none_away_at_once() {
+    let mut follower = with_upstreams();
+    follower.restored();
+    assert!(follower.whole(Table::Upstreams, Vec::new(), 3).is_empty());
+    assert!(follower.passes(1_600).is_empty());
+    assert_eq!(retired(&follower.passes(400)).len(), 10);
+}
+
+/// Each row: whether the upstream that leaves is also gone before the store is lost, and for how long
+/// it gets nothing at least though the copy says that it is ready.
+#[test_case(false, 60_000; "it has not left yet")]
+#[test_case(true, 4_000; "its row was gone")]
+fn an_upstream_that_said_it_leaves_is_not_used_again_by_a_copy(is_gone: bool, ms: u64) {
+    let mut follower = with_upstreams();
+    let news = follower.changed(Table::Upstreams, upstream("i-3", "draining", 22));
+    assert_eq!(retired(&news), names(["i-3"]));
+    if is_gone {
+        follower.changed(Table::Upstreams, gone("i-3", 23));
+    }
+    follower.restored();
+    let mut used = joined(&follower.whole(Table::Upstreams, copied(), 20));
+    used.extend(joined(&follower.passes(ms)));
+    assert!(used.is_empty(), "{used:?}");
+}
+
+#[test]
+fn an_upstream_whose_leaving_is_written_again_is_left() {
+    let mut follower = with_upstreams();
+    follower.changed(Table::Upstreams, upstream("i-3", "draining", 22));
+    follower.restored();
+    follower.whole(Table::Upstreams, copied(), 20);
+    let again = upstream("i-3", "draining", 21);
+    assert!(joined(&follower.changed(Table::Upstreams, again)).is_empty());
+    assert!(joined(&follower.changed(Table::Upstreams, gone("i-3", 24))).is_empty());
+    // A later start under its name is another upstream.
+    let mut other = upstream("i-3", "ready", 25);
+    let value = String::from_utf8(other.value.unwrap()).unwrap();
+    other.value = Some(value.replace("127.0.0.1:9", "127.0.0.1:10").into_bytes());
+    assert_eq!(
+        joined(&follower.changed(Table::Upstreams, other)),
+        names(["i-3"])
+    );
+}
+
+#[test]
+fn an_upstream_that_was_gone_and_lives_is_used_again_after_its_lease() {
+    let mut follower = with_upstreams();
+    let news = follower.changed(Table::Upstreams, gone("i-3", 22));
+    assert_eq!(retired(&news), names(["i-3"]));
+    follower.restored();
+    assert!(follower
+        .whole(Table::Upstreams, copied(), 20)
+        .iter()
+        .all(|n| !matches!(n, News::Joined(_))));
+    assert!(joined(&follower.passes(4_000)).is_empty());
+    assert_eq!(joined(&follower.passes(600)), names(["i-3"]));
+}
+
+#[test]
+fn a_configuration_in_force_is_not_taken_back_by_a_copy() {
+    let mut follower = Follower::new();
+    follower.whole(Table::Operator, vec![config(23, 13)], 20);
+    follower.changed(Table::Operator, config(26, 24));
+    follower.changed(Table::Operator, config(30, 25));
+    follower.restored();
+    let mut told = revisions(&follower.whole(Table::Operator, vec![config(23, 13)], 20));
+    // The operator writes again what was lost, one after the other, under versions given out again.
+    told.extend(revisions(
+        &follower.changed(Table::Operator, config(26, 21)),
+    ));
+    assert!(told.is_empty(), "{told:?}");
+    follower.changed(Table::Operator, config(30, 22));
+    let told = revisions(&follower.changed(Table::Operator, config(33, 23)));
+    assert_eq!(told, [33]);
+}
+
+#[test]
+fn an_entry_that_starts_after_the_loss_learns_the_configuration_in_force() {
+    let mut follower = Follower::new();
+    follower.whole(Table::Operator, vec![config(23, 13)], 20);
+    follower.changed(Table::Operator, config(26, 24));
+    follower.restored();
+    follower.whole(Table::Operator, vec![config(23, 13)], 20);
+    let delta = follower.mirror.delta(Table::Operator, Stamp::default());
+    let mut fresh = Mirror::default();
+    let Taken::News(news) = fresh.take(delta.unwrap(), at(follower.now)) else {
+        panic!("it is not taken");
+    };
+    assert_eq!(revisions(&news).last(), Some(&26));
+}
+
+#[test]
+fn an_order_to_empty_a_data_hall_outlives_the_loss_of_its_row() {
+    let mut follower = Follower::new();
+    follower.whole(Table::Operator, vec![config(23, 13)], 20);
+    let order = row("evacuate/a", &json!({}), 24);
+    assert_eq!(evacuated(&follower.changed(Table::Operator, order)), [1]);
+    follower.restored();
+    let news = follower.whole(Table::Operator, vec![config(23, 13)], 20);
+    assert!(evacuated(&news).is_empty(), "{news:?}");
+    assert!(evacuated(&follower.passes(20_000)).is_empty());
+    // It is written again, and taken back.
+    let again = row("evacuate/a", &json!({}), 22);
+    assert_eq!(evacuated(&follower.changed(Table::Operator, again)), [1]);
+    assert_eq!(
+        evacuated(&follower.changed(Table::Operator, gone("evacuate/a", 25))),
+        [0]
+    );
+}
+
+#[test]
+fn an_order_that_was_taken_back_does_not_return_with_the_copy() {
+    let mut follower = Follower::new();
+    let order = row("evacuate/a", &json!({}), 14);
+    let copy = vec![config(23, 13), order];
+    follower.whole(Table::Operator, copy.clone(), 20);
+    assert_eq!(
+        evacuated(&follower.changed(Table::Operator, gone("evacuate/a", 24))),
+        [0]
+    );
+    follower.restored();
+    let news = follower.whole(Table::Operator, copy, 20);
+    assert!(evacuated(&news).is_empty(), "{news:?}");
+    // A new order for it counts at once.
+    let new = row("evacuate/a", &json!({}), 22);
+    assert_eq!(evacuated(&follower.changed(Table::Operator, new)), [1]);
+}
+
+/// What is written before the first answer arrives has a version that was given out before, too.
+#[test]
+fn an_order_written_right_after_the_return_counts_at_once() {
+    let mut follower = Follower::new();
+    follower.whole(Table::Operator, vec![config(23, 13)], 20);
+    follower.changed(Table::Operator, config(26, 24));
+    follower.restored();
+    let rows = vec![config(23, 13), row("evacuate/a", &json!({}), 21)];
+    assert_eq!(evacuated(&follower.whole(Table::Operator, rows, 21)), [1]);
+}
+
+#[test]
+fn an_order_holds_while_the_operator_cannot_write_it_again() {
+    let mut follower = Follower::new();
+    follower.whole(Table::Operator, vec![config(23, 13)], 20);
+    follower.changed(Table::Operator, row("evacuate/a", &json!({}), 24));
+    follower.restored();
+    follower.whole(Table::Operator, vec![config(23, 13)], 20);
+    assert!(evacuated(&follower.passes(20_000)).is_empty());
+    assert!(evacuated(&follower.passes_unheard(60_000)).is_empty());
+    assert!(evacuated(&follower.passes(5_000)).is_empty());
+    assert_eq!(evacuated(&follower.passes(6_000)), [0]);
+}
+
+/// The second loss comes while the first is being made good.
+#[test]
+fn what_holds_after_one_loss_holds_after_another() {
+    let mut follower = with_upstreams();
+    follower.whole(Table::Operator, vec![config(23, 13)], 20);
+    follower.changed(Table::Operator, config(26, 24));
+    follower.changed(Table::Upstreams, upstream("i-3", "draining", 25));
+    for _ in 0..2 {
+        follower.restored();
+        let news = follower.whole(Table::Operator, vec![config(23, 13)], 20);
+        assert!(revisions(&news).is_empty(), "{news:?}");
+        let news = follower.whole(Table::Upstreams, copied(), 20);
+        assert!(joined(&news).is_empty(), "{news:?}");
+    }
+    assert!(joined(&follower.passes(10_000)).is_empty());
+}
