Moves go on after the store came back from a copy, and what entries recorded is written again

Callers and operators would see: a move that was completed is read as running or not at all, for good; one under way begins anew (its trial, its sessions); one that was given up is tried again; entries count reports of one order under two numbers.

Cause: the number of an order was the version of its row, so an order that the operator writes again was a new one; records are nobody's but ours, and nothing wrote them again. Class: the identity of a thing is taken from where it happens to stand.

Now: an order keeps the stamp at which it was first written (Mirror::number_of), and Report tells its era besides. A move that ended stays so whatever a record says, and is recorded again over one that an entry begun anew. A move is begun 1 s later where a record names its release. Records are written on condition of the order's row as well: a version that is given out again may be right by chance. A beginning that nobody had read when it was lost is set to now.

Evidence: with the identity and the finality taken out three of the new tests fail; the one over sockets failed until lost beginnings were set (the record came back, when it was begun did not, and the move stood still).

--- a/crates/core/src/release/mod.rs
+++ b/crates/core/src/release/mod.rs
@@ -20,7 +20,7 @@
 //! let (old, new) = ("v1".parse()?, "v2".parse()?);
 //! let mut releases = Releases::default();
 //! let pool: sorreldeck::PoolId = "assistant".parse()?;
-//! let order = Order { pool: pool.clone(), to: new, duration: Span::from_millis(24_000), number: 7 };
+//! let order = Order { pool: pool.clone(), to: new, duration: Span::from_millis(24_000), number: 7.into() };
 //! releases.order(order, Some(State::Running), Some(Time(0)));
 //! let present = [(&old, 3)].into_iter().collect();
 //! assert_eq!(releases.choose(&pool, None, 0.99, Time(1), &present), Some(old.clone()));
@@ -34,6 +34,7 @@
 
 pub use sessions::{Stay, LIFE};
 
+use crate::era::{Era, Stamp};
 use crate::id::{Hall, PoolId, RouteId, UpstreamId, VersionId};
 use crate::unit::{Share, Span, Time};
 use moving::{Move, Wanted};
@@ -71,8 +72,8 @@
     pub to: VersionId,
     /// The time given.
     pub duration: Span,
-    /// The number of the order; a later order has a higher one.
-    pub number: u64,
+    /// When the order was first written; a later order has a later one.
+    pub number: Stamp,
 }
 
 /// What an answer tells about the release that gave it.
@@ -101,8 +102,10 @@
 /// What one or several entries tell the others of a move.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Report {
-    /// The number of the order.
+    /// The version at which the order was first written, and its era.
     number: u64,
+    #[serde(default)]
+    era: Era,
     old: Tally,
     new: Tally,
     failing: BTreeSet<UpstreamId>,
@@ -112,20 +115,25 @@
     /// Adds what another entry found of the same order; what belongs to an earlier order
     /// gives way to what belongs to a later one.
     pub fn add(&mut self, other: &Report) {
-        if other.number > self.number {
+        if other.order() > self.order() {
             self.clone_from(other);
-        } else if other.number == self.number {
+        } else if other.order() == self.order() {
             self.old.add(&other.old);
             self.new.add(&other.new);
             self.failing.extend(other.failing.iter().cloned());
         }
     }
 
+    /// Returns the number of the order.
+    fn order(&self) -> Stamp {
+        Stamp::new(self.era, self.number)
+    }
+
     /// Returns whether this was told later than another by the same entries: counts only
     /// grow, but for those of an entry that starts anew.
     pub fn is_after(&self, other: &Report) -> bool {
         let answers = |r: &Report| r.old.answers + r.new.answers;
-        (self.number, answers(self)) > (other.number, answers(other))
+        (self.order(), answers(self)) > (other.order(), answers(other))
     }
 }
 
@@ -201,7 +209,7 @@
         let Some(known) = self.moves.get_mut(&pool) else {
             return;
         };
-        known.state = state.or(known.state);
+        known.note_state(state);
         known.began = began.or(known.began);
         if known.state == Some(State::Completed) {
             let only = BTreeSet::from([known.order.to.clone()]);
@@ -433,7 +441,7 @@
         let Some(moving) = self.moves.get_mut(pool) else {
             return false;
         };
-        if report.number != moving.order.number || moving.state == Some(State::Completed) {
+        if report.order() != moving.order.number || moving.state == Some(State::Completed) {
             return false;
         }
         let known = moving.others.get(&hall);
--- a/crates/core/src/release/moving.rs
+++ b/crates/core/src/release/moving.rs
@@ -70,6 +70,8 @@
     pub order: Order,
     schedule: Schedule,
     pub state: Option<State>,
+    /// What the record says.
+    recorded: Option<State>,
     pub began: Option<Time>,
     evidence: Evidence,
     detector: Detector,
@@ -112,6 +114,7 @@
             schedule: Schedule::new(exposure, order.duration),
             order,
             state: None,
+            recorded: None,
             began: None,
             evidence: Evidence::default(),
             detector: Detector::default(),
@@ -126,6 +129,19 @@
         }
     }
 
+    /// Takes in what is recorded. A move that ended stays so: the record may have been lost, and
+    /// begun anew by an entry that did not know of it.
+    pub fn note_state(&mut self, state: Option<State>) {
+        self.recorded = state.or(self.recorded);
+        if !self.is_over() {
+            self.state = state.or(self.state);
+        }
+    }
+
+    fn is_over(&self) -> bool {
+        matches!(self.state, Some(State::Completed | State::RolledBack))
+    }
+
     fn phase(&self, now: Time) -> Phase {
         let state = match self.state {
             Some(State::Completed) => return Phase::Moved,
@@ -306,7 +322,8 @@
         let news = answers > self.told && self.state == Some(State::Running);
         self.told = answers;
         news.then(|| Report {
-            number: self.order.number,
+            number: self.order.number.version,
+            era: self.order.number.era,
             old: self.old,
             new: self.new,
             failing: self.failing.clone(),
@@ -358,7 +375,10 @@
                 let done = self.schedule.completes(self.passed(now), old == 0);
                 (done && !self.serving.is_empty()).then_some(State::Completed)
             }
-            Some(State::Completed | State::RolledBack) => None,
+            Some(State::Completed | State::RolledBack) => {
+                let is_begun_anew = self.recorded == Some(State::Running);
+                self.state.filter(|_| is_begun_anew)
+            }
         }
     }
 }
--- a/crates/core/tests/regression/roaming_session_was_drawn.rs
+++ b/crates/core/tests/regression/roaming_session_was_drawn.rs
@@ -22,7 +22,7 @@
         pool: pool.clone(),
         to: new.clone(),
         duration: Span::from_millis(24_000),
-        number: 1,
+        number: 1.into(),
     };
     releases.order(order, Some(State::Running), Some(Time(0)));
     let broken = (0..TRIALS).filter(|trial| {
--- a/crates/core/tests/release.rs
+++ b/crates/core/tests/release.rs
@@ -50,7 +50,7 @@
             pool: self.pool.clone(),
             to: self.new.clone(),
             duration: Span::from_millis(DURATION),
-            number: 7,
+            number: 7.into(),
         };
         self.releases.order(order, Some(state), Some(at(0)));
     }
@@ -158,7 +158,7 @@
         pool: stand.pool.clone(),
         to: stand.new.clone(),
         duration: Span::from_millis(duration),
-        number: 8,
+        number: 8.into(),
     };
     stand
         .releases
@@ -462,7 +462,7 @@
         pool: stand.pool.clone(),
         to: stand.new.clone(),
         duration: Span::from_millis(DURATION),
-        number: 9,
+        number: 9.into(),
     };
     stand.releases.order(order, None, None);
     assert!(!stand.releases.is_bad(&stand.pool));
@@ -572,3 +572,18 @@
     assert_eq!(stands[0].proposed(late, 0), Some(State::RolledBack));
     assert!(stands[0].share(DURATION * 97 / 100, 6) < 0.05);
 }
+
+/// The record was lost with the store, and an entry that started since began the move anew.
+#[test]
+fn a_move_that_ended_is_not_begun_anew_by_a_record() {
+    for ended in [State::Completed, State::RolledBack] {
+        let mut stand = Stand::running();
+        stand.tell(ended);
+        assert_eq!(stand.proposed(20_000, 0), None);
+        stand.tell(State::Running);
+        assert_eq!(stand.proposed(20_000, 0), Some(ended));
+        let goes_on = stand.share(20_000, 3);
+        let expected = if ended == State::Completed { 1.0 } else { 0.0 };
+        assert_eq!(goes_on, expected, "{ended:?}");
+    }
+}
--- a/crates/daemon/src/hosted/mod.rs
+++ b/crates/daemon/src/hosted/mod.rs
@@ -19,6 +19,7 @@
 mod peer;
 mod relay;
 mod replica;
+mod restorer;
 mod room;
 mod rules;
 mod run;
@@ -27,7 +28,7 @@
 
 pub use holds::Record;
 pub use log::start as start_log;
-pub use mirror::{Held, Ignored, Mirror, News, Replaced, Taken, Trouble};
+pub use mirror::{Again, Held, Ignored, Mirror, News, Replaced, Taken, Trouble};
 pub use relay::{Order, Relay};
 pub use room::{Links, Message, Room};
 pub use shared::Shared;
--- a/crates/daemon/src/hosted/mover.rs
+++ b/crates/daemon/src/hosted/mover.rs
@@ -11,7 +11,7 @@
 use log::{info, warn};
 use sorreldeck::release::{Grounds, Order, State};
 use sorreldeck::{InstanceId, Span, Time};
-use sorreldeck_platform::store::{Change, MOVE};
+use sorreldeck_platform::store::{Change, Row, MOVE};
 use sorreldeck_platform::{release, Store, Table};
 use std::collections::HashMap;
 
@@ -23,6 +23,10 @@
 /// How long an entry waits after it has written, for the feed to bring it.
 const AGAIN: Span = Span::from_millis(700);
 
+/// How much longer an entry waits before it begins a move whose release a record names: the order may
+/// have been written again after a loss, and whoever knows that writes the record again.
+const RECORDED: Span = Span::from_millis(1_000);
+
 /// Writes the records of moves.
 #[derive(Debug)]
 pub struct Mover {
@@ -79,6 +83,7 @@
         // A release that is bad must be stopped at once everywhere.
         let wait = match state {
             State::RolledBack => behind,
+            State::Running if names_release(&key, order, mirror) => self.offset + behind + RECORDED,
             _ => self.offset + behind,
         };
         let fresh = Wanted {
@@ -145,8 +150,19 @@
 /// Returns the key of the row that holds an order.
 fn key_of(order: &Order, mirror: &Mirror) -> Option<String> {
     let mut rows = mirror.rows(Table::Operator);
-    let row = rows.find(|row| row.key.starts_with(MOVE) && row.version == order.number)?;
-    Some(row.key.clone())
+    let asks_for = |row: &&Row| {
+        let value = row.value.as_deref().filter(|_| row.key.starts_with(MOVE));
+        let read = value.map(|buf| release::decode(buf, order.number));
+        read.is_some_and(|read| read.is_ok_and(|read| read == *order))
+    };
+    Some(rows.find(asks_for)?.key.clone())
+}
+
+/// Returns whether a record, of an earlier order as it seems, names the release of an order.
+fn names_release(key: &str, order: &Order, mirror: &Mirror) -> bool {
+    let row = mirror.row(Table::Progress, key);
+    let state = row.and_then(|row| release::decode_state(row.value.as_deref()?).ok());
+    state.is_some_and(|(to, _)| to == order.to)
 }
 
 /// Returns the change that records a state. The first record of a move says
@@ -155,10 +171,12 @@
     let row = mirror.row(Table::Operator, key)?;
     let buf = release::encode_for(row.value.as_deref()?, state)?;
     let version = mirror.row_version(Table::Progress, key);
-    let change =
-        Change::default()
-            .expect(Table::Progress, key, version)
-            .put(Table::Progress, key, &buf);
+    // Versions are given out again: that of one row may be right by chance.
+    let order = mirror.row_version(Table::Operator, key);
+    let change = Change::default()
+        .expect(Table::Operator, key, order)
+        .expect(Table::Progress, key, version)
+        .put(Table::Progress, key, &buf);
     match state {
         State::Running => {
             let began = mirror.store_time(now)?.to_string();
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -7,6 +7,7 @@
 use super::mover::{Mover, Proposal};
 use super::peer::{self, Peering};
 use super::relay::{Order, Relay};
+use super::restorer::Restorer;
 use super::run::{self, Caller};
 use super::shared::Shared;
 use crate::clock::{self, Clock};
@@ -85,6 +86,8 @@
     Opened(InstanceId, Link, Result<Outbox, String>),
     /// A record of a move was written, or not.
     Moved(String, Result<(), String>),
+    /// Rows that the store had lost were written again, or not.
+    WrittenAgain(Result<(), String>),
     /// A record of a request that is held back was written, or not.
     Recorded(Fingerprint, Result<(), String>),
     /// Something that only the loop can do.
@@ -100,6 +103,7 @@
     answers: Answers,
     mover: Mover,
     recorder: Recorder,
+    restorer: Restorer,
     peering: Peering,
     relay: Relay,
     feed: Feed,
@@ -183,6 +187,7 @@
             answers: Answers::default(),
             mover: Mover::new(&settings.instance),
             recorder: Recorder::new(&settings.instance),
+            restorer: Restorer::new(&settings.instance),
             peering: Peering::new(options.link_keys.clone(), settings, links.events),
             relay: Relay::new(own.clone(), bounds),
             feed: Feed::start(&store, &shared, &clock),
@@ -296,6 +301,8 @@
         self.recorder
             .step(now, &self.mirror, &self.store, &self.shared.send);
         let reads = self.relay.follow().reading() == Reading::All;
+        self.restorer
+            .step(now, reads, &self.mirror, &self.store, &self.shared.send);
         for (order, state) in self.entry.propose_moves(now) {
             let proposal = Proposal {
                 order: &order,
@@ -383,6 +390,7 @@
             Message::LinkUp(link, outbox) => self.peering.up(link, outbox),
             Message::Opened(name, link, outbox) => self.opened(name, link, outbox),
             Message::Moved(key, result) => self.mover.written(&key, result),
+            Message::WrittenAgain(result) => self.restorer.written(result),
             Message::Recorded(fingerprint, result) => {
                 let now = self.clock.now();
                 self.recorder.written(fingerprint, result, now);
--- a/crates/daemon/tests/hosted/restored_store.rs
+++ b/crates/daemon/tests/hosted/restored_store.rs
@@ -45,3 +45,27 @@
         assert_eq!(stand.reaching(0, 8).await, 0, "a leaving upstream is asked");
     });
 }
+
+/// Nobody but entries writes these rows.
+#[test]
+fn records_that_the_store_lost_are_written_again() {
+    task::block_on(async {
+        let stand = Stand::start().await;
+        stand.store.copy();
+        let order = json!({"service": "engines", "target-version": "v2", "duration-s": 60});
+        stand.store.put("op", "rollout/engines", &order);
+        eventually("the move is recorded", || async {
+            stand.store.get("status", "rollout/engines").is_some()
+        })
+        .await;
+        task::sleep(Duration::from_millis(300)).await;
+        stand.store.restore();
+        assert!(stand.store.get("status", "rollout/engines").is_none());
+        stand.store.put("op", "rollout/engines", &order);
+        task::sleep(BOUND).await;
+        let record = stand.store.get("status", "rollout/engines");
+        assert_eq!(record.unwrap()["state"], "running");
+        let began = stand.store.get("sorreldeck", "rollout/engines");
+        assert!(began.is_some());
+    });
+}
--- a/crates/daemon/tests/other_writers.rs
+++ b/crates/daemon/tests/other_writers.rs
@@ -142,7 +142,7 @@
         }
         // What these return was checked above; here it is that they do.
         let _ = (member::decode(&key, &bytes), config::decode(&bytes));
-        let _ = (release::decode(&bytes, 1), release::decode_state(&bytes), wire::decode(&bytes));
+        let _ = (release::decode(&bytes, 1.into()), release::decode_state(&bytes), wire::decode(&bytes));
         let text = String::from_utf8_lossy(&bytes).into_owned();
         let _ = Settings::from_json(&text);
         let names = ["deadline-ms", "token-usage", "prompt-prefix", "session", "connection", "server-load", "confidence",
--- a/crates/daemon/tests/restored.rs
+++ b/crates/daemon/tests/restored.rs
@@ -2,6 +2,7 @@
 
 use serde_json::{json, Value};
 use sorreldeck::era::{Era, Heard, Stamp};
+use sorreldeck::release::State;
 use sorreldeck::Time;
 use sorreldeck_platform::store::{Page, Row};
 use sorreldeck_platform::Table;
@@ -363,3 +364,114 @@
     }
     assert!(joined(&follower.passes(10_000)).is_empty());
 }
+
+const MOVE: &str = "rollout/engines";
+
+fn order(version: u64) -> Row {
+    let value = json!({"service": "engines", "target-version": "v2", "duration-s": 24});
+    row(MOVE, &value, version)
+}
+
+fn record(state: &str, version: u64) -> Row {
+    let value = json!({"service": "engines", "target-version": "v2", "state": state});
+    row(MOVE, &value, version)
+}
+
+fn moves(news: &[News]) -> Vec<(Stamp, Option<State>)> {
+    let told = news.iter().filter_map(|news| match news {
+        News::Move(order, state, _) => Some((order.number, *state)),
+        _ => None,
+    });
+    told.collect()
+}
+
+/// A follower of a move that was ordered at 22 and completed at 25, of which nothing was copied, after
+/// the store came back from a copy at 20.
+fn with_move() -> Follower {
+    let mut follower = Follower::new();
+    follower.whole(Table::Operator, vec![config(23, 13)], 20);
+    follower.whole(Table::Progress, Vec::new(), 20);
+    follower.whole(Table::Own, Vec::new(), 20);
+    follower.changed(Table::Operator, order(22));
+    follower.changed(Table::Progress, record("running", 23));
+    follower.changed(Table::Own, row(MOVE, &json!(1_000_000), 23));
+    follower.changed(Table::Progress, record("completed", 25));
+    follower.restored();
+    follower.whole(Table::Operator, vec![config(23, 13)], 20);
+    follower.whole(Table::Progress, Vec::new(), 20);
+    follower.whole(Table::Own, Vec::new(), 20);
+    follower
+}
+
+fn lost(follower: &Follower) -> Vec<(Table, String, u64)> {
+    let lost = follower
+        .mirror
+        .lost("entry/e-1", at(follower.now))
+        .into_iter();
+    lost.map(|again| (again.table, again.key, again.version))
+        .collect()
+}
+
+#[test]
+fn an_order_that_is_written_again_is_the_same_order() {
+    let mut follower = with_move();
+    let told = moves(&follower.changed(Table::Operator, order(21)));
+    assert_eq!(told, [(Stamp::new(Era(4), 22), Some(State::Completed))]);
+    // What the operator orders later is another one, though it asks for the same.
+    let told = moves(&follower.changed(Table::Operator, order(30)));
+    assert_eq!(told, [(Stamp::new(Era(5), 30), None)]);
+}
+
+#[test]
+fn records_that_were_lost_are_to_be_written_again() {
+    let mut follower = with_move();
+    let both = [
+        (Table::Progress, MOVE.to_owned(), 0),
+        (Table::Own, MOVE.to_owned(), 0),
+    ];
+    assert_eq!(lost(&follower), both);
+    // Another entry was sooner.
+    follower.changed(Table::Progress, record("completed", 21));
+    follower.changed(Table::Own, row(MOVE, &json!(1_000_000), 21));
+    assert!(lost(&follower).is_empty());
+}
+
+#[test]
+fn a_record_that_stands_before_its_order_is_written_again() {
+    let mut follower = with_move();
+    follower.changed(Table::Progress, record("completed", 21));
+    follower.changed(Table::Own, row(MOVE, &json!(1_000_000), 21));
+    follower.changed(Table::Operator, order(24));
+    assert_eq!(lost(&follower), [(Table::Progress, MOVE.to_owned(), 21)]);
+    let told = moves(&follower.changed(Table::Progress, record("completed", 26)));
+    assert_eq!(told, [(Stamp::new(Era(4), 22), Some(State::Completed))]);
+    assert!(lost(&follower).is_empty());
+}
+
+/// The copy holds an earlier state of the record, under a version that is the condition.
+#[test]
+fn a_record_that_the_copy_holds_in_an_earlier_state_is_written_again() {
+    let mut follower = Follower::new();
+    let copied = vec![config(23, 13), order(14)];
+    follower.whole(Table::Operator, copied.clone(), 20);
+    follower.whole(Table::Progress, vec![record("running", 15)], 20);
+    follower.changed(Table::Progress, record("completed", 25));
+    follower.restored();
+    assert!(moves(&follower.whole(Table::Operator, copied, 20)).is_empty());
+    let news = follower.whole(Table::Progress, vec![record("running", 15)], 20);
+    assert!(moves(&news).is_empty(), "{news:?}");
+    assert_eq!(lost(&follower), [(Table::Progress, MOVE.to_owned(), 15)]);
+}
+
+/// Each entry writes where it is, and no other does.
+#[test]
+fn the_row_of_an_entry_is_written_again_by_that_entry() {
+    let mut follower = Follower::new();
+    follower.whole(Table::Own, Vec::new(), 20);
+    for (name, version) in [("entry/e-1", 22), ("entry/e-2", 23)] {
+        follower.changed(Table::Own, row(name, &json!({}), version));
+    }
+    follower.restored();
+    follower.whole(Table::Own, Vec::new(), 20);
+    assert_eq!(lost(&follower), [(Table::Own, "entry/e-1".to_owned(), 0)]);
+}
