Eras that say nothing, fall or never end stop no entry and make none read without a pause

A store that tells no era, or the same one, and goes back was not followed any more, for as long as its versions stayed below the known ones: whoever reads it takes that for a new era now, if the call began after the latest answer. An era that falls counts by the same rule, so a late answer of an earlier era does not.

--- a/crates/core/src/era/heard.rs
+++ b/crates/core/src/era/heard.rs
@@ -31,22 +31,26 @@
         self.known.unwrap_or_default()
     }
 
-    /// Takes in the era that the store told in answer to a call begun at `asked`.
+    /// Takes in the era that the store told in answer to a call begun at `asked`; `fell` says that
+    /// its versions are lower than before, so that it came back though it told no other era.
     ///
-    /// An era that is lower counts only where the call began after the latest answer of the
-    /// one that is known: any other answer may have been on its way since before.
-    pub fn hear(&mut self, told: Option<Era>, asked: Time, now: Time) -> Heard {
-        let Some(told) = told else {
-            return Heard::Current;
-        };
+    /// What goes back counts only where the call began after the latest answer: any other may have
+    /// been on its way since before.
+    pub fn hear(&mut self, told: Option<Era>, fell: bool, asked: Time, now: Time) -> Heard {
         let before = self.current();
-        if told < before && asked <= self.at {
+        let told = told.unwrap_or(before);
+        let goes_back = told < before || (told == before && fell);
+        if goes_back && asked <= self.at {
             return Heard::Late;
         }
-        let is_first = self.known.is_none();
-        self.known = Some(told);
+        let next = match told == before && fell {
+            true => Era(before.0.saturating_add(1)),
+            false => told,
+        };
+        let is_first = self.known.is_none() && !fell;
+        self.known = Some(next);
         self.at = now;
-        match is_first || told == before {
+        match is_first || next == before {
             true => Heard::Current,
             false => Heard::Restored { before },
         }
--- a/crates/core/src/era/mod.rs
+++ b/crates/core/src/era/mod.rs
@@ -9,10 +9,10 @@
 //! use sorreldeck::Time;
 //!
 //! let mut eras = Eras::default();
-//! assert_eq!(eras.hear(Some(Era(4)), Time(0), Time(5)), Heard::Current);
-//! let restored = eras.hear(Some(Era(5)), Time(10), Time(15));
+//! assert_eq!(eras.hear(Some(Era(4)), false, Time(0), Time(5)), Heard::Current);
+//! let restored = eras.hear(Some(Era(5)), false, Time(10), Time(15));
 //! assert_eq!(restored, Heard::Restored { before: Era(4) });
-//! assert_eq!(eras.hear(Some(Era(4)), Time(9), Time(16)), Heard::Late);
+//! assert_eq!(eras.hear(Some(Era(4)), false, Time(9), Time(16)), Heard::Late);
 //! assert!(Stamp::new(Era(5), 27) > Stamp::new(Era(4), 31));
 //!
 //! let row = |version, value| Seen { key: "evacuate/a", version, value };
--- a/crates/daemon/src/hosted/mirror.rs
+++ b/crates/daemon/src/hosted/mirror.rs
@@ -296,10 +296,18 @@
         self.eras.current()
     }
 
-    /// Takes in the era that the store told in answer to a call begun at `asked`. After a
-    /// [restore](Heard::Restored) nothing but whole tables may be [applied](Mirror::apply).
-    pub fn hear(&mut self, told: Option<Era>, asked: Time, now: Time) -> Heard {
-        let heard = self.eras.hear(told, asked, now);
+    /// Takes in of which era a page is that the store gave in answer to a call begun at `asked`. After
+    /// a [restore](Heard::Restored) nothing but whole tables may be [applied](Mirror::apply).
+    pub fn hear(
+        &mut self,
+        table: Table,
+        page: &Page,
+        whole: bool,
+        asked: Time,
+        now: Time,
+    ) -> Heard {
+        let fell = whole && self.base(table).is_some_and(|known| page.version < known);
+        let heard = self.eras.hear(page.era, fell, asked, now);
         self.note_era(heard);
         heard
     }
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -66,6 +66,10 @@
 /// How long it is doubted at most: the store answers in some 5 ms, another entry within 0.5 s.
 const DOUBT: Span = Span::from_millis(600);
 
+/// How often all tables are asked for at once since the store came back: one that tells another era with
+/// each answer is asked by the pauses of each table.
+const RESTORED: Span = Span::from_millis(1_000);
+
 /// What reaches the loop.
 pub enum Message {
     /// A request and where its answer goes.
@@ -129,6 +133,8 @@
     asked: Time,
     /// For how long the machine was suspended, as far as it was dealt with.
     suspended: Span,
+    /// When all tables were asked for since the store came back from a copy.
+    restored: Option<Time>,
     /// When a suspension ended since which what is known has not been heard anew.
     doubts: Option<Time>,
     in_vain: u32,
@@ -181,6 +187,7 @@
         Room {
             entry: Entry::new(decisions),
             suspended: clock.suspended(),
+            restored: None,
             doubts: None,
             metrics: Metrics::default(),
             mirror: Mirror::default(),
@@ -339,7 +346,7 @@
             }
             Message::Store(table, Update::Page { page, whole, asked }) => {
                 let now = self.clock.now();
-                if self.mirror.hear(page.era, asked, now) == Heard::Late {
+                if self.mirror.hear(table, &page, whole, asked, now) == Heard::Late {
                     return;
                 }
                 self.note_restored("store");
@@ -569,9 +576,15 @@
         let era = self.mirror.era();
         warn!("event=store-era era={era} before={before} from={from}");
         self.relay.restored(now);
+        let is_news = self.restored.is_none_or(|at| now.since(at) >= RESTORED);
         for table in Table::ALL {
             self.feed.known(table, None);
-            self.feed.ask(table);
+            if is_news {
+                self.feed.ask(table);
+            }
+        }
+        if is_news {
+            self.restored = Some(now);
         }
     }
 
--- a/crates/daemon/tests/hosted/restored_store.rs
+++ b/crates/daemon/tests/hosted/restored_store.rs
@@ -1,9 +1,12 @@
 //! The store comes back from a copy, and versions that it gave out are given out again.
 
 use super::*;
+use test_case::test_case;
 
 /// Within which time what the store confirmed must be in force.
 const BOUND: Duration = Duration::from_millis(2_000);
+/// The most calls of one entry in that time: four tables, each twice in 0.6 s.
+const MOST_CALLS: u64 = 30;
 /// The changes that the store loses.
 const LOST: usize = 6;
 
@@ -69,3 +72,40 @@
         assert!(began.is_some());
     });
 }
+
+/// Each row: what the store writes for its era, in turn. It loses nothing.
+#[test_case(&[""]; "nothing")]
+#[test_case(&["first", "second"]; "text")]
+#[test_case(&["18446744073709551616"]; "a huge number")]
+#[test_case(&["-1", "1.5", " 7 "]; "other numbers")]
+#[test_case(&["9", "8", "7", "6", "5", "4", "3", "2", "1"]; "one that falls")]
+#[test_case(&["1", "2"]; "another one in each answer")]
+fn eras_that_say_nothing_stop_no_entry(eras: &'static [&'static str]) {
+    task::block_on(async {
+        let stand = Stand::start().await;
+        stand.store.tell_eras(eras);
+        task::sleep(Duration::from_millis(1_500)).await;
+        let before = stand.store.calls();
+        let added = [route("added", "clock", "safe", json!({}))];
+        stand.store.put("op", "config", &config(4, &added));
+        task::sleep(BOUND).await;
+        assert_eq!(status(&stand.call("/added/body").await), 200);
+        let calls = stand.store.calls() - before;
+        assert!(calls < MOST_CALLS, "{calls} calls");
+    });
+}
+
+/// Reads from the first on are told that the history is gone, each time.
+#[test]
+fn a_store_that_forgets_again_and_again_is_asked_with_pauses() {
+    task::block_on(async {
+        let stand = Stand::start().await;
+        stand.store.set(Mood::Forgetful);
+        task::sleep(Duration::from_millis(1_500)).await;
+        let before = stand.store.calls();
+        task::sleep(BOUND).await;
+        let calls = stand.store.calls() - before;
+        assert!(calls < MOST_CALLS, "{calls} calls");
+        assert_eq!(status(&stand.call("/once/body").await), 200);
+    });
+}
--- a/crates/daemon/tests/hosted/store.rs
+++ b/crates/daemon/tests/hosted/store.rs
@@ -27,6 +27,8 @@
     Lost,
     /// Calls are taken and nothing comes back.
     Silent,
+    /// Every read is told that the history is gone.
+    Forgetful,
 }
 
 /// Rows by table and key: the value, unless dropped, and the version.
@@ -38,6 +40,8 @@
     rows: Rows,
     /// How often the store came back from a copy.
     era: u64,
+    /// What is told in its place, in turn.
+    eras: Vec<&'static str>,
     /// The copy that it comes back from, with its version.
     copy: (Rows, u64),
     forgotten: u64,
@@ -96,6 +100,11 @@
         self.state.lock().unwrap().waits.clone()
     }
 
+    /// Tells these as its era, in turn; an empty text stands for none.
+    pub fn tell_eras(&self, eras: &[&'static str]) {
+        self.state.lock().unwrap().eras = eras.to_vec();
+    }
+
     /// Takes a copy.
     pub fn copy(&self) {
         let mut state = self.state.lock().unwrap();
@@ -197,6 +206,7 @@
             let (status, value) = match mood {
                 Mood::Reset => return,
                 Mood::Busy => (503, json!({})),
+                Mood::Forgetful if line.starts_with("GET") => (410, json!({})),
                 Mood::Silent => {
                     task::sleep(Duration::from_secs(60)).await;
                     return;
@@ -214,9 +224,9 @@
                 return;
             }
             let text = value.to_string();
-            let era = self.state.lock().unwrap().era;
+            let era = self.era_header();
             let reply = format!(
-                "HTTP/1.1 {status} X\r\ncontent-type: application/json\r\nstore-era: {era}\r\ncontent-length: {}\r\n\r\n{text}",
+                "HTTP/1.1 {status} X\r\ncontent-type: application/json\r\n{era}content-length: {}\r\n\r\n{text}",
                 text.len()
             );
             if stream.write_all(reply.as_bytes()).await.is_err() {
@@ -225,6 +235,22 @@
         }
     }
 
+    /// Returns the line in which the store tells its era.
+    fn era_header(&self) -> String {
+        let mut state = self.state.lock().unwrap();
+        let told = match state.eras.is_empty() {
+            true => state.era.to_string(),
+            false => {
+                state.eras.rotate_left(1);
+                state.eras.last().copied().unwrap_or_default().to_owned()
+            }
+        };
+        match told.is_empty() {
+            true => told,
+            false => format!("store-era: {told}\r\n"),
+        }
+    }
+
     async fn answer(&self, line: &str, body: &[u8]) -> (u16, Value) {
         let target = line.split(' ').nth(1).unwrap();
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
--- a/crates/daemon/tests/relay/world.rs
+++ b/crates/daemon/tests/relay/world.rs
@@ -577,7 +577,7 @@
         // What was waited for from another era is left, and the table read whole.
         let known = known.filter(|_| n.mirror.era() == self.store.era);
         let (page, whole) = self.store.page(table, known, now);
-        let heard = n.mirror.hear(page.era, since, now);
+        let heard = n.mirror.hear(table, &page, whole, since, now);
         assert_ne!(heard, Heard::Late);
         self.note_restored(node);
         let n = &mut self.nodes[node];
--- a/crates/daemon/tests/restored.rs
+++ b/crates/daemon/tests/restored.rs
@@ -3,7 +3,7 @@
 use serde_json::{json, Value};
 use sorreldeck::era::{Era, Heard, Stamp};
 use sorreldeck::release::State;
-use sorreldeck::Time;
+use sorreldeck::{Span, Time};
 use sorreldeck_platform::store::{Page, Row};
 use sorreldeck_platform::Table;
 use sorreldeckd::hosted::{Mirror, News, Taken};
@@ -75,7 +75,8 @@
     /// Takes in an answer of the store.
     fn read(&mut self, table: Table, rows: Vec<Row>, version: u64, whole: bool) -> Vec<News> {
         let page = self.page(rows, version);
-        let heard = self.mirror.hear(page.era, at(self.now), at(self.now));
+        let (asked, now) = (at(self.now), at(self.now) + Span::from_micros(1));
+        let heard = self.mirror.hear(table, &page, whole, asked, now);
         assert_ne!(heard, Heard::Late);
         self.mirror.apply(table, page, whole, at(self.now))
     }
@@ -475,3 +476,53 @@
     follower.whole(Table::Own, Vec::new(), 20);
     assert_eq!(lost(&follower), [(Table::Own, "entry/e-1".to_owned(), 0)]);
 }
+
+/// Each row: the eras that the store tells before and after it came back with lower versions.
+#[test_case(None, None; "none is told")]
+#[test_case(Some(4), Some(4); "it does not rise")]
+#[test_case(Some(4), Some(2); "it falls")]
+#[test_case(Some(4), None; "it is not told any more")]
+#[test_case(None, Some(7); "it is told from then on")]
+fn a_store_that_goes_back_is_followed_whatever_era_it_tells(
+    before: Option<u64>,
+    after: Option<u64>,
+) {
+    let mut mirror = Mirror::default();
+    let mut read = |era: Option<u64>, row: Row, version, ms| {
+        let page = Page {
+            rows: vec![row],
+            version,
+            now: Duration::ZERO,
+            era: era.map(Era),
+        };
+        let later = at(ms) + Span::from_millis(5);
+        mirror.hear(Table::Operator, &page, true, at(ms), later);
+        revisions(&mirror.apply(Table::Operator, page, true, later))
+    };
+    assert_eq!(read(before, config(23, 31), 31, 0), [23]);
+    assert!(read(after, config(23, 13), 20, 3_000).is_empty());
+    assert_eq!(read(after, config(24, 21), 21, 4_000), [24]);
+    assert_eq!(read(after, config(25, 22), 22, 5_000), [25]);
+}
+
+/// An answer that was on its way when the store was lost.
+#[test]
+fn an_answer_of_an_earlier_era_that_arrives_late_is_left() {
+    let mut follower = Follower::new();
+    follower.whole(Table::Operator, vec![config(23, 31)], 31);
+    follower.restored();
+    follower.whole(Table::Operator, vec![config(23, 13)], 20);
+    let late = Page {
+        era: Some(Era(4)),
+        ..follower.page(vec![config(40, 33)], 33)
+    };
+    let (asked, now) = (at(follower.now - 10), at(follower.now + 10));
+    let heard = follower
+        .mirror
+        .hear(Table::Operator, &late, true, asked, now);
+    assert_eq!(heard, Heard::Late);
+    assert_eq!(
+        follower.mirror.stamp(Table::Operator),
+        Stamp::new(Era(5), 20)
+    );
+}
