Ask for the operator's table over another connection where its answer is overdue

Callers would see: a configuration that is confirmed as a silent store returns is in force 2.2 s later, and a leaving upstream gets requests as long, where 2 s are allowed: a wait that began just before hangs on its dead connection for its 0.7 s and 1.5 s more. Class: the patience of one call is taken for that of the whole.

Now the table is asked besides, over new connections, from 0.35 s after the wait's end on, each 0.6 s, while the first call goes on: a slow store is answered as before. Entries that only look whether the store is there do not.

--- a/crates/daemon/src/hosted/feed.rs
+++ b/crates/daemon/src/hosted/feed.rs
@@ -44,6 +44,13 @@
 /// comes back.
 const PAUSE_PROBE: (u64, u64) = (1_500, 2_500);
 
+/// How long after its wait an answer for the operator's table is overdue: one of a slow store takes
+/// some 0.2 s.
+const OVERDUE: Duration = Duration::from_millis(350);
+/// How long a call besides one that is overdue may take, and the pause before the next.
+const ASK_EVERY: Duration = Duration::from_millis(500);
+const ASK_PAUSE: Duration = Duration::from_millis(100);
+
 /// What a follower tells.
 pub enum Update {
     /// Rows.
@@ -340,14 +347,40 @@
         }
     }
 
+    /// Reads what comes next. Where the operator's table is not answered for in time, the connection
+    /// may be dead: it is asked for over others as well, and the first answer counts.
     async fn next(&self) -> Result<Read, Trouble> {
+        let wait = self.wait();
+        let first = self.call(wait);
+        match (self.table, self.wanted.task()) {
+            (Table::Operator, Task::Follow) => first.or(self.ask_besides(wait)).await,
+            _ => first.await,
+        }
+    }
+
+    /// Asks again and again after a wait that ought to have ended, until an answer comes.
+    async fn ask_besides(&self, wait: Duration) -> Result<Read, Trouble> {
+        task::sleep(wait + OVERDUE).await;
+        loop {
+            // Those that are kept beside a dead connection are most likely dead, too.
+            self.store.reconnect().await;
+            let call = self.call(Duration::ZERO);
+            let answer = async_std::future::timeout(ASK_EVERY, call).await;
+            if let Ok(answer @ (Ok(_) | Err(Trouble::Forgotten))) = answer {
+                return answer;
+            }
+            task::sleep(ASK_PAUSE).await;
+        }
+    }
+
+    async fn call(&self, wait: Duration) -> Result<Read, Trouble> {
         let asked = self.clock.now();
         let Some(base) = self.base() else {
             let page = self.store.read(self.table).await?;
             let whole = true;
             return Ok(Read { page, whole, asked });
         };
-        let page = self.store.follow(self.table, base.version, self.wait());
+        let page = self.store.follow(self.table, base.version, wait);
         let page = page.await?;
         // Versions of another era say nothing about what came after this one.
         match page.era.is_none_or(|era| era == base.era) {
--- a/crates/daemon/tests/hosted/restored_store.rs
+++ b/crates/daemon/tests/hosted/restored_store.rs
@@ -109,3 +109,29 @@
         assert_eq!(status(&stand.call("/once/body").await), 200);
     });
 }
+
+/// Each row: how many milliseconds after a change the store falls silent, and for how many. Connections
+/// stay silent.
+#[test_case(200, 100; "a wait has just begun")]
+#[test_case(500, 900; "one wait")]
+#[test_case(500, 2_700; "several calls")]
+fn what_is_confirmed_as_the_store_returns_is_in_force_in_time(after: u64, ms: u64) {
+    task::block_on(async {
+        let stand = Stand::start().await;
+        task::sleep(Duration::from_millis(1_000)).await;
+        stand.store.copy();
+        stand.store.put("op", "other", &json!(1));
+        task::sleep(Duration::from_millis(after)).await;
+        stand.store.set(Mood::Silent);
+        stand.store.silence_connections();
+        task::sleep(Duration::from_millis(ms)).await;
+        stand.store.restore();
+        stand.store.set(Mood::Well);
+        let added = [route("added", "clock", "safe", json!({}))];
+        stand.store.put("op", "config", &config(4, &added));
+        announce(&stand.store, &stand.runners[0], "clock", "draining");
+        task::sleep(BOUND).await;
+        assert_eq!(status(&stand.call("/added/body").await), 200);
+        assert_eq!(stand.reaching(0, 8).await, 0, "a leaving upstream is asked");
+    });
+}
