--- a/crates/core/src/era/kept.rs
+++ b/crates/core/src/era/kept.rs
@@ -23,6 +23,17 @@
 /// The most former states of rows that are remembered: those of some minutes.
 const MOST: usize = 4_096;
 
+/// What was known of a row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Was<'a> {
+    /// Nothing, ever.
+    Unknown,
+    /// That it was there, and is not any more.
+    Dropped,
+    /// What it holds.
+    Seen(Seen<'a>),
+}
+
 /// A row as it stood at a version of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Seen<'a> {
@@ -119,20 +130,20 @@
     /// up to which the table was known.
     pub fn of(
         stored: Option<Seen>,
-        known: Option<Seen>,
+        known: Was,
         past: &Past,
         copied: &Copied,
         newest: u64,
     ) -> Standing {
         let Some(stored) = stored else {
-            return match known.is_some_and(|known| copied.holds(known.version)) {
-                true => Standing::Dropped,
-                false => Standing::Missing,
+            return match known {
+                Was::Seen(known) if copied.holds(known.version) => Standing::Dropped,
+                _ => Standing::Missing,
             };
         };
-        let is_reused = known.is_some() && stored.version <= newest;
+        let is_reused = known != Was::Unknown && stored.version <= newest;
         match known {
-            Some(known) if known == stored => Standing::Same,
+            Was::Seen(known) if known == stored => Standing::Same,
             _ if past.holds(stored) => Standing::Outdated,
             _ if is_reused && copied.holds(stored.version) => Standing::Outdated,
             _ if is_reused => Standing::Unsure,
@@ -186,7 +197,9 @@
             (Kind::Order, Standing::Missing | Standing::Outdated, _) => Fate::Keep(Some(ORDER)),
             (Kind::Order | Kind::Record, Standing::Unsure, _) => Fate::Keep(Some(UNSURE)),
             (Kind::Upstream, Standing::Missing, _) => Fate::Keep(Some(RETURN)),
-            (Kind::Upstream, Standing::Outdated, Known::Gone) => Fate::Keep(Some(LEASE)),
+            (Kind::Upstream, Standing::Outdated | Standing::Unsure, Known::Gone) => {
+                Fate::Keep(Some(LEASE))
+            }
             (Kind::Record, Standing::Missing | Standing::Outdated, _) => Fate::Keep(None),
             _ => Fate::Take,
         }
--- a/crates/core/src/era/mod.rs
+++ b/crates/core/src/era/mod.rs
@@ -5,7 +5,7 @@
 //! tables are read whole then, and of each row that differs it is decided what holds meanwhile.
 //!
 //! ```
-//! use sorreldeck::era::{Copied, Era, Eras, Fate, Heard, Kind, Known, Past, Seen, Stamp, Standing};
+//! use sorreldeck::era::{Copied, Era, Eras, Fate, Heard, Kind, Known, Past, Seen, Stamp, Standing, Was};
 //! use sorreldeck::Time;
 //!
 //! let mut eras = Eras::default();
@@ -18,7 +18,7 @@
 //! let row = |version, value| Seen { key: "evacuate/a", version, value };
 //! let mut past = Past::default();
 //! past.note(row(20, b"{}"));
-//! let standing = Standing::of(Some(row(20, b"{}")), None, &past, &Copied::default(), 31);
+//! let standing = Standing::of(Some(row(20, b"{}")), Was::Dropped, &past, &Copied::default(), 31);
 //! assert_eq!(standing, Standing::Outdated);
 //! // The operator had taken the order back, so it does not hold again.
 //! assert!(matches!(Fate::of(Kind::Order, standing, Known::Gone), Fate::Keep(Some(_))));
@@ -28,7 +28,7 @@
 mod kept;
 
 pub use heard::{Eras, Heard};
-pub use kept::{Copied, Fate, Kind, Known, Past, Seen, Standing};
+pub use kept::{Copied, Fate, Kind, Known, Past, Seen, Standing, Was};
 
 use crate::error::{Category, Error, Result};
 use serde::{Deserialize, Serialize};
--- a/crates/daemon/src/hosted/replica.rs
+++ b/crates/daemon/src/hosted/replica.rs
@@ -2,7 +2,7 @@
 //! they can be handed on one by one.
 
 use super::pack::{self, Handed, PACKED_FROM};
-use sorreldeck::era::{Copied, Era, Fate, Past, Seen, Stamp, Standing};
+use sorreldeck::era::{Copied, Era, Fate, Past, Seen, Stamp, Standing, Was};
 use sorreldeck::Span;
 use sorreldeck_platform::store::{Page, Row};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -12,6 +12,9 @@
 const CHANGES: usize = 512;
 const CHANGES_BYTES: usize = 256 * 1024;
 
+/// The most rows that are remembered to be gone; beyond them all are forgotten.
+const GONE: usize = 4_096;
+
 /// Rows as they are handed on in one piece.
 #[derive(Clone, Debug)]
 struct Packed {
@@ -80,6 +83,8 @@
     kept: BTreeMap<String, Kept>,
     /// What rows were before.
     past: Past,
+    /// The keys of rows that were there and are not any more, the latest of them.
+    gone: BTreeSet<String>,
     /// The latest changes, in the order of their versions.
     changes: VecDeque<Row>,
     bytes: usize,
@@ -188,6 +193,9 @@
         }
         for key in &over {
             self.kept.remove(key);
+            if !self.rows.contains_key(key) {
+                self.note_gone(key);
+            }
         }
         over
     }
@@ -212,13 +220,13 @@
         for key in keys {
             let known = self.row(&key);
             let new = rows.get(&key);
-            let (past, known_as) = (&self.past, known.and_then(seen));
+            let (past, was) = (&self.past, self.was(&key));
             // What was kept before is of another history than what was copied.
             let copied = match self.kept.contains_key(&key) {
                 true => &Copied::default(),
                 false => &copied,
             };
-            let standing = Standing::of(new.and_then(seen), known_as, past, copied, newest);
+            let standing = Standing::of(new.and_then(seen), was, past, copied, newest);
             let case = Case {
                 key: &key,
                 standing,
@@ -248,9 +256,24 @@
             }
         }
         self.kept = kept;
+        for key in &changed {
+            match self.rows.contains_key(key) {
+                true => drop(self.gone.remove(key)),
+                false => self.note_gone(key),
+            }
+        }
         changed
     }
 
+    /// Returns what is known of a row.
+    fn was(&self, key: &str) -> Was<'_> {
+        match self.row(key).and_then(seen) {
+            Some(seen) => Was::Seen(seen),
+            None if self.gone.contains(key) => Was::Dropped,
+            None => Was::Unknown,
+        }
+    }
+
     /// Returns what is known of a row, to be kept.
     fn as_kept(&self, key: &str, left: Option<Span>) -> Kept {
         if let Some(kept) = self.kept.get(key).cloned() {
@@ -291,6 +314,7 @@
             self.forget(&key);
             if row.value.is_some() {
                 let since = self.stamp.era;
+                self.gone.remove(&key);
                 self.rows.insert(key.clone(), Stored { row, since });
             }
             if holds {
@@ -322,10 +346,18 @@
     /// Drops a row of the store, and remembers what it was.
     fn forget(&mut self, key: &str) {
         if let Some(before) = self.rows.remove(key) {
+            self.note_gone(key);
             self.remember_past(&before.row);
         }
     }
 
+    fn note_gone(&mut self, key: &str) {
+        if self.gone.len() >= GONE {
+            self.gone.clear();
+        }
+        self.gone.insert(key.to_owned());
+    }
+
     fn remember_past(&mut self, row: &Row) {
         if let Some(row) = seen(row) {
             self.past.note(row);
--- a/crates/daemon/tests/restored.rs
+++ b/crates/daemon/tests/restored.rs
@@ -325,6 +325,20 @@
     assert_eq!(evacuated(&follower.changed(Table::Operator, new)), [1]);
 }
 
+/// A row was changed and dropped again between two answers, or before this process began.
+#[test]
+fn a_state_that_was_never_heard_of_does_not_return_with_the_copy() {
+    let mut follower = Follower::new();
+    follower.whole(Table::Operator, vec![row("evacuate/a", &json!(2), 19)], 20);
+    assert_eq!(
+        evacuated(&follower.changed(Table::Operator, gone("evacuate/a", 24))),
+        [0]
+    );
+    follower.restored();
+    let news = follower.whole(Table::Operator, vec![row("evacuate/a", &json!(1), 15)], 16);
+    assert!(evacuated(&news).is_empty(), "{news:?}");
+}
+
 /// What is written before the first answer arrives has a version that was given out before, too.
 #[test]
 fn an_order_written_right_after_the_return_counts_at_once() {
