--- a/crates/core/src/era/kept.rs
+++ b/crates/core/src/era/kept.rs
@@ -5,7 +5,7 @@
 
 use crate::digest::short;
 use crate::unit::Span;
-use std::collections::{HashSet, VecDeque};
+use std::collections::{BTreeSet, VecDeque};
 
 /// How long an order holds that is not in the copy: the operator writes it again within seconds.
 const ORDER: Span = Span::from_millis(30_000);
@@ -59,7 +59,7 @@
 /// The former states of rows, the latest of them.
 #[derive(Clone, Debug, Default)]
 pub struct Past {
-    known: HashSet<u64>,
+    known: BTreeSet<u64>,
     order: VecDeque<u64>,
 }
 
--- a/crates/daemon/src/hosted/mirror.rs
+++ b/crates/daemon/src/hosted/mirror.rs
@@ -62,7 +62,7 @@
 }
 
 /// What cannot be understood, for the log.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Trouble {
     /// The table.
     pub table: Table,
@@ -74,7 +74,7 @@
 
 /// Upstreams whose rows vanished and that are kept, since their leases may have lapsed; for
 /// the log.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Held {
     /// Their keys.
     pub keys: Vec<String>,
@@ -154,7 +154,7 @@
 }
 
 /// What this process knows of the tables.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Mirror {
     tables: BTreeMap<Table, Replica>,
     watermark: Watermark,
