sorreldeck-bench restore: what callers notice when the store comes back from a copy

The world of the schedules is a library now (crates/sim), so that tests and the experiment play the same entries with the daemon's decisions.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -13,6 +13,7 @@
 mod overload;
 mod path;
 mod plan;
+mod restore;
 mod rollout;
 mod spread;
 mod stand;
@@ -52,6 +53,9 @@
     /// Have upstreams leave, ask for rest and name the rate that they take
     #[bpaf(command)]
     Notice(#[bpaf(external(notice::options))] notice::Options),
+    /// Let the platform's store come back from a copy that is some seconds old
+    #[bpaf(command)]
+    Restore(#[bpaf(external(restore::options))] restore::Options),
     /// Hit real processes with faults under load and check the promises
     #[bpaf(command)]
     Faults(#[bpaf(external(faults::options))] faults::Options),
@@ -78,6 +82,7 @@
         Options::Spread(options) => run(spread::run(options))?,
         Options::Crash(options) => crash::run(&options)?,
         Options::Notice(options) => notice::run(&options)?,
+        Options::Restore(options) => restore::run(&options)?,
         Options::Faults(options) => run(faults::run(options))?,
         Options::StandIns(options) => run(stand::run(options))?,
         Options::Daemon(options) => {
--- a/crates/daemon/tests/relay/main.rs
+++ b/crates/daemon/tests/relay/main.rs
@@ -4,9 +4,6 @@
 //!
 //! Simulated time, no socket. `SORRELDECK_CASES` sets the number of cases, `SORRELDECK_FIRST` the seed of the first.
 
-mod trouble;
-mod world;
-
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sorreldeck::era::Era;
@@ -19,11 +16,11 @@
 use sorreldeck::{InstanceId, Span, Time};
 use sorreldeck_platform::store::{Page, Row};
 use sorreldeck_platform::Table;
+use sorreldeck_sim::{upstream, Node, World, LIMITS, UPSTREAMS};
 use sorreldeckd::hosted::{Mirror, Order, Relay};
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 use test_case::test_case;
-use world::{upstream, Node, World, LIMITS, UPSTREAMS};
 
 fn number_in(variable: &str) -> Option<u64> {
     std::env::var(variable).ok()?.parse().ok()
--- a/crates/daemon/tests/relay/trouble.rs
+++ b/crates/sim/src/trouble.rs
@@ -1,6 +1,6 @@
 //! What changes and what fails at random in a schedule.
 
-use super::world::{upstream, Poll, World, UPSTREAMS};
+use crate::world::{upstream, Poll, World};
 use rand::RngExt;
 use sorreldeck::follow::Reading;
 use sorreldeck::{Span, Time};
@@ -11,7 +11,7 @@
     pub fn change(&mut self) {
         let number = self.rng.random_range(0..6);
         if self.rng.random_bool(0.3) {
-            let row = upstream(self.rng.random_range(0..UPSTREAMS), 0);
+            let row = upstream(self.rng.random_range(0..self.upstreams), 0);
             let value = row.value.filter(|_| self.rng.random_bool(0.6));
             return self.store.put(Table::Upstreams, &row.key, value, self.now);
         }
--- a/crates/daemon/tests/relay/world.rs
+++ b/crates/sim/src/world.rs
@@ -1,4 +1,4 @@
-//! Entries, their links and a store in simulated time, and what is checked at each step.
+//! Entries, their links and a store, and what is checked at each step.
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -260,6 +260,8 @@
 pub struct World {
     /// The time within which a change must be known.
     pub limit: Span,
+    /// The upstreams that come and go.
+    pub upstreams: u64,
     pub rng: ChaCha8Rng,
     pub now: Time,
     pub store: Store,
@@ -296,6 +298,7 @@
     pub fn within(limit: Span, seed: u64, halls: usize, entries: usize) -> World {
         let mut world = World {
             limit,
+            upstreams: UPSTREAMS,
             rng: ChaCha8Rng::seed_from_u64(seed),
             now: Time(1_000_000),
             store: Store::default(),
@@ -333,7 +336,7 @@
     }
 
     pub fn put_upstreams(&mut self) {
-        for row in (0..UPSTREAMS).map(|number| upstream(number, 0)) {
+        for row in (0..self.upstreams).map(|number| upstream(number, 0)) {
             self.store
                 .put(Table::Upstreams, &row.key, row.value, self.now);
         }
@@ -759,7 +762,7 @@
 }
 
 /// Returns the number of the change that a row shows.
-fn number_of(row: &Row) -> u64 {
+pub fn number_of(row: &Row) -> u64 {
     let bytes = row.value.iter().flatten();
     bytes.fold(0, |number, byte| number << 8 | u64::from(*byte))
 }
