--- a/crates/daemon/src/hosted/mirror.rs
+++ b/crates/daemon/src/hosted/mirror/mod.rs
@@ -4,6 +4,13 @@
 //! Pages come from the store or, while it is out of reach, from other entries;
 //! an older page never replaces a newer one.
 
+mod moves;
+mod upstreams;
+
+pub use moves::Again;
+
+use self::moves::Written;
+use self::upstreams::Start;
 use super::holds::{self, Record};
 use super::pack;
 use super::replica::{Case, Kept, Replica, Rows, Share};
@@ -15,31 +22,17 @@
 use sorreldeck::wire::{Have, TableDelta};
 use sorreldeck::{Hall, Incarnation, Span, Time, UpstreamId};
 use sorreldeck_platform::config::{self, Configuration};
-use sorreldeck_platform::member::{self, Listed};
+use sorreldeck_platform::member::Listed;
 use sorreldeck_platform::store::{Page, Row, CONFIG, MOVE};
-use sorreldeck_platform::{hall, release, Table};
+use sorreldeck_platform::{hall, Table};
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::time::Duration;
 
 /// The beginning of the keys of rows in which entries tell where they are.
 pub const ENTRY: &str = "entry/";
-/// How long rows that many upstreams lost at once may take to come back: leases that lapsed
-/// while the store was down are renewed within about 2 s, and an upstream that left must get
-/// nothing more after 2 s.
-const COMES_BACK: Span = Span::from_millis(1_800);
-/// The upstreams that vanish at once from which on their leases are taken to have lapsed, and
-/// the part of all that they must be: a few that leave together vanish in one page, too.
-const MANY: usize = 3;
-const MANY_OF: usize = 2;
-
 /// The longest time between two answers of the store that is not away: a wait takes up to 1.4 s.
 const HEARD: Span = Span::from_millis(1_500);
 
-/// The upstreams whose latest start is remembered before those that left are forgotten: at 600
-/// upstreams and a move of all of them a minute, some 7 minutes.
-const MOST_BORN: usize = 4_096;
-
 /// What a change of the tables means.
 #[derive(Debug)]
 pub enum News {
@@ -122,37 +115,6 @@
     News(Vec<News>),
 }
 
-/// A row that is to be written again, since the store has lost it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Again {
-    /// The table.
-    pub table: Table,
-    /// The key.
-    pub key: String,
-    /// The value, or `None` where the row is to be dropped.
-    pub value: Option<Vec<u8>>,
-    /// The version that the row has in the store, 0 where it is not there.
-    pub version: u64,
-}
-
-/// An order, and when its row was written.
-#[derive(Clone, Debug)]
-struct Written {
-    value: Vec<u8>,
-    /// When it was written first.
-    first: Stamp,
-    /// When it was written last: after a loss by the operator once more.
-    last: Stamp,
-}
-
-/// One start of an upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Start {
-    /// Which one, where the upstream tells.
-    born: Option<Incarnation>,
-    address: SocketAddr,
-}
-
 /// What this process knows of the tables.
 #[derive(Clone, Debug)]
 pub struct Mirror {
@@ -591,115 +553,6 @@
         halls.collect()
     }
 
-    /// Puts together what three tables tell of a move.
-    fn move_news(&mut self, key: &str) -> Option<News> {
-        let value = self.row(Table::Operator, key)?.value.clone()?;
-        let number = self.number_of(key, &value)?;
-        let read = release::decode(&value, number);
-        let read = self.understand(Table::Operator, key, read)?;
-        let told = self.row(Table::Progress, key).cloned();
-        // What was told before the order belongs to an earlier one.
-        let told = told.filter(|_| self.row_stamp(Table::Progress, key) > Some(number));
-        let state = told.and_then(|row| {
-            let state = release::decode_state(row.value.as_deref()?);
-            self.understand(Table::Progress, key, state)
-        });
-        let state = state.filter(|(to, _)| *to == read.to).map(|(_, s)| s);
-        let began = state.and_then(|_| self.began(key));
-        Some(News::Move(read, state, began))
-    }
-
-    /// Returns when an order was first written. One that is written again after the store lost it, or
-    /// that stands in the copy, is the same order.
-    fn number_of(&mut self, key: &str, value: &[u8]) -> Option<Stamp> {
-        let stamp = self.row_stamp(Table::Operator, key)?;
-        let known = self.orders.get_mut(key).filter(|known| {
-            let is_again = stamp.era > known.last.era || stamp == known.last;
-            known.value == value && is_again
-        });
-        if let Some(known) = known {
-            known.last = stamp;
-            return Some(known.first);
-        }
-        let written = Written {
-            value: value.to_owned(),
-            first: stamp,
-            last: stamp,
-        };
-        self.orders.insert(key.to_owned(), written);
-        Some(stamp)
-    }
-
-    /// Returns when a row that holds was written.
-    fn row_stamp(&self, table: Table, key: &str) -> Option<Stamp> {
-        self.tables.get(&table)?.row_stamp(key)
-    }
-
-    /// Returns the rows of entries that the store has lost and that are to be written again; `own`
-    /// is the key under which this entry tells where it is.
-    pub fn lost(&self, own: &str, now: Time) -> Vec<Again> {
-        let tables = [Table::Progress, Table::Own];
-        let kept = tables.into_iter().flat_map(|table| {
-            let kept = self.kept(table).filter(|kept| kept.left.is_none());
-            kept.map(move |kept| (table, &kept.row))
-        });
-        let is_ours = |row: &Row| !row.key.starts_with(ENTRY) || row.key == own;
-        let kept = kept.filter(move |(_, row)| is_ours(row));
-        let behind = self.behind_order().map(|row| (Table::Progress, row));
-        let lost = kept.chain(behind).map(|(table, row)| Again {
-            table,
-            key: row.key.clone(),
-            value: row.value.clone(),
-            version: self.row_version(table, &row.key),
-        });
-        lost.chain(self.unbegun(now)).collect()
-    }
-
-    /// Returns the beginnings of moves that nobody knows though they are recorded: the store lost
-    /// them before they were heard of. Such a move begins now.
-    fn unbegun(&self, now: Time) -> Vec<Again> {
-        let orders = self.orders.keys().filter(|_| self.was_restored);
-        let is_unbegun = |key: &&String| {
-            let record = self.row(Table::Progress, key);
-            let state = record.and_then(|row| release::decode_state(row.value.as_deref()?).ok());
-            let is_running = state.is_some_and(|(_, state)| state == State::Running);
-            is_running && self.row(Table::Own, key).is_none()
-        };
-        let time = self.store_time(now).map(|micros| micros.to_string());
-        let again = |key: &String| {
-            Some(Again {
-                table: Table::Own,
-                key: key.clone(),
-                value: Some(time.clone()?.into_bytes()),
-                version: 0,
-            })
-        };
-        orders.filter(is_unbegun).filter_map(again).collect()
-    }
-
-    /// Returns the records of moves that stand before their order in the store, though they were made
-    /// after it: whoever starts now would take them for those of an earlier one.
-    fn behind_order(&self) -> impl Iterator<Item = &Row> {
-        let orders = self
-            .orders
-            .iter()
-            .filter(|(_, order)| order.last > order.first);
-        orders.filter_map(|(key, order)| {
-            let told = self.row_stamp(Table::Progress, key)?;
-            let stored = self.row_version(Table::Progress, key);
-            let is_behind = stored > 0 && stored < self.row_version(Table::Operator, key);
-            let is_told = told > order.first && is_behind;
-            self.row(Table::Progress, key).filter(|_| is_told)
-        })
-    }
-
-    /// Returns when the record of a move was begun, on this process's clock.
-    fn began(&self, key: &str) -> Option<Time> {
-        let row = self.row(Table::Own, key)?.value.as_deref()?;
-        let micros: u64 = std::str::from_utf8(row).ok()?.parse().ok()?;
-        self.own_time(micros)
-    }
-
     fn own_news(&mut self, changed: &[String]) -> Vec<News> {
         let mut news = Vec::new();
         for key in changed {
@@ -732,100 +585,4 @@
         let record = self.understand(Table::Own, key, holds::decode(&value))?;
         Some(News::Held(fingerprint, Some(record)))
     }
-
-    fn upstream_news(&mut self, changed: &[String], now: Time) -> Vec<News> {
-        let mut news = self.gone_news(changed, now);
-        for id in changed {
-            let row = self.row(Table::Upstreams, id).cloned();
-            let Some(buf) = row.and_then(|row| row.value) else {
-                continue;
-            };
-            let read = member::decode(id, &buf);
-            match self.understand(Table::Upstreams, id, read) {
-                Some(listed) => news.extend(self.list(id, listed)),
-                // Whoever wrote that, the upstream's row is gone.
-                None => news.extend(self.retire(id)),
-            }
-        }
-        news
-    }
-
-    /// Returns what it means that rows of upstreams are gone.
-    fn gone_news(&mut self, changed: &[String], now: Time) -> Vec<News> {
-        // Rows of upstreams that were left before go at any time, many in one page.
-        let is_gone = |id: &&String| {
-            self.listed.contains_key(*id) && self.row(Table::Upstreams, id).is_none()
-        };
-        let gone: Vec<String> = changed.iter().filter(is_gone).cloned().collect();
-        if gone.is_empty() || !self.have_lapsed(gone.len()) {
-            return gone.iter().filter_map(|id| self.retire(id)).collect();
-        }
-        for id in &gone {
-            self.missing.entry(id.clone()).or_insert(now + COMES_BACK);
-        }
-        self.held.push(Held {
-            keys: gone,
-            listed: self.listed.len(),
-            span: COMES_BACK,
-        });
-        Vec::new()
-    }
-
-    /// Returns whether so many upstreams that vanish at once look like leases that lapsed.
-    ///
-    /// The rows themselves tell it, whatever befell the calls of this entry or of those that
-    /// it has the tables from: what fails there may be one connection, or the way of one entry
-    /// to a store that is well, and upstreams that left without a word would be kept.
-    fn have_lapsed(&self, gone: usize) -> bool {
-        let vanished = gone + self.missing.len();
-        vanished >= MANY && vanished * MANY_OF >= self.listed.len()
-    }
-
-    fn note_born(&mut self, id: &str, born: Option<Incarnation>) {
-        let Some(born) = born else {
-            return;
-        };
-        if self.born.len() >= MOST_BORN {
-            let listed = &self.listed;
-            self.born.retain(|id, _| listed.contains_key(id));
-        }
-        self.born.insert(id.to_owned(), born);
-    }
-
-    /// Takes in the row of an upstream. A newer start under the same name is another upstream: it
-    /// knows nothing of before, and runs and connections begun before are the former one's.
-    /// An older one that is heard of late changes nothing.
-    fn list(&mut self, id: &str, listed: Listed) -> Vec<News> {
-        let latest = self.born.get(id).copied();
-        let born = listed.member.place.start.or(latest);
-        if born < latest {
-            return Vec::new();
-        }
-        self.note_born(id, born);
-        let start = Start {
-            born,
-            address: listed.address,
-        };
-        let known = self.listed.get(id).copied();
-        self.missing.remove(id);
-        if listed.leaving {
-            return self.retire(id).into_iter().collect();
-        }
-        let cold = News::Cold(listed.member.upstream.clone(), listed.cold);
-        let cold = (listed.cold > Span::default()).then_some(cold);
-        if known == Some(start) {
-            return cold.into_iter().collect();
-        }
-        let mut news: Vec<News> = self.retire(id).into_iter().collect();
-        self.listed.insert(id.to_owned(), start);
-        news.push(News::Joined(Box::new(listed)));
-        news.extend(cold);
-        news
-    }
-
-    fn retire(&mut self, id: &str) -> Option<News> {
-        self.missing.remove(id);
-        self.listed.remove(id)?;
-        Some(News::Retired(id.parse().ok()?))
-    }
 }
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -14,9 +14,11 @@
 //! assert!(uses.eq([world.upstreams; 4]));
 //! ```
 
+mod check;
+mod store;
 mod trouble;
 mod world;
 
-pub use world::{
-    number_of, upstream, Copy, End, Event, Node, Poll, Rows, Store, World, LIMITS, TICK, UPSTREAMS,
-};
+pub use check::number_of;
+pub use store::{Copy, Rows, Store};
+pub use world::{upstream, End, Event, Node, Poll, World, LIMITS, TICK, UPSTREAMS};
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -1,19 +1,19 @@
 //! Entries, their links and a store, and what is checked at each step.
 
+use crate::store::Store;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use sorreldeck::era::{Era, Heard, Stamp};
+use sorreldeck::era::Heard;
 use sorreldeck::follow::{Bounds, Peer, Reading};
 use sorreldeck::notice;
 use sorreldeck::pick::Link;
 use sorreldeck::quarantine;
 use sorreldeck::wire::{self, Frame};
 use sorreldeck::{InstanceId, Span, Time, UpstreamId};
-use sorreldeck_platform::store::{Page, Row};
+use sorreldeck_platform::store::Row;
 use sorreldeck_platform::Table;
 use sorreldeckd::hosted::{Mirror, News, Order, Relay};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::time::Duration;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The times within which a change must be known, as installations of some three, 30 and 100
 /// entries set them.
@@ -22,8 +22,6 @@
     Span::from_millis(3_000),
     Span::from_millis(4_000),
 ];
-/// How much longer than that after its last impairment an entry, or the store, is held to it.
-const CONTACT_BEYOND: Span = Span::from_millis(1_000);
 pub const TICK: Span = Span::from_millis(20);
 /// How long the tables besides the operator's are waited on.
 pub const WAIT_OTHERS: Span = Span::from_millis(20_000);
@@ -42,138 +40,6 @@
     })
 }
 
-/// How often the store is copied, and how many of its copies are kept.
-const COPY_EVERY: Span = Span::from_millis(500);
-const COPIES: usize = 16;
-
-/// Rows by table and key.
-pub type Rows = BTreeMap<(Table, String), Row>;
-
-/// A state of the store that it may come back from.
-#[derive(Clone)]
-pub struct Copy {
-    pub at: Time,
-    pub version: u64,
-    pub rows: Rows,
-}
-
-/// The store, with the time of each change.
-#[derive(Default)]
-pub struct Store {
-    pub era: Era,
-    pub version: u64,
-    pub rows: Rows,
-    /// The changes of this era.
-    pub changes: Vec<(Time, Table, u64)>,
-    pub copies: VecDeque<Copy>,
-    /// What was lost and is written again by those who wrote it, unless they change it before.
-    pub again: Vec<(Time, Table, Row)>,
-    pub forgotten: u64,
-    pub calls: u64,
-    /// The changes that were ever made by [`World::change`].
-    pub made: u64,
-    pub down_until: Time,
-    pub back_since: Time,
-    pub is_silent: bool,
-    /// Waits that begin before then hear nothing until their own end.
-    pub deaf_until: Time,
-}
-
-impl Store {
-    pub fn put(&mut self, table: Table, key: &str, value: Option<Vec<u8>>, now: Time) {
-        self.version += 1;
-        let row = Row {
-            key: key.to_owned(),
-            value,
-            version: self.version,
-        };
-        self.rows.insert((table, key.to_owned()), row);
-        self.changes.push((now, table, self.version));
-        self.again
-            .retain(|(_, t, r)| (*t, r.key.as_str()) != (table, key));
-    }
-
-    /// Returns when the change was made that got a version, or was copied with it.
-    pub fn changed_at(&self, version: u64) -> Time {
-        let mut changes = self.changes.iter().rev();
-        let change = changes.find(|(_, _, v)| *v == version);
-        change.map_or(self.back_since, |(at, ..)| *at)
-    }
-
-    /// Takes a copy now and then.
-    pub fn copy(&mut self, now: Time) {
-        let last = self.copies.back().map(|copy| copy.at);
-        if last.is_some_and(|at| now.since(at) < COPY_EVERY) {
-            return;
-        }
-        self.copies.push_back(Copy {
-            at: now,
-            version: self.version,
-            rows: self.rows.clone(),
-        });
-        if self.copies.len() > COPIES {
-            self.copies.pop_front();
-        }
-    }
-
-    /// Comes back from a copy at a time; returns the rows that are lost, as they stood last.
-    pub fn restore(&mut self, copy: Copy, back: Time) -> Vec<(Table, Row)> {
-        let rows = std::mem::replace(&mut self.rows, copy.rows);
-        self.version = copy.version;
-        self.forgotten = copy.version;
-        self.era = Era(self.era.0 + 1);
-        self.changes.clear();
-        self.down_until = back;
-        self.back_since = self.back_since.max(back);
-        self.copies.clear();
-        let is_lost = |place: &(Table, String), row: &Row| {
-            let copied = self.rows.get(place);
-            copied.is_none_or(|copied| copied.version != row.version)
-        };
-        let lost = rows.into_iter().filter(|(place, row)| is_lost(place, row));
-        lost.map(|((table, _), row)| (table, row)).collect()
-    }
-
-    /// Writes again what is due.
-    pub fn write_again(&mut self, now: Time) {
-        let again = std::mem::take(&mut self.again).into_iter();
-        let (due, later): (Vec<_>, Vec<_>) = again.partition(|(at, ..)| now >= *at);
-        self.again = later;
-        for (_, table, row) in due {
-            self.put(table, &row.key, row.value, now);
-        }
-    }
-
-    /// Notes that a row is to be written again at a time.
-    pub fn later(&mut self, at: Time, table: Table, row: Row) {
-        self.again
-            .retain(|(_, t, r)| (*t, &r.key) != (table, &row.key));
-        self.again.push((at, table, row));
-    }
-
-    pub fn newest(&self, table: Table) -> u64 {
-        let of = self.rows.iter().filter(|((t, _), _)| *t == table);
-        of.map(|(_, row)| row.version).max().unwrap_or(0)
-    }
-
-    pub fn page(&self, table: Table, since: Option<u64>, now: Time) -> (Page, bool) {
-        let is_had = |v: &u64| (self.forgotten..=self.version).contains(v);
-        let since = since.filter(is_had);
-        let of = self.rows.iter().filter(|((t, _), _)| *t == table);
-        let rows = of.map(|(_, row)| row.clone()).filter(|row| match since {
-            Some(version) => row.version > version,
-            None => row.value.is_some(),
-        });
-        let page = Page {
-            rows: rows.collect(),
-            version: self.version,
-            now: Duration::from_micros(now.0),
-            era: Some(self.era),
-        };
-        (page, since.is_none())
-    }
-}
-
 /// What an entry waits for at the store.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Poll {
@@ -682,89 +548,6 @@
             self.tick();
         }
     }
-
-    /// No row goes back to an earlier state within one life, also where the store does.
-    pub fn check_rows(&mut self, node: usize) {
-        let n = &mut self.nodes[node];
-        for table in [Table::Operator, Table::Progress] {
-            for row in n.mirror.rows(table) {
-                let number = number_of(row);
-                let seen = n.seen.entry((table, row.key.clone())).or_default();
-                assert!(
-                    number >= *seen,
-                    "{} of {} went back from {seen} to {number} at {:?}",
-                    row.key,
-                    n.peer.name,
-                    self.now
-                );
-                *seen = number;
-            }
-        }
-    }
-
-    /// Returns the entries that have been without impairment for long, as the store has.
-    pub fn held(&self) -> impl Iterator<Item = &Node> {
-        let contact = self.limit + CONTACT_BEYOND;
-        let held = move |since: Time| self.now.since(since) >= contact && self.now >= since;
-        let is_stable = held(self.store.back_since);
-        self.nodes
-            .iter()
-            .filter(move |n| is_stable && held(n.well_since))
-    }
-
-    /// No entry that is held to the bounds uses an upstream whose row went long ago.
-    pub fn check_left(&self) {
-        let is_left = |row: &Row| {
-            let gone_at = self.store.changed_at(row.version);
-            row.value.is_none() && self.now.since(gone_at) >= self.limit
-        };
-        for n in self.held() {
-            for used in &n.uses {
-                let row = &self.store.rows[&(Table::Upstreams, used.to_string())];
-                assert!(
-                    !is_left(row),
-                    "{} uses {used} at {:?}, gone at {:?} with version {} of {} known; reads {:?} of {:?}",
-                    n.peer.name,
-                    self.now,
-                    self.store.changed_at(row.version),
-                    row.version,
-                    n.mirror.version(Table::Upstreams),
-                    n.reading,
-                    n.relay.follow().sources(self.now),
-                );
-            }
-        }
-    }
-
-    /// Whoever has been without impairment for long knows what was changed long ago.
-    pub fn check_age(&self) {
-        for n in self.held() {
-            for table in [Table::Operator, Table::Progress, Table::Upstreams] {
-                let due = self.store.changes.iter().rev();
-                let due = due.filter(|(_, t, _)| *t == table);
-                let mut due = due.filter(|(at, ..)| self.now.since(*at) >= self.limit);
-                let Some((at, _, version)) = due.next() else {
-                    continue;
-                };
-                let known = n.mirror.stamp(table);
-                assert!(
-                    known >= Stamp::new(self.store.era, *version),
-                    "{} at {:?} does not know {table:?} {version} of {:?} but {known}; reads {:?} of {:?}",
-                    n.peer.name,
-                    self.now,
-                    at,
-                    n.reading,
-                    n.relay.follow().sources(self.now),
-                );
-            }
-        }
-    }
-}
-
-/// Returns the number of the change that a row shows.
-pub fn number_of(row: &Row) -> u64 {
-    let bytes = row.value.iter().flatten();
-    bytes.fold(0, |number, byte| number << 8 | u64::from(*byte))
 }
 
 /// Returns whether a frame holds the whole table of upstreams.
