--- a/crates/daemon/src/hosted/feed.rs
+++ b/crates/daemon/src/hosted/feed.rs
@@ -328,8 +328,7 @@
         let handed = Duration::from_micros(self.wanted.wait.load(Ordering::Relaxed));
         match self.table {
             // That nothing has changed must be known at once when the reading begins, and
-            // after a failure: entries are held to what came in force 3 s after a trouble, of
-            // which a call that hangs takes 2.3 s.
+            // after a failure.
             _ if !self.answered => Duration::ZERO,
             Table::Operator if handed.is_zero() => WAIT_OPERATOR,
             Table::Operator => handed.min(WAIT_OPERATOR),
--- a/crates/daemon/tests/relay/main.rs
+++ b/crates/daemon/tests/relay/main.rs
@@ -100,9 +100,7 @@
     assert!(few < 4 * 75, "four halls: {few}");
 }
 
-/// Links that were opened to more than are needed used to stay open from one end, so that
-/// the other went on reading the store: two more readers than data halls on an installation
-/// of 32 entries, as its lines told.
+/// A link that stays open from one end lets the other go on reading the store.
 #[test]
 fn one_entry_a_data_hall_reads_the_store() {
     for seed in 0..8 {
@@ -147,9 +145,6 @@
     (world.crossed, most)
 }
 
-/// Where every entry had a source in another data hall, they came to 1.29 MB at 24 entries and
-/// 4.92 MB at 96 in this minute, and the busiest entry sent 0.73 and 3.05 MB; now they are 0.28
-/// and 0.28 MB, and the busiest sends 0.41 and 1.56 MB.
 #[test]
 fn bytes_between_data_halls_do_not_grow_with_entries() {
     let few = bytes_of(3, 24);
@@ -190,15 +185,12 @@
     world.store.down_until = world.now + Span::from_millis(8_000);
     world.pass(400);
     let during = world.store.calls - before;
-    // Before, 80 entries with four followers that ask each 0.6 s came to over 4,000.
     assert!(during < 800, "{during} calls in an outage of 8 s");
     world.pass(100);
     let after = world.store.calls - before - during;
     assert!(after < 120, "{after} calls in the 2 s after it");
 }
 
-/// Where an entry asked all its sources at once, 93 entries that started together were sent 173
-/// whole tables; now they are sent 87.
 #[test]
 fn a_start_of_all_entries_sends_each_the_tables_once() {
     let mut world = World::new(13, 3, 93);
@@ -254,11 +246,7 @@
     }
 }
 
-/// The store turns away the entries that read it, and serves all others; meanwhile an upstream
-/// leaves without a word. First seen on 4 of 40 days of one installation: one entry that was turned
-/// away said so, the others took the upstream for one whose lease had lapsed and sent to it
-/// 2.07 s after it had left. Where all sources of an entry were turned away it still did, 4.0 s
-/// after, in one of 200 random schedules.
+/// Upstreams leave without a word meanwhile.
 #[test_case(1, 8; "one data hall")]
 #[test_case(4, 16; "four data halls")]
 fn entries_that_the_store_turns_away_do_not_make_others_keep_upstreams(halls: usize, all: usize) {
@@ -286,8 +274,6 @@
     }
 }
 
-/// Found on reading: a source's age was taken over though the changes that came with it could
-/// not be, since others before them were missing.
 #[test]
 fn an_age_is_not_taken_over_without_the_changes_that_go_with_it() {
     for (since, known) in [(6, false), (5, true)] {
@@ -433,7 +419,6 @@
 }
 
 /// An instance with 0.09 of a core is to know 400 entries within a quarter of a second of its start.
-/// Where each that was learned ranked all anew that took 29 ms of a core, now 0.5.
 #[test]
 fn four_hundred_entries_are_learned_in_the_time_of_a_small_instance() {
     let peer = |i: usize| {
