One piece each for what the change for restored stores wrote twice, and no work for it on quiet ticks

Read again; behaviour is as it was. - Each tick asked for the beginnings of moves that were lost and wrote the store's time as text for it, also where nothing was ever lost: it ends at once then.

--- a/crates/core/src/era/heard.rs
+++ b/crates/core/src/era/heard.rs
@@ -2,6 +2,7 @@
 
 use super::Era;
 use crate::unit::Time;
+use std::cmp::Ordering;
 
 /// What an answer of the store is by its era.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,19 +59,11 @@
 
     /// Takes in the era that another entry tells, of which only a later one counts.
     pub fn learn(&mut self, told: Era, now: Time) -> Heard {
-        let before = self.current();
-        if told <= before {
-            return match told == before {
-                true => Heard::Current,
-                false => Heard::Late,
-            };
-        }
-        let is_first = self.known.is_none();
-        self.known = Some(told);
-        self.at = now;
-        match is_first {
-            true => Heard::Current,
-            false => Heard::Restored { before },
+        match told.cmp(&self.current()) {
+            Ordering::Less => Heard::Late,
+            Ordering::Equal => Heard::Current,
+            // A later era never goes back, whenever it was asked for.
+            Ordering::Greater => self.hear(Some(told), false, now, now),
         }
     }
 }
--- a/crates/core/src/era/kept.rs
+++ b/crates/core/src/era/kept.rs
@@ -23,7 +23,7 @@
 /// The most former states of rows that are remembered: those of some minutes.
 const MOST: usize = 4_096;
 
-/// What was known of a row.
+/// What a row was when it was heard of last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Was<'a> {
     /// Nothing, ever.
@@ -72,8 +72,9 @@
         }
         self.order.push_back(digest);
         if self.order.len() > MOST {
-            let first = self.order.pop_front();
-            first.map(|digest| self.known.remove(&digest));
+            if let Some(first) = self.order.pop_front() {
+                self.known.remove(&first);
+            }
         }
     }
 
@@ -165,7 +166,7 @@
     Record,
 }
 
-/// What was known of a row.
+/// What was known of a row, as it bears on what the store holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Known {
     /// That it is not there.
--- a/crates/daemon/src/hosted/feed.rs
+++ b/crates/daemon/src/hosted/feed.rs
@@ -51,17 +51,20 @@
 const ASK_EVERY: Duration = Duration::from_millis(500);
 const ASK_PAUSE: Duration = Duration::from_millis(100);
 
+/// What was read of a table.
+pub struct Read {
+    /// The rows.
+    pub page: Page,
+    /// Whether they are the whole table.
+    pub whole: bool,
+    /// When they were asked for.
+    pub asked: Time,
+}
+
 /// What a follower tells.
 pub enum Update {
     /// Rows.
-    Page {
-        /// The rows.
-        page: Page,
-        /// Whether they are the whole table.
-        whole: bool,
-        /// When they were asked for.
-        asked: Time,
-    },
+    Page(Read),
     /// The table could not be read.
     Failed(Trouble),
     /// The changes after the version that was known are forgotten, or it is of another era; the
@@ -208,6 +211,11 @@
     let _ = bell.try_send(());
 }
 
+/// Returns the pause after so many calls in a row that were in vain.
+fn pause_after(times: u32) -> Duration {
+    PAUSE_MOST.min(PAUSE_FIRST * times.min(4))
+}
+
 /// Returns a pause at random within the bounds of those that only look.
 fn pause_of_probe() -> Duration {
     let (least, most) = PAUSE_PROBE;
@@ -225,15 +233,6 @@
     }
 }
 
-/// What was read of a table.
-struct Read {
-    page: Page,
-    /// Whether it is the whole table.
-    whole: bool,
-    /// When it was asked for.
-    asked: Time,
-}
-
 /// What a follower does next.
 enum Turn {
     /// Pass on what was read.
@@ -315,7 +314,7 @@
     fn pause(&self) -> Duration {
         match (self.table, self.wanted.task()) {
             (Table::Operator, Task::Probe) => pause_of_probe(),
-            (Table::Operator, _) => PAUSE_MOST.min(PAUSE_FIRST * self.failures.min(4)),
+            (Table::Operator, _) => pause_after(self.failures),
             // The list of entries is needed to begin.
             (_, Task::Once) => PAUSE_FIRST,
             _ => PAUSE_OTHERS,
@@ -379,17 +378,13 @@
             let whole = true;
             return Ok(Read { page, whole, asked });
         };
-        let page = self.store.follow(self.table, base.version, wait);
-        let page = page.await?;
+        let page = self.store.follow(self.table, base.version, wait).await?;
         // Versions of another era say nothing about what came after this one.
-        match page.era.is_none_or(|era| era == base.era) {
-            true => Ok(Read {
-                page,
-                whole: false,
-                asked,
-            }),
-            false => Err(Trouble::Forgotten),
+        if page.era.is_some_and(|era| era != base.era) {
+            return Err(Trouble::Forgotten);
         }
+        let whole = false;
+        Ok(Read { page, whole, asked })
     }
 
     /// Passes on what was read; returns how long to wait then, or `None` where the process
@@ -401,24 +396,24 @@
     ) -> Option<Duration> {
         let gathers = matches!(&told, Ok(read) if !read.whole && !read.page.rows.is_empty());
         let told = match told {
-            Ok(Read { page, whole, asked }) => {
-                if !whole {
+            Ok(read) => {
+                if !read.whole {
                     self.forgotten = 0;
                 }
-                let era = page.era.or(self.base().map(|base| base.era));
-                self.version = Some(Stamp::new(era.unwrap_or_default(), page.version));
+                let era = read.page.era.or(self.base().map(|base| base.era));
+                self.version = Some(Stamp::new(era.unwrap_or_default(), read.page.version));
                 self.answered = true;
                 self.wanted.done_once();
                 if self.failures > 0 {
                     self.failures = 0;
                     bells.iter().for_each(ring);
                 }
-                Update::Page { page, whole, asked }
+                Update::Page(read)
             }
             Err(Trouble::Forgotten) => {
                 let known = self.base().unwrap_or_default();
                 self.version = None;
-                let pause = PAUSE_MOST.min(PAUSE_FIRST * self.forgotten.min(4));
+                let pause = pause_after(self.forgotten);
                 self.forgotten = self.forgotten.saturating_add(1);
                 let message = Message::Store(self.table, Update::Forgotten(known));
                 self.shared.send.send(message).await.ok()?;
--- a/crates/daemon/src/hosted/mirror/mod.rs
+++ b/crates/daemon/src/hosted/mirror/mod.rs
@@ -274,11 +274,12 @@
         heard
     }
 
-    /// Takes in the era that another entry tells.
-    fn learn_era(&mut self, told: Era, now: Time) -> Heard {
-        let heard = self.eras.learn(told, now);
+    /// Takes in the era of what another entry tells of a table; returns whether it is later than what
+    /// is known of that.
+    fn is_news(&mut self, table: Table, told: Stamp, now: Time) -> bool {
+        let heard = self.eras.learn(told.era, now);
         self.note_era(heard);
-        heard
+        heard != Heard::Late && told > self.stamp(table)
     }
 
     fn note_era(&mut self, heard: Heard) {
@@ -385,8 +386,7 @@
         now: Time,
     ) -> Vec<News> {
         let stamp = Stamp::new(page.era.unwrap_or_default(), page.version);
-        let is_late = self.learn_era(stamp.era, now) == Heard::Late;
-        if is_late || stamp <= self.stamp(table) {
+        if !self.is_news(table, stamp, now) {
             return Vec::new();
         }
         self.put(table, page, true, kept, now)
@@ -437,15 +437,11 @@
             return Taken::Old;
         };
         let stamp = Stamp::new(delta.era, delta.version);
-        let is_late = self.learn_era(stamp.era, now) == Heard::Late;
-        if is_late || stamp <= self.stamp(table) {
+        if !self.is_news(table, stamp, now) {
             return Taken::Old;
         }
-        let known = self.stamp(table);
-        if delta
-            .since
-            .is_some_and(|since| Stamp::new(stamp.era, since) > known)
-        {
+        let since = delta.since.map(|since| Stamp::new(stamp.era, since));
+        if since.is_some_and(|since| since > self.stamp(table)) {
             return Taken::Gap;
         }
         let unpacked = delta.packed.map(|packed| pack::unpack(&packed));
@@ -497,14 +493,11 @@
             let over = copy.map_or_else(Vec::new, |t| t.expire(passed));
             if table == Table::Upstreams {
                 // They had their time, however many there are.
-                let (stored, gone): (Vec<_>, Vec<_>) = over
-                    .into_iter()
-                    .partition(|id| self.row(table, id).is_some());
+                let gone = over.iter().filter(|id| self.row(table, id).is_none());
+                let gone: Vec<String> = gone.cloned().collect();
                 news.extend(gone.iter().filter_map(|id| self.retire(id)));
-                news.extend(self.upstream_news(&stored, now));
-            } else {
-                news.extend(self.news(table, &over, now));
             }
+            news.extend(self.news(table, &over, now));
         }
         news
     }
--- a/crates/daemon/src/hosted/mirror/moves.rs
+++ b/crates/daemon/src/hosted/mirror/moves.rs
@@ -4,7 +4,7 @@
 use super::{Mirror, News, ENTRY};
 use sorreldeck::era::Stamp;
 use sorreldeck::release::State;
-use sorreldeck::Time;
+use sorreldeck::{Time, VersionId};
 use sorreldeck_platform::store::Row;
 use sorreldeck_platform::{release, Table};
 
@@ -99,23 +99,30 @@
     /// Returns the beginnings of moves that nobody knows though they are recorded: the store lost
     /// them before they were heard of. Such a move begins now.
     fn unbegun(&self, now: Time) -> Vec<Again> {
-        let orders = self.orders.keys().filter(|_| self.was_restored);
+        if !self.was_restored {
+            return Vec::new();
+        }
         let is_unbegun = |key: &&String| {
-            let record = self.row(Table::Progress, key);
-            let state = record.and_then(|row| release::decode_state(row.value.as_deref()?).ok());
-            let is_running = state.is_some_and(|(_, state)| state == State::Running);
-            is_running && self.row(Table::Own, key).is_none()
+            let state = self.recorded(key).map(|(_, state)| state);
+            state == Some(State::Running) && self.row(Table::Own, key).is_none()
         };
-        let time = self.store_time(now).map(|micros| micros.to_string());
         let again = |key: &String| {
+            let time = self.store_time(now)?.to_string();
             Some(Again {
                 table: Table::Own,
                 key: key.clone(),
-                value: Some(time.clone()?.into_bytes()),
+                value: Some(time.into_bytes()),
                 version: 0,
             })
         };
-        orders.filter(is_unbegun).filter_map(again).collect()
+        let orders = self.orders.keys().filter(is_unbegun);
+        orders.filter_map(again).collect()
+    }
+
+    /// Returns what is recorded under the key of an order, of whichever order that was.
+    pub fn recorded(&self, key: &str) -> Option<(VersionId, State)> {
+        let row = self.row(Table::Progress, key)?;
+        release::decode_state(row.value.as_deref()?).ok()
     }
 
     /// Returns the records of moves that stand before their order in the store, though they were made
--- a/crates/daemon/src/hosted/mover.rs
+++ b/crates/daemon/src/hosted/mover.rs
@@ -18,7 +18,7 @@
 /// The most that an entry waits before it writes.
 const SPREAD: Span = Span::from_millis(300);
 /// How much longer an entry waits that does not read the store: those that do write first,
-/// and what they wrote is heard meanwhile. Twelve of 103 wrote the same record before.
+/// and what they wrote is heard meanwhile.
 const BEHIND: Span = Span::from_millis(500);
 /// How long an entry waits after it has written, for the feed to bring it.
 const AGAIN: Span = Span::from_millis(700);
@@ -76,14 +76,13 @@
         let Some(key) = key_of(order, mirror) else {
             return;
         };
-        let behind = match proposal.reads {
-            true => Span::default(),
-            false => BEHIND,
-        };
+        let behind = behind(proposal.reads);
+        let recorded = mirror.recorded(&key);
+        let names_release = recorded.is_some_and(|(to, _)| to == order.to);
         // A release that is bad must be stopped at once everywhere.
         let wait = match state {
             State::RolledBack => behind,
-            State::Running if names_release(&key, order, mirror) => self.offset + behind + RECORDED,
+            State::Running if names_release => self.offset + behind + RECORDED,
             _ => self.offset + behind,
         };
         let fresh = Wanted {
@@ -140,6 +139,14 @@
     });
 }
 
+/// Returns how much longer an entry waits than its own moment, by whether it reads the store.
+pub fn behind(reads: bool) -> Span {
+    match reads {
+        true => Span::default(),
+        false => BEHIND,
+    }
+}
+
 /// Returns how long an instance waits before it writes what others may write as well.
 pub fn offset(instance: &InstanceId) -> Span {
     let hash = sorreldeck::tree::hash_key(instance.as_str());
@@ -158,13 +165,6 @@
     Some(rows.find(asks_for)?.key.clone())
 }
 
-/// Returns whether a record, of an earlier order as it seems, names the release of an order.
-fn names_release(key: &str, order: &Order, mirror: &Mirror) -> bool {
-    let row = mirror.row(Table::Progress, key);
-    let state = row.and_then(|row| release::decode_state(row.value.as_deref()?).ok());
-    state.is_some_and(|(to, _)| to == order.to)
-}
-
 /// Returns the change that records a state. The first record of a move says
 /// when it was made, on the store's clock.
 fn change_of(key: &str, state: State, now: Time, mirror: &Mirror) -> Option<Change> {
--- a/crates/daemon/src/hosted/relay.rs
+++ b/crates/daemon/src/hosted/relay.rs
@@ -186,13 +186,9 @@
         }
     }
 
-    /// Notes that the store came back from a copy: no table has been read whole since.
-    pub fn restored(&mut self, now: Time) {
-        self.woke(now);
-    }
-
-    /// Notes that the machine was suspended: no table has been answered for since.
-    pub fn woke(&mut self, now: Time) {
+    /// Notes that what was answered before says nothing any more, since the machine was suspended or
+    /// the store came back from a copy.
+    pub fn begin_anew(&mut self, now: Time) {
         self.answered = [false; TABLES];
         self.asked = [now; TABLES];
     }
--- a/crates/daemon/src/hosted/replica.rs
+++ b/crates/daemon/src/hosted/replica.rs
@@ -213,56 +213,67 @@
         let rows: BTreeMap<String, Row> = rows.map(|row| (row.key.clone(), row)).collect();
         let is_same = |row: &&Row| self.row(&row.key) == Some(*row);
         let copied = Copied::of(rows.values().filter(is_same).map(|row| row.version));
-        let mut keys: BTreeSet<String> =
-            self.rows.keys().chain(self.kept.keys()).cloned().collect();
-        keys.extend(rows.keys().cloned());
+        let mut keys: BTreeSet<String> = rows.keys().cloned().collect();
+        keys.extend(self.rows.keys().chain(self.kept.keys()).cloned());
         let (mut stored, mut kept, mut changed) = (BTreeMap::new(), BTreeMap::new(), Vec::new());
         for key in keys {
             let known = self.row(&key);
             let new = rows.get(&key);
-            let (past, was) = (&self.past, self.was(&key));
-            // What was kept before is of another history than what was copied.
-            let copied = match self.kept.contains_key(&key) {
-                true => &Copied::default(),
-                false => &copied,
-            };
-            let standing = Standing::of(new.and_then(seen), was, past, copied, newest);
             let case = Case {
                 key: &key,
-                standing,
+                standing: self.standing(&key, new, &copied, newest),
                 known,
                 stored: new,
             };
-            let holds = match fate(&case) {
-                Fate::Take => None,
-                Fate::Keep(left) => Some(self.as_kept(&key, left)),
-            };
-            let since = match standing {
+            let since = match case.standing {
                 Standing::Same => self.row_stamp(&key).map_or(era, |stamp| stamp.era),
                 _ => era,
             };
-            let value = |row: Option<&Row>| row.and_then(|row| row.value.clone());
-            if holds.is_none() && value(known) != value(new) {
-                changed.push(key.clone());
+            match fate(&case) {
+                Fate::Keep(left) => drop(kept.insert(key.clone(), self.as_kept(&key, left))),
+                Fate::Take if value(known) != value(new) => changed.push(key.clone()),
+                Fate::Take => {}
             }
             if let Some(row) = new.cloned() {
-                stored.insert(key.clone(), Stored { row, since });
+                stored.insert(key, Stored { row, since });
             }
-            kept.extend(holds.map(|holds| (key, holds)));
         }
-        for before in std::mem::replace(&mut self.rows, stored).into_values() {
+        self.kept = kept;
+        let before = std::mem::replace(&mut self.rows, stored);
+        self.note_replaced(before, &changed);
+        changed
+    }
+
+    /// Returns what the store holds of a row after it came back, against what was known.
+    fn standing(&self, key: &str, stored: Option<&Row>, copied: &Copied, newest: u64) -> Standing {
+        let unknown = Copied::default();
+        // What was kept before is of another history than what was copied.
+        let copied = match self.kept.contains_key(key) {
+            true => &unknown,
+            false => copied,
+        };
+        Standing::of(
+            stored.and_then(seen),
+            self.was(key),
+            &self.past,
+            copied,
+            newest,
+        )
+    }
+
+    /// Remembers what rows were that others have replaced, and which are gone.
+    fn note_replaced(&mut self, before: BTreeMap<String, Stored>, changed: &[String]) {
+        for before in before.into_values() {
             if self.rows.get(&before.row.key).map(|s| &s.row) != Some(&before.row) {
                 self.remember_past(&before.row);
             }
         }
-        self.kept = kept;
-        for key in &changed {
+        for key in changed {
             match self.rows.contains_key(key) {
                 true => drop(self.gone.remove(key)),
                 false => self.note_gone(key),
             }
         }
-        changed
     }
 
     /// Returns what is known of a row.
@@ -302,6 +313,7 @@
             let gone: Vec<String> = self.rows.keys().filter(is_gone).cloned().collect();
             for key in gone {
                 self.forget(&key);
+                self.note_gone(&key);
                 changed.push(key);
             }
         }
@@ -311,11 +323,13 @@
             }
             let key = row.key.clone();
             let holds = self.still_holds(&row, &fate);
-            self.forget(&key);
+            let was_there = self.forget(&key);
             if row.value.is_some() {
                 let since = self.stamp.era;
                 self.gone.remove(&key);
                 self.rows.insert(key.clone(), Stored { row, since });
+            } else if was_there {
+                self.note_gone(&key);
             }
             if holds {
                 continue;
@@ -343,12 +357,13 @@
         fate(&case) != Fate::Take
     }
 
-    /// Drops a row of the store, and remembers what it was.
-    fn forget(&mut self, key: &str) {
-        if let Some(before) = self.rows.remove(key) {
-            self.note_gone(key);
+    /// Drops a row of the store and remembers what it was; returns whether there was one.
+    fn forget(&mut self, key: &str) -> bool {
+        let before = self.rows.remove(key);
+        if let Some(before) = &before {
             self.remember_past(&before.row);
         }
+        before.is_some()
     }
 
     fn note_gone(&mut self, key: &str) {
@@ -433,6 +448,10 @@
     row.key.len() + row.value.as_ref().map_or(0, Vec::len)
 }
 
+fn value(row: Option<&Row>) -> Option<&[u8]> {
+    row.and_then(|row| row.value.as_deref())
+}
+
 /// Returns what is compared of a row.
 fn seen(row: &Row) -> Option<Seen<'_>> {
     Some(Seen {
--- a/crates/daemon/src/hosted/restorer.rs
+++ b/crates/daemon/src/hosted/restorer.rs
@@ -14,8 +14,6 @@
 use sorreldeck_platform::{Store, Table};
 use std::collections::BTreeMap;
 
-/// How much longer an entry waits that does not read the store.
-const BEHIND: Span = Span::from_millis(500);
 /// How long an entry waits after it has written, for the feed to bring it.
 const AGAIN: Span = Span::from_millis(1_000);
 /// How many times the usual spread entries take that all write a row of their own: 300 at once are
@@ -56,7 +54,7 @@
     ) {
         let lost = mirror.lost(&self.own, now);
         self.plan(&lost, now, reads);
-        if self.writing {
+        if self.writing || lost.is_empty() {
             return;
         }
         let is_due = |again: &&Again| {
@@ -92,10 +90,9 @@
     fn plan(&mut self, lost: &[Again], now: Time, reads: bool) {
         let mut due = std::mem::take(&mut self.due);
         for again in lost {
-            let wait = match (again.key.starts_with(ENTRY), reads) {
-                (true, _) => Span::from_micros(self.offset.micros() * OWN_SPREAD),
-                (false, true) => self.offset,
-                (false, false) => self.offset + BEHIND,
+            let wait = match again.key.starts_with(ENTRY) {
+                true => Span::from_micros(self.offset.micros() * OWN_SPREAD),
+                false => self.offset + mover::behind(reads),
             };
             let place = (again.table, again.key.clone());
             let known = due.remove(&place);
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -1,7 +1,7 @@
 //! The loop of a hosted entry and what feeds it.
 
 use super::answers::Answers;
-use super::feed::{Feed, Update};
+use super::feed::{Feed, Read, Update};
 use super::holds::{Record, Recorder};
 use super::mirror::{Mirror, News, ENTRY};
 use super::mover::{Mover, Proposal};
@@ -271,7 +271,7 @@
         self.handle(Input::Suspended);
         self.handle(Input::Tick);
         self.caller.forget();
-        self.relay.woke(now);
+        self.relay.begin_anew(now);
         for table in Table::ALL {
             self.feed.ask(table);
         }
@@ -344,7 +344,7 @@
                 }
                 self.handle(Input::Reply(link, run, reply));
             }
-            Message::Store(table, Update::Page { page, whole, asked }) => {
+            Message::Store(table, Update::Page(Read { page, whole, asked })) => {
                 let now = self.clock.now();
                 if self.mirror.hear(table, &page, whole, asked, now) == Heard::Late {
                     return;
@@ -575,7 +575,7 @@
         let now = self.clock.now();
         let era = self.mirror.era();
         warn!("event=store-era era={era} before={before} from={from}");
-        self.relay.restored(now);
+        self.relay.begin_anew(now);
         let is_news = self.restored.is_none_or(|at| now.since(at) >= RESTORED);
         for table in Table::ALL {
             self.feed.known(table, None);
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -478,7 +478,7 @@
         let n = &mut self.nodes[node];
         if n.mirror.restored().is_some() {
             n.polls = [Poll::default(); 4];
-            n.relay.restored(self.now);
+            n.relay.begin_anew(self.now);
         }
     }
 
