--- a/crates/bench/src/restore.rs
+++ b/crates/bench/src/restore.rs
@@ -5,7 +5,6 @@
 use eyre::Result;
 use serde::Serialize;
 use sorreldeck::{Span, Time};
-use sorreldeck_platform::store::Row;
 use sorreldeck_platform::Table;
 use sorreldeck_sim::{number_of, Node, World, TICK};
 use std::collections::BTreeMap;
@@ -113,13 +112,21 @@
     )
 }
 
+/// A change of the operator.
+struct Change {
+    number: u64,
+    /// When it was confirmed.
+    at: Time,
+    /// How many entries have it in force.
+    entries: usize,
+}
+
 /// One day: changes all along, and the store lost in the middle.
 struct Day {
     world: World,
     within: Span,
-    /// The changes of the operator since the last return: the number, when it was confirmed, and how
-    /// many entries have it in force.
-    changes: Vec<(u64, Time, usize)>,
+    /// The changes of the operator since the last return.
+    changes: Vec<Change>,
     /// The newest configuration that each entry had in force.
     known: Vec<u64>,
     /// When each upstream left.
@@ -186,7 +193,11 @@
         let number = 1 + self.world.store.made;
         let value = Some(number.to_be_bytes().to_vec());
         self.world.store.put(Table::Operator, "x-0", value, now);
-        self.changes.push((number, now, 0));
+        self.changes.push(Change {
+            number,
+            at: now,
+            entries: 0,
+        });
         if is_held && self.next_left < self.world.upstreams / 2 {
             let key = format!("i-{}", self.next_left);
             self.next_left += 1;
@@ -199,19 +210,18 @@
     fn look(&mut self, is_held: bool) {
         let (now, within) = (self.world.now, self.within);
         let is_due = |at: &Time| now.since(*at) > within;
-        let due = self.changes.iter().rev().find(|(_, at, _)| is_due(at));
-        let due = due.map_or(0, |(number, ..)| *number);
+        let due = self.changes.iter().rev().find(|change| is_due(&change.at));
+        let due = due.map_or(0, |change| change.number);
         for (number, node) in self.world.nodes.iter().enumerate() {
             let holds = in_force(node);
             let known = &mut self.known[number];
             self.tally.requests += u64::from(is_held);
             self.tally.went_back += u64::from(holds < *known);
-            for (change, at, count) in &mut self.changes {
-                if *known < *change && holds >= *change {
-                    *count += 1;
-                    let took = now.since(*at).secs_f64();
-                    self.tally.in_force_s = self.tally.in_force_s.max(took);
-                }
+            let newer = |change: &&mut Change| *known < change.number && holds >= change.number;
+            for change in self.changes.iter_mut().filter(newer) {
+                change.entries += 1;
+                let took = now.since(change.at).secs_f64();
+                self.tally.in_force_s = self.tally.in_force_s.max(took);
             }
             *known = holds.max(*known);
             if is_held {
@@ -225,11 +235,9 @@
 
     fn end(mut self) -> Tally {
         let now = self.world.now;
-        let due = self
-            .changes
-            .iter()
-            .filter(|(_, at, _)| now.since(*at) > self.within);
-        let never = due.filter(|(_, _, count)| *count < self.world.nodes.len());
+        let is_due = |change: &&Change| now.since(change.at) > self.within;
+        let due = self.changes.iter().filter(is_due);
+        let never = due.filter(|change| change.entries < self.world.nodes.len());
         self.tally.never = never.count() as u64;
         self.tally
     }
@@ -237,6 +245,6 @@
 
 /// Returns the number of the configuration that an entry has in force.
 fn in_force(node: &Node) -> u64 {
-    let row: Option<&Row> = node.mirror.row(Table::Operator, "x-0");
+    let row = node.mirror.row(Table::Operator, "x-0");
     row.map_or(0, number_of)
 }
--- a/crates/sim/src/trouble.rs
+++ b/crates/sim/src/trouble.rs
@@ -74,10 +74,14 @@
         self.store.forgotten = self.store.version;
         self.store.deaf_until = until;
         self.store.back_since = self.store.back_since.max(until);
-        for node in &mut self.nodes {
-            for poll in node.polls.iter_mut().filter(|poll| !poll.is_dead) {
-                *poll = Poll::default();
-            }
+        self.break_off_waits();
+    }
+
+    /// Ends all waits at the store but for those on dead connections.
+    fn break_off_waits(&mut self) {
+        let polls = self.nodes.iter_mut().flat_map(|node| &mut node.polls);
+        for poll in polls.filter(|poll| !poll.is_dead) {
+            *poll = Poll::default();
         }
     }
 
@@ -96,10 +100,7 @@
                 self.store.later(back + after, table, row);
             }
         }
-        let open = self.nodes.iter_mut().flat_map(|node| &mut node.polls);
-        for poll in open.filter(|poll| !poll.is_dead) {
-            *poll = Poll::default();
-        }
+        self.break_off_waits();
     }
 
     pub fn impair_all(&mut self, kind: usize, until: Time) {
