--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -157,6 +157,12 @@
         ask(self.entry.callers, &request(path, "")).await
     }
 
+    /// Writes a configuration that has one more route.
+    fn add_route(&self, version: u64, name: &str) {
+        let added = route(name, "clock", "safe", json!({}));
+        self.store.put("op", "config", &config(version, &[added]));
+    }
+
     /// Makes calls, which must succeed; returns how many reach a runner.
     async fn reaching(&self, runner: usize, calls: usize) -> usize {
         let runner = &self.runners[runner];
@@ -429,8 +435,7 @@
     task::block_on(async {
         let stand = Stand::start().await;
         assert_eq!(status(&stand.call("/later/body").await), 404);
-        let later = route("later", "clock", "safe", json!({}));
-        stand.store.put("op", "config", &config(9, &[later]));
+        stand.add_route(9, "later");
         eventually("the new route is served", || async {
             status(&stand.call("/later/body").await) == 200
         })
@@ -444,8 +449,7 @@
         let stand = Stand::start().await;
         stand.store.set(Mood::Busy);
         task::sleep(Duration::from_millis(300)).await;
-        let later = route("later", "clock", "safe", json!({}));
-        stand.store.put("op", "config", &config(9, &[later]));
+        stand.add_route(9, "later");
         announce(&stand.store, &stand.runners[0], "clock", "draining");
         stand.store.forget();
         stand.store.set(Mood::Well);
--- a/crates/daemon/tests/hosted/restored_store.rs
+++ b/crates/daemon/tests/hosted/restored_store.rs
@@ -32,8 +32,7 @@
 fn a_configuration_that_follows_a_restore_is_in_force_in_time() {
     task::block_on(async {
         let stand = restored().await;
-        let added = [route("added", "clock", "safe", json!({}))];
-        stand.store.put("op", "config", &config(4, &added));
+        stand.add_route(4, "added");
         task::sleep(BOUND).await;
         assert_eq!(status(&stand.call("/added/body").await), 200);
     });
@@ -86,8 +85,7 @@
         stand.store.tell_eras(eras);
         task::sleep(Duration::from_millis(1_500)).await;
         let before = stand.store.calls();
-        let added = [route("added", "clock", "safe", json!({}))];
-        stand.store.put("op", "config", &config(4, &added));
+        stand.add_route(4, "added");
         task::sleep(BOUND).await;
         assert_eq!(status(&stand.call("/added/body").await), 200);
         let calls = stand.store.calls() - before;
@@ -127,8 +125,7 @@
         task::sleep(Duration::from_millis(ms)).await;
         stand.store.restore();
         stand.store.set(Mood::Well);
-        let added = [route("added", "clock", "safe", json!({}))];
-        stand.store.put("op", "config", &config(4, &added));
+        stand.add_route(4, "added");
         announce(&stand.store, &stand.runners[0], "clock", "draining");
         task::sleep(BOUND).await;
         assert_eq!(status(&stand.call("/added/body").await), 200);
--- a/crates/daemon/tests/mirror.rs
+++ b/crates/daemon/tests/mirror.rs
@@ -4,6 +4,7 @@
 use sorreldeck::Time;
 use sorreldeck_platform::store::{Page, Row};
 use sorreldeck_platform::Table;
+use sorreldeck_sim::rows::{self, gone};
 use sorreldeckd::hosted::{Mirror, News, Taken};
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -14,35 +15,18 @@
 }
 
 fn row(id: &str, state: &str, version: u64) -> Row {
-    row_of(id, upstream(state, None), version)
-}
-
-fn row_of(id: &str, value: Value, version: u64) -> Row {
-    Row {
-        key: id.into(),
-        value: Some(value.to_string().into_bytes()),
-        version,
-    }
+    rows::row(id, &upstream(state, None), version)
 }
 
 /// Returns what an upstream writes of itself.
 fn upstream(state: &str, born: Option<u64>) -> Value {
-    let mut value = json!({"service": "engines", "address": "127.0.0.1:9", "zone": "a",
-        "version": "v1", "slots": 8, "state": state, "cold-left-ms": 0, "sequence": 1});
+    let mut value = rows::upstream(state);
     if let Some(born) = born {
         value["born"] = born.into();
     }
     value
 }
 
-fn gone(id: &str, version: u64) -> Row {
-    Row {
-        key: id.into(),
-        value: None,
-        version,
-    }
-}
-
 fn page(rows: Vec<Row>, version: u64) -> Page {
     Page {
         rows,
@@ -343,7 +327,7 @@
     let mut left = 0;
     for (number, start) in starts.iter().enumerate() {
         let version = 10 + number as u64;
-        let rows = vec![row_of("i-1", upstream("ready", *start), version)];
+        let rows = vec![rows::row("i-1", &upstream("ready", *start), version)];
         let news = mirror.apply(Table::Upstreams, page(rows, version), false, at(version));
         found.extend(joined(&news));
         left += retired(&news).len();
@@ -359,7 +343,7 @@
     let mut used = 0;
     for (number, (state, born)) in states.into_iter().enumerate() {
         let version = 10 + number as u64;
-        let rows = vec![row_of("i-1", upstream(state, Some(born)), version)];
+        let rows = vec![rows::row("i-1", &upstream(state, Some(born)), version)];
         let news = mirror.apply(Table::Upstreams, page(rows, version), false, at(version));
         used += joined(&news).len();
     }
@@ -371,7 +355,7 @@
     let mut mirror = mirror();
     let mut value = upstream("ready", None);
     value["address"] = "127.0.0.1:10".into();
-    let rows = vec![row_of("i-3", value, 11)];
+    let rows = vec![rows::row("i-3", &value, 11)];
     let news = mirror.apply(Table::Upstreams, page(rows, 11), false, at(100));
     assert_eq!(retired(&news), ["i-3"]);
     assert_eq!(joined(&news).len(), 1);
@@ -410,7 +394,7 @@
 }
 
 fn order(key: &str, version: u64) -> Row {
-    row_of(key, json!({}), version)
+    rows::row(key, &json!({}), version)
 }
 
 /// The row of an order was never read, and an emptied data hall got 3,445 and 3,933 requests
@@ -463,7 +447,7 @@
     let mut mirror = mirror();
     let mut cold = upstream("ready", None);
     cold["cold-left-ms"] = 2_400.into();
-    let rows = vec![row_of("i-3", cold, 11)];
+    let rows = vec![rows::row("i-3", &cold, 11)];
     let news = mirror.apply(Table::Upstreams, page(rows, 11), false, at(100));
     assert!(matches!(&news[..], [News::Cold(upstream, left)]
         if upstream.as_str() == "i-3" && left.millis() == 2_400));
@@ -478,9 +462,9 @@
     let rows = (0..3_000u64).map(|i| {
         let mut value = upstream("ready", Some(1_790_000_000_000 + i * 7_919));
         value["address"] = format!("10.2.{}.{}:8247", i / 250, i % 250).into();
-        row_of(
+        rows::row(
             &format!("i-{:010x}", i.wrapping_mul(0x9e37_79b9_7f4a)),
-            value,
+            &value,
             1 + i,
         )
     });
--- a/crates/daemon/tests/restore_search.rs
+++ b/crates/daemon/tests/restore_search.rs
@@ -8,6 +8,7 @@
 use sorreldeck::{Span, Time};
 use sorreldeck_platform::store::{Page, Row};
 use sorreldeck_platform::Table;
+use sorreldeck_sim::rows::{config, gone, upstream};
 use sorreldeckd::hosted::{Mirror, News, Taken};
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::time::Duration;
@@ -78,17 +79,6 @@
     starts: usize,
 }
 
-fn upstream(state: &str) -> Value {
-    json!({"service": "engines", "address": "127.0.0.1:9", "zone": "a", "version": "v1", "slots": 8,
-        "state": state, "cold-left-ms": 0, "sequence": 1})
-}
-
-fn config(revision: u64) -> Value {
-    json!({"version": revision, "routes": [], "services": [], "tenants": [],
-        "limits": {"max-header-bytes": 16384, "max-body-bytes": 100_000,
-            "header-timeout-ms": 3000, "idle-timeout-ms": 15000}})
-}
-
 fn fresh() -> Entry {
     Entry {
         mirror: Mirror::default(),
@@ -250,17 +240,13 @@
             .iter()
             .filter(|(place, _)| place.0 == table)
             .map(row);
-        let gone = self.gone.iter().filter(|(place, _)| place.0 == table);
-        let gone = gone.map(|(place, version)| Row {
-            key: place.1.to_owned(),
-            value: None,
-            version: *version,
-        });
+        let dropped = self.gone.iter().filter(|(place, _)| place.0 == table);
+        let dropped = dropped.map(|(place, version)| gone(place.1, *version));
         let is_asked_for = |row: &Row| match since {
             Some(since) => row.version > since,
             None => row.value.is_some(),
         };
-        let mut rows: Vec<Row> = rows.chain(gone).filter(is_asked_for).collect();
+        let mut rows: Vec<Row> = rows.chain(dropped).filter(is_asked_for).collect();
         rows.sort_by_key(|row| row.version);
         let page = Page {
             rows,
--- a/crates/daemon/tests/restored.rs
+++ b/crates/daemon/tests/restored.rs
@@ -1,11 +1,12 @@
 //! What holds of the store's tables after it came back from a copy.
 
-use serde_json::{json, Value};
+use serde_json::json;
 use sorreldeck::era::{Era, Heard, Stamp};
 use sorreldeck::release::State;
 use sorreldeck::{Span, Time};
 use sorreldeck_platform::store::{Page, Row};
 use sorreldeck_platform::Table;
+use sorreldeck_sim::rows::{self, gone, row};
 use sorreldeckd::hosted::{Mirror, News, Taken};
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -15,33 +16,12 @@
     Time(1_000_000_000 + ms * 1000)
 }
 
-fn row(key: &str, value: &Value, version: u64) -> Row {
-    Row {
-        key: key.into(),
-        value: Some(value.to_string().into_bytes()),
-        version,
-    }
-}
-
-fn gone(key: &str, version: u64) -> Row {
-    Row {
-        key: key.into(),
-        value: None,
-        version,
-    }
-}
-
 fn upstream(id: &str, state: &str, version: u64) -> Row {
-    let value = json!({"service": "engines", "address": "127.0.0.1:9", "zone": "a",
-        "version": "v1", "slots": 8, "state": state, "cold-left-ms": 0, "sequence": 1});
-    row(id, &value, version)
+    row(id, &rows::upstream(state), version)
 }
 
 fn config(revision: u64, version: u64) -> Row {
-    let value = json!({"version": revision, "routes": [], "services": [], "tenants": [],
-        "limits": {"max-header-bytes": 16384, "max-body-bytes": 100_000,
-            "header-timeout-ms": 3000, "idle-timeout-ms": 15000}});
-    row("config", &value, version)
+    row("config", &rows::config(revision), version)
 }
 
 /// How often the store is heard, in milliseconds.
@@ -151,11 +131,17 @@
     names.map(str::to_owned).into()
 }
 
+/// A follower of a configuration that the copy at version 20 holds.
+fn with_config() -> Follower {
+    let mut follower = Follower::new();
+    follower.whole(Table::Operator, vec![config(23, 13)], 20);
+    follower
+}
+
 /// A follower of ten upstreams, of which the last joined after the copy at version 20.
 fn with_upstreams() -> Follower {
     let mut follower = Follower::new();
-    let rows = (0..9).map(|i| upstream(&format!("i-{i}"), "ready", 10 + i));
-    follower.whole(Table::Upstreams, rows.collect(), 20);
+    follower.whole(Table::Upstreams, copied(), 20);
     follower.changed(Table::Upstreams, upstream("i-9", "ready", 21));
     follower
 }
@@ -257,8 +243,7 @@
 
 #[test]
 fn a_configuration_in_force_is_not_taken_back_by_a_copy() {
-    let mut follower = Follower::new();
-    follower.whole(Table::Operator, vec![config(23, 13)], 20);
+    let mut follower = with_config();
     follower.changed(Table::Operator, config(26, 24));
     follower.changed(Table::Operator, config(30, 25));
     follower.restored();
@@ -275,8 +260,7 @@
 
 #[test]
 fn an_entry_that_starts_after_the_loss_learns_the_configuration_in_force() {
-    let mut follower = Follower::new();
-    follower.whole(Table::Operator, vec![config(23, 13)], 20);
+    let mut follower = with_config();
     follower.changed(Table::Operator, config(26, 24));
     follower.restored();
     follower.whole(Table::Operator, vec![config(23, 13)], 20);
@@ -290,8 +274,7 @@
 
 #[test]
 fn an_order_to_empty_a_data_hall_outlives_the_loss_of_its_row() {
-    let mut follower = Follower::new();
-    follower.whole(Table::Operator, vec![config(23, 13)], 20);
+    let mut follower = with_config();
     let order = row("evacuate/a", &json!({}), 24);
     assert_eq!(evacuated(&follower.changed(Table::Operator, order)), [1]);
     follower.restored();
@@ -342,8 +325,7 @@
 /// What is written before the first answer arrives has a version that was given out before, too.
 #[test]
 fn an_order_written_right_after_the_return_counts_at_once() {
-    let mut follower = Follower::new();
-    follower.whole(Table::Operator, vec![config(23, 13)], 20);
+    let mut follower = with_config();
     follower.changed(Table::Operator, config(26, 24));
     follower.restored();
     let rows = vec![config(23, 13), row("evacuate/a", &json!({}), 21)];
@@ -352,8 +334,7 @@
 
 #[test]
 fn an_order_holds_while_the_operator_cannot_write_it_again() {
-    let mut follower = Follower::new();
-    follower.whole(Table::Operator, vec![config(23, 13)], 20);
+    let mut follower = with_config();
     follower.changed(Table::Operator, row("evacuate/a", &json!({}), 24));
     follower.restored();
     follower.whole(Table::Operator, vec![config(23, 13)], 20);
@@ -403,8 +384,7 @@
 /// A follower of a move that was ordered at 22 and completed at 25, of which nothing was copied, after
 /// the store came back from a copy at 20.
 fn with_move() -> Follower {
-    let mut follower = Follower::new();
-    follower.whole(Table::Operator, vec![config(23, 13)], 20);
+    let mut follower = with_config();
     follower.whole(Table::Progress, Vec::new(), 20);
     follower.whole(Table::Own, Vec::new(), 20);
     follower.changed(Table::Operator, order(22));
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -15,6 +15,7 @@
 //! ```
 
 mod check;
+pub mod rows;
 mod store;
 mod trouble;
 mod world;
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -1,5 +1,6 @@
 //! Entries, their links and a store, and what is checked at each step.
 
+use crate::rows;
 use crate::store::Store;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -569,12 +570,7 @@
     }
 }
 
+/// Returns the row of an upstream that is ready.
 pub fn upstream(number: u64, version: u64) -> Row {
-    let value = serde_json::json!({"service": "engines", "address": "127.0.0.1:9", "zone": "a",
-        "version": "v1", "slots": 8, "state": "ready", "cold-left-ms": 0, "sequence": 1});
-    Row {
-        key: format!("i-{number}"),
-        value: Some(value.to_string().into_bytes()),
-        version,
-    }
+    rows::row(&format!("i-{number}"), &rows::upstream("ready"), version)
 }
