Duties with a fence: windows of what client accounts used are counted, settled and reported

core/src/duty decides without a network: entries tell the counts that changed to the first entries of their data hall, those write sums into the store, whoever holds the lease settles a window there and only then reports it. The lease is the one that roll-outs have, with terms of its own, the store's era and clock in the fence.

--- /dev/null
+++ b/crates/core/src/duty/mod.rs
@@ -0,0 +1,70 @@
+//! Duties that one entry does at a time for all: it reports to the platform what client accounts
+//! used.
+//!
+//! Time is cut into windows. Each entry counts the requests that began to run in a window and
+//! tells the counts that changed to the first entries of its data hall ([`Tally`]). Those write
+//! the sums of their data hall into the platform's store. Whoever holds the lease adds them up,
+//! writes there what the window's counts are, and only then reports them: a successor finds and
+//! repeats exactly those ([`Duty`]).
+//!
+//! ```
+//! use sorreldeck::duty::{Tally, Window};
+//! use sorreldeck::{Incarnation, Span, Time};
+//!
+//! let length = Span::from_millis(5_000);
+//! let mut tally = Tally::new(Incarnation(1), length);
+//! tally.began(&"mira".parse()?, Time(12_000_000));
+//! let told = tally.changes();
+//! assert_eq!(told[0].window, Window::at(Time(12_000_000), length));
+//!
+//! let mut head = Tally::new(Incarnation(2), length);
+//! head.take(&"e-1".parse()?, told);
+//! assert_eq!(head.sum(Window(2)).total(), 1);
+//! # Ok::<(), sorreldeck::Error>(())
+//! ```
+
+mod keeper;
+mod rows;
+mod tally;
+
+pub use keeper::{median, Around, Change, Duty, Outcome, Report, Settings, Step};
+pub use rows::Row;
+pub use tally::{Counts, Part, Tally};
+
+use crate::unit::{Span, Time};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// A window of time, by its number since the origin of true time.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Window(pub u64);
+
+impl Window {
+    /// Returns the window that holds a point in true time.
+    pub fn at(time: Time, length: Span) -> Window {
+        Window(time.0 / length.micros().max(1))
+    }
+
+    /// Returns when it ends, in true time.
+    pub fn end(self, length: Span) -> Time {
+        Time(self.0.saturating_add(1).saturating_mul(length.micros()))
+    }
+
+    /// Returns the one after.
+    pub fn next(self) -> Window {
+        Window(self.0.saturating_add(1))
+    }
+
+    /// Returns the one so many before.
+    pub fn back(self, windows: u64) -> Window {
+        Window(self.0.saturating_sub(windows))
+    }
+}
+
+impl fmt::Display for Window {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -93,6 +93,8 @@
     /// From what confidence the answer of a smaller model is given, by the rank
     /// of the route.
     pub accepted: [Share; 3],
+    /// Whether it is told which client accounts' requests begin to run.
+    pub counts: bool,
 }
 
 impl Settings {
@@ -111,6 +113,7 @@
             retries: retry::ALLOWANCE,
             exposure: release::EXPOSURE,
             accepted: routed::ACCEPTED,
+            counts: false,
         }
     }
 }
@@ -233,6 +236,8 @@
     Word(quarantine::Word),
     /// Tell other entries what an upstream said of itself.
     Notice(notice::Word),
+    /// A request of a client account began to run.
+    Began(AccountId),
     /// Record that a request is held back, or that it is not any more.
     Quarantine(quarantine::News),
     /// A request has ended, for the histograms.
--- a/crates/core/src/entry/routed/reply.rs
+++ b/crates/core/src/entry/routed/reply.rs
@@ -74,6 +74,7 @@
             confidence,
             ..
         } = head;
+        self.note_began(run, out);
         let Some(flight) = self.flight(run) else {
             return;
         };
@@ -125,6 +126,18 @@
         }
     }
 
+    /// Tells that a request of a client account began to run, once however often it does.
+    fn note_began(&mut self, run: Run, out: &mut Outputs) {
+        let counts = self.settings.counts;
+        let Some(flight) = self.flight(run).filter(|_| counts) else {
+            return;
+        };
+        let is_first = flight.verdict != Verdict::Ran;
+        if is_first && flight.site.node.account.is_some() {
+            out.push(Output::Began(flight.site.account.clone()));
+        }
+    }
+
     /// Passes over an upstream whose error is not given: an engine's fails for a moment, a
     /// plain service's may be the request's own.
     fn leave_erring(&mut self, now: Time, request: RequestId, link: Link) {
--- a/crates/core/src/follow/mod.rs
+++ b/crates/core/src/follow/mod.rs
@@ -218,6 +218,11 @@
         self.peers.keys()
     }
 
+    /// Returns the data halls that have entries.
+    pub fn halls(&self) -> BTreeSet<Hall> {
+        self.ranked.keys().cloned().collect()
+    }
+
     /// Returns how long ago the store was heard, by whatever way.
     pub fn age(&self, now: Time) -> Option<Span> {
         self.heard.map(|at| now.since(at))
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -7,28 +7,54 @@
 //! expects the row to be as it wrote it, so a holder that was paused past its
 //! term can change nothing.
 //!
+//! A store that came back from a copy may show a row that is older than one by which somebody
+//! still acts. Such a row is waited on for a whole term as well, also where it is missing or
+//! this process's own. A write of before the loss may still be done and put an older row there,
+//! so the fence rises with the store's clock besides.
+//!
 //! ```
 //! use sorreldeck::lease::{Keeper, Step};
 //! use sorreldeck::{Incarnation, Time};
 //!
 //! let mut keeper = Keeper::new("e1".parse()?, Incarnation(1));
-//! let Step::Write { lease, expect } = keeper.see(None, Time(0)) else { panic!() };
+//! let Step::Write { lease, expect } = keeper.see(0.into(), None, Time(0)) else { panic!() };
 //! assert_eq!((lease.fence, expect), (1, 0));
-//! keeper.see(Some((7, lease)), Time(1000));
-//! assert_eq!(keeper.held(Time(1000)), Some((7, 1)));
+//! keeper.see(7.into(), Some(lease), Time(1000));
+//! assert_eq!(keeper.held(Time(1000)), Some((7.into(), 1)));
 //! # Ok::<(), sorreldeck::Error>(())
 //! ```
 
+use crate::era::{Era, Stamp};
 use crate::id::{Incarnation, InstanceId};
 use crate::unit::{Span, Time};
 use serde::{Deserialize, Serialize};
 
-/// How long a lease holds without renewal.
-pub const TERM: Span = Span::from_millis(6000);
-/// How much earlier than the term its holder stops acting.
-const MARGIN: Span = Span::from_millis(1000);
-/// How old a lease is when its holder renews it.
-const RENEW_AFTER: Span = Span::from_millis(2000);
+/// The terms of a lease in a store that never loses what it took in.
+pub const TERMS: Terms = Terms {
+    term: Span::from_millis(6000),
+    margin: Span::from_millis(1000),
+    renew_after: Span::from_millis(2000),
+    is_kept: true,
+};
+
+/// The bits of a fence that hold the store's clock, in milliseconds: 34 years. Above them stands
+/// the era; fences stay below the 53 bits of whole numbers in JSON.
+const CLOCK_BITS: u32 = 40;
+/// The last era that shows in a fence.
+const LAST_ERA: u64 = (1 << (53 - CLOCK_BITS)) - 1;
+
+/// For how long a lease holds, and who may take it when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// How long a lease holds without renewal.
+    pub term: Span,
+    /// How much earlier than the term its holder stops acting.
+    pub margin: Span,
+    /// How old a lease is when its holder renews it.
+    pub renew_after: Span,
+    /// Whether a row that is missing was never there, as long as the era is the first that was seen.
+    pub is_kept: bool,
+}
 
 /// The row of a lease.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -41,6 +67,9 @@
     pub fence: u64,
     /// The count of renewals, so that each one changes the row.
     pub renewals: u64,
+    /// The era of the store in which it was written.
+    #[serde(default)]
+    pub era: Era,
 }
 
 /// What is to be done about a lease.
@@ -62,94 +91,155 @@
 pub struct Keeper {
     me: InstanceId,
     incarnation: Incarnation,
+    terms: Terms,
+    /// The era in which the row was seen first.
+    first_era: Option<Era>,
     seen: Option<Seen>,
     sent: Option<(Lease, Time)>,
     held: Option<Held>,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Seen {
-    version: u64,
+    at: Stamp,
+    lease: Option<Lease>,
     since: Time,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Held {
-    version: u64,
+    at: Stamp,
     fence: u64,
     from: Time,
 }
 
 impl Keeper {
-    /// Creates a view that has seen nothing.
+    /// Creates a view that has seen nothing, with the usual [`TERMS`].
     pub fn new(me: InstanceId, incarnation: Incarnation) -> Keeper {
+        Keeper::with(me, incarnation, TERMS)
+    }
+
+    /// Creates a view that has seen nothing.
+    pub fn with(me: InstanceId, incarnation: Incarnation, terms: Terms) -> Keeper {
         Keeper {
             me,
             incarnation,
+            terms,
+            first_era: None,
             seen: None,
             sent: None,
             held: None,
         }
     }
 
-    /// Returns the row's version and the fence if this process holds the lease
+    /// Returns the row's stamp and the fence if this process holds the lease
     /// and may act on it now.
-    pub fn held(&self, now: Time) -> Option<(u64, u64)> {
+    pub fn held(&self, now: Time) -> Option<(Stamp, u64)> {
         let held = self.held?;
-        (now.since(held.from) + MARGIN < TERM).then_some((held.version, held.fence))
+        (self.left(now) > Span::default()).then_some((held.at, held.fence))
+    }
+
+    /// Returns for how long this process may act on the lease yet.
+    pub fn left(&self, now: Time) -> Span {
+        let acts = self.terms.term - self.terms.margin;
+        self.held
+            .map_or(Span::default(), |held| acts - now.since(held.from))
     }
 
-    /// Takes in the row as it was read and returns what is to be done.
+    /// Takes in the row as it was read and returns what is to be done: `at` is its version, 0
+    /// where there is no row.
     ///
     /// A row that this process wrote itself counts as held from the time at
     /// which the write was sent, whether or not the write was answered.
-    pub fn see(&mut self, row: Option<(u64, Lease)>, now: Time) -> Step {
-        let Some((version, lease)) = row else {
-            return self.write(1, 0, 0, now);
-        };
-        let known = self.seen.is_some_and(|seen| seen.version == version);
+    pub fn see(&mut self, at: Stamp, lease: Option<Lease>, now: Time) -> Step {
+        self.note(at, lease, now);
+        let is_held = self.is_own() && self.held.is_some();
+        let is_due = self
+            .held
+            .is_none_or(|held| now.since(held.from) >= self.terms.renew_after);
+        match is_held && !is_due {
+            true => Step::Wait,
+            false => self
+                .claim(None, now)
+                .map_or(Step::Wait, |(lease, expect)| Step::Write { lease, expect }),
+        }
+    }
+
+    /// Takes in the row as it was read; `at` is its version, 0 where there is no row.
+    pub fn note(&mut self, at: Stamp, lease: Option<Lease>, now: Time) {
+        self.first_era.get_or_insert(at.era);
+        let known = self.seen.as_ref().is_some_and(|seen| seen.at == at);
         if !known {
             self.seen = Some(Seen {
-                version,
+                at,
+                lease,
                 since: now,
             });
         }
-        if lease.holder == self.me && lease.incarnation == self.incarnation {
-            return self.see_own(version, lease, now);
-        }
-        self.held = None;
-        let since = self.seen.map_or(now, |seen| seen.since);
-        match now.since(since) > TERM {
-            true => self.write(lease.fence + 1, 0, version, now),
-            false => Step::Wait,
-        }
-    }
-
-    fn see_own(&mut self, version: u64, lease: Lease, now: Time) -> Step {
-        if let Some((sent, from)) = &self.sent {
-            if *sent == lease {
+        let Some(lease) = self.seen.as_ref().and_then(|seen| seen.lease.as_ref()) else {
+            return;
+        };
+        let is_current = lease.era >= at.era;
+        match &self.sent {
+            // Done only after the store came back, it has a fence that was given out before.
+            Some((sent, from)) if sent == lease && is_current => {
                 self.held = Some(Held {
-                    version,
+                    at,
                     fence: lease.fence,
                     from: *from,
                 });
             }
-        }
-        let age = self.held.map_or(TERM, |held| now.since(held.from));
-        match age >= RENEW_AFTER {
-            true => self.write(lease.fence, lease.renewals + 1, version, now),
-            false => Step::Wait,
+            // One of an earlier era says nothing of who holds it now.
+            _ if !self.is_own() && is_current => self.held = None,
+            _ => {}
         }
     }
 
-    fn write(&mut self, fence: u64, renewals: u64, expect: u64, now: Time) -> Step {
+    /// Returns the row that takes or renews the lease, and the version that it must have; `None`
+    /// where another process may hold it. `clock` is the time on the store's clock; fences count
+    /// from 1 where there is none.
+    pub fn claim(&mut self, clock: Option<Time>, now: Time) -> Option<(Lease, u64)> {
+        let seen = self.seen.as_ref()?;
+        let at = seen.at;
+        let is_current = seen.lease.as_ref().is_some_and(|l| l.era >= at.era);
+        let is_lapsed = now.since(seen.since) > self.terms.term;
+        let is_kept = self.terms.is_kept && self.first_era == Some(at.era);
+        let is_new = seen.lease.is_none() && is_kept;
+        let holds = match is_current {
+            true => self.is_own(),
+            false => self.held(now).is_some(),
+        };
+        if !holds && !is_lapsed && !is_new {
+            return None;
+        }
+        let last = seen.lease.as_ref();
+        let fence = match last {
+            Some(last) if holds && is_current => last.fence,
+            _ => next_fence(last.map_or(0, |last| last.fence), at.era, clock),
+        };
+        let renewals = last.map_or(0, |last| last.renewals);
+        let sent = self.sent.as_ref().map_or(0, |(sent, _)| sent.renewals);
         let lease = Lease {
             holder: self.me.clone(),
             incarnation: self.incarnation,
             fence,
-            renewals,
+            renewals: renewals.max(sent) + 1,
+            era: at.era,
         };
         self.sent = Some((lease.clone(), now));
-        Step::Write { lease, expect }
+        Some((lease, at.version))
     }
+
+    /// Returns whether the row that was seen is of this process.
+    fn is_own(&self) -> bool {
+        let lease = self.seen.as_ref().and_then(|seen| seen.lease.as_ref());
+        lease.is_some_and(|l| l.holder == self.me && l.incarnation == self.incarnation)
+    }
+}
+
+/// Returns the fence after one, above all that were given out earlier on the store's clock.
+fn next_fence(last: u64, era: Era, clock: Option<Time>) -> u64 {
+    let era = era.0.min(LAST_ERA) << CLOCK_BITS;
+    let clock = clock.map_or(0, |clock| clock.0 / 1_000 % (1 << CLOCK_BITS));
+    (last + 1).max(era + clock)
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod bill;
 pub mod cascade;
 pub mod config;
+pub mod duty;
 pub mod entry;
 pub mod era;
 pub mod evidence;
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -12,6 +12,7 @@
 //! ```
 
 use crate::bill::Record;
+use crate::duty;
 use crate::era::Era;
 use crate::error::{Category, Error, Result};
 use crate::evidence::Evidence;
@@ -302,6 +303,12 @@
     /// What upstreams said of themselves.
     #[serde(default)]
     pub notices: Vec<notice::Word>,
+    /// What it counted of the requests that began to run.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub counts: Vec<duty::Part>,
+    /// The time of day less the store's clock as it has it, in microseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub epoch_us: Option<i64>,
 }
 
 /// What an entry tells those that have the tables of the platform's store from it.
@@ -332,6 +339,9 @@
     /// What upstreams said of themselves.
     #[serde(default)]
     pub notices: Vec<notice::Word>,
+    /// True time less the store's clock, in microseconds, where it is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub epoch_us: Option<i64>,
 }
 
 /// What an upstream that is called directly is told besides the call.
--- a/crates/core/tests/policy.rs
+++ b/crates/core/tests/policy.rs
@@ -182,26 +182,29 @@
 fn a_paused_holder_of_a_lease_is_fenced() {
     let keeper = |n: u64| Keeper::new(format!("e{n}").parse().unwrap(), Incarnation(n));
     let (mut first, mut second) = (keeper(1), keeper(2));
-    let Step::Write { lease, .. } = first.see(None, Time(0)) else {
+    let Step::Write { lease, .. } = first.see(0.into(), None, Time(0)) else {
         panic!("a lease that nobody has is taken");
     };
-    first.see(Some((1, lease.clone())), Time(0));
+    first.see(1.into(), Some(lease.clone()), Time(0));
     assert!(first.held(Time(0)).is_some());
-    assert_eq!(second.see(Some((1, lease.clone())), Time(0)), Step::Wait);
+    assert_eq!(
+        second.see(1.into(), Some(lease.clone()), Time(0)),
+        Step::Wait
+    );
     let later = Time(0) + Span::from_millis(7000);
     let Step::Write {
         lease: taken,
         expect,
-    } = second.see(Some((1, lease)), later)
+    } = second.see(1.into(), Some(lease), later)
     else {
         panic!("a lease that is not renewed is taken over");
     };
     assert_eq!((taken.fence, expect), (2, 1));
-    second.see(Some((2, taken)), later);
+    second.see(2.into(), Some(taken), later);
     // The first was paused all the while: by its own clock it holds nothing,
     // and the version that it would expect is no longer that of the row.
     assert_eq!(first.held(later), None);
-    assert_eq!(second.held(later), Some((2, 2)));
+    assert_eq!(second.held(later), Some((2.into(), 2)));
 }
 
 #[test]
--- a/crates/core/tests/random.rs
+++ b/crates/core/tests/random.rs
@@ -298,6 +298,7 @@
             | entry::Output::Stays(..)
             | entry::Output::Suspect(_)
             | entry::Output::Notice(_)
+            | entry::Output::Began(_)
             | entry::Output::Ended(_) => {}
         }
     }
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -7,6 +7,7 @@
 use async_std::task;
 use log::{info, warn};
 use serde_json::Value;
+use sorreldeck::era::Stamp;
 use sorreldeck::lease::{Keeper, Step};
 use sorreldeck::tree::{Edit, Key, Section};
 use sorreldeck::{Incarnation, InstanceId};
@@ -59,6 +60,7 @@
             let _ = self.renew(platform).await;
         }
         let held = self.keeper.held(self.clock.now());
+        let held = held.map(|(at, fence)| (at.version, fence));
         if held.is_some() != self.holds {
             self.holds = held.is_some();
             match held {
@@ -70,26 +72,30 @@
     }
 
     async fn renew(&mut self, platform: &Platform) -> Result<(), Trouble> {
-        let row = self.look(platform).await?;
+        let (at, row) = self.look(platform).await?;
         let now = self.clock.now();
-        let Step::Write { lease, expect } = self.keeper.see(row, now) else {
+        let Step::Write { lease, expect } = self.keeper.see(at, row, now) else {
             return Ok(());
         };
         let value = serde_json::to_value(&lease).map_err(|e| Trouble::Refused(e.to_string()))?;
         let transaction = Transaction::default().expect(ROW, expect).put(ROW, value);
         // Whatever the answer, the row tells whether the write took effect.
         let _ = platform.commit(&transaction).await;
-        let row = self.look(platform).await?;
-        self.keeper.see(row, self.clock.now());
+        let (at, row) = self.look(platform).await?;
+        self.keeper.note(at, row, self.clock.now());
         Ok(())
     }
 
     async fn look(
         &self,
         platform: &Platform,
-    ) -> Result<Option<(u64, sorreldeck::lease::Lease)>, Trouble> {
+    ) -> Result<(Stamp, Option<sorreldeck::lease::Lease>), Trouble> {
         let row = platform.get(ROW).await?;
-        Ok(row.and_then(|row| Some((row.version, serde_json::from_value(row.value).ok()?))))
+        let read = row.and_then(|row| {
+            let lease = serde_json::from_value(row.value).ok()?;
+            Some((row.version.into(), Some(lease)))
+        });
+        Ok(read.unwrap_or_default())
     }
 }
 
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -386,6 +386,8 @@
             Output::Quarantine(_) => {}
             // Only upstreams without a sidecar answer entries themselves.
             Output::Notice(_) => {}
+            // Records of runs tell what client accounts used.
+            Output::Began(_) => {}
         }
     }
 
--- /dev/null
+++ b/crates/daemon/src/hosted/duties.rs
@@ -0,0 +1,213 @@
+//! Makes the calls of duties that one entry does at a time for all.
+//!
+//! [`sorreldeck::duty`] decides; here stand the calls to the store and to the platform, and the
+//! lines in the log.
+
+use super::room::{Message, Room};
+use async_channel::Sender;
+use async_std::task;
+use log::{info, warn};
+use sorreldeck::duty::{Around, Change, Duty, Outcome, Report, Row, Settings, Step};
+use sorreldeck::era::Stamp;
+use sorreldeck::{Incarnation, Time};
+use sorreldeck_platform::store::{self, Page, Trouble};
+use sorreldeck_platform::{settings, Cloud, Settings as Process, Store, Table};
+
+/// The duties of an entry.
+pub struct Duties {
+    duty: Duty,
+    cloud: Cloud,
+    store: Store,
+    tell: Sender<Message>,
+    /// The fence that was told of in the log, and whether windows wait to be reported.
+    fence: Option<u64>,
+    outcomes: Outcomes,
+}
+
+/// What came of reports so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Outcomes {
+    /// The reports that the platform took.
+    pub taken: u64,
+    /// Those that it did not take, or of which nothing is known.
+    pub failed: u64,
+}
+
+impl Duties {
+    /// Creates the duties of an entry, where the platform asks for any.
+    pub fn new(
+        settings: &Process,
+        incarnation: Incarnation,
+        store: Store,
+        tell: Sender<Message>,
+    ) -> Option<Duties> {
+        let asked = settings.duties.filter(|duties| duties.reports_usage)?;
+        Some(Duties {
+            duty: Duty::new(settings_of(settings, &asked, incarnation)),
+            cloud: Cloud::new(asked.address),
+            store,
+            tell,
+            fence: None,
+            outcomes: Outcomes::default(),
+        })
+    }
+
+    /// Returns the decisions.
+    pub fn duty(&self) -> &Duty {
+        &self.duty
+    }
+
+    /// Returns what came of reports so far.
+    pub fn outcomes(&self) -> Outcomes {
+        self.outcomes
+    }
+
+    /// Begins the next call, if one is due.
+    pub fn step(&mut self, around: &Around, now: Time) {
+        self.tell_of_lease(now);
+        match self.duty.next(around, now) {
+            Step::Read => self.read(),
+            Step::Write(change) => self.write(change),
+            Step::Report(report) => self.report(report),
+            Step::Rest => {}
+        }
+    }
+
+    fn tell_of_lease(&mut self, now: Time) {
+        let fence = self.duty.fence(now);
+        if fence == self.fence {
+            return;
+        }
+        match (fence, self.fence) {
+            (Some(fence), _) => info!("event=duty-lease held=true fence={fence}"),
+            (None, Some(before)) => info!("event=duty-lease held=false fence={before}"),
+            (None, None) => {}
+        }
+        self.fence = fence;
+    }
+
+    fn read(&self) {
+        let (store, tell) = (self.store.clone(), self.tell.clone());
+        task::spawn(async move {
+            let read = store.read(Table::Duties).await;
+            let take = |room: &mut Room| room.with_duties(|duties, now| duties.was_read(read, now));
+            // The loop ends only with the process.
+            let _ = tell.send(Message::With(Box::new(take))).await;
+        });
+    }
+
+    fn was_read(&mut self, read: Result<Page, Trouble>, now: Time) {
+        match read {
+            Ok(page) => {
+                let rows = page.rows.into_iter().filter_map(row_of);
+                self.duty.read(page.era, rows.collect(), now);
+            }
+            Err(trouble) => {
+                warn!("event=duty-not-read error={trouble}");
+                self.duty.failed(now);
+            }
+        }
+    }
+
+    fn write(&self, change: Change) {
+        let (store, tell) = (self.store.clone(), self.tell.clone());
+        task::spawn(async move {
+            let written = store.change(&change_of(&change)).await;
+            let take = move |room: &mut Room| {
+                room.with_duties(|duties, now| duties.was_written(&change, written, now));
+            };
+            // The loop ends only with the process.
+            let _ = tell.send(Message::With(Box::new(take))).await;
+        });
+    }
+
+    fn was_written(&mut self, change: &Change, written: Result<Stamp, Trouble>, now: Time) {
+        let keys: Vec<&str> = change.put.iter().map(|(key, _)| key.as_str()).collect();
+        match written {
+            Ok(at) => {
+                info!("event=duty-written keys={keys:?} at={at}");
+                self.duty.written(Some(at), now);
+            }
+            Err(Trouble::Conflict) => {
+                info!("event=duty-written keys={keys:?} at=- error=\"written by another\"");
+                self.duty.written(None, now);
+            }
+            Err(trouble) => {
+                warn!("event=duty-not-written keys={keys:?} error={trouble}");
+                self.duty.failed(now);
+            }
+        }
+    }
+
+    fn report(&self, report: Report) {
+        let (cloud, tell) = (self.cloud.clone(), self.tell.clone());
+        task::spawn(async move {
+            let (outcome, words) = cloud.report(&report).await;
+            let take = move |room: &mut Room| {
+                let time = room.true_time();
+                room.with_duties(|duties, now| {
+                    duties.was_reported(&report, outcome, &words, time, now);
+                });
+            };
+            // The loop ends only with the process.
+            let _ = tell.send(Message::With(Box::new(take))).await;
+        });
+    }
+
+    fn was_reported(
+        &mut self,
+        report: &Report,
+        outcome: Outcome,
+        words: &str,
+        time: Time,
+        now: Time,
+    ) {
+        info!(
+            "event=duty-report window={} fence={} requests={} accounts={} outcome={outcome:?} words={words:?}",
+            report.window,
+            report.fence,
+            report.counts.total(),
+            report.counts.iter().count()
+        );
+        match outcome {
+            Outcome::Taken => self.outcomes.taken += 1,
+            Outcome::Refused | Outcome::Unknown => self.outcomes.failed += 1,
+        }
+        self.duty.reported(outcome, time, now);
+    }
+}
+
+fn settings_of(settings: &Process, asked: &settings::Duties, incarnation: Incarnation) -> Settings {
+    Settings {
+        own: settings.instance.clone(),
+        incarnation,
+        hall: settings.hall.clone(),
+        length: asked.window,
+        late: asked.late,
+        lease: asked.lease,
+        gap: asked.gap,
+        is_first_start: settings.first_start,
+    }
+}
+
+fn row_of(row: store::Row) -> Option<Row> {
+    Some(Row {
+        key: row.key,
+        version: row.version,
+        value: row.value?,
+    })
+}
+
+fn change_of(change: &Change) -> store::Change {
+    let mut made = store::Change::default();
+    for (key, version) in &change.expect {
+        made = made.expect(Table::Duties, key, *version);
+    }
+    for (key, value) in &change.put {
+        made = made.put(Table::Duties, key, value);
+    }
+    for key in &change.remove {
+        made = made.remove(Table::Duties, key);
+    }
+    made
+}
--- a/crates/daemon/src/hosted/feed.rs
+++ b/crates/daemon/src/hosted/feed.rs
@@ -229,7 +229,7 @@
         Table::Upstreams => GATHER_UPSTREAMS,
         Table::Operator => GATHER_OPERATOR,
         Table::Progress => GATHER_PROGRESS,
-        Table::Own => GATHER_OWN,
+        Table::Own | Table::Duties => GATHER_OWN,
     }
 }
 
--- a/crates/daemon/src/hosted/mirror/mod.rs
+++ b/crates/daemon/src/hosted/mirror/mod.rs
@@ -373,6 +373,7 @@
         match table {
             Table::Operator | Table::Progress => self.operator_news(table, changed),
             Table::Own => self.own_news(changed),
+            Table::Duties => Vec::new(),
             Table::Upstreams => self.upstream_news(changed, now),
         }
     }
--- a/crates/daemon/src/hosted/mod.rs
+++ b/crates/daemon/src/hosted/mod.rs
@@ -7,7 +7,9 @@
 //! are asked when the store is out of reach. One loop holds the state.
 
 mod answers;
+mod counted;
 mod door;
+mod duties;
 mod feed;
 mod found;
 mod hints;
--- a/crates/daemon/src/hosted/relay.rs
+++ b/crates/daemon/src/hosted/relay.rs
@@ -6,9 +6,11 @@
 //! messages to and from those, and to the entries that have the tables from here. There is
 //! no socket and no clock: frames go in, orders come out.
 
+use super::counted::Counted;
 use super::found::Found;
 use super::hints::{Hints, Stays};
 use super::mirror::{Mirror, News, Taken};
+use sorreldeck::duty::{Part, Tally};
 use sorreldeck::era::Stamp;
 use sorreldeck::follow::{Action, Bounds, Follow, Peer, Reading, Word};
 use sorreldeck::notice;
@@ -16,7 +18,7 @@
 use sorreldeck::quarantine;
 use sorreldeck::release::{Report, Stay};
 use sorreldeck::wire::{self, Feed, Frame, TABLES};
-use sorreldeck::{Hall, InstanceId, PoolId, Span, Time};
+use sorreldeck::{AccountId, Hall, InstanceId, PoolId, Span, Time};
 use sorreldeck_platform::Table;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -88,6 +90,8 @@
     asked: bool,
     sent: Time,
     found: u64,
+    /// Whether it was told what was counted before it was linked.
+    counted: bool,
 }
 
 /// The links over which tables go from entry to entry.
@@ -114,6 +118,8 @@
     primary: Option<InstanceId>,
     /// Whether this entry is about to stop.
     leaving: bool,
+    /// What was counted, where the platform is to be told of it.
+    counted: Option<Counted>,
 }
 
 impl Relay {
@@ -133,6 +139,24 @@
             stays: Stays::default(),
             primary: None,
             leaving: false,
+            counted: None,
+        }
+    }
+
+    /// Begins to count the requests that begin to run.
+    pub fn count(&mut self, tally: Tally) {
+        self.counted = Some(Counted::new(tally));
+    }
+
+    /// Returns what was counted, where anything is.
+    pub fn counted(&mut self) -> Option<&mut Counted> {
+        self.counted.as_mut()
+    }
+
+    /// Counts a request of a client account that began to run.
+    pub fn began(&mut self, account: &AccountId, mirror: &Mirror, now: Time) {
+        if let Some(counted) = &mut self.counted {
+            counted.began(account, now, mirror.store_time(now));
         }
     }
 
@@ -298,6 +322,7 @@
             asked,
             sent: now,
             found: 0,
+            counted: false,
         };
         self.sources.insert(link, source);
         vec![Order::Send(link, frame)]
@@ -381,7 +406,7 @@
         }
         orders.extend(self.ask_anew(mirror, now));
         orders.extend(self.ask_rest(mirror, now));
-        orders.extend(self.tell_sources(now));
+        orders.extend(self.tell_sources(mirror, now));
         orders.extend(self.hand_down(mirror, now));
         orders
     }
@@ -447,6 +472,7 @@
             stays: taker.hints.stays.clone(),
             words: taker.hints.words_at(now),
             notices: taker.hints.notices.clone(),
+            epoch_us: self.counted.as_ref().and_then(Counted::agreed),
         };
         let taker = self.takers.get_mut(&link)?;
         for table in &feed.tables {
@@ -459,7 +485,7 @@
     }
 
     /// Tells the sources that this entry is there, and what it has found since.
-    fn tell_sources(&mut self, now: Time) -> Vec<Order> {
+    fn tell_sources(&mut self, mirror: &Mirror, now: Time) -> Vec<Order> {
         let beat = self.follow.bounds().beat;
         let changes = self.found.changes();
         let mut orders = Vec::new();
@@ -468,16 +494,24 @@
         let present = self.present();
         let hints = std::mem::take(&mut self.hints);
         let mut was_told = reads_store && self.primary.is_none();
+        let parts = self.counted.as_mut().map_or(Vec::new(), |c| c.due(now));
+        let epoch = own_epoch(mirror, now).filter(|_| self.counted.is_some());
         for (link, source) in &mut self.sources {
+            let is_near = self.follow.is_near(&source.name);
+            let counts = counts_for(source, &parts, self.counted.as_ref().filter(|_| is_near));
             let passed = now.since(source.sent);
             let news = source.found < changes && has_found && passed >= beat;
             let told = !hints.is_empty() && self.primary.as_ref() == Some(&source.name);
-            if !news && !told && passed < KEEP {
+            if !news && !told && counts.is_empty() && passed < KEEP {
                 continue;
             }
             source.sent = now;
             source.found = changes;
             let mut follow = present.clone();
+            if !counts.is_empty() {
+                follow.counts = counts;
+                follow.epoch_us = epoch;
+            }
             if news {
                 follow.found = self.found.by(&self.own.name);
             }
@@ -517,6 +551,8 @@
             stays: Vec::new(),
             words: Vec::new(),
             notices: Vec::new(),
+            counts: Vec::new(),
+            epoch_us: None,
         }
     }
 
@@ -576,6 +612,9 @@
             taker.reads_store = asked.reads_store;
         }
         let mut orders = Vec::new();
+        if let Some(counted) = self.counted.as_mut().filter(|_| is_near) {
+            counted.take(&asked.entry, asked.counts, asked.epoch_us);
+        }
         if is_near {
             let hints = Hints {
                 prompts: asked.sent,
@@ -613,6 +652,9 @@
         if let Some(clock) = feed.clock_us {
             mirror.note_clock(clock, now);
         }
+        if let Some(counted) = &mut self.counted {
+            counted.agree(feed.epoch_us);
+        }
         let name = source.name.clone();
         let is_near = self.follow.is_near(&name);
         let mut news = Vec::new();
@@ -664,3 +706,21 @@
         (news, orders)
     }
 }
+
+/// Returns what a source is to be told of what was counted: all where it was told nothing yet, or
+/// else what has changed. `counted` is given where it is told of that at all.
+fn counts_for(source: &mut Source, changed: &[Part], counted: Option<&Counted>) -> Vec<Part> {
+    let Some(counted) = counted else {
+        return Vec::new();
+    };
+    match std::mem::replace(&mut source.counted, true) {
+        true => changed.to_vec(),
+        false => counted.tally().all(),
+    }
+}
+
+/// Returns the time of day less the store's clock as this process has it, in microseconds.
+pub fn own_epoch(mirror: &Mirror, now: Time) -> Option<i64> {
+    let store = i64::try_from(mirror.store_time(now)?).ok()?;
+    i64::try_from(now.0).ok()?.checked_sub(store)
+}
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -1,12 +1,13 @@
 //! The loop of a hosted entry and what feeds it.
 
 use super::answers::Answers;
+use super::duties::Duties;
 use super::feed::{Feed, Read, Update};
 use super::holds::{Record, Recorder};
 use super::mirror::{Mirror, News, ENTRY};
 use super::mover::{Mover, Proposal};
 use super::peer::{self, Peering};
-use super::relay::{Order, Relay};
+use super::relay::{self, Order, Relay};
 use super::restorer::Restorer;
 use super::run::{self, Caller};
 use super::shared::Shared;
@@ -17,6 +18,7 @@
 use async_channel::{Receiver, Sender};
 use async_std::task;
 use log::{info, warn};
+use sorreldeck::duty::{Around, Tally};
 use sorreldeck::entry::{
     Ask, Done, Entry, Input, Output, Part, Reply, Settings as Decisions, What,
 };
@@ -108,6 +110,8 @@
     mover: Mover,
     recorder: Recorder,
     restorer: Restorer,
+    /// What one entry at a time does for all, where the platform asks for it.
+    duties: Option<Duties>,
     peering: Peering,
     relay: Relay,
     feed: Feed,
@@ -183,6 +187,13 @@
             mbps: settings.mbps,
         };
         let bounds = Bounds::of(settings.in_force);
+        let send = shared.send.clone();
+        let duties = Duties::new(settings, shared.incarnation, store.clone(), send);
+        decisions.counts = duties.is_some();
+        let mut relay = Relay::new(own.clone(), bounds);
+        if let Some(asked) = settings.duties.filter(|_| duties.is_some()) {
+            relay.count(Tally::new(shared.incarnation, asked.window));
+        }
         let starts = settings.first_start.then_some(ALL_ANNOUNCED);
         Room {
             entry: Entry::new(decisions),
@@ -196,7 +207,8 @@
             recorder: Recorder::new(&settings.instance),
             restorer: Restorer::new(&settings.instance),
             peering: Peering::new(options.link_keys.clone(), settings, links.events),
-            relay: Relay::new(own.clone(), bounds),
+            relay,
+            duties,
             feed: Feed::start(&store, &shared, &clock),
             caller: Caller::new(shared.send.clone(), clock.clone()),
             clock,
@@ -308,6 +320,7 @@
         self.recorder
             .step(now, &self.mirror, &self.store, &self.shared.send);
         let reads = self.relay.follow().reading() == Reading::All;
+        self.do_duties(reads, now);
         self.restorer
             .step(now, reads, &self.mirror, &self.store, &self.shared.send);
         for (order, state) in self.entry.propose_moves(now) {
@@ -322,6 +335,49 @@
         }
     }
 
+    /// Does what one entry at a time does for all, where it is this one's turn.
+    fn do_duties(&mut self, reads: bool, now: Time) {
+        let Some(duties) = &mut self.duties else {
+            return;
+        };
+        let halls = self.relay.follow().halls();
+        let leads = self.relay.follow().primary(now).is_none();
+        let own = relay::own_epoch(&self.mirror, now);
+        let store = self.mirror.store_time(now);
+        let Some(counted) = self.relay.counted() else {
+            return;
+        };
+        counted.agree(duties.duty().epoch_us());
+        if let Some(window) = duties.duty().finished() {
+            counted.finished(window);
+        }
+        let around = Around {
+            reads,
+            leads,
+            halls: &halls,
+            tally: counted.tally(),
+            time: counted.time(now, store),
+            clock: store.map(Time),
+            epoch_us: counted.epoch(own),
+        };
+        duties.step(&around, now);
+    }
+
+    /// Gives the duties what came of a call.
+    pub fn with_duties(&mut self, with: impl FnOnce(&mut Duties, Time)) {
+        let now = self.clock.now();
+        if let Some(duties) = &mut self.duties {
+            with(duties, now);
+        }
+    }
+
+    /// Returns true time, as far as it is known.
+    pub fn true_time(&mut self) -> Time {
+        let now = self.clock.now();
+        let store = self.mirror.store_time(now);
+        self.relay.counted().map_or(now, |c| c.time(now, store))
+    }
+
     fn take(&mut self, message: Message) {
         self.wake();
         match message {
@@ -788,6 +844,10 @@
             Output::Stays(stay) => self.relay.note_stay(stay, self.clock.now()),
             Output::Word(word) => self.relay.note_word(word, self.clock.now()),
             Output::Notice(word) => self.relay.note_notice(word),
+            Output::Began(account) => {
+                let now = self.clock.now();
+                self.relay.began(&account, &self.mirror, now);
+            }
             Output::Quarantine(news) => self.record(news),
             Output::Ended(done) => {
                 self.metrics.ended(&done);
--- a/crates/daemon/src/hosted/rules.rs
+++ b/crates/daemon/src/hosted/rules.rs
@@ -22,7 +22,7 @@
         Table::Operator if key == CONFIG => Kind::Configuration,
         Table::Operator => Kind::Order,
         Table::Upstreams => Kind::Upstream,
-        Table::Progress | Table::Own => Kind::Record,
+        Table::Progress | Table::Own | Table::Duties => Kind::Record,
     }
 }
 
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -37,7 +37,7 @@
     Span::from_millis(match table {
         Table::Operator | Table::Progress => 250,
         Table::Upstreams => 600,
-        Table::Own => 1_000,
+        Table::Own | Table::Duties => 1_000,
     })
 }
 
