A large row is packed once for all that have it from here

A configuration of 1,852 routes is one row of some 500 KB: only tables of 24 rows and more were packed, so an entry of 0.068 cores on 10 Mbit/s that others had taken for a source while the store was away sent it plain to each of 12 takers, 5 s of its link, and had neither links nor the store itself meanwhile. Ruled out: decoding (others of its size had it in force after 0.3 to 1 s). Test red before (no packed piece).

--- a/crates/daemon/src/hosted/pack.rs
+++ b/crates/daemon/src/hosted/pack.rs
@@ -1,4 +1,4 @@
-//! Many rows as one entry hands them to another: packed, since they are much alike.
+//! Many or large rows as one entry hands them to another: packed, since they are much alike.
 //!
 //! A table of 3,000 upstreams is 530 KB; an entry on a link of 10 Mbit/s takes 0.4 s for it, and
 //! a reader that hands it to a hundred others on 200 Mbit/s 2 s. Packed it is 66 KB, an eighth
@@ -16,8 +16,9 @@
 /// A row as it is handed on: its key, version and value, or no value where it was dropped.
 pub type Handed = (String, u64, Option<ByteBuf>);
 
-/// The rows from which on they are packed: fewer take no more than three packets.
-pub const PACKED_FROM: usize = 24;
+/// The rows from which on they are packed, and the bytes: less takes no more than three packets.
+const PACKED_FROM: usize = 24;
+const PACKED_BYTES: usize = 4_096;
 /// The most bytes that are unpacked, some 100,000 rows: what is larger is no table of ours.
 const MOST: u64 = 32 * 1024 * 1024;
 
@@ -59,6 +60,12 @@
     }
 }
 
+/// Returns whether rows are packed.
+pub fn is_worth(rows: &[Handed]) -> bool {
+    let size = |(key, _, value): &Handed| key.len() + value.as_ref().map_or(0, |v| v.len());
+    rows.len() >= PACKED_FROM || rows.iter().map(size).sum::<usize>() >= PACKED_BYTES
+}
+
 /// Packs rows.
 pub fn pack(rows: &[Handed]) -> Vec<u8> {
     let mut plain = Vec::new();
--- a/crates/daemon/src/hosted/replica.rs
+++ b/crates/daemon/src/hosted/replica.rs
@@ -1,7 +1,7 @@
 //! One table of the platform's store as it was known last, with its latest changes, so that
 //! they can be handed on one by one.
 
-use super::pack::{self, Handed, PACKED_FROM};
+use super::pack::{self, Handed};
 use sorreldeck::era::{Copied, Era, Fate, Past, Seen, Stamp, Standing, Was};
 use sorreldeck::Span;
 use sorreldeck_platform::store::{Page, Row};
@@ -404,7 +404,7 @@
     }
 
     /// Returns what changed after a version of this era, or the whole table where that is 0 or not
-    /// all changes since are remembered. Many rows go in one piece, which is made once: a hundred entries that
+    /// all changes since are remembered. Many or large rows go in one piece, which is made once: a hundred entries that
     /// have the tables from here have the same already.
     pub fn share(&mut self, have: u64) -> Share {
         let since = (have > 0 && have >= self.remembered).then_some(have);
@@ -418,7 +418,7 @@
             None => self.stored().cloned().collect(),
         };
         let rows: Vec<Handed> = rows.into_iter().map(pack::handed).collect();
-        if rows.len() < PACKED_FROM {
+        if !pack::is_worth(&rows) {
             let rows = Rows::Plain(rows);
             return Share { since, rows };
         }
--- a/crates/daemon/tests/mirror.rs
+++ b/crates/daemon/tests/mirror.rs
@@ -500,6 +500,36 @@
     assert_eq!((delta.rows.len(), delta.packed.is_some()), (1, false));
 }
 
+/// One configuration of 1,900 routes held up the links of weak entries for seconds.
+#[test]
+fn one_large_row_is_packed_once_for_all() {
+    let mut teller = Mirror::default();
+    let route = |number: u64| {
+        format!("{{\"name\":\"r-{number}\",\"host\":\"a.example\",\"path-prefix\":\"/{number}/\",\"timeout-ms\":20000}}")
+    };
+    let routes: Vec<String> = (0..1_900).map(route).collect();
+    let value = format!("{{\"version\":10,\"routes\":[{}]}}", routes.join(","));
+    teller.apply(Table::Operator, page(Vec::new(), 1), true, at(0));
+    let changed = Row {
+        key: "config".into(),
+        value: Some(value.clone().into_bytes()),
+        version: 2,
+    };
+    teller.apply(Table::Operator, page(vec![changed], 2), false, at(0));
+    let delta = teller.delta(Table::Operator, 1.into()).unwrap();
+    let packed = delta.packed.as_ref().unwrap();
+    assert!(
+        packed.len() * 4 < value.len(),
+        "{} of {}",
+        packed.len(),
+        value.len()
+    );
+    let mut taker = Mirror::default();
+    taker.apply(Table::Operator, page(Vec::new(), 1), true, at(0));
+    taker.take(delta, at(0));
+    assert!(taker.rows(Table::Operator).eq(teller.rows(Table::Operator)));
+}
+
 #[test]
 fn a_packed_table_that_cannot_be_read_is_asked_for_again() {
     let mut teller = many();
