Requests of some regions only, and upstreams that tell how long work takes at the moment

A route or a client account may name the regions in which its requests are served; it was not read, so one could go anywhere. Whoever chooses an upstream asks Peer::suits, so first tries, repeats, streams that go on, larger models and homes of beginnings all keep to them; both bind where both name some, and what is allowed nowhere is refused at once as not run. An upstream whose region is not known is in none. The fourth figure of the load that upstreams tell with an answer (100 is as usual) stretches what work is expected to take there, fading over 0.5 s; missing, text, 0 and more than 10,000 say nothing. Not built: health answers, which hosted entries do not ask for.

--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -119,7 +119,10 @@
             shared: None,
             last: flight.session.as_ref().and_then(|s| s.upstream.as_ref()),
             tried: &apart,
-            near: Near::default(),
+            near: Near {
+                regions: flight.regions(),
+                ..Near::default()
+            },
             rate: None,
             scope: Scope::Hall,
         };
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -544,7 +544,10 @@
             shared: None,
             last: None,
             tried: &[],
-            near: Near::default(),
+            near: Near {
+                regions: flight.regions(),
+                ..Near::default()
+            },
             rate: None,
             scope: Scope::Hall,
         };
--- a/crates/core/src/entry/routed/send.rs
+++ b/crates/core/src/entry/routed/send.rs
@@ -83,6 +83,7 @@
                 hall: self.settings.hall.as_ref(),
                 release: flight.version(),
                 few,
+                regions: flight.regions(),
             },
             rate,
             scope,
@@ -178,6 +179,13 @@
 }
 
 impl Flight {
+    /// Returns the regions in which the request may be served, by its route and its client account.
+    pub(in crate::entry) fn regions(&self) -> [Option<&BTreeSet<Region>>; 2] {
+        let terms = self.terms.as_ref();
+        let of_route = terms.and_then(|terms| terms.route.regions.as_ref());
+        [of_route, self.site.node.regions.as_ref()]
+    }
+
     /// Returns the order among waiting requests: that of the client account goes before that of
     /// the route.
     ///
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -80,6 +80,11 @@
     };
 }
 
+name!(
+    /// The name of a region, which holds data halls.
+    Region,
+    "region name"
+);
 name!(
     /// The name of a client account.
     AccountId,
--- a/crates/core/src/notice/mod.rs
+++ b/crates/core/src/notice/mod.rs
@@ -23,6 +23,7 @@
 
 pub use board::Board;
 
+use crate::pick::Pace;
 use crate::unit::{Rate, Span};
 use serde::{Deserialize, Serialize};
 
@@ -35,6 +36,8 @@
     pub rest: Option<Span>,
     /// The requests that it takes of all entries together.
     pub limit: Option<Rate>,
+    /// How long work takes there at the moment.
+    pub pace: Option<Pace>,
 }
 
 /// A change of what holds of an upstream.
--- a/crates/core/src/pick/heard.rs
+++ b/crates/core/src/pick/heard.rs
@@ -9,9 +9,17 @@
 impl Peers {
     /// Takes in what an upstream says of itself in the answer to a request sent then.
     pub fn hear(&mut self, link: Link, notice: Notice, asked: Time, now: Time) {
-        let Some(peer) = self.get(link) else {
+        let Some(peer) = self.peers.get_mut(&link) else {
             return;
         };
+        if let Some(pace) = notice.pace {
+            peer.paces(pace, now);
+        }
+        // That changes too often to be told to others.
+        let notice = Notice {
+            pace: None,
+            ..notice
+        };
         if notice.is_empty() && !peer.has_spoken {
             return;
         }
--- a/crates/core/src/pick/mod.rs
+++ b/crates/core/src/pick/mod.rs
@@ -20,18 +20,20 @@
 
 mod backlog;
 mod heard;
+mod pace;
 mod peer;
 mod relief;
 mod warm;
 mod work;
 
+pub use pace::Pace;
 pub use peer::{behind, Peer};
 pub(crate) use peer::{CROSSING, KEPT};
 pub use relief::Relief;
 pub use work::Work;
 
 use crate::halls::Halls;
-use crate::id::{Hall, Incarnation, PoolId, UpstreamId, VersionId};
+use crate::id::{Hall, Incarnation, PoolId, Region, UpstreamId, VersionId};
 use crate::notice;
 use crate::release::Few;
 use crate::reuse::Scope;
@@ -98,6 +100,8 @@
 pub struct Place {
     /// The data hall.
     pub hall: Option<Hall>,
+    /// The region that the data hall is in.
+    pub region: Option<Region>,
     /// The release of its software.
     pub release: Option<VersionId>,
     /// Which start of it this is, where it may start again under its name.
@@ -113,6 +117,20 @@
     pub release: Option<&'a VersionId>,
     /// Which few of the upstreams that run it may answer, if not all.
     pub few: Option<Few>,
+    /// The regions in which the request may be served, by its route and by its client account.
+    pub regions: [Option<&'a BTreeSet<Region>>; 2],
+}
+
+impl Near<'_> {
+    /// Returns whether a request may be served at a place; one whose region is not known is in
+    /// none that is allowed.
+    fn allows(&self, place: &Place) -> bool {
+        let is_in = |regions: &BTreeSet<Region>| {
+            let region = place.region.as_ref();
+            region.is_some_and(|region| regions.contains(region))
+        };
+        self.regions.iter().flatten().all(|regions| is_in(regions))
+    }
 }
 
 /// What a request wants of an upstream.
--- a/crates/core/src/pick/peer.rs
+++ b/crates/core/src/pick/peer.rs
@@ -1,6 +1,7 @@
 //! One upstream as an entry sees it, and how it is scored.
 
 use super::backlog::Backlog;
+use super::pace::{Pace, Told};
 use super::{Place, Prefix, Wish};
 use crate::digest::mix;
 use crate::entry::Known;
@@ -91,6 +92,8 @@
     pub(super) warmup: Option<Warmup>,
     /// Whether it is cold.
     pub(super) ramp: Ramp,
+    /// How long work took there when it said so last.
+    pace: Told,
     /// Whether it has said anything of itself: most have not, and whoever chooses asks of all.
     pub(super) has_spoken: bool,
     strikes: u32,
@@ -124,6 +127,7 @@
             retired: false,
             warmup: None,
             ramp: Ramp::default(),
+            pace: Told::default(),
             has_spoken: false,
             prefixes: HashMap::new(),
             stamp: 0,
@@ -170,10 +174,12 @@
         self.strikes > 0
     }
 
-    /// Returns whether the upstream runs the release that must answer, if one must.
+    /// Returns whether the upstream runs the release that must answer, if one must, and is where
+    /// the request may be served.
     pub(super) fn suits(&self, wish: &Wish) -> bool {
         let release = wish.near.release;
-        release.is_none_or(|r| self.place.release.as_ref() == Some(r))
+        let runs = release.is_none_or(|r| self.place.release.as_ref() == Some(r));
+        runs && wish.near.allows(&self.place)
     }
 
     /// Returns whether the upstream counts as cold; never, where it bears everything then.
@@ -195,6 +201,11 @@
         self.number
     }
 
+    /// Notes how long work takes there at the moment.
+    pub(super) fn paces(&mut self, pace: Pace, now: Time) {
+        self.pace = Told::new(pace, now);
+    }
+
     /// Notes a reading that another entry sent there.
     pub(super) fn told(&mut self, reading: Span, now: Time) {
         self.others.add(reading, now);
@@ -248,6 +259,7 @@
         };
         let work = self.work(wish.rate, fresh, unread);
         let reread = wish.shared.map_or(0, |_| fresh * REREAD_US);
+        let work = self.pace.stretch(work + UNKNOWN_SERVICE.micros(), now);
         self.queue(wish.urgent, now) + work + reread + self.crossing(wish)
     }
 
--- a/crates/core/src/tree/entry.rs
+++ b/crates/core/src/tree/entry.rs
@@ -356,6 +356,9 @@
     /// goes before the rank of the route.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub rank: Option<u8>,
+    /// The regions whose upstreams may get the requests, besides what their route allows.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub regions: Option<BTreeSet<Region>>,
 }
 
 /// The default of [`Node::deadline`].
--- a/crates/core/src/tree/mod.rs
+++ b/crates/core/src/tree/mod.rs
@@ -417,6 +417,7 @@
         forward_to: own.forward_to.or(above.forward_to),
         splits: own.splits.or(above.splits),
         rank: own.rank.or(above.rank),
+        regions: own.regions.or(above.regions),
     }
 }
 
--- a/crates/core/src/tree/route.rs
+++ b/crates/core/src/tree/route.rs
@@ -16,7 +16,7 @@
 use crate::id::*;
 use crate::unit::Span;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 /// The tries of a request where a route sets none: the first and one more.
@@ -77,6 +77,9 @@
     /// The models of which one is chosen for each request, the cheapest first.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub sizes: Vec<ModelId>,
+    /// The regions whose upstreams may get its requests; all where none are named.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub regions: Option<BTreeSet<Region>>,
 }
 
 fn deadline() -> Span {
--- a/crates/core/tests/evacuation.rs
+++ b/crates/core/tests/evacuation.rs
@@ -77,6 +77,7 @@
             hall: Some(hall_of(link)),
             release: Some(release.parse().unwrap()),
             start: None,
+            region: None,
         };
         let member = common::member(link, place, 8);
         self.tell(Input::Join(link, Box::new(member)));
--- a/crates/core/tests/home.rs
+++ b/crates/core/tests/home.rs
@@ -36,6 +36,7 @@
                 start: None,
                 hall: Some(hall),
                 release: None,
+                region: None,
             };
             peers.settle(link, place);
         }
--- a/crates/core/tests/leaving_in_answers.rs
+++ b/crates/core/tests/leaving_in_answers.rs
@@ -26,6 +26,7 @@
     leaving: true,
     rest: None,
     limit: None,
+    pace: None,
 };
 
 #[test]
--- a/crates/core/tests/notice.rs
+++ b/crates/core/tests/notice.rs
@@ -8,6 +8,7 @@
     leaving: true,
     rest: None,
     limit: None,
+    pace: None,
 };
 
 /// More upstreams than are remembered, all heard at one moment.
--- a/crates/core/tests/regression/session_of_another_entry_was_drawn.rs
+++ b/crates/core/tests/regression/session_of_another_entry_was_drawn.rs
@@ -41,6 +41,7 @@
                 start: None,
                 hall: None,
                 release: Some(release.parse().unwrap()),
+                region: None,
             },
             load: Load {
                 slots: 4_000,
--- a/crates/core/tests/routed.rs
+++ b/crates/core/tests/routed.rs
@@ -80,9 +80,8 @@
         upstream: name.parse().unwrap(),
         pool: pool.parse().unwrap(),
         place: Place {
-            start: None,
-            hall: None,
             release: Some(release.parse().unwrap()),
+            ..Place::default()
         },
         load: Load {
             slots: 4,
--- a/crates/core/tests/warmup.rs
+++ b/crates/core/tests/warmup.rs
@@ -132,6 +132,7 @@
         hall: Some(hall),
         release: Some("v1".parse().unwrap()),
         start: Some(Incarnation(start)),
+        region: None,
     };
     let member = common::member(link, place, 128);
     Input::Join(link, Box::new(member))
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -27,12 +27,14 @@
 use sorreldeck::pick::Link;
 use sorreldeck::quarantine::{self, Fingerprint, Hold};
 use sorreldeck::wire::{Frame, Run};
-use sorreldeck::{Failure, Incarnation, InstanceId, RequestId, Revision, Span, Time, UpstreamId};
+use sorreldeck::{
+    Failure, Hall, Incarnation, InstanceId, Region, RequestId, Revision, Span, Time, UpstreamId,
+};
 use sorreldeck_net::h1::Door;
 use sorreldeck_net::link::{Event, Outbox};
 use sorreldeck_platform::member::Listed;
 use sorreldeck_platform::{Settings, Store, Table};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -124,6 +126,8 @@
     addresses: HashMap<Link, SocketAddr>,
     next_link: Link,
     own: Peer,
+    /// The regions of all data halls.
+    regions: BTreeMap<Hall, Region>,
     links_at: Option<SocketAddr>,
     announced: bool,
     /// Until when the others may announce themselves.
@@ -219,6 +223,7 @@
             addresses: HashMap::new(),
             next_link: 1,
             own,
+            regions: settings.regions.clone(),
             links_at: links.address,
             announced: false,
             starts_until: starts.map(|wait| now + wait),
@@ -747,6 +752,11 @@
         // must not be taken for another's.
         let start = &mut listed.member.place.start;
         start.get_or_insert_with(|| start_at(listed.address));
+        let place = &mut listed.member.place;
+        place.region = place
+            .hall
+            .as_ref()
+            .and_then(|hall| self.regions.get(hall).cloned());
         let link = self.next_link;
         self.next_link += 1;
         let member = &listed.member;
--- a/crates/emulator/src/notice/world.rs
+++ b/crates/emulator/src/notice/world.rs
@@ -264,6 +264,7 @@
             leaving,
             rest: None,
             limit: limit.map(|(rate, _, _)| rate),
+            ..Notice::default()
         }
     }
 
