An idle link keeps no room for large messages

The busiest entry of the whole fleet has 37 to 39 MB where 13 MB were worked out. Each end of a link kept 128 KiB for what may come in (the default of the WebSocket library): 134,025 bytes an end, 11 MB for the 85 links of an entry that hands tables to a data hall of 77, 22 MB at twice the size. With 4 KiB, which larger messages grow while they are read: 7,049 bytes an end.

--- a/crates/net/src/link.rs
+++ b/crates/net/src/link.rs
@@ -30,6 +30,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::tungstenite::{Bytes, Message};
 use tokio_tungstenite::WebSocketStream;
 use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
@@ -45,6 +46,9 @@
 const OVERHEAD: u64 = 20 + 32 + 6;
 /// The most frames in one message.
 const BATCH: usize = 256;
+/// The room, in bytes, that a link keeps for what comes in: most messages are smaller, and larger
+/// ones get more while they are read.
+const READ_BUFFER: usize = 4 * 1024;
 
 type Socket = WebSocketStream<Compat<TcpStream>>;
 
@@ -175,7 +179,8 @@
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     let url = format!("ws://{address}/link");
-    let (mut socket, _) = tokio_tungstenite::client_async(url, stream.compat()).await?;
+    let (mut socket, _) =
+        tokio_tungstenite::client_async_with_config(url, stream.compat(), Some(config())).await?;
     let id = keys.0[0].id;
     let hello = Greeting::Hello {
         key: id,
@@ -207,7 +212,8 @@
 
 async fn welcome(stream: TcpStream, keys: &Keys, nonce: [u8; 16]) -> Result<Open> {
     stream.set_nodelay(true)?;
-    let mut socket = tokio_tungstenite::accept_async(stream.compat()).await?;
+    let accepting = tokio_tungstenite::accept_async_with_config(stream.compat(), Some(config()));
+    let mut socket = accepting.await?;
     let Greeting::Hello {
         key,
         entry,
@@ -231,6 +237,10 @@
     Ok(Open { socket, entry })
 }
 
+fn config() -> WebSocketConfig {
+    WebSocketConfig::default().read_buffer_size(READ_BUFFER)
+}
+
 async fn put(socket: &mut Socket, greeting: &Greeting) -> Result<()> {
     let mut buf = Vec::new();
     ciborium::into_writer(greeting, &mut buf)?;
