A packed table is one piece of memory however many have it from here

Where all entries start at once, a reader put a copy of the packed table (66 KB at 3,000 upstreams) in line for each entry of its data hall: entries times rows at one moment. The piece is shared now; each copy is made when its frame is written. mirror.rs compares the pieces of two takers.

--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -24,10 +24,12 @@
 use crate::tree::{Change, Class};
 use crate::unit::Span;
 use crate::verdict::Verdict;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::fmt;
+use std::ops::Deref;
+use std::sync::Arc;
 
 /// One try to run one step of a request.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -256,6 +258,37 @@
     pub left: Option<Span>,
 }
 
+/// Rows in one piece of memory, which the frames to many entries share.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Packed(Arc<[u8]>);
+
+impl From<Vec<u8>> for Packed {
+    fn from(bytes: Vec<u8>) -> Packed {
+        Packed(bytes.into())
+    }
+}
+
+impl Deref for Packed {
+    type Target = [u8];
+
+    fn deref(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+impl Serialize for Packed {
+    fn serialize<S: Serializer>(&self, s: S) -> std::result::Result<S::Ok, S::Error> {
+        s.serialize_bytes(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for Packed {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> std::result::Result<Packed, D::Error> {
+        let bytes = serde_bytes::ByteBuf::deserialize(d)?;
+        Ok(bytes.into_vec().into())
+    }
+}
+
 /// What changed in a table of the platform's store, as one entry hands it to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TableDelta {
@@ -273,7 +306,7 @@
     pub rows: Vec<(String, u64, Option<serde_bytes::ByteBuf>)>,
     /// The rows, packed, in place of `rows`.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub packed: Option<serde_bytes::ByteBuf>,
+    pub packed: Option<Packed>,
     /// What holds though the store has lost it, where the whole table is handed on.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub kept: Vec<KeptRow>,
--- a/crates/daemon/src/hosted/mirror/mod.rs
+++ b/crates/daemon/src/hosted/mirror/mod.rs
@@ -411,7 +411,7 @@
         let Share { since, rows } = copy.share(have);
         let (rows, packed) = match rows {
             Rows::Plain(rows) => (rows, None),
-            Rows::Packed(bytes) => (Vec::new(), Some(bytes.into())),
+            Rows::Packed(bytes) => (Vec::new(), Some(bytes)),
         };
         let kept = copy.kept().filter(|_| since.is_none());
         let kept = kept.map(pack::kept_row).collect();
--- a/crates/daemon/src/hosted/replica.rs
+++ b/crates/daemon/src/hosted/replica.rs
@@ -3,6 +3,7 @@
 
 use super::pack::{self, Handed};
 use sorreldeck::era::{Copied, Era, Fate, Past, Seen, Stamp, Standing, Was};
+use sorreldeck::wire;
 use sorreldeck::Span;
 use sorreldeck_platform::store::{Page, Row};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -21,7 +22,7 @@
     /// The version after which they changed, or `None` where they are the whole table.
     since: Option<u64>,
     version: u64,
-    bytes: Vec<u8>,
+    bytes: wire::Packed,
 }
 
 /// What is handed on of a table.
@@ -39,7 +40,7 @@
     /// Few, as they are.
     Plain(Vec<Handed>),
     /// Many, in one piece.
-    Packed(Vec<u8>),
+    Packed(wire::Packed),
 }
 
 /// A row of the store, and since which of its eras it stands so.
@@ -422,7 +423,7 @@
             let rows = Rows::Plain(rows);
             return Share { since, rows };
         }
-        let bytes = pack::pack(&rows);
+        let bytes: wire::Packed = pack::pack(&rows).into();
         self.packed = Some(Packed {
             since,
             version: self.stamp.version,
--- a/crates/daemon/tests/mirror.rs
+++ b/crates/daemon/tests/mirror.rs
@@ -493,6 +493,15 @@
     assert!(taker
         .rows(Table::Upstreams)
         .eq(teller.rows(Table::Upstreams)));
+    let again = handed(&mut teller, 0);
+    let (first, second) = (
+        handed(&mut teller, 0).packed.unwrap(),
+        again.packed.unwrap(),
+    );
+    assert!(
+        std::ptr::eq(&*first, &*second),
+        "each taker has a piece of its own"
+    );
     // What changes later goes row by row.
     let changed = vec![row("i-new", "ready", 3_001)];
     teller.apply(Table::Upstreams, page(changed, 3_001), false, at(100));
@@ -536,7 +545,7 @@
     let mut delta = handed(&mut teller, 0);
     let packed = delta.packed.as_mut().unwrap();
     let half = packed.len() / 2;
-    packed.truncate(half);
+    *packed = packed[..half].to_vec().into();
     let mut taker = Mirror::default();
     assert!(matches!(taker.take(delta, at(0)), Taken::Gap));
     assert_eq!(taker.version(Table::Upstreams), 0);
