--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -15,6 +15,7 @@
 mod plan;
 mod restore;
 mod rollout;
+mod scale;
 mod spread;
 mod stand;
 mod stats;
@@ -56,6 +57,9 @@
     /// Let the platform's store come back from a copy that is some seconds old
     #[bpaf(command)]
     Restore(#[bpaf(external(restore::options))] restore::Options),
+    /// Measure how what entries do for control grows with their number
+    #[bpaf(command)]
+    Scale(#[bpaf(external(scale::options))] scale::Options),
     /// Hit real processes with faults under load and check the promises
     #[bpaf(command)]
     Faults(#[bpaf(external(faults::options))] faults::Options),
@@ -83,6 +87,7 @@
         Options::Crash(options) => crash::run(&options)?,
         Options::Notice(options) => notice::run(&options)?,
         Options::Restore(options) => restore::run(&options)?,
+        Options::Scale(options) => scale::run(&options)?,
         Options::Faults(options) => run(faults::run(options))?,
         Options::StandIns(options) => run(stand::run(options))?,
         Options::Daemon(options) => {
--- a/crates/core/src/entry/decision.rs
+++ b/crates/core/src/entry/decision.rs
@@ -136,6 +136,16 @@
 }
 
 impl History {
+    /// Returns how many decisions are remembered.
+    pub fn len(&self) -> usize {
+        self.decisions.len()
+    }
+
+    /// Returns whether none is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.decisions.is_empty()
+    }
+
     /// Returns the decision about a request, if it is remembered.
     pub fn get(&self, request: RequestId) -> Option<&Decision> {
         self.decisions.get(&request)
--- a/crates/daemon/src/hosted/peer.rs
+++ b/crates/daemon/src/hosted/peer.rs
@@ -95,6 +95,11 @@
         }
     }
 
+    /// Returns how many links are open.
+    pub fn links(&self) -> usize {
+        self.links.len()
+    }
+
     /// Notes where another entry is.
     pub fn learn(&mut self, name: InstanceId, address: SocketAddr) {
         self.known.insert(name, address);
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -10,7 +10,7 @@
 use super::relay::{self, Order, Relay};
 use super::restorer::Restorer;
 use super::run::{self, Caller};
-use super::shared::Shared;
+use super::shared::{self, Shared};
 use crate::clock::{self, Clock};
 use crate::metrics::Metrics;
 use crate::options;
@@ -70,6 +70,9 @@
 /// How long it is doubted at most: the store answers in some 5 ms, another entry within 0.5 s.
 const DOUBT: Span = Span::from_millis(600);
 
+/// How often the sizes of what an entry keeps are told in the log.
+const STATE_EVERY: Span = Span::from_millis(10_000);
+
 /// How often all tables are asked for at once since the store came back: one that tells another era with
 /// each answer is asked by the pauses of each table.
 const RESTORED: Span = Span::from_millis(1_000);
@@ -138,6 +141,8 @@
     /// Since when the store is out of reach: at the start, until it has answered.
     failing_since: Option<Time>,
     told: Time,
+    /// When the sizes of what is kept were told.
+    sized: Time,
     asked: Time,
     /// For how long the machine was suspended, as far as it was dealt with.
     suspended: Span,
@@ -232,6 +237,7 @@
             grace: settings.grace,
             failing_since: starts.is_none().then_some(now),
             told: now,
+            sized: now,
             asked: now,
             in_vain: 0,
             shared,
@@ -322,6 +328,7 @@
         self.trust(now);
         self.ask_others(now);
         self.tell_of_moves(now);
+        self.tell_of_state(now);
         self.recorder
             .step(now, &self.mirror, &self.store, &self.shared.send);
         let reads = self.relay.follow().reading() == Reading::All;
@@ -816,6 +823,27 @@
         }
     }
 
+    /// Tells the sizes of what this entry keeps.
+    fn tell_of_state(&mut self, now: Time) {
+        if now.since(self.sized) < STATE_EVERY {
+            return;
+        }
+        self.sized = now;
+        let rows: usize = Table::ALL
+            .iter()
+            .map(|t| self.mirror.rows(*t).count())
+            .sum();
+        let (memory, peak) = shared::memory();
+        info!(
+            "event=state memory_kb={memory} peak_kb={peak} links={} takers={} rows={rows} upstreams={} explained={} counts={}",
+            self.peering.links(),
+            self.relay.takers(),
+            self.upstreams.len(),
+            self.entry.history().len(),
+            self.relay.counted().map_or(0, |c| c.tally().kept()),
+        );
+    }
+
     /// Asks another entry while the store is out of reach.
     fn ask_others(&mut self, now: Time) {
         let Some(since) = self.failing_since else {
@@ -945,6 +973,14 @@
         gauges.limited.set(peers.limited() as i64);
         let evacuated = peers.standing().evacuated();
         gauges.evacuated.set(evacuated.len() as i64);
+        if let Some(duties) = &self.duties {
+            let outcomes = duties.outcomes();
+            gauges.reports_taken.set(outcomes.taken as i64);
+            gauges.reports_failed.set(outcomes.failed as i64);
+            gauges.unreported.set(duties.duty().unreported() as i64);
+            let fence = duties.duty().fence(now).unwrap_or(0);
+            gauges.fence.set(fence as i64);
+        }
         gauges.links.set(self.upstreams.len() as i64);
         let age = self.relay.follow().age(now);
         gauges.era.set(self.mirror.era().0 as i64);
--- a/crates/daemon/src/hosted/shared.rs
+++ b/crates/daemon/src/hosted/shared.rs
@@ -87,3 +87,15 @@
         self.buffered.fetch_sub(bytes, Ordering::Relaxed);
     }
 }
+
+/// Returns the memory of this process and the most that it ever was, in kB; 0 where the system does
+/// not tell.
+pub fn memory() -> (u64, u64) {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let field = |name: &str| {
+        let line = status.lines().find_map(|line| line.strip_prefix(name))?;
+        line.split_whitespace().next()?.parse().ok()
+    };
+    let of = |name: &str| field(name).unwrap_or(0);
+    (of("VmRSS:"), of("VmHWM:"))
+}
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -82,6 +82,14 @@
     pub limited: Gauge,
     /// The data halls that get no work.
     pub evacuated: Gauge,
+    /// The reports of what client accounts used that the platform took of this entry.
+    pub reports_taken: Gauge,
+    /// Those that it did not take, or of which nothing is known.
+    pub reports_failed: Gauge,
+    /// The windows that are settled and not reported yet, as far as this entry knows.
+    pub unreported: Gauge,
+    /// The fence by which this entry may act for all, 0 where it may not.
+    pub fence: Gauge,
     /// The bill records that are not known to be in the platform's store.
     pub unbilled: Gauge,
     /// The bytes sent over links.
@@ -194,6 +202,26 @@
                 &self.limited,
             ),
             ("evacuated", "Data halls that get no work", &self.evacuated),
+            (
+                "duty_reports_taken",
+                "Reports of what client accounts used that the platform took of this entry",
+                &self.reports_taken,
+            ),
+            (
+                "duty_reports_failed",
+                "Reports that the platform did not take, or of which nothing is known",
+                &self.reports_failed,
+            ),
+            (
+                "duty_unreported",
+                "Windows that are settled and not reported yet",
+                &self.unreported,
+            ),
+            (
+                "duty_fence",
+                "Fence by which this entry may act for all, 0 where it may not",
+                &self.fence,
+            ),
             ("unbilled", "Bill records not yet stored", &self.unbilled),
             ("link_sent_bytes", "Bytes sent over links", &self.sent),
             (
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -11,6 +11,7 @@
 mod silent_start;
 mod store;
 mod suspended;
+mod usage_reports;
 mod words_of_upstreams;
 
 use async_std::net::TcpStream;
@@ -98,14 +99,28 @@
     hall: &str,
     seeds: &[SocketAddr],
     clock: Clock,
+) -> Running {
+    start_entry_told(store, name, hall, seeds, clock, json!({})).await
+}
+
+/// Starts an entry whose settings hold `more` besides.
+async fn start_entry_told(
+    store: &Store,
+    name: &str,
+    hall: &str,
+    seeds: &[SocketAddr],
+    clock: Clock,
+    more: Value,
 ) -> Running {
     let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
-    let text = json!({
+    let mut text = json!({
         "node": name, "zone": hall, "ip": "127.0.0.1",
         "listen": {"front": "127.0.0.1:0", "ready": "127.0.0.1:0", "control": "127.0.0.1:0"},
         "seeds": seeds, "provider": {"address": store.address.to_string()},
         "limits": {"memory-mb": 100}
     });
+    let fields = text.as_object_mut().unwrap();
+    fields.extend(more.as_object().unwrap().clone());
     let settings = Settings::from_json(&text.to_string()).unwrap();
     let keys = format!("1:{}", "42".repeat(32));
     let options = Hosted {
