--- /dev/null
+++ b/crates/daemon/tests/growth.rs
@@ -0,0 +1,129 @@
+//! How what entries do for control grows with their number: decisions, links and a store in simulated
+//! time, without a socket.
+
+use sorreldeck::Span;
+use sorreldeck_platform::Table;
+use sorreldeck_sim::{number_of, World, TICK};
+use test_case::test_case;
+
+const HALLS: usize = 3;
+
+fn secs(n: u64) -> usize {
+    (n * 1_000_000 / TICK.micros()) as usize
+}
+
+fn started(seed: u64, halls: usize, entries: usize) -> World {
+    let mut world = World::new(seed, halls, entries);
+    world.put_upstreams();
+    world.pass(secs(15));
+    world
+}
+
+fn change(world: &mut World) -> u64 {
+    world.store.made += 1;
+    let number = 1 + world.store.made;
+    let value = Some(number.to_be_bytes().to_vec());
+    let now = world.now;
+    world.store.put(Table::Operator, "x-0", value, now);
+    number
+}
+
+/// What some seconds of changes cost.
+#[derive(Debug)]
+struct Cost {
+    crossed: u64,
+    calls: u64,
+    /// The bytes that the middle entry sent.
+    middle: u64,
+    /// The links of the middle entry.
+    links: usize,
+}
+
+fn cost(entries: usize) -> Cost {
+    let mut world = started(7, HALLS, entries);
+    let (crossed, calls) = (world.crossed, world.store.calls);
+    let before = world.sent.clone();
+    for _ in 0..10 {
+        change(&mut world);
+        world.pass(secs(1));
+    }
+    let mut sent: Vec<u64> = world.sent.iter().zip(&before).map(|(a, b)| a - b).collect();
+    sent.sort_unstable();
+    let mut links = vec![0; entries];
+    for (node, _) in world.links.keys() {
+        links[*node] += 1;
+    }
+    links.sort_unstable();
+    Cost {
+        crossed: world.crossed - crossed,
+        calls: world.store.calls - calls,
+        middle: sent[entries / 2],
+        links: links[entries / 2],
+    }
+}
+
+#[test]
+fn changes_cost_four_times_the_entries_no_more_between_data_halls_nor_at_the_store() {
+    let (few, many) = (cost(15), cost(60));
+    assert!(many.crossed * 10 <= few.crossed * 11, "{few:?} {many:?}");
+    assert!(many.calls <= few.calls + 3, "{few:?} {many:?}");
+    assert!(many.middle * 10 <= few.middle * 11, "{few:?} {many:?}");
+    assert_eq!(many.links, few.links);
+}
+
+/// What the store does while half of all entries are killed.
+#[derive(Clone, Copy, Debug)]
+enum Store {
+    Well,
+    Forgets,
+    TurnsAway,
+    Restored,
+}
+
+#[test_case(Store::Well)]
+#[test_case(Store::Forgets)]
+#[test_case(Store::TurnsAway)]
+#[test_case(Store::Restored)]
+fn half_of_64_entries_killed_at_once_are_back_and_hear_of_changes(store: Store) {
+    for seed in 0..4 {
+        let mut world = started(seed, 5, 64);
+        let back = world.now + Span::from_millis(700);
+        for node in (0..64).filter(|node| node % 2 == seed as usize % 2) {
+            world.kill(node, back);
+        }
+        match store {
+            Store::Well => {}
+            Store::Forgets => world.forget(),
+            Store::TurnsAway => {
+                let until = world.now + Span::from_millis(4_000);
+                for node in 0..64 {
+                    if node % 3 == 0 {
+                        world.nodes[node].alone_until = until;
+                    }
+                }
+            }
+            Store::Restored => {
+                let until = world.now + Span::from_millis(300);
+                world.restore(until);
+            }
+        }
+        world.pass(secs(2) + secs(1));
+        // Entries that start and are turned away ask the seeds, which are not played here.
+        let now = world.now;
+        let lost = world
+            .nodes
+            .iter()
+            .filter(|n| now >= n.alone_until && !n.mirror.is_informed());
+        assert_eq!(lost.count(), 0, "{store:?}, seed {seed}");
+        world.pass(secs(5));
+        let number = change(&mut world);
+        world.pass((world.limit.micros() / TICK.micros()) as usize);
+        let known =
+            |node: &sorreldeck_sim::Node| node.mirror.row(Table::Operator, "x-0").map(number_of);
+        let late = world
+            .nodes
+            .iter()
+            .filter(|node| known(node) != Some(number));
+        assert_eq!(late.count(), 0, "{store:?}, seed {seed}");
+    }
+}
