Counts are told at once by an entry that leaves; no work for duties where others do them

What was counted in the last 250 ms went unheard when an entry was stopped in turn; entries that neither read the store nor hold the lease no longer look at duties each tick. counts.rs plays entries, links and a store: both first entries of a data hall know its sum, the next one where the first was killed, and bytes do not grow with accounts that did not change.

--- a/crates/daemon/src/hosted/counted.rs
+++ b/crates/daemon/src/hosted/counted.rs
@@ -66,9 +66,11 @@
         duty::median(epochs.collect())
     }
 
-    /// Returns what is due to be told to sources that were told before.
-    pub fn due(&mut self, now: Time) -> Vec<Part> {
-        if !self.tally.has_changes() || now.since(self.told) < TELL_EVERY {
+    /// Returns what is due to be told to sources that were told before; at once where this entry is
+    /// `leaving`.
+    pub fn due(&mut self, leaving: bool, now: Time) -> Vec<Part> {
+        let is_early = !leaving && now.since(self.told) < TELL_EVERY;
+        if !self.tally.has_changes() || is_early {
             return Vec::new();
         }
         self.told = now;
--- a/crates/daemon/src/hosted/duties.rs
+++ b/crates/daemon/src/hosted/duties.rs
@@ -19,7 +19,7 @@
     cloud: Cloud,
     store: Store,
     tell: Sender<Message>,
-    /// The fence that was told of in the log, and whether windows wait to be reported.
+    /// The fence that was told of in the log.
     fence: Option<u64>,
     outcomes: Outcomes,
 }
@@ -57,6 +57,11 @@
         &self.duty
     }
 
+    /// Returns whether this entry was last known not to make any calls.
+    pub fn is_idle(&self) -> bool {
+        self.fence.is_none()
+    }
+
     /// Returns what came of reports so far.
     pub fn outcomes(&self) -> Outcomes {
         self.outcomes
--- a/crates/daemon/src/hosted/relay.rs
+++ b/crates/daemon/src/hosted/relay.rs
@@ -494,7 +494,9 @@
         let present = self.present();
         let hints = std::mem::take(&mut self.hints);
         let mut was_told = reads_store && self.primary.is_none();
-        let parts = self.counted.as_mut().map_or(Vec::new(), |c| c.due(now));
+        let leaving = self.leaving;
+        let parts = self.counted.as_mut();
+        let parts = parts.map_or(Vec::new(), |c| c.due(leaving, now));
         let epoch = own_epoch(mirror, now).filter(|_| self.counted.is_some());
         for (link, source) in &mut self.sources {
             let is_near = self.follow.is_near(&source.name);
--- a/crates/daemon/src/hosted/room.rs
+++ b/crates/daemon/src/hosted/room.rs
@@ -349,7 +349,8 @@
 
     /// Does what one entry at a time does for all, where it is this one's turn.
     fn do_duties(&mut self, reads: bool, now: Time) {
-        let Some(duties) = &mut self.duties else {
+        let is_idle = |duties: &&mut Duties| !reads && duties.is_idle();
+        let Some(duties) = self.duties.as_mut().filter(|d| !is_idle(d)) else {
             return;
         };
         let halls = self.relay.follow().halls();
--- /dev/null
+++ b/crates/daemon/tests/counts.rs
@@ -0,0 +1,100 @@
+//! What entries counted, as the first entries of their data hall know it: links and a store in simulated
+//! time.
+
+use sorreldeck::duty::{Tally, Window};
+use sorreldeck::{AccountId, Incarnation, Span};
+use sorreldeck_sim::{World, TICK};
+
+const LENGTH: Span = Span::from_millis(5_000);
+
+fn steps(millis: u64) -> usize {
+    (millis * 1_000 / TICK.micros()) as usize
+}
+
+/// An installation whose entries count.
+fn counting(halls: usize, entries: usize) -> World {
+    let mut world = World::new(7, halls, entries);
+    world.put_upstreams();
+    for (number, node) in world.nodes.iter_mut().enumerate() {
+        let own = Incarnation(number as u64);
+        node.relay.count(Tally::new(own, LENGTH));
+    }
+    world.pass(steps(10_000));
+    world
+}
+
+/// Lets each entry of a data hall begin a request of each of some client accounts.
+fn begin(world: &mut World, hall: &str, accounts: usize) -> Window {
+    let now = world.now;
+    for node in &mut world.nodes {
+        if node.peer.hall.as_str() != hall {
+            continue;
+        }
+        for number in 0..accounts {
+            let account: AccountId = format!("a-{number}").parse().unwrap();
+            node.relay.began(&account, &node.mirror, now);
+        }
+    }
+    Window::at(now, LENGTH)
+}
+
+/// Returns the two largest sums that entries of a data hall have of a window.
+fn sums(world: &mut World, hall: &str, window: Window) -> Vec<u64> {
+    let nodes = world.nodes.iter_mut();
+    let near = nodes.filter(|node| node.peer.hall.as_str() == hall);
+    let sum =
+        |node: &mut sorreldeck_sim::Node| node.relay.counted().unwrap().tally().sum(window).total();
+    let mut sums: Vec<u64> = near.map(sum).collect();
+    sums.sort_unstable_by(|a, b| b.cmp(a));
+    sums.truncate(2);
+    sums
+}
+
+#[test]
+fn the_first_two_of_a_data_hall_know_what_all_of_it_counted() {
+    let mut world = counting(3, 30);
+    let window = begin(&mut world, "h-1", 5);
+    world.pass(steps(600));
+    let sums = sums(&mut world, "h-1", window);
+    // The second has what the first counted from nobody.
+    assert_eq!(sums[0], 50);
+    assert!(sums[1] >= 45, "{sums:?}");
+}
+
+#[test]
+fn what_was_counted_is_told_to_the_next_where_the_first_was_killed() {
+    let mut world = counting(2, 16);
+    let window = begin(&mut world, "h-0", 4);
+    world.pass(steps(100));
+    let reads = |node: &sorreldeck_sim::Node| {
+        node.peer.hall.as_str() == "h-0" && node.reading == sorreldeck::follow::Reading::All
+    };
+    let first = world
+        .nodes
+        .iter()
+        .position(reads)
+        .expect("one reads the store");
+    let until = world.now + Span::from_millis(60_000);
+    world.kill(first, until);
+    world.nodes[first]
+        .relay
+        .count(Tally::new(Incarnation(99), LENGTH));
+    world.pass(steps(4_000));
+    // All but what the first itself counted.
+    assert_eq!(sums(&mut world, "h-0", window)[0], 28);
+}
+
+#[test]
+fn bytes_told_do_not_grow_with_accounts_that_did_not_change() {
+    let told = |accounts: usize| {
+        let mut world = counting(1, 8);
+        begin(&mut world, "h-0", accounts);
+        world.pass(steps(600));
+        let before: u64 = world.sent.iter().sum();
+        begin(&mut world, "h-0", 1);
+        world.pass(steps(600));
+        world.sent.iter().sum::<u64>() - before
+    };
+    let (few, many) = (told(20), told(80));
+    assert!(many * 10 <= few * 11, "{few} {many}");
+}
