One piece each for what duties, experiments and their tests wrote twice; no sums for settled windows

Sums of a data hall were added up each tick for windows that are settled already and only wait to be finished: entries times accounts, 50 times a second at the first entry of a data hall. Settled ones are passed over first now; what is written is the same. The experiments restore and scale and the growth tests share World::configure and Node::in_force; the duty's times and first open window, its three calls, and the start of its tests over sockets stand once each. Ruled out: mover::write for the duty's writes (it drops the stamp that the lease needs).

--- a/crates/bench/src/restore.rs
+++ b/crates/bench/src/restore.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 use sorreldeck::{Span, Time};
 use sorreldeck_platform::Table;
-use sorreldeck_sim::{number_of, Node, World, TICK};
+use sorreldeck_sim::{World, TICK};
 use std::collections::BTreeMap;
 
 /// Before the loss, so that all entries know all tables.
@@ -189,10 +189,7 @@
     /// Writes another configuration, and lets an upstream leave.
     fn change(&mut self, is_held: bool) {
         let now = self.world.now;
-        self.world.store.made += 1;
-        let number = 1 + self.world.store.made;
-        let value = Some(number.to_be_bytes().to_vec());
-        self.world.store.put(Table::Operator, "x-0", value, now);
+        let number = self.world.configure();
         self.changes.push(Change {
             number,
             at: now,
@@ -213,7 +210,7 @@
         let due = self.changes.iter().rev().find(|change| is_due(&change.at));
         let due = due.map_or(0, |change| change.number);
         for (number, node) in self.world.nodes.iter().enumerate() {
-            let holds = in_force(node);
+            let holds = node.in_force();
             let known = &mut self.known[number];
             self.tally.requests += u64::from(is_held);
             self.tally.went_back += u64::from(holds < *known);
@@ -242,9 +239,3 @@
         self.tally
     }
 }
-
-/// Returns the number of the configuration that an entry has in force.
-fn in_force(node: &Node) -> u64 {
-    let row = node.mirror.row(Table::Operator, "x-0");
-    row.map_or(0, number_of)
-}
--- a/crates/bench/src/scale.rs
+++ b/crates/bench/src/scale.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 use sorreldeck::{Span, Time};
 use sorreldeck_platform::Table;
-use sorreldeck_sim::{number_of, World, TICK};
+use sorreldeck_sim::{Node, World, TICK};
 use std::path::{Path, PathBuf};
 
 /// Before anything is measured, so that all entries know all tables.
@@ -253,11 +253,17 @@
         while self.world.now < until || !changes.is_empty() {
             if self.world.now >= due && self.world.now < until {
                 due = due + CHANGES;
-                changes.push((self.put_change(), self.world.now));
+                changes.push((self.world.configure(), self.world.now));
             }
             self.world.tick();
             let now = self.world.now;
-            let least = self.world.nodes.iter().map(in_force).min().unwrap_or(0);
+            let least = self
+                .world
+                .nodes
+                .iter()
+                .map(Node::in_force)
+                .min()
+                .unwrap_or(0);
             for (_, at) in changes.iter().filter(|(number, _)| *number <= least) {
                 longest = longest.max(now.since(*at).secs_f64());
             }
@@ -269,15 +275,6 @@
         longest
     }
 
-    fn put_change(&mut self) -> u64 {
-        self.world.store.made += 1;
-        let number = 1 + self.world.store.made;
-        let value = Some(number.to_be_bytes().to_vec());
-        let now = self.world.now;
-        self.world.store.put(Table::Operator, "x-0", value, now);
-        number
-    }
-
     /// Kills entries; returns the seconds from their return until the first and the last of them knew
     /// all tables.
     fn lose(&mut self, nodes: &[usize]) -> (f64, f64) {
@@ -302,12 +299,6 @@
     }
 }
 
-/// Returns the number of the configuration that an entry has in force.
-fn in_force(node: &sorreldeck_sim::Node) -> u64 {
-    let row = node.mirror.row(Table::Operator, "x-0");
-    row.map_or(0, number_of)
-}
-
 /// Draws each figure against the number of entries, both on logarithmic axes.
 fn plot(path: &Path, all: &[Figures], rows: &[Row]) -> Result<()> {
     const COLUMNS: usize = 3;
--- a/crates/core/src/duty/keeper.rs
+++ b/crates/core/src/duty/keeper.rs
@@ -272,10 +272,7 @@
             // Whether anybody takes the lease shows after a term.
             return around.time.since(self.read_at) >= self.settings.looks_after();
         };
-        let after = match self.keeper.held(now) {
-            Some(_) => self.settings.settles_after(),
-            None => self.settings.looks_after(),
-        };
+        let after = self.acts_after(now);
         let Some(window) = self.last_ended(around.time, after) else {
             return false;
         };
@@ -288,6 +285,14 @@
         }
     }
 
+    /// Returns how long after a window this entry looks whether it is settled, and settles it.
+    fn acts_after(&self, now: Time) -> Span {
+        match self.keeper.held(now) {
+            Some(_) => self.settings.settles_after(),
+            None => self.settings.looks_after(),
+        }
+    }
+
     /// Returns the last window that ended so long ago, in true time.
     fn last_ended(&self, time: Time, ago: Span) -> Option<Window> {
         let then = Time(time.0.checked_sub(ago.micros())?);
@@ -326,11 +331,7 @@
     /// Settles the windows whose counts are there, or renews the lease where one that is settled
     /// is still to be reported.
     fn settle(&mut self, around: &Around, now: Time) -> Option<Step> {
-        let after = match self.keeper.held(now) {
-            Some(_) => self.settings.settles_after(),
-            None => self.settings.looks_after(),
-        };
-        let settled = self.to_settle(around, after, now);
+        let settled = self.to_settle(around, now);
         let is_held = self.keeper.left(now) >= LEAST_CALL && !self.is_outdated();
         let is_unreported = self.open().any(|(_, s)| s.is_some());
         let is_new = self.rows.lease.is_none();
@@ -358,14 +359,13 @@
     }
 
     /// Returns the windows that are to be settled now, with their counts.
-    fn to_settle(&self, around: &Around, after: Span, now: Time) -> BTreeMap<Window, Settled> {
+    fn to_settle(&self, around: &Around, now: Time) -> BTreeMap<Window, Settled> {
         let mut settled = BTreeMap::new();
-        let (Some(done), Some(last)) = (self.finished(), self.last_ended(around.time, after))
-        else {
+        let last = self.last_ended(around.time, self.acts_after(now));
+        let (Some(done), Some(last)) = (self.finished(), last) else {
             return settled;
         };
-        // Older ones are given up with the next write.
-        let mut window = done.next().max(last.back(MOST_OPEN - 1));
+        let mut window = first_open(done, last);
         let is_outdated = self.is_outdated();
         // What is not said of windows before a loss now is taken for settled afterwards.
         let most = match is_outdated {
@@ -469,16 +469,18 @@
         };
         let last = self.last_ended(around.time, after)?;
         let done = self.finished().unwrap_or(last.back(1));
-        let mut window = done.next().max(last.back(MOST_OPEN - 1));
         let hall = self.settings.hall.clone();
         let mut change = Change::default();
         let mut sums = Vec::new();
-        while window <= last && sums.len() < MOST_SETTLED {
+        let windows = (first_open(done, last).0..=last.0).map(Window);
+        for window in windows.filter(|w| !self.rows.settled.contains_key(w)) {
+            if sums.len() == MOST_SETTLED {
+                break;
+            }
             let place = (window, hall.clone());
             let known = self.rows.sums.get(&place);
             let counts = around.tally.sum(window);
-            let is_more = known.is_none_or(|(_, sum)| counts.total() > sum.counts.total());
-            if is_more && !self.rows.settled.contains_key(&window) {
+            if known.is_none_or(|(_, sum)| counts.total() > sum.counts.total()) {
                 let sum = Sum {
                     counts,
                     epoch_us: around.epoch_us,
@@ -489,7 +491,6 @@
                 change.put.push((key, rows::encode(&sum)));
                 sums.push((window, sum));
             }
-            window = window.next();
         }
         if sums.is_empty() {
             return None;
@@ -620,6 +621,12 @@
     }
 }
 
+/// Returns the first window after the finished ones that is still open; older ones are given up with
+/// the next write.
+fn first_open(done: Window, last: Window) -> Window {
+    done.next().max(last.back(MOST_OPEN - 1))
+}
+
 /// Returns the middle one of some numbers.
 pub fn median(mut numbers: Vec<i64>) -> Option<i64> {
     numbers.sort_unstable();
--- a/crates/daemon/src/hosted/duties.rs
+++ b/crates/daemon/src/hosted/duties.rs
@@ -12,6 +12,7 @@
 use sorreldeck::{Incarnation, Time};
 use sorreldeck_platform::store::{self, Page, Trouble};
 use sorreldeck_platform::{settings, Cloud, Settings as Process, Store, Table};
+use std::future::Future;
 
 /// The duties of an entry.
 pub struct Duties {
@@ -92,10 +93,23 @@
     }
 
     fn read(&self) {
-        let (store, tell) = (self.store.clone(), self.tell.clone());
+        let store = self.store.clone();
+        let call = async move { store.read(Table::Duties).await };
+        self.make(call, |room, read| {
+            room.with_duties(|duties, now| duties.was_read(read, now));
+        });
+    }
+
+    /// Makes a call beside the loop, which then takes in what came of it.
+    fn make<T: Send + 'static>(
+        &self,
+        call: impl Future<Output = T> + Send + 'static,
+        take: impl FnOnce(&mut Room, T) + Send + 'static,
+    ) {
+        let tell = self.tell.clone();
         task::spawn(async move {
-            let read = store.read(Table::Duties).await;
-            let take = |room: &mut Room| room.with_duties(|duties, now| duties.was_read(read, now));
+            let answer = call.await;
+            let take = move |room: &mut Room| take(room, answer);
             // The loop ends only with the process.
             let _ = tell.send(Message::With(Box::new(take))).await;
         });
@@ -115,14 +129,10 @@
     }
 
     fn write(&self, change: Change) {
-        let (store, tell) = (self.store.clone(), self.tell.clone());
-        task::spawn(async move {
-            let written = store.change(&change_of(&change)).await;
-            let take = move |room: &mut Room| {
-                room.with_duties(|duties, now| duties.was_written(&change, written, now));
-            };
-            // The loop ends only with the process.
-            let _ = tell.send(Message::With(Box::new(take))).await;
+        let (store, made) = (self.store.clone(), change_of(&change));
+        let call = async move { store.change(&made).await };
+        self.make(call, move |room, written| {
+            room.with_duties(|duties, now| duties.was_written(&change, written, now));
         });
     }
 
@@ -145,17 +155,13 @@
     }
 
     fn report(&self, report: Report) {
-        let (cloud, tell) = (self.cloud.clone(), self.tell.clone());
-        task::spawn(async move {
-            let (outcome, words) = cloud.report(&report).await;
-            let take = move |room: &mut Room| {
-                let time = room.true_time();
-                room.with_duties(|duties, now| {
-                    duties.was_reported(&report, outcome, &words, time, now);
-                });
-            };
-            // The loop ends only with the process.
-            let _ = tell.send(Message::With(Box::new(take))).await;
+        let (cloud, sent) = (self.cloud.clone(), report.clone());
+        let call = async move { cloud.report(&sent).await };
+        self.make(call, move |room, (outcome, words)| {
+            let time = room.true_time();
+            room.with_duties(|duties, now| {
+                duties.was_reported(&report, outcome, &words, time, now);
+            });
         });
     }
 
--- a/crates/daemon/tests/growth.rs
+++ b/crates/daemon/tests/growth.rs
@@ -2,8 +2,7 @@
 //! time, without a socket.
 
 use sorreldeck::Span;
-use sorreldeck_platform::Table;
-use sorreldeck_sim::{number_of, World, TICK};
+use sorreldeck_sim::{World, TICK};
 use test_case::test_case;
 
 const HALLS: usize = 3;
@@ -19,15 +18,6 @@
     world
 }
 
-fn change(world: &mut World) -> u64 {
-    world.store.made += 1;
-    let number = 1 + world.store.made;
-    let value = Some(number.to_be_bytes().to_vec());
-    let now = world.now;
-    world.store.put(Table::Operator, "x-0", value, now);
-    number
-}
-
 /// What some seconds of changes cost.
 #[derive(Debug)]
 struct Cost {
@@ -44,7 +34,7 @@
     let (crossed, calls) = (world.crossed, world.store.calls);
     let before = world.sent.clone();
     for _ in 0..10 {
-        change(&mut world);
+        world.configure();
         world.pass(secs(1));
     }
     let mut sent: Vec<u64> = world.sent.iter().zip(&before).map(|(a, b)| a - b).collect();
@@ -116,14 +106,9 @@
             .filter(|n| now >= n.alone_until && !n.mirror.is_informed());
         assert_eq!(lost.count(), 0, "{store:?}, seed {seed}");
         world.pass(secs(5));
-        let number = change(&mut world);
+        let number = world.configure();
         world.pass((world.limit.micros() / TICK.micros()) as usize);
-        let known =
-            |node: &sorreldeck_sim::Node| node.mirror.row(Table::Operator, "x-0").map(number_of);
-        let late = world
-            .nodes
-            .iter()
-            .filter(|node| known(node) != Some(number));
+        let late = world.nodes.iter().filter(|node| node.in_force() != number);
         assert_eq!(late.count(), 0, "{store:?}, seed {seed}");
     }
 }
--- a/crates/daemon/tests/hosted/usage_reports.rs
+++ b/crates/daemon/tests/hosted/usage_reports.rs
@@ -72,25 +72,29 @@
     Some((head.to_lowercase(), body))
 }
 
-async fn start_entry_with(store: &Store, cloud: SocketAddr) -> Running {
+/// Starts an entry before one upstream, and waits until it is ready.
+async fn start_entry_with(cloud: &Cloud) -> (Running, Runner) {
+    let store = Store::start().await;
+    store.put("op", "config", &config(3, &[]));
+    let runner = Runner::start("i-1", &Refused::default()).await;
+    announce(&store, &runner, "clock", "ready");
+    let address = cloud.start().await.to_string();
     let more = json!({
         "bounds": {"report-window-s": 1, "usage-late-s": 2, "lease-ms": 500},
-        "cloud": {"address": cloud.to_string(), "duties": ["usage", "scale"], "duty-per-s": 50.0},
+        "cloud": {"address": address, "duties": ["usage", "scale"], "duty-per-s": 50.0},
         "bootstrap": true
     });
-    start_entry_told(store, "front-1", "a", &[], store.clock.clone(), more).await
+    let clock = store.clock.clone();
+    let entry = start_entry_told(&store, "front-1", "a", &[], clock, more).await;
+    until_ready(&entry).await;
+    (entry, runner)
 }
 
 #[test]
 fn what_accounts_used_is_reported_once_a_window() {
     task::block_on(async {
-        let store = Store::start().await;
-        store.put("op", "config", &config(3, &[]));
-        let runner = Runner::start("i-1", &Refused::default()).await;
-        announce(&store, &runner, "clock", "ready");
         let cloud = Cloud::default();
-        let entry = start_entry_with(&store, cloud.start().await).await;
-        until_ready(&entry).await;
+        let (entry, _runner) = start_entry_with(&cloud).await;
         for _ in 0..10 {
             let answer = ask(entry.callers, &request("/once/body", "")).await;
             assert_eq!(status(&answer), 200);
@@ -116,16 +120,11 @@
 #[test]
 fn a_platform_that_was_silent_is_told_all_windows_later() {
     task::block_on(async {
-        let store = Store::start().await;
-        store.put("op", "config", &config(3, &[]));
-        let runner = Runner::start("i-1", &Refused::default()).await;
-        announce(&store, &runner, "clock", "ready");
         let cloud = Cloud::default();
         cloud
             .is_silent
             .store(true, std::sync::atomic::Ordering::Relaxed);
-        let entry = start_entry_with(&store, cloud.start().await).await;
-        until_ready(&entry).await;
+        let (entry, _runner) = start_entry_with(&cloud).await;
         for _ in 0..5 {
             ask(entry.callers, &request("/once/body", "")).await;
         }
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -1,5 +1,6 @@
 //! Entries, their links and a store, and what is checked at each step.
 
+use crate::check::number_of;
 use crate::rows;
 use crate::store::Store;
 use rand::{RngExt, SeedableRng};
@@ -24,6 +25,8 @@
     Span::from_millis(4_000),
 ];
 pub const TICK: Span = Span::from_millis(20);
+/// The key of the operator's row that stands for the configuration.
+const CONFIGURATION: &str = "x-0";
 /// How long the tables besides the operator's are waited on.
 pub const WAIT_OTHERS: Span = Span::from_millis(20_000);
 /// The upstreams that come and go: so many that those which leave at the same time are few of
@@ -106,6 +109,12 @@
         now >= self.down_until
     }
 
+    /// Returns the number of the configuration that it has in force.
+    pub fn in_force(&self) -> u64 {
+        let row = self.mirror.row(Table::Operator, CONFIGURATION);
+        row.map_or(0, number_of)
+    }
+
     pub fn is_running(&self, now: Time) -> bool {
         self.is_up(now) && now >= self.frozen_until
     }
@@ -195,7 +204,7 @@
         }
         world
             .store
-            .put(Table::Operator, "x-0", Some(vec![1]), world.now);
+            .put(Table::Operator, CONFIGURATION, Some(vec![1]), world.now);
         world
             .store
             .put(Table::Progress, "x-0", Some(vec![1]), world.now);
@@ -209,6 +218,16 @@
         }
     }
 
+    /// Writes another configuration; returns its number.
+    pub fn configure(&mut self) -> u64 {
+        self.store.made += 1;
+        let number = 1 + self.store.made;
+        let value = Some(number.to_be_bytes().to_vec());
+        self.store
+            .put(Table::Operator, CONFIGURATION, value, self.now);
+        number
+    }
+
     pub fn delay(&mut self) -> Span {
         let slow = self.now < self.slow_until;
         let most = if slow { 250_000 } else { 3_000 };
