--- a/crates/core/src/entry/learn.rs
+++ b/crates/core/src/entry/learn.rs
@@ -16,6 +16,9 @@
 const PROMPT_TOKENS: u64 = 200;
 const ANSWER_TOKENS: u64 = 100;
 
+/// The interval between updates of the slowdowns of upstreams.
+const SPEED_INTERVAL: Span = Span::from_millis(500);
+
 impl Entry {
     /// Submits an answer for rating if it is sampled.
     pub(super) fn submit_sample(
@@ -115,9 +118,22 @@
         Some(policy)
     }
 
+    /// Updates the slowdowns of upstreams and reports the own runs to the other entries.
+    fn refresh_speeds(&mut self, now: Time, out: &mut Outputs) {
+        if now.since(self.speeds_refreshed) < SPEED_INTERVAL {
+            return;
+        }
+        self.speeds_refreshed = now;
+        let sums = self.peers.refresh_speeds(now);
+        if !sums.is_empty() {
+            out.push(Output::SpeedSums(sums));
+        }
+    }
+
     pub(super) fn tick(&mut self, now: Time, out: &mut Outputs) {
         self.handle_pending(now, out);
         self.check_routed(now, out);
+        self.refresh_speeds(now, out);
         if let Some(batch) = self.spool.due_orphans(now, self.draining) {
             out.push(Output::Write(batch));
         }
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -39,7 +39,7 @@
 use crate::latency::Estimator;
 use crate::limit::Limits;
 use crate::notice;
-use crate::pick::{Constraints, Criteria, Link, Peers, Policy};
+use crate::pick::{Constraints, Contention, Criteria, Link, Peers, Policy, SpeedSum};
 use crate::quarantine::{self, Fingerprint, Quarantine};
 use crate::release::{self, Releases};
 use crate::retry;
@@ -95,6 +95,8 @@
     pub confidence_thresholds: [Share; 3],
     /// Whether [`Output::RequestStarted`] is emitted.
     pub reports_starts: bool,
+    /// For which pools the decisions under contention are made.
+    pub contention: Contention,
 }
 
 impl Settings {
@@ -114,6 +116,7 @@
             exposure: release::DEFAULT_EXPOSURE,
             confidence_thresholds: routed::CONFIDENCE_THRESHOLDS,
             reports_starts: false,
+            contention: Contention::default(),
         }
     }
 }
@@ -144,6 +147,8 @@
     /// Another entry sent a prompt with this prefill time to the upstream with this start
     /// identifier.
     Prefill(u64, Span),
+    /// Other entries reported how long their runs took to start, by upstream.
+    SpeedSums(Vec<SpeedSum>),
     /// Another entry reported the affinity of a session to a release.
     SessionAffinity(release::Affinity),
     /// Another entry reported an upstream crash with the requests that ran there, or that a suspect
@@ -233,6 +238,8 @@
     /// Report to the other entries that the upstream with this start identifier received a prompt
     /// with this prefill time.
     Prefill(u64, Span),
+    /// Report to the other entries how long runs took to start, by upstream.
+    SpeedSums(Vec<SpeedSum>),
     /// Report the affinity of a session to a release to the other entries.
     SessionAffinity(release::Affinity),
     /// Report to the other entries an upstream crash with the requests that ran there, or that a
@@ -299,6 +306,8 @@
     invariants: Invariants,
     last_report: Time,
     last_resend: Time,
+    /// When the slowdowns of upstreams were last updated.
+    speeds_refreshed: Time,
     draining: bool,
 }
 
@@ -308,11 +317,13 @@
     /// Creates an entry without a configuration.
     pub fn new(settings: Settings) -> Entry {
         let monitor = Monitor::new(settings.judge);
+        let mut peers = Peers::default();
+        peers.set_contention(settings.contention);
         Entry {
             rng: ChaCha8Rng::seed_from_u64(settings.seed),
             spool: Spool::new(settings.incarnation),
             tree: Arc::default(),
-            peers: Peers::default(),
+            peers,
             flights: HashMap::new(),
             pending: Vec::new(),
             running: BTreeMap::new(),
@@ -333,6 +344,7 @@
             invariants: Invariants::default(),
             last_report: Time::default(),
             last_resend: Time::default(),
+            speeds_refreshed: Time::default(),
             draining: false,
             settings,
         }
@@ -361,6 +373,7 @@
             Input::Prefill(start_id, prefill) => {
                 self.peers.add_remote_prefill(start_id, prefill, now)
             }
+            Input::SpeedSums(sums) => self.peers.merge_speeds(&sums, now),
             Input::SessionAffinity(affinity) => self.releases.merge_affinity(affinity, now),
             Input::QuarantineUpdate(update) => self.apply_quarantine_update(now, update),
             Input::Notice(update) => self.peers.apply_remote_notice(update, now),
--- a/crates/core/src/entry/routed/learn.rs
+++ b/crates/core/src/entry/routed/learn.rs
@@ -2,6 +2,10 @@
 
 use super::*;
 
+/// The part of the time to the first token that counts as work whatever wait was expected: one in
+/// this number.
+const MIN_SERVED_PART: u64 = 4;
+
 impl Entry {
     pub(super) fn record_load(&mut self, link: Link, load: (u32, u32, u32), now: Time) {
         let Some(peer) = self.peers.get(link) else {
@@ -51,8 +55,24 @@
             ..
         } = route_state.estimate;
         let elapsed = now.since(route_state.sent_at);
+        let workload = route_state.workload(pool);
+        if !self.peers.is_contended(pool) {
+            self.latencies
+                .record(&workload, uncached_tokens, wait, elapsed);
+            return;
+        }
+        let Some(link) = flight.link else {
+            return;
+        };
+        // The wait is an estimate, so part of the time always counts as work.
+        let served = (elapsed - wait).max(Span::from_micros(elapsed.micros() / MIN_SERVED_PART));
+        let usual = self.latencies.estimate(&workload, uncached_tokens);
+        if wait <= usual {
+            self.peers.record_speed(link, served, usual, now);
+        }
+        let served = self.peers.usual_time(link, served, now);
         self.latencies
-            .record(&route_state.workload(pool), uncached_tokens, wait, elapsed);
+            .record_relative(&workload, uncached_tokens, served);
     }
 
     /// Records the start of an answer, or an error, in the comparison of releases.
--- a/crates/core/src/entry/routed/send.rs
+++ b/crates/core/src/entry/routed/send.rs
@@ -1,13 +1,15 @@
 //! Sends routed requests to upstreams.
 
 use super::*;
-use crate::pick::{self, Chosen, Constraints, Peer};
+use crate::pick::{Chosen, Constraints, Peer};
 use crate::release::{Affinity, Canary, SESSION_TTL};
 use crate::wire::Metadata;
 
 /// The minimum prefill time that is reported to other entries. A report arrives after about 60 ms,
 /// when shorter prefills are mostly complete.
 const MIN_REPORTED_PREFILL: Span = Span::from_millis(100);
+/// The same for contended pools, where several short prefills in a row hold up a prompt.
+const MIN_CONTENDED_PREFILL: Span = Span::from_millis(60);
 
 impl Entry {
     /// Chooses the pool and release of a routed request. Returns the subset of upstreams to which a
@@ -109,7 +111,11 @@
         self.begin_run(now, flight, chosen.link)?;
         let estimate = self.estimate(workload.as_ref(), &chosen);
         self.peers.prefill_started(chosen.link, estimate.prefill);
-        if estimate.prefill >= MIN_REPORTED_PREFILL {
+        let min_reported = match self.peers.is_contended(&flight.pool) {
+            true => MIN_CONTENDED_PREFILL,
+            false => MIN_REPORTED_PREFILL,
+        };
+        if estimate.prefill >= min_reported {
             let start_id = self.peers.get(chosen.link).map(Peer::start_id);
             out.extend(start_id.map(|start_id| Output::Prefill(start_id, estimate.prefill)));
         }
@@ -154,10 +160,11 @@
         let Some(workload) = workload else {
             return Estimate::default();
         };
+        let usual = self.latencies.estimate(workload, chosen.uncached_tokens);
         Estimate {
             uncached_tokens: chosen.uncached_tokens,
-            prefill: self.latencies.estimate(workload, chosen.uncached_tokens),
-            wait: pick::prefill_wait(chosen.pending_prefill),
+            prefill: chosen.slowdown.scale(usual),
+            wait: chosen.wait,
             prefill_pending: true,
         }
     }
--- a/crates/core/src/pick/mod.rs
+++ b/crates/core/src/pick/mod.rs
@@ -20,17 +20,23 @@
 
 mod availability;
 mod backlog;
+mod contention;
 mod impact;
 mod notices;
+mod outlook;
 mod pace;
 mod peer;
+mod speed;
 mod warmup;
 
 pub use availability::Availability;
+pub use contention::Contention;
 pub use impact::Impact;
+pub use outlook::Outlook;
 pub use pace::Pace;
 pub use peer::{prefill_wait, Peer};
 pub(crate) use peer::{CROSS_HALL_PENALTY, PREFIX_LIFETIME};
+pub use speed::{Slowdown, SpeedSum, Speeds};
 
 use crate::halls::Halls;
 use crate::id::{Hall, Incarnation, PoolId, Region, UpstreamId, VersionId};
@@ -163,7 +169,7 @@
 }
 
 /// A chosen upstream and its state for the request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Chosen {
     /// The link to the upstream.
     pub link: Link,
@@ -171,6 +177,10 @@
     pub uncached_tokens: u32,
     /// The prefill of earlier requests, of this and other entries, that has not ended.
     pub pending_prefill: Span,
+    /// The expected wait for earlier requests.
+    pub wait: Span,
+    /// How long work takes at the upstream.
+    pub slowdown: Slowdown,
 }
 
 /// The upstreams to which an entry has links, by pool.
@@ -184,6 +194,10 @@
     notices: notice::Registry,
     /// The progress of the initial set of upstreams, which were there before this entry started.
     initial_set: InitialSet,
+    contention: Contention,
+    /// The pools whose upstreams told their pace.
+    contended: BTreeSet<PoolId>,
+    speeds: Speeds,
     turn: usize,
 }
 
@@ -191,6 +205,7 @@
     /// Adds an upstream.
     pub fn join(&mut self, link: Link, upstream: UpstreamId, pool: &PoolId, load: Load) {
         let mut peer = Peer::new(upstream, load);
+        peer.is_contended = self.is_contended(pool);
         peer.warmup = self.warmups.get(pool).copied();
         self.peers.insert(link, peer);
         let links = self.pools.entry(pool.clone()).or_default();
@@ -417,26 +432,7 @@
         now: Time,
         draw: f64,
     ) -> Option<Chosen> {
-        let is_eligible = |link: &Link, peer: &Peer| {
-            !criteria.tried.contains(link) && peer.matches(criteria) && self.admits(peer, now)
-        };
-        let usable = self
-            .available(criteria.pool)
-            .filter(|(link, peer)| is_eligible(link, peer));
-        let mut usable: Vec<Link> = usable.map(|(link, _)| link).collect();
-        if let Some(canary) = criteria.constraints.subset {
-            self.keep_canary(&mut usable, canary);
-        }
-        let is_healthy = |l: &Link| self.peers[l].avoided <= now;
-        if usable.iter().any(is_healthy) {
-            usable.retain(is_healthy);
-        }
-        if usable.iter().all(|l| self.is_limited(&self.peers[l])) {
-            // Requests of a lower rank get the first chance to use newly available capacity.
-            let rank_delay = RANK_DELAY.micros() * u64::from(criteria.rank);
-            let latest = Time(now.0.saturating_sub(rank_delay));
-            usable.retain(|l| self.available_at(&self.peers[l]) <= latest);
-        }
+        let mut usable = self.usable(criteria, now);
         let wants_probe = |l: &Link| self.wants_probe(&self.peers[l], now);
         if let Some(link) = usable.iter().copied().find(wants_probe) {
             usable = vec![link];
@@ -467,9 +463,36 @@
             link,
             uncached_tokens: peer.uncached_tokens(criteria, home == Some(link), now),
             pending_prefill: peer.pending_prefill(now),
+            wait: peer.wait(now),
+            slowdown: peer.slowdown(now),
         })
     }
 
+    /// Returns the upstreams that may get a request now.
+    fn usable(&self, criteria: &Criteria, now: Time) -> Vec<Link> {
+        let is_eligible = |link: &Link, peer: &Peer| {
+            !criteria.tried.contains(link) && peer.matches(criteria) && self.admits(peer, now)
+        };
+        let usable = self
+            .available(criteria.pool)
+            .filter(|(link, peer)| is_eligible(link, peer));
+        let mut usable: Vec<Link> = usable.map(|(link, _)| link).collect();
+        if let Some(canary) = criteria.constraints.subset {
+            self.keep_canary(&mut usable, canary);
+        }
+        let is_healthy = |l: &Link| self.peers[l].avoided <= now;
+        if usable.iter().any(is_healthy) {
+            usable.retain(is_healthy);
+        }
+        if usable.iter().all(|l| self.is_limited(&self.peers[l])) {
+            // Requests of a lower rank get the first chance to use newly available capacity.
+            let rank_delay = RANK_DELAY.micros() * u64::from(criteria.rank);
+            let latest = Time(now.0.saturating_sub(rank_delay));
+            usable.retain(|l| self.available_at(&self.peers[l]) <= latest);
+        }
+        usable
+    }
+
     /// Like [`Peers::choose`], where `criteria.tried` may also contain upstreams to avoid, such as
     /// those that run requests suspected of crashes. If no healthy upstream is left, only those in
     /// `tried` are excluded.
@@ -515,6 +538,12 @@
         let is_near = |l: &&Link| self.peers[*l].cross_hall_cost(criteria) == 0;
         let anywhere = criteria.scope == Scope::All || !links.iter().any(|l| is_near(&l));
         let ranked = links.iter().filter(|l| anywhere || is_near(l));
+        if self.is_contended(criteria.pool) {
+            let weighted = |l: &&Link| self.peers[*l].weighted_home_rank(shared.hash);
+            return ranked
+                .max_by(|a, b| weighted(a).total_cmp(&weighted(b)))
+                .copied();
+        }
         ranked
             .max_by_key(|l| self.peers[l].home_rank(shared.hash))
             .copied()
--- a/crates/core/src/pick/notices.rs
+++ b/crates/core/src/pick/notices.rs
@@ -14,7 +14,11 @@
         };
         if let Some(pace) = notice.pace {
             peer.set_pace(pace, now);
+            self.note_contended(link, "answer");
         }
+        let Some(peer) = self.peers.get(&link) else {
+            return;
+        };
         // The pace changes too often to be shared with other entries.
         let notice = Notice {
             pace: None,
--- a/crates/core/src/pick/pace.rs
+++ b/crates/core/src/pick/pace.rs
@@ -50,11 +50,19 @@
 
     /// Returns the expected duration of work that usually takes `work` microseconds.
     pub fn scale(self, work: u64, now: Time) -> u64 {
+        match self.0 {
+            Some(_) => (work as f64 * self.factor(now)) as u64,
+            None => work,
+        }
+    }
+
+    /// Returns the expected duration of work as a multiple of the usual duration.
+    pub fn factor(self, now: Time) -> f64 {
         let Some((pace, at)) = self.0 else {
-            return work;
+            return 1.0;
         };
         let age = now.since(at).secs_f64() / REPORT_LIFETIME.secs_f64();
         let excess = f64::from(pace.0) / 100.0 - 1.0;
-        (work as f64 * (1.0 + excess * (1.0 - age).max(0.0))) as u64
+        1.0 + excess * (1.0 - age).max(0.0)
     }
 }
--- a/crates/core/src/pick/peer.rs
+++ b/crates/core/src/pick/peer.rs
@@ -2,6 +2,7 @@
 
 use super::backlog::Backlog;
 use super::pace::{Pace, PaceReport};
+use super::speed::Slowdown;
 use super::{Criteria, Placement, Prefix};
 use crate::digest::mix;
 use crate::entry::Snapshot;
@@ -48,6 +49,17 @@
 /// prompts in chunks, and part of each pending prompt is already processed.
 const PENDING_SHARE: f64 = 0.5;
 
+/// The same at a contended upstream for the prompts of other entries, whose processed part is
+/// deducted.
+const REMOTE_SHARE: f64 = 0.85;
+/// The time from which a contended upstream that just started to read an idle prompt answers, beside
+/// the prefill.
+const CONTENDED_BASE: Span = Span::from_millis(25);
+/// The steps of the weight of a home per doubling of the speed.
+const HOME_STEPS: f64 = 2.0;
+/// The distance from its step beyond which a speed changes the weight of a home.
+const HOME_HYSTERESIS: f64 = 0.75;
+
 /// Returns the wait of a prompt at an upstream with this pending prefill.
 pub fn prefill_wait(pending: Span) -> Span {
     Span::from_secs_f64(pending.secs_f64() * PENDING_SHARE)
@@ -95,6 +107,12 @@
     pub(super) ramp: Ramp,
     /// The latest pace that it reported.
     pace: PaceReport,
+    /// Whether the decisions under contention are made for its pool.
+    pub(super) is_contended: bool,
+    /// How long its work takes, for contended pools.
+    slowdown: Slowdown,
+    /// The speed by which it is the home of prefixes, in steps.
+    home_step: i32,
     /// Whether it has sent a notice. Most upstreams have not; the flag saves the lookup on each
     /// pick.
     pub(super) has_notice: bool,
@@ -130,6 +148,9 @@
             warmup: None,
             ramp: Ramp::default(),
             pace: PaceReport::default(),
+            is_contended: false,
+            slowdown: Slowdown::USUAL,
+            home_step: 0,
             has_notice: false,
             prefixes: HashMap::new(),
             stamp: 0,
@@ -255,8 +276,80 @@
         mix(hash ^ self.name_hash)
     }
 
+    /// Returns the rank of the upstream as the home of a prefix, where fast upstreams are the home
+    /// of more prefixes than slow ones.
+    pub(super) fn weighted_home_rank(&self, hash: u64) -> f64 {
+        let draw = (self.home_rank(hash) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+        let weight = (f64::from(self.home_step) / HOME_STEPS).exp2();
+        -weight / draw.ln()
+    }
+
+    /// Sets how long work takes at the upstream.
+    pub(super) fn set_slowdown(&mut self, slowdown: Slowdown) {
+        self.slowdown = slowdown;
+        let speed = -slowdown.factor().log2() * HOME_STEPS;
+        if (speed - f64::from(self.home_step)).abs() > HOME_HYSTERESIS {
+            self.home_step = speed.round() as i32;
+        }
+    }
+
+    /// Returns how long work takes at the upstream now, relative to the usual duration.
+    pub(super) fn slowdown(&self, now: Time) -> Slowdown {
+        match self.is_contended {
+            true => self.slowdown.times(self.pace.factor(now)),
+            false => Slowdown::USUAL,
+        }
+    }
+
+    /// Returns how long work would have taken at the usual pace.
+    pub(super) fn without_pace(&self, took: Span, now: Time) -> Span {
+        Slowdown::USUAL.times(self.pace.factor(now)).usual(took)
+    }
+
+    /// Returns the time until the upstream has processed its known prompts.
+    pub(super) fn backlog(&self, now: Time) -> Span {
+        self.load.wait + self.pending_prefill(now)
+    }
+
+    /// Returns the expected wait of a prompt for the prompts before it.
+    pub(super) fn wait(&self, now: Time) -> Span {
+        match self.is_contended {
+            true => {
+                let remote = self.remote_prefill.remaining(now).secs_f64() * REMOTE_SHARE;
+                prefill_wait(self.pending_prefill) + Span::from_secs_f64(remote)
+            }
+            false => prefill_wait(self.pending_prefill(now)),
+        }
+    }
+
+    /// Returns the expected time to the first token.
+    pub(super) fn expected(&self, criteria: &Criteria, is_home: bool, now: Time) -> Span {
+        let uncached = f64::from(self.uncached_tokens(criteria, is_home, now));
+        let rate = criteria.prefill_rate.map_or(
+            f64::from(self.load.prefill_rate.max(DEFAULT_PREFILL_RATE)),
+            Rate::per_second,
+        );
+        let usual = CONTENDED_BASE + Span::from_secs_f64(uncached / rate.max(1.0));
+        let queued = Span::from_micros(self.queue_wait(criteria.urgent, now));
+        queued + self.wait(now) + self.slowdown(now).scale(usual)
+    }
+
+    /// Returns the score of a contended upstream, in microseconds: the expected time to the first
+    /// token, the cost of reading a shared prefix again and that of another data hall.
+    fn contended_score(&self, criteria: &Criteria, is_home: bool, now: Time) -> u64 {
+        let uncached = u64::from(self.uncached_tokens(criteria, is_home, now));
+        let reread = criteria
+            .shared_prefix
+            .map_or(0, |_| uncached * REREAD_PENALTY_US);
+        let expected = self.expected(criteria, is_home, now).micros();
+        expected + reread + self.cross_hall_cost(criteria)
+    }
+
     /// Returns the expected time to the first token, in microseconds.
     pub(super) fn first_token(&self, criteria: &Criteria, is_home: bool, now: Time) -> u64 {
+        if self.is_contended {
+            return self.contended_score(criteria, is_home, now);
+        }
         let uncached = u64::from(self.uncached_tokens(criteria, is_home, now));
         // The home is scored without the prefill that other entries sent to it: a request that
         // leaves the home of its prefix has the prefix read again, beside the prompts of others.
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -397,7 +397,7 @@
             Output::Suspect(version) => warn!("suspect version {version} gets no new requests"),
             Output::RequestEnded(summary) => self.metrics.record_request(&summary),
             // Sidecars report the pending prefill to all entries.
-            Output::Prefill(..) | Output::SessionAffinity(..) => {}
+            Output::Prefill(..) | Output::SessionAffinity(..) | Output::SpeedSums(_) => {}
             Output::QuarantineUpdate(update) => self.broadcast(&update),
             // Sidecars keep the quarantine and relay its updates.
             Output::RecordQuarantine(_) => {}
--- a/crates/daemon/src/hosted/event_loop.rs
+++ b/crates/daemon/src/hosted/event_loop.rs
@@ -23,7 +23,7 @@
     Entry, Input, Output, Part, Payload, Reply, Request, Settings as Decisions, Summary,
 };
 use sorreldeck::era::Freshness;
-use sorreldeck::pick::Link;
+use sorreldeck::pick::{Contention, Link};
 use sorreldeck::quarantine::{self, Fingerprint, Hold};
 use sorreldeck::replication::{Peer, Subscription, Timeouts};
 use sorreldeck::wire::{Frame, Run};
@@ -190,6 +190,10 @@
         decisions.retries = settings.retries;
         decisions.exposure = settings.exposure;
         decisions.confidence_thresholds = options.accept.0;
+        decisions.contention = match options.contention {
+            Contention::Detect if settings.is_contended => Contention::On,
+            contention => contention,
+        };
         let own = Peer {
             name: settings.instance.clone(),
             hall: settings.hall.clone(),
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -2,7 +2,7 @@
 
 use bpaf::Bpaf;
 use sorreldeck::entry::{Judge, CONFIDENCE_THRESHOLDS};
-use sorreldeck::pick::Policy;
+use sorreldeck::pick::{Contention, Policy};
 use sorreldeck::session::Keyring;
 use sorreldeck::{Hall, InstanceId, PoolId, Share, Span, UpstreamId};
 use sorreldeck_net::link::Keys;
@@ -56,6 +56,9 @@
         fallback(Thresholds(CONFIDENCE_THRESHOLDS))
     )]
     pub accept: Thresholds,
+    /// Which pools are contended: on (all), off (none) or auto (all where the platform's settings ask for it, else those whose upstreams tell their pace)
+    #[bpaf(long, argument("on|off|auto"), fallback(Contention::Detect))]
+    pub contention: Contention,
     /// The format of log lines
     #[bpaf(external(log_format))]
     pub log: LogFormat,
