--- a/crates/core/src/entry/routed/learn.rs
+++ b/crates/core/src/entry/routed/learn.rs
@@ -2,10 +2,6 @@
 
 use super::*;
 
-/// The part of the time to the first token that counts as work whatever wait was expected: one in
-/// this number.
-const MIN_SERVED_PART: u64 = 4;
-
 impl Entry {
     pub(super) fn record_load(&mut self, link: Link, load: (u32, u32, u32), now: Time) {
         let Some(peer) = self.peers.get(link) else {
@@ -35,6 +31,34 @@
         }
     }
 
+    /// Returns the usual time in which a prompt starts to be answered, without a wait.
+    pub(super) fn usual_time(
+        &self,
+        pool: &PoolId,
+        workload: &Workload,
+        tokens: u32,
+        now: Time,
+    ) -> Span {
+        match self.peers.is_contended(pool) {
+            true => self.peers.usual_time(workload, tokens, now),
+            false => self.latencies.estimate(workload, tokens),
+        }
+    }
+
+    /// Returns the rate at which the prompts of a pool are read.
+    pub(super) fn prefill_rate(
+        &self,
+        pool: &PoolId,
+        workload: &Workload,
+        tokens: u32,
+        now: Time,
+    ) -> Rate {
+        match self.peers.is_contended(pool) {
+            true => self.peers.usual_rate(workload, tokens, now),
+            false => self.latencies.rate(workload),
+        }
+    }
+
     /// Records the time to the start of an answer, or the wait so far, for the latency model. Runs
     /// of a release on trial are left out.
     pub(super) fn record_latency(&mut self, now: Time, request: RequestId) {
@@ -61,18 +85,10 @@
                 .record(&workload, uncached_tokens, wait, elapsed);
             return;
         }
-        let Some(link) = flight.link else {
-            return;
-        };
-        // The wait is an estimate, so part of the time always counts as work.
-        let served = (elapsed - wait).max(Span::from_micros(elapsed.micros() / MIN_SERVED_PART));
-        let usual = self.latencies.estimate(&workload, uncached_tokens);
-        if wait <= usual {
-            self.peers.record_speed(link, served, usual, now);
+        if let Some(link) = flight.link {
+            self.peers
+                .record_start(link, &workload, uncached_tokens, (wait, elapsed), now);
         }
-        let served = self.peers.usual_time(link, served, now);
-        self.latencies
-            .record_relative(&workload, uncached_tokens, served);
     }
 
     /// Records the start of an answer, or an error, in the comparison of releases.
--- a/crates/core/src/entry/routed/reply.rs
+++ b/crates/core/src/entry/routed/reply.rs
@@ -234,7 +234,7 @@
         let shared = flight.shared_prefix().map_or(0, |p| p.tokens);
         let uncached = flight.prompt_tokens().saturating_sub(shared);
         let waited = now.since(flight.started_at);
-        let expected = waited + self.latencies.estimate(&workload, uncached);
+        let expected = waited + self.usual_time(&flight.pool, &workload, uncached, now);
         let objective = route_state.route.objective;
         match waited <= objective && expected > objective {
             true => LATE_VALUE,
--- a/crates/core/src/entry/routed/send.rs
+++ b/crates/core/src/entry/routed/send.rs
@@ -82,7 +82,7 @@
             .map(|t| t.workload(&flight.pool));
         let rate = workload
             .as_ref()
-            .map(|workload| self.latencies.rate(workload));
+            .map(|w| self.prefill_rate(&flight.pool, w, flight.prompt_tokens(), now));
         let scope = self.prefix_scope(now, flight, rate);
         let avoided = self.avoided(now, flight);
         let criteria = Criteria {
@@ -109,7 +109,7 @@
             .choose_distinct(&criteria, &flight.tried, self.settings.policy, now, draw)
             .ok_or_else(|| self.no_upstream_available(&flight.pool, now))?;
         self.begin_run(now, flight, chosen.link)?;
-        let estimate = self.estimate(workload.as_ref(), &chosen);
+        let estimate = self.estimate(now, &flight.pool, workload.as_ref(), &chosen);
         self.peers.prefill_started(chosen.link, estimate.prefill);
         let min_reported = match self.peers.is_contended(&flight.pool) {
             true => MIN_CONTENDED_PREFILL,
@@ -156,11 +156,17 @@
     }
 
     /// Returns the estimate for a run at its chosen upstream.
-    fn estimate(&self, workload: Option<&Workload>, chosen: &Chosen) -> Estimate {
+    fn estimate(
+        &self,
+        now: Time,
+        pool: &PoolId,
+        workload: Option<&Workload>,
+        chosen: &Chosen,
+    ) -> Estimate {
         let Some(workload) = workload else {
             return Estimate::default();
         };
-        let usual = self.latencies.estimate(workload, chosen.uncached_tokens);
+        let usual = self.usual_time(pool, workload, chosen.uncached_tokens, now);
         Estimate {
             uncached_tokens: chosen.uncached_tokens,
             prefill: chosen.slowdown.scale(usual),
--- a/crates/core/src/entry/routed/timeout.rs
+++ b/crates/core/src/entry/routed/timeout.rs
@@ -83,12 +83,16 @@
     ///
     /// Another upstream has to prefill the prompt first. If that would exceed the allowed pause of
     /// the route, waiting for an upstream that may only be busy is faster until that pause has
-    /// passed.
+    /// passed. In a contended pool a silent upstream mostly reads the prompts of others, and leaving
+    /// it repeats the prefill where others wait as well.
     fn stream_stall_timeout(&self, flight: &Flight, route_state: &RouteState) -> Span {
         let workload = route_state.workload(&flight.pool);
         let prefill = self
             .latencies
             .estimate(&workload, route_state.estimate.uncached_tokens);
+        if self.peers.is_contended(&flight.pool) {
+            return route_state.route.pause + route_state.route.pause;
+        }
         match STREAM_STALL_TIMEOUT + prefill <= route_state.route.pause {
             true => STREAM_STALL_TIMEOUT,
             false => route_state.route.pause.max(STREAM_STALL_TIMEOUT),
--- a/crates/core/src/latency.rs
+++ b/crates/core/src/latency.rs
@@ -46,13 +46,6 @@
 /// time plus a number of milliseconds. A stalled upstream says little about the other upstreams.
 const OUTLIER_FACTOR: f64 = 4.0;
 const OUTLIER_EXTRA_MS: f64 = 500.0;
-/// The same for a line of relative errors: the factor above and below the predicted time at which
-/// an answer is clipped.
-const RELATIVE_CLIP: f64 = 2.0;
-/// The predicted time whose answers have weight 1 in a line of relative errors, in milliseconds,
-/// and the highest weight.
-const RELATIVE_UNIT_MS: f64 = 50.0;
-const MAX_RELATIVE_WEIGHT: f64 = 4.0;
 
 /// The mean absolute deviation from the prediction before any answer is recorded, in milliseconds.
 const PRIOR_DEVIATION: f64 = 150.0;
@@ -91,21 +84,6 @@
 
 impl Default for Line {
     fn default() -> Self {
-        Line::prior(|_| 1.0)
-    }
-}
-
-/// Returns the weight of an answer in a line of relative errors, by its predicted time.
-fn relative_weight(predicted: f64) -> f64 {
-    (RELATIVE_UNIT_MS / predicted.max(1.0))
-        .powi(2)
-        .min(MAX_RELATIVE_WEIGHT)
-}
-
-impl Line {
-    /// Returns the line before any answer is recorded; `weight` gives the weight of an answer by
-    /// its time.
-    fn prior(weight: impl Fn(f64) -> f64) -> Line {
         let mut line = Line {
             weight: 0.0,
             x: 0.0,
@@ -115,12 +93,13 @@
             deviation: PRIOR_DEVIATION,
         };
         for x in [0.0, 2.0 * PRIOR_SPREAD] {
-            let y = PRIOR_BASE + x * PRIOR_SLOPE;
-            line.add(x, y, PRIOR_WEIGHT * weight(y));
+            line.add(x, PRIOR_BASE + x * PRIOR_SLOPE, PRIOR_WEIGHT);
         }
         line
     }
+}
 
+impl Line {
     fn add(&mut self, x: f64, y: f64, weight: f64) {
         self.weight += weight;
         self.x += weight * x;
@@ -201,25 +180,6 @@
         line.decay();
         line.add(x, service.min(limit), 1.0);
     }
-
-    /// Records how long an answer usually takes to start, without any wait and at an upstream of
-    /// the usual speed.
-    ///
-    /// The error counts relative to the predicted time, so that long prompts do not decide what is
-    /// expected of short ones, and runs that were held up have little influence.
-    pub fn record_relative(&mut self, workload: &Workload, tokens: u32, took: Span) {
-        let line = self
-            .0
-            .entry(workload.clone())
-            .or_insert_with(|| Line::prior(relative_weight));
-        let x = thousands(tokens);
-        let predicted = line.predict(x).max(1.0);
-        let took = took.secs_f64() * 1e3;
-        line.deviation += ((took - predicted).abs() - line.deviation) / WINDOW;
-        let took = took.clamp(predicted / RELATIVE_CLIP, predicted * RELATIVE_CLIP);
-        line.decay();
-        line.add(x, took, relative_weight(predicted));
-    }
 }
 
 fn thousands(tokens: u32) -> f64 {
--- a/crates/core/src/pick/contention.rs
+++ b/crates/core/src/pick/contention.rs
@@ -1,9 +1,15 @@
 //! Which pools are contended: their upstreams share machines with others or have less room than
 //! callers ask for. Only there are speeds learned and used.
 
-use super::{Link, Peer, Peers, SpeedSum};
+use super::{usual, Link, Peer, Peers, SpeedSum};
 use crate::id::PoolId;
-use crate::unit::{Span, Time};
+use crate::latency::Workload;
+use crate::unit::{Rate, Span, Time};
+use std::collections::HashSet;
+
+/// The part of the time to the first token that counts as work whatever wait was expected: one in
+/// this number.
+const MIN_SERVED_PART: u64 = 4;
 
 /// For which pools the decisions under contention are made.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -68,19 +74,40 @@
         }
     }
 
-    /// Records that a run started to answer after `took`, where `usual` is expected of an upstream
-    /// at the usual speed.
-    pub fn record_speed(&mut self, link: Link, took: Span, usual: Span, now: Time) {
-        if let Some(peer) = self.peers.get(&link) {
-            let took = peer.without_pace(took, now);
-            self.speeds.record(peer.start_id(), took, usual, now);
+    /// Records that a run started to answer after `took`, of which `wait` is attributed to earlier
+    /// prompts.
+    pub fn record_start(
+        &mut self,
+        link: Link,
+        workload: &Workload,
+        tokens: u32,
+        (wait, took): (Span, Span),
+        now: Time,
+    ) {
+        let Some(peer) = self.peers.get(&link) else {
+            return;
+        };
+        let usual = self.usual_time(workload, tokens, now);
+        // The wait is an estimate, so part of the time always counts as work. Behind a long wait
+        // the rest tells little.
+        let served = (took - wait).max(Span::from_micros(took.micros() / MIN_SERVED_PART));
+        if wait <= usual {
+            let start_id = peer.start_id();
+            let at_pace = peer.without_pace(served, now);
+            self.speeds.record(start_id, at_pace, usual, now);
         }
+        let served = self.peers[&link].slowdown(now).usual(served);
+        usual::record(&mut self.speeds, workload, tokens, served, now);
+    }
+
+    /// Returns the usual time in which a prompt starts to be answered.
+    pub fn usual_time(&self, workload: &Workload, tokens: u32, now: Time) -> Span {
+        usual::time(&self.speeds, workload, tokens, now)
     }
 
-    /// Returns how long work that took `took` at an upstream usually takes.
-    pub fn usual_time(&self, link: Link, took: Span, now: Time) -> Span {
-        self.get(link)
-            .map_or(took, |peer| peer.slowdown(now).usual(took))
+    /// Returns the rate at which prompts of this length are usually read.
+    pub fn usual_rate(&self, workload: &Workload, tokens: u32, now: Time) -> Rate {
+        usual::rate(&self.speeds, workload, tokens, now)
     }
 
     /// Adds the runs that other entries recorded. They recorded them because the pool is contended.
@@ -88,7 +115,8 @@
         for sum in sums {
             self.speeds.merge(sum, now);
         }
-        let is_told = |peer: &Peer| sums.iter().any(|sum| sum.upstream == peer.start_id());
+        let told: HashSet<u64> = sums.iter().map(|sum| sum.upstream).collect();
+        let is_told = |peer: &Peer| told.contains(&peer.start_id());
         let plain = self.peers.iter().filter(|(_, peer)| !peer.is_contended);
         let told: Vec<Link> = plain
             .filter(|(_, peer)| is_told(peer))
--- a/crates/core/src/pick/mod.rs
+++ b/crates/core/src/pick/mod.rs
@@ -27,6 +27,7 @@
 mod pace;
 mod peer;
 mod speed;
+pub mod usual;
 mod warmup;
 
 pub use availability::Availability;
--- a/crates/core/src/pick/speed.rs
+++ b/crates/core/src/pick/speed.rs
@@ -183,6 +183,12 @@
         unreported.into_iter().map(sum).collect()
     }
 
+    /// Returns the weight of the recent runs under an identifier and the sum of their logarithms.
+    pub(super) fn sum(&self, key: u64, now: Time) -> (f64, f64) {
+        let stats = self.stats.get(&key).map(|s| s.at(now));
+        stats.map_or((0.0, 0.0), |stats| (stats.weight, stats.log))
+    }
+
     /// Returns the slowdowns of the upstreams of one pool, relative to their mean.
     ///
     /// Entries differ in what they expect, so only the differences between upstreams count.
--- a/crates/core/tests/random.rs
+++ b/crates/core/tests/random.rs
@@ -298,6 +298,7 @@
             | entry::Output::RecordQuarantine(_)
             | entry::Output::Prefill(..)
             | entry::Output::SessionAffinity(..)
+            | entry::Output::SpeedSums(_)
             | entry::Output::Suspect(_)
             | entry::Output::Notice(_)
             | entry::Output::RequestStarted(_)
