--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -129,6 +129,7 @@
         session_keys: keys.parse().unwrap(),
         metrics: None,
         policy: Default::default(),
+        contention: Default::default(),
         accept: options::Thresholds(sorreldeck::entry::CONFIDENCE_THRESHOLDS),
         log: LogFormat::Json,
     };
