--- a/crates/daemon/src/hosted/client.rs
+++ b/crates/daemon/src/hosted/client.rs
@@ -12,7 +12,7 @@
 use async_std::task::{self, JoinHandle};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::{Request, Response};
 use sorreldeck::entry::{Head, Reply};
 use sorreldeck::pick::Link;
@@ -29,9 +29,9 @@
 const POOL_TTL: Duration = Duration::from_millis(800);
 /// Maximum number of pooled connections per upstream.
 const MAX_POOLED: usize = 16;
-/// How long a connection may take to detect the end of a response before it is closed instead
-/// of pooled. This takes one poll of its task, well under a millisecond on an idle machine; the
-/// client already has the whole response.
+/// How long a pooled connection may take to detect the end of its last response before it is
+/// closed instead of used. This takes one poll of its task, well under a millisecond on an idle
+/// machine.
 const READY_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum number of bytes of a refusal's body that are read to reuse its connection.
 const MAX_REFUSAL_BYTES: usize = 4096;
@@ -142,19 +142,18 @@
             false => may_have_run(e.message),
         })?;
         match self.read_head(response).await? {
-            Answer::Ran(response) => self.forward_body(response).await?,
+            Answer::Ran(response) => self.forward_body(response, address, channel).await,
             Answer::NotRun(status, response) => {
-                drain(response).await;
-                self.return_channel(address, channel).await;
+                if drain(response).await {
+                    self.return_channel(address, Some(channel));
+                }
                 let reason = match status {
                     421 => Reason::Leaving,
                     _ => Reason::Overloaded,
                 };
-                return Err(Failure::not_run(reason, format!("refused with {status}")));
+                Err(Failure::not_run(reason, format!("refused with {status}")))
             }
         }
-        self.return_channel(address, channel).await;
-        Ok(())
     }
 
     /// Returns the time that is left for the upstream.
@@ -168,8 +167,11 @@
 
     async fn channel(&self, address: SocketAddr, is_new: bool) -> Result<Channel, Failure> {
         if !is_new {
-            if let Some(channel) = self.pooled_channel(address) {
-                return Ok(channel);
+            while let Some(mut channel) = self.pooled_channel(address) {
+                let ready = timeout(READY_TIMEOUT, channel.ready()).await;
+                if ready == Ok(true) && channel.is_open() {
+                    return Ok(channel);
+                }
             }
         }
         Channel::open(address)
@@ -181,18 +183,19 @@
         let mut pool = self.pool.lock().unwrap_or_else(|e| e.into_inner());
         let channels = pool.get_mut(&address)?;
         while let Some(channel) = channels.pop() {
-            if channel.is_open() && channel.free_since.elapsed() < POOL_TTL {
+            if channel.free_since.elapsed() < POOL_TTL {
                 return Some(channel);
             }
         }
         None
     }
 
-    async fn return_channel(&self, address: SocketAddr, mut channel: Channel) {
-        let ready = timeout(READY_TIMEOUT, channel.ready()).await;
-        if ready != Ok(true) || !channel.is_open() {
+    /// Pools the connection of a response whose body has arrived completely, unless it was
+    /// pooled before.
+    fn return_channel(&self, address: SocketAddr, channel: Option<Channel>) {
+        let Some(mut channel) = channel else {
             return;
-        }
+        };
         channel.free_since = Instant::now();
         let mut pool = self.pool.lock().unwrap_or_else(|e| e.into_inner());
         let channels = pool.entry(address).or_default();
@@ -246,7 +249,17 @@
         Ok(Answer::Ran(response))
     }
 
-    async fn forward_body(&self, response: Response<Incoming>) -> Result<(), Failure> {
+    /// Forwards the body of a response and pools its connection.
+    ///
+    /// The connection is pooled before the last part is forwarded: the client may send its next
+    /// request as soon as it has that part.
+    async fn forward_body(
+        &self,
+        response: Response<Incoming>,
+        address: SocketAddr,
+        channel: Channel,
+    ) -> Result<(), Failure> {
+        let mut channel = Some(channel);
         let is_stream =
             self.metadata.as_ref().is_some_and(|o| o.stream) && response.status() == 200;
         let mut body = response.into_body();
@@ -256,6 +269,9 @@
             let Ok(data) = frame.into_data() else {
                 continue;
             };
+            if body.is_end_stream() {
+                self.return_channel(address, channel.take());
+            }
             match is_stream {
                 true => {
                     pending.extend_from_slice(&data);
@@ -271,6 +287,7 @@
                 }
             }
         }
+        self.return_channel(address, channel);
         match pending.is_empty() {
             true => Ok(()),
             false => Err(may_have_run("the answer ended inside an event")),
@@ -290,16 +307,20 @@
     }
 }
 
-/// Reads the rest of a refusal so that its connection can be reused.
-async fn drain(response: Response<Incoming>) {
+/// Reads the rest of a refusal so that its connection can be reused, and returns whether it can.
+async fn drain(response: Response<Incoming>) -> bool {
     let mut body = response.into_body();
     let mut read = 0;
-    while let Some(Ok(frame)) = body.frame().await {
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return false;
+        };
         read += frame.data_ref().map_or(0, Bytes::len);
         if read > MAX_REFUSAL_BYTES {
-            return;
+            return false;
         }
     }
+    true
 }
 
 fn request_of(
--- a/crates/daemon/src/hosted/event_loop.rs
+++ b/crates/daemon/src/hosted/event_loop.rs
@@ -158,23 +158,15 @@
     logged_sources: Vec<String>,
 }
 
-/// The listening address for links from other entries, and the channel for link events.
-pub struct Links {
-    /// The address, if links are accepted.
-    pub address: Option<SocketAddr>,
-    /// The channel for link events.
-    pub events: Sender<Event>,
-}
-
 impl EventLoop {
-    /// Creates the state of an entry.
+    /// Creates the state of an entry that accepts links at an address, if at all.
     pub fn new(
         options: &options::Hosted,
         settings: &Settings,
         shared: Shared,
         store: Store,
         door: Arc<Door>,
-        links: Links,
+        link_address: Option<SocketAddr>,
         clock: Clock,
     ) -> EventLoop {
         let now = clock.now();
@@ -193,7 +185,7 @@
         let own = Peer {
             name: settings.instance.clone(),
             hall: settings.hall.clone(),
-            address: links.address.unwrap_or(settings.readiness_address),
+            address: link_address.unwrap_or(settings.readiness_address),
             cores: settings.cores,
             mbps: settings.link_mbps,
         };
@@ -217,7 +209,7 @@
             mover: Mover::new(&settings.instance),
             recorder: Recorder::new(&settings.instance),
             restorer: Restorer::new(&settings.instance),
-            peering: Peering::new(options.link_keys.clone(), settings, links.events),
+            peering: Peering::new(options.link_keys.clone(), settings),
             relay,
             duties,
             followers: Followers::start(&store, &shared, &clock),
@@ -231,7 +223,7 @@
             next_link: 1,
             own,
             regions: settings.regions.clone(),
-            link_address: links.address,
+            link_address,
             announced: false,
             first_start_until: starts.map(|wait| now + wait),
             store,
--- a/crates/daemon/src/hosted/mod.rs
+++ b/crates/daemon/src/hosted/mod.rs
@@ -28,7 +28,7 @@
 mod usage;
 mod web;
 
-pub use event_loop::{EventLoop, Links, Message};
+pub use event_loop::{EventLoop, Message};
 pub use holds::Record;
 pub use log::start as start_log;
 pub use mirror::{Ignored, Malformed, Merge, Mirror, Replaced, Rewrite, Suspects, Update};
@@ -135,20 +135,14 @@
         let metrics = TcpListener::bind((settings.ip, port)).await?;
         task::spawn(http::serve(metrics, web::metrics(shared.clone())));
     }
-    let (events, link_events) = async_channel::unbounded();
-    task::spawn(peer::forward_events(link_events, shared.clone()));
     let mut links_at = None;
     if let Some(links) = settings.link_address {
         let links = TcpListener::bind(links).await?;
         links_at = Some(links.local_addr()?);
         let keys = options.link_keys.clone();
-        task::spawn(peer::listen(links, keys, events.clone(), shared.clone()));
+        task::spawn(peer::listen(links, keys, shared.clone()));
     }
-    let links = Links {
-        address: links_at,
-        events,
-    };
-    let room = EventLoop::new(&options, &settings, shared, store, door, links, clock);
+    let room = EventLoop::new(&options, &settings, shared, store, door, links_at, clock);
     let flag = stop.clone();
     task::spawn(async move {
         room.work(receive, flag).await;
--- a/crates/daemon/src/hosted/peer.rs
+++ b/crates/daemon/src/hosted/peer.rs
@@ -11,7 +11,6 @@
 use super::replica::Retained;
 use super::shared::Shared;
 use crate::clock;
-use async_channel::{Receiver, Sender};
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
@@ -20,7 +19,7 @@
 use sorreldeck::pick::Link;
 use sorreldeck::wire::{Cursor, Frame, RetainedRow, TableCopy};
 use sorreldeck::InstanceId;
-use sorreldeck_net::link::{self, Event, Keys, Outbox};
+use sorreldeck_net::link::{self, Event, Keys, Open, Outbox};
 use sorreldeck_platform::store::{Page, Row};
 use sorreldeck_platform::{Settings, Table};
 use std::collections::{BTreeMap, HashMap};
@@ -76,12 +75,11 @@
     next_peer: usize,
     links: HashMap<Link, Outbox>,
     next_link: Link,
-    events: Sender<Event>,
 }
 
 impl Peering {
     /// Creates the set of links of an entry; none is open.
-    pub fn new(keys: Keys, settings: &Settings, events: Sender<Event>) -> Peering {
+    pub fn new(keys: Keys, settings: &Settings) -> Peering {
         Peering {
             keys,
             own_address: settings.link_address,
@@ -90,7 +88,6 @@
             next_peer: usize::from(clock::random::<1>()[0]),
             links: HashMap::new(),
             next_link: FIRST_OPENED,
-            events,
         }
     }
 
@@ -108,19 +105,23 @@
     pub fn open(&mut self, name: InstanceId, address: SocketAddr, shared: &Shared) {
         let number = self.next_link;
         self.next_link += 1;
-        let (keys, shared, events) = (self.keys.clone(), shared.clone(), self.events.clone());
+        let (keys, shared) = (self.keys.clone(), shared.clone());
         task::spawn(async move {
             let opening = link::connect(address, &keys, shared.incarnation, clock::random());
             let open = match timeout(OPEN_TIMEOUT, opening).await {
                 Ok(open) => open.map_err(|e| format!("{e:#}")),
                 Err(_) => Err("no answer".to_owned()),
             };
-            let outbox = open.map(|open| open.run(number, events, Arc::default()));
+            let error = match open {
+                Ok(open) => {
+                    let opened = |outbox| Message::LinkOpened(name, number, Ok(outbox));
+                    return run(open, number, opened, shared).await;
+                }
+                Err(error) => error,
+            };
             // Sending fails only while the process ends, since the event loop runs until then.
-            let _ = shared
-                .send
-                .send(Message::LinkOpened(name, number, outbox))
-                .await;
+            let failed = Message::LinkOpened(name, number, Err(error));
+            let _ = shared.send.send(failed).await;
         });
     }
 
@@ -241,8 +242,14 @@
     eyre::bail!("the link was closed before the tables arrived")
 }
 
-/// Forwards link events to the event loop.
-pub async fn forward_events(events: Receiver<Event>, shared: Shared) {
+/// Runs an open link. The event loop learns of the link before the first frame that arrives over
+/// it; otherwise it would have no link over which to answer that frame.
+async fn run(open: Open, link: Link, opened: impl FnOnce(Outbox) -> Message, shared: Shared) {
+    let (send, events) = async_channel::unbounded();
+    let outbox = open.run(link, send, Arc::default());
+    if shared.send.send(opened(outbox)).await.is_err() {
+        return;
+    }
     while let Ok(event) = events.recv().await {
         if shared.send.send(Message::Link(event)).await.is_err() {
             return;
@@ -251,19 +258,13 @@
 }
 
 /// Accepts links from other entries.
-pub async fn listen(listener: TcpListener, keys: Keys, events: Sender<Event>, shared: Shared) {
+pub async fn listen(listener: TcpListener, keys: Keys, shared: Shared) {
     let next_number = AtomicU64::new(1);
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let number = next_number.fetch_add(1, Ordering::Relaxed);
-                task::spawn(accept(
-                    stream,
-                    keys.clone(),
-                    number,
-                    events.clone(),
-                    shared.clone(),
-                ));
+                task::spawn(accept(stream, keys.clone(), number, shared.clone()));
             }
             // For example, no file descriptors are left; connections that close will free some.
             Err(e) => {
@@ -274,21 +275,11 @@
     }
 }
 
-async fn accept(
-    stream: TcpStream,
-    keys: Keys,
-    number: Link,
-    events: Sender<Event>,
-    shared: Shared,
-) {
+async fn accept(stream: TcpStream, keys: Keys, number: Link, shared: Shared) {
     match link::accept(stream, &keys, clock::random()).await {
         Ok(open) => {
-            let outbox = open.run(number, events, Arc::default());
-            // Sending fails only while the process ends, since the event loop runs until then.
-            let _ = shared
-                .send
-                .send(Message::LinkAccepted(number, outbox))
-                .await;
+            let accepted = |outbox| Message::LinkAccepted(number, outbox);
+            run(open, number, accepted, shared).await;
         }
         Err(e) => warn!("event=link-refused error={e:?}"),
     }
