--- a/crates/core/src/entry/routed/send.rs
+++ b/crates/core/src/entry/routed/send.rs
@@ -9,7 +9,7 @@
 /// when shorter prefills are mostly complete.
 const MIN_REPORTED_PREFILL: Span = Span::from_millis(100);
 /// The same for contended pools, where several short prefills in a row hold up a prompt.
-const MIN_CONTENDED_PREFILL: Span = Span::from_millis(60);
+const MIN_CONTENDED_PREFILL: Span = Span::from_millis(40);
 
 impl Entry {
     /// Chooses the pool and release of a routed request. Returns the subset of upstreams to which a
