--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -39,7 +39,7 @@
 use crate::latency::Estimator;
 use crate::limit::Limits;
 use crate::notice;
-use crate::pick::{Constraints, Criteria, Link, Peers, Policy};
+use crate::pick::{Constraints, Criteria, Link, Peers, Policy, SpeedSum};
 use crate::quarantine::{self, Fingerprint, Quarantine};
 use crate::release::{self, Releases};
 use crate::retry;
@@ -151,6 +151,8 @@
     QuarantineUpdate(quarantine::Update),
     /// Another entry relayed a notice of an upstream.
     Notice(notice::Update),
+    /// Other entries reported how long work took at upstreams.
+    SpeedSums(Vec<SpeedSum>),
     /// The store holds a record that quarantines a request.
     Quarantined(Fingerprint, quarantine::Hold),
     /// The record that quarantined a request was removed.
@@ -240,6 +242,8 @@
     QuarantineUpdate(quarantine::Update),
     /// Relay a notice of an upstream to the other entries.
     Notice(notice::Update),
+    /// Report to the other entries how long work took at upstreams since the last report.
+    SpeedSums(Vec<SpeedSum>),
     /// A request of a client account started to run.
     RequestStarted(AccountId),
     /// Record in the store that a request is quarantined or released from quarantine.
@@ -364,6 +368,7 @@
             Input::SessionAffinity(affinity) => self.releases.merge_affinity(affinity, now),
             Input::QuarantineUpdate(update) => self.apply_quarantine_update(now, update),
             Input::Notice(update) => self.peers.apply_remote_notice(update, now),
+            Input::SpeedSums(_) => {}
             Input::Quarantined(fingerprint, hold) => {
                 self.quarantine.restore_hold(fingerprint, hold, now)
             }
--- a/crates/core/src/pick/mod.rs
+++ b/crates/core/src/pick/mod.rs
@@ -24,6 +24,7 @@
 mod notices;
 mod pace;
 mod peer;
+mod speed;
 mod warmup;
 
 pub use availability::Availability;
@@ -31,6 +32,7 @@
 pub use pace::Pace;
 pub use peer::{prefill_wait, Peer};
 pub(crate) use peer::{CROSS_HALL_PENALTY, PREFIX_LIFETIME};
+pub use speed::SpeedSum;
 
 use crate::halls::Halls;
 use crate::id::{Hall, Incarnation, PoolId, Region, UpstreamId, VersionId};
--- a/crates/core/src/replication/mod.rs
+++ b/crates/core/src/replication/mod.rs
@@ -222,6 +222,14 @@
         self.peers.keys()
     }
 
+    /// Returns the position of an entry in the order of its data hall, by which all entries know
+    /// which of several is first.
+    pub fn rank(&self, name: &InstanceId) -> Option<usize> {
+        let hall = &self.peers.get(name)?.hall;
+        let ranked = self.ranked.get(hall)?;
+        ranked.iter().position(|ranked| ranked == name)
+    }
+
     /// Returns the data halls that have entries.
     pub fn halls(&self) -> BTreeSet<Hall> {
         self.ranked.keys().cloned().collect()
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -11,6 +11,8 @@
 //! # Ok::<(), sorreldeck::Error>(())
 //! ```
 
+mod speeds;
+
 use crate::bill::Record;
 use crate::duty;
 use crate::era::Era;
@@ -19,6 +21,7 @@
 use crate::failure::Failure;
 use crate::id::*;
 use crate::notice;
+use crate::pick::SpeedSum;
 use crate::quarantine::Update;
 use crate::release::{Affinity, Report};
 use crate::tree::{Change, Class};
@@ -347,6 +350,9 @@
     /// Notices that upstreams sent about themselves.
     #[serde(default)]
     pub notices: Vec<notice::Update>,
+    /// How long work took at upstreams since the last message with such sums.
+    #[serde(default, skip_serializing_if = "Vec::is_empty", with = "speeds")]
+    pub speeds: Vec<SpeedSum>,
     /// Its counts of started requests.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub counts: Vec<duty::Update>,
@@ -389,6 +395,9 @@
     /// Notices that upstreams sent about themselves.
     #[serde(default)]
     pub notices: Vec<notice::Update>,
+    /// How long work took at upstreams since the last message with such sums.
+    #[serde(default, skip_serializing_if = "Vec::is_empty", with = "speeds")]
+    pub speeds: Vec<SpeedSum>,
     /// The UTC time at the origin of the store's clock, in microseconds, if known.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub epoch_us: Option<i64>,
--- a/crates/core/tests/random.rs
+++ b/crates/core/tests/random.rs
@@ -300,6 +300,7 @@
             | entry::Output::SessionAffinity(..)
             | entry::Output::Suspect(_)
             | entry::Output::Notice(_)
+            | entry::Output::SpeedSums(_)
             | entry::Output::RequestStarted(_)
             | entry::Output::RequestEnded(_) => {}
         }
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -402,7 +402,7 @@
             // Sidecars keep the quarantine and relay its updates.
             Output::RecordQuarantine(_) => {}
             // Only upstreams without a sidecar send notices to entries directly.
-            Output::Notice(_) => {}
+            Output::Notice(_) | Output::SpeedSums(_) => {}
             // The usage of client accounts is taken from the records of runs.
             Output::RequestStarted(_) => {}
         }
--- a/crates/daemon/src/hosted/event_loop.rs
+++ b/crates/daemon/src/hosted/event_loop.rs
@@ -579,6 +579,10 @@
                 Command::Affinity(affinity) => self.handle(Input::SessionAffinity(affinity)),
                 Command::Quarantine(update) => self.handle(Input::QuarantineUpdate(update)),
                 Command::Notice(update) => self.handle(Input::Notice(update)),
+                Command::SpeedSums(sums) => {
+                    self.metrics.count_heard_speed_sums(sums.len());
+                    self.handle(Input::SpeedSums(sums));
+                }
             }
         }
     }
@@ -915,6 +919,10 @@
                 self.relay.share_quarantine(update, self.clock.now())
             }
             Output::Notice(update) => self.relay.share_notice(update),
+            Output::SpeedSums(sums) => {
+                self.metrics.count_told_speed_sums(sums.len());
+                self.relay.share_speeds(&sums);
+            }
             Output::RequestStarted(account) => {
                 let now = self.clock.now();
                 self.relay.count_request(&account, &self.mirror, now);
--- a/crates/daemon/src/hosted/mod.rs
+++ b/crates/daemon/src/hosted/mod.rs
@@ -25,6 +25,7 @@
 mod reports;
 mod restorer;
 mod shared;
+mod speeds;
 mod usage;
 mod web;
 
--- a/crates/daemon/src/hosted/relay.rs
+++ b/crates/daemon/src/hosted/relay.rs
@@ -1,6 +1,6 @@
 //! Replication of the store's tables between entries. The same links carry release reports,
-//! prefill times of long prompts, session affinities, quarantine updates and notices of
-//! upstreams.
+//! prefill times of long prompts, session affinities, quarantine updates, notices of upstreams
+//! and speed sums.
 //!
 //! [`sorreldeck::replication`] chooses the entries from which this one gets the tables, its
 //! sources. This module handles the messages to and from the sources and to the entries that
@@ -10,11 +10,12 @@
 use super::hints::{Affinities, Hints};
 use super::mirror::{Merge, Mirror, Update};
 use super::reports::Reports;
+use super::speeds::{Exchange, Sums};
 use super::usage::Usage;
 use sorreldeck::duty::{Tally, Update as UsageUpdate};
 use sorreldeck::era::Stamp;
 use sorreldeck::notice;
-use sorreldeck::pick::Link;
+use sorreldeck::pick::{Link, SpeedSum};
 use sorreldeck::quarantine;
 use sorreldeck::release::{Affinity, Report};
 use sorreldeck::replication::{Action, Peer, Planner, Status, Subscription, Timeouts};
@@ -62,6 +63,8 @@
     Quarantine(quarantine::Update),
     /// Process a notice of an upstream to another entry.
     Notice(notice::Update),
+    /// Process how long work of other entries took at upstreams.
+    SpeedSums(Vec<SpeedSum>),
 }
 
 /// An entry that gets the tables from this one.
@@ -78,6 +81,8 @@
     reads_store: bool,
     /// The hints that are queued for it.
     hints: Hints,
+    /// The speed sums that are queued for it.
+    speeds: Sums,
 }
 
 /// An entry that this one gets the tables from.
@@ -115,6 +120,8 @@
     hints: Hints,
     /// The sessions that are bound to their release by affinity.
     affinities: Affinities,
+    /// The speed sums that are not sent yet.
+    speeds: Exchange,
     /// The source that forwards the hints of this entry, if there is one.
     primary: Option<InstanceId>,
     /// Whether this entry is about to stop.
@@ -138,6 +145,7 @@
             operator_answered: Time::default(),
             hints: Hints::default(),
             affinities: Affinities::default(),
+            speeds: Exchange::default(),
             primary: None,
             leaving: false,
             usage: None,
@@ -275,6 +283,11 @@
         });
     }
 
+    /// Tells other entries how long work of this one took at upstreams.
+    pub fn share_speeds(&mut self, sums: &[SpeedSum]) {
+        self.speeds.record_own(sums, self.primary.is_some());
+    }
+
     /// Sends hints of this entry to the source that forwards them or, without such a source, to
     /// the subscribers. Sent both ways, a prompt would be counted twice.
     fn queue_hints(&mut self, hints: Hints) {
@@ -411,6 +424,7 @@
         commands.extend(self.poll_stale(mirror, now));
         commands.extend(self.subscribe_to_rest(mirror, now));
         commands.extend(self.notify_sources(mirror, now));
+        self.queue_speeds(now);
         commands.extend(self.publish(mirror, now));
         commands
     }
@@ -437,6 +451,43 @@
         commands
     }
 
+    /// Queues the speed sums that are due for the subscribers.
+    fn queue_speeds(&mut self, now: Time) {
+        let Some(batch) = self.speeds.take_due(now) else {
+            return;
+        };
+        let readers = self.first_readers();
+        for (link, subscriber) in &mut self.subscribers {
+            if subscriber.hall == self.own.hall {
+                subscriber.speeds.add(&batch.for_local(&subscriber.entry));
+            } else if readers.get(&subscriber.hall) == Some(link) {
+                subscriber.speeds.add(&batch.for_remote());
+            }
+        }
+    }
+
+    /// Returns the link to the subscriber in each other data hall that forwards speed sums there:
+    /// the first in rank that reads the store, so that its data hall gets each sum once.
+    fn first_readers(&self) -> BTreeMap<Hall, Link> {
+        let mut readers: Vec<(usize, &Hall, Link)> = self
+            .subscribers
+            .iter()
+            .filter(|(_, s)| s.reads_store && s.hall != self.own.hall)
+            .map(|(link, s)| (self.rank(&s.entry), &s.hall, *link))
+            .collect();
+        // The last one of each data hall stays in the map.
+        readers.sort_by(|a, b| b.cmp(a));
+        let links = readers
+            .into_iter()
+            .map(|(_, hall, link)| (hall.clone(), link));
+        links.collect()
+    }
+
+    /// Returns the rank of an entry in its data hall; unknown entries are last.
+    fn rank(&self, entry: &InstanceId) -> usize {
+        self.follow.rank(entry).unwrap_or(usize::MAX)
+    }
+
     /// Sends changes to the subscribers.
     pub fn publish(&mut self, mirror: &mut Mirror, now: Time) -> Vec<Command> {
         let links: Vec<Link> = self.subscribers.keys().copied().collect();
@@ -457,7 +508,8 @@
                 tables.extend(mirror.delta(*table, *stamp));
             }
         }
-        if !is_due && !has_hints && tables.is_empty() {
+        let has_speeds = !subscriber.speeds.is_empty();
+        if !is_due && !has_hints && !has_speeds && tables.is_empty() {
             return None;
         }
         let reports = match subscriber.sent_reports < self.reports.changes() {
@@ -466,7 +518,7 @@
                 .reports_for(&subscriber.entry, &subscriber.hall, &self.own.hall),
             false => Vec::new(),
         };
-        let feed = Feed {
+        let mut feed = Feed {
             last_contact_us: self.follow.last_sync().and_then(|at| mirror.store_time(at)),
             clock_us: mirror.store_time(now),
             era: mirror.era(),
@@ -477,6 +529,7 @@
             affinities: subscriber.hints.affinities.clone(),
             quarantine: subscriber.hints.quarantine_at(now),
             notices: subscriber.hints.notices.clone(),
+            speeds: Vec::new(),
             epoch_us: self.usage.as_ref().and_then(Usage::agreed),
         };
         let subscriber = self.subscribers.get_mut(&link)?;
@@ -486,6 +539,7 @@
         subscriber.last_sent = now;
         subscriber.sent_reports = self.reports.changes();
         subscriber.hints = Hints::default();
+        feed.speeds = subscriber.speeds.take();
         Some(Command::Send(link, Frame::Feed(Box::new(feed))))
     }
 
@@ -498,6 +552,8 @@
         let reads_store = self.reads_store();
         let keep_alive = self.keep_alive();
         let hints = std::mem::take(&mut self.hints);
+        // Sums that no source gets are dropped: the runs will be long past when one is linked.
+        let speeds = self.speeds.take_own();
         let mut was_sent = reads_store && self.primary.is_none();
         let leaving = self.leaving;
         let changed_counts = self.usage.as_mut();
@@ -513,8 +569,11 @@
             let passed = now.since(source.last_sent);
             let has_new_reports =
                 source.sent_reports < changes && has_reports && passed >= heartbeat;
-            let has_hints = !hints.is_empty() && self.primary.as_ref() == Some(&source.name);
-            if !has_new_reports && !has_hints && counts.is_empty() && passed < KEEP_ALIVE {
+            let is_primary = self.primary.as_ref() == Some(&source.name);
+            let has_hints = !hints.is_empty() && is_primary;
+            let has_speeds = !speeds.is_empty() && is_primary;
+            let is_idle = !has_new_reports && !has_hints && !has_speeds && counts.is_empty();
+            if is_idle && passed < KEEP_ALIVE {
                 continue;
             }
             source.last_sent = now;
@@ -534,6 +593,9 @@
                 follow.notices.clone_from(&hints.notices);
                 was_sent = true;
             }
+            if has_speeds {
+                follow.speeds.clone_from(&speeds);
+            }
             commands.push(Command::Send(*link, Frame::Follow(Box::new(follow))));
         }
         if !was_sent {
@@ -563,6 +625,7 @@
             affinities: Vec::new(),
             quarantine: Vec::new(),
             notices: Vec::new(),
+            speeds: Vec::new(),
             counts: Vec::new(),
             epoch_us: None,
         }
@@ -620,6 +683,7 @@
                     affinities: self.affinities.live(now),
                     ..Hints::default()
                 },
+                speeds: Sums::default(),
             };
             self.subscribers.insert(link, subscriber);
         }
@@ -645,6 +709,8 @@
             self.queue_for_subscribers(&hints, Some(link), true);
             self.forward_hints(&hints);
             commands.extend(hints.commands());
+            self.speeds.record_local(&follow.entry, &follow.speeds);
+            commands.extend(speed_command(follow.speeds));
         }
         for (pool, report) in follow.release_reports.into_iter().filter(|_| is_same_hall) {
             self.reports
@@ -707,6 +773,10 @@
         };
         self.affinities.record(&hints.affinities, now);
         let mut commands = hints.commands();
+        if !is_same_hall {
+            self.speeds.record_remote(&feed.speeds);
+        }
+        commands.extend(speed_command(feed.speeds));
         if gap {
             if let Some(source) = self.sources.get_mut(&link) {
                 source.last_sent = now;
@@ -747,6 +817,11 @@
     }
 }
 
+/// Returns the command that passes speed sums to the decisions of this entry, if there are any.
+fn speed_command(sums: Vec<SpeedSum>) -> Option<Command> {
+    (!sums.is_empty()).then_some(Command::SpeedSums(sums))
+}
+
 /// Returns the difference between UTC and the store's clock according to this process, in
 /// microseconds.
 pub fn own_epoch(mirror: &Mirror, now: Time) -> Option<i64> {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -52,6 +52,8 @@
     versions: Family<TableLabels, Gauge>,
     silences: Family<TableLabels, Gauge>,
     ignored_pages: Counter,
+    told_speed_sums: Counter,
+    heard_speed_sums: Counter,
     gauges: Gauges,
 }
 
@@ -140,6 +142,17 @@
             "Answers of the platform's store that changed nothing, since a later version is known",
             ignored_pages.clone(),
         );
+        let (told_speed_sums, heard_speed_sums) = (Counter::default(), Counter::default());
+        registry.register(
+            "speed_sums_told",
+            "Sums of how long work took at an upstream that this entry told to others",
+            told_speed_sums.clone(),
+        );
+        registry.register(
+            "speed_sums_heard",
+            "Sums of how long work took at an upstream that this entry heard from others",
+            heard_speed_sums.clone(),
+        );
         gauges.register(&mut registry);
         Metrics {
             registry,
@@ -151,6 +164,8 @@
             versions,
             silences,
             ignored_pages,
+            told_speed_sums,
+            heard_speed_sums,
             gauges,
         }
     }
@@ -324,6 +339,16 @@
         self.ignored_pages.inc();
     }
 
+    /// Counts speed sums that this entry told to others.
+    pub fn count_told_speed_sums(&self, sums: usize) {
+        self.told_speed_sums.inc_by(sums as u64);
+    }
+
+    /// Counts speed sums that this entry heard from others.
+    pub fn count_heard_speed_sums(&self, sums: usize) {
+        self.heard_speed_sums.inc_by(sums as u64);
+    }
+
     /// Encodes all metrics.
     pub fn encode(&self) -> String {
         let mut buf = String::new();
--- a/crates/daemon/tests/relay/main.rs
+++ b/crates/daemon/tests/relay/main.rs
@@ -6,6 +6,8 @@
 //! Time is simulated and no sockets are used.
 //! `SORRELDECK_CASES` sets the number of cases, `SORRELDECK_FIRST` the seed of the first.
 
+mod speeds;
+
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sorreldeck::era::Era;
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -7,7 +7,7 @@
 use rand_chacha::ChaCha8Rng;
 use sorreldeck::era::Freshness;
 use sorreldeck::notice;
-use sorreldeck::pick::Link;
+use sorreldeck::pick::{Link, SpeedSum};
 use sorreldeck::quarantine;
 use sorreldeck::replication::{Peer, Subscription, Timeouts};
 use sorreldeck::wire::{self, Frame};
@@ -88,6 +88,8 @@
     pub quarantine_updates: Vec<quarantine::Update>,
     /// The updates received on notices of upstreams.
     pub notices: Vec<notice::Update>,
+    /// The speed sums received.
+    pub speeds: Vec<SpeedSum>,
     /// The number of the latest change seen of each row since the entry's start.
     pub latest_changes: BTreeMap<(Table, String), u64>,
     /// The upstreams that may receive requests.
@@ -111,6 +113,7 @@
             affinities: BTreeSet::new(),
             quarantine_updates: Vec::new(),
             notices: Vec::new(),
+            speeds: Vec::new(),
             latest_changes: BTreeMap::new(),
             routable: BTreeSet::new(),
         }
@@ -171,6 +174,8 @@
     pub events: BTreeMap<(Time, u64), Event>,
     /// The share of links with an additional delay.
     pub slow_link_share: f64,
+    /// The share of frames that arrive a second time, late.
+    pub duplicate_share: f64,
     /// The additional delay of each end of a slow link.
     pub delays: BTreeMap<End, Span>,
     /// The arrival time of the last message to each end, since messages do not overtake each other.
@@ -185,6 +190,8 @@
     pub cross_hall_bytes: u64,
     /// The bytes sent by each entry.
     pub sent_bytes: Vec<u64>,
+    /// The bytes sent by each end of a link.
+    pub link_bytes: BTreeMap<End, u64>,
     /// The number of complete tables of upstreams sent, and of those sent to another data hall.
     pub full_tables: (u64, u64),
 }
@@ -208,6 +215,7 @@
             blackholed: BTreeSet::new(),
             events: BTreeMap::new(),
             slow_link_share: 0.0,
+            duplicate_share: 0.05,
             delays: BTreeMap::new(),
             last_arrival: BTreeMap::new(),
             next_link: 1,
@@ -215,6 +223,7 @@
             slow_until: Time::default(),
             cross_hall_bytes: 0,
             sent_bytes: vec![0; entries],
+            link_bytes: BTreeMap::new(),
             full_tables: (0, 0),
         };
         for i in 0..entries {
@@ -273,7 +282,7 @@
         !is_partitioned(&self.nodes[from]) && !is_partitioned(&self.nodes[to])
     }
 
-    /// Sends a frame over a link. In 5% of all cases it arrives a second time, late.
+    /// Sends a frame over a link. Some frames arrive a second time, late.
     pub fn send(&mut self, from: End, frame: Frame) {
         let Some(to) = self.links.get(&from).copied() else {
             return;
@@ -283,6 +292,7 @@
         }
         let bytes = wire::encode(std::slice::from_ref(&frame)).len() as u64;
         self.sent_bytes[from.0] += bytes;
+        *self.link_bytes.entry(from).or_default() += bytes;
         let is_cross_hall = self.nodes[from.0].peer.hall != self.nodes[to.0].peer.hall;
         if is_cross_hall {
             self.cross_hall_bytes += bytes;
@@ -296,7 +306,7 @@
         let last = self.last_arrival.entry(to).or_default();
         let due = due.max(*last);
         *last = due;
-        if self.rng.random_bool(0.05) {
+        if self.rng.random_bool(self.duplicate_share) {
             let late = due + Span::from_millis(self.rng.random_range(0..800));
             self.schedule(late, Event::Frame(to, Box::new(frame.clone())));
         }
@@ -325,6 +335,7 @@
                 Command::Affinity(new) => drop(self.nodes[node].affinities.insert(new.session)),
                 Command::Quarantine(update) => self.nodes[node].quarantine_updates.push(update),
                 Command::Notice(update) => self.nodes[node].notices.push(update),
+                Command::SpeedSums(sums) => self.nodes[node].speeds.extend(sums),
                 Command::Report(..) | Command::Prefill(..) => {}
             }
         }
