--- a/crates/daemon/src/hosted/relay.rs
+++ b/crates/daemon/src/hosted/relay.rs
@@ -94,6 +94,8 @@
     /// Whether it was asked for the tables.
     is_subscribed: bool,
     last_sent: Time,
+    /// When it was last sent release reports, and the change counter up to which they were sent.
+    reported_at: Time,
     sent_reports: u64,
     /// Whether it got the counts from before the link was opened.
     has_counts: bool,
@@ -336,6 +338,7 @@
             opened_at: now,
             is_subscribed,
             last_sent: now,
+            reported_at: Time::default(),
             sent_reports: 0,
             has_counts: false,
         };
@@ -567,8 +570,8 @@
                 self.usage.as_ref().filter(|_| is_same_hall),
             );
             let passed = now.since(source.last_sent);
-            let has_new_reports =
-                source.sent_reports < changes && has_reports && passed >= heartbeat;
+            let has_new_reports = source.sent_reports < changes && has_reports;
+            let has_new_reports = has_new_reports && now.since(source.reported_at) >= heartbeat;
             let is_primary = self.primary.as_ref() == Some(&source.name);
             let has_hints = !hints.is_empty() && is_primary;
             let has_speeds = !speeds.is_empty() && is_primary;
@@ -577,13 +580,14 @@
                 continue;
             }
             source.last_sent = now;
-            source.sent_reports = changes;
             let mut follow = keep_alive.clone();
             if !counts.is_empty() {
                 follow.counts = counts;
                 follow.epoch_us = epoch;
             }
             if has_new_reports {
+                source.reported_at = now;
+                source.sent_reports = changes;
                 follow.release_reports = self.reports.reports_of(&self.own.name);
             }
             if has_hints {
--- a/crates/daemon/tests/relay/main.rs
+++ b/crates/daemon/tests/relay/main.rs
@@ -438,6 +438,37 @@
     }
 }
 
+/// A report on a release that is shared while other matter is sent more often than reports may be:
+/// it waits for its turn, and must not count as sent with the frames before.
+#[test_case(|relay, _| relay.share_prefill(7, Span::from_millis(900)); "prefill times")]
+#[test_case(|relay, step| relay.share_speeds(&[speeds::sum(step, 1, 0)]); "speed sums")]
+fn a_report_is_sent_beside_hints(share: fn(&mut Relay, u64)) {
+    // A bad release must be abandoned within 5 s; of these, trials need most.
+    const ARRIVAL_STEPS: u64 = 100;
+    let mut world = World::new(15, 3, 12);
+    world.run(250);
+    let is_follower = |node: &Node| node.subscription == Subscription::Nothing;
+    let reporter = world.nodes.iter().position(is_follower).unwrap();
+    let counts = |answers| serde_json::json!({ "answers": answers, "failed": 0, "slow": 0 });
+    let report =
+        serde_json::json!({ "number": 1, "old": counts(7), "new": counts(3), "failing": [] });
+    let report: sorreldeck::release::Report = serde_json::from_value(report).unwrap();
+    for step in 0..ARRIVAL_STEPS {
+        let relay = &mut world.nodes[reporter].relay;
+        if step % 10 == 0 {
+            share(relay, step);
+        }
+        if step == 1 {
+            relay.share_report("engines".parse().unwrap(), report.clone());
+        }
+        world.tick();
+    }
+    for (number, node) in world.nodes.iter().enumerate() {
+        let has_report = node.reports.iter().any(|(_, received)| *received == report);
+        assert!(has_report || number == reporter, "entry {number}");
+    }
+}
+
 /// An instance with 0.09 of a core must learn 400 entries within 250 ms of its start, that is in
 /// 22.5 ms of CPU time.
 #[test]
--- a/crates/daemon/tests/relay/speeds.rs
+++ b/crates/daemon/tests/relay/speeds.rs
@@ -21,7 +21,7 @@
 /// states.
 const MAX_RATE: u64 = 1_500;
 
-fn sum(upstream: u64, weight: u32, log: i32) -> SpeedSum {
+pub fn sum(upstream: u64, weight: u32, log: i32) -> SpeedSum {
     SpeedSum {
         upstream,
         weight,
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -9,9 +9,10 @@
 use sorreldeck::notice;
 use sorreldeck::pick::{Link, SpeedSum};
 use sorreldeck::quarantine;
+use sorreldeck::release::Report;
 use sorreldeck::replication::{Peer, Subscription, Timeouts};
 use sorreldeck::wire::{self, Frame};
-use sorreldeck::{InstanceId, Span, Time, UpstreamId};
+use sorreldeck::{Hall, InstanceId, Span, Time, UpstreamId};
 use sorreldeck_platform::store::Row;
 use sorreldeck_platform::Table;
 use sorreldeckd::hosted::{Command, Mirror, Relay, Update};
@@ -88,6 +89,8 @@
     pub quarantine_updates: Vec<quarantine::Update>,
     /// The updates received on notices of upstreams.
     pub notices: Vec<notice::Update>,
+    /// The reports received on a release, with the data hall of those who made them.
+    pub reports: Vec<(Hall, Report)>,
     /// The speed sums received.
     pub speeds: Vec<SpeedSum>,
     /// The number of the latest change seen of each row since the entry's start.
@@ -113,6 +116,7 @@
             affinities: BTreeSet::new(),
             quarantine_updates: Vec::new(),
             notices: Vec::new(),
+            reports: Vec::new(),
             speeds: Vec::new(),
             latest_changes: BTreeMap::new(),
             routable: BTreeSet::new(),
@@ -336,7 +340,8 @@
                 Command::Quarantine(update) => self.nodes[node].quarantine_updates.push(update),
                 Command::Notice(update) => self.nodes[node].notices.push(update),
                 Command::SpeedSums(sums) => self.nodes[node].speeds.extend(sums),
-                Command::Report(..) | Command::Prefill(..) => {}
+                Command::Report(_, hall, report) => self.nodes[node].reports.push((hall, report)),
+                Command::Prefill(..) => {}
             }
         }
     }
