--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -361,6 +361,26 @@
     pub epoch_us: Option<i64>,
 }
 
+impl Follow {
+    /// Creates a message that only shows that the entry is alive.
+    pub fn new(entry: InstanceId, hall: Hall) -> Follow {
+        Follow {
+            entry,
+            hall,
+            cursor: None,
+            reads_store: false,
+            release_reports: Vec::new(),
+            sent_prompts: Vec::new(),
+            affinities: Vec::new(),
+            quarantine: Vec::new(),
+            notices: Vec::new(),
+            speeds: Vec::new(),
+            counts: Vec::new(),
+            epoch_us: None,
+        }
+    }
+}
+
 /// A message of an entry to those that replicate the tables of the platform's store from it.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Feed {
--- a/crates/daemon/src/hosted/event_loop.rs
+++ b/crates/daemon/src/hosted/event_loop.rs
@@ -572,16 +572,11 @@
                 Command::Send(link, frame) => self.peering.send(link, frame),
                 Command::Read(subscription) => self.followers.read(subscription),
                 Command::Poll(table) => self.poll_table(table),
-                Command::Report(pool, hall, report) => {
-                    self.handle(Input::ReleaseReport(pool, hall, report))
-                }
-                Command::Prefill(number, time) => self.handle(Input::Prefill(number, time)),
-                Command::Affinity(affinity) => self.handle(Input::SessionAffinity(affinity)),
-                Command::Quarantine(update) => self.handle(Input::QuarantineUpdate(update)),
-                Command::Notice(update) => self.handle(Input::Notice(update)),
-                Command::SpeedSums(sums) => {
-                    self.metrics.count_heard_speed_sums(sums.len());
-                    self.handle(Input::SpeedSums(sums));
+                Command::Handle(input) => {
+                    if let Input::SpeedSums(sums) = &input {
+                        self.metrics.count_heard_speed_sums(sums.len());
+                    }
+                    self.handle(input);
                 }
             }
         }
@@ -911,14 +906,6 @@
             }
             Output::Send(_, Frame::Cancel(run)) => drop(self.runs.remove(&run)),
             Output::Answer(request, part) => self.respond(request, part),
-            Output::Prefill(number, time) => self.relay.share_prefill(number, time),
-            Output::SessionAffinity(affinity) => {
-                self.relay.share_affinity(affinity, self.clock.now())
-            }
-            Output::QuarantineUpdate(update) => {
-                self.relay.share_quarantine(update, self.clock.now())
-            }
-            Output::Notice(update) => self.relay.share_notice(update),
             Output::SpeedSums(sums) => {
                 self.metrics.count_told_speed_sums(sums.len());
                 self.relay.share_speeds(&sums);
@@ -932,8 +919,13 @@
                 self.metrics.record_request(&done);
                 self.log_request(&done);
             }
-            // The other outputs do not occur where upstreams are called directly.
-            other => log::debug!("ignoring output {other:?}"),
+            other => {
+                let is_shared = self.relay.share(&other, self.clock.now());
+                if !is_shared {
+                    // The other outputs do not occur where upstreams are called directly.
+                    log::debug!("ignoring output {other:?}");
+                }
+            }
         }
     }
 
--- a/crates/daemon/src/hosted/hints.rs
+++ b/crates/daemon/src/hosted/hints.rs
@@ -1,10 +1,11 @@
 //! Hints that entries send one another at once over the replication links: prefill times of
 //! long prompts, session affinities, quarantine updates and notices of upstreams.
 
-use super::relay::Command;
+use sorreldeck::entry::{Input, Output};
 use sorreldeck::notice;
 use sorreldeck::quarantine::Update;
 use sorreldeck::release::Affinity;
+use sorreldeck::wire::{Feed, Follow};
 use sorreldeck::{Span, Time};
 use std::collections::BTreeMap;
 
@@ -35,7 +36,85 @@
     pub notices: Vec<notice::Update>,
 }
 
+/// The fields of a frame that carry hints.
+pub struct Fields<'a> {
+    prompts: &'a mut Vec<(u64, u32)>,
+    affinities: &'a mut Vec<Affinity>,
+    quarantine: &'a mut Vec<Update>,
+    notices: &'a mut Vec<notice::Update>,
+}
+
+impl<'a> From<&'a mut Follow> for Fields<'a> {
+    fn from(follow: &'a mut Follow) -> Fields<'a> {
+        Fields {
+            prompts: &mut follow.sent_prompts,
+            affinities: &mut follow.affinities,
+            quarantine: &mut follow.quarantine,
+            notices: &mut follow.notices,
+        }
+    }
+}
+
+impl<'a> From<&'a mut Feed> for Fields<'a> {
+    fn from(feed: &'a mut Feed) -> Fields<'a> {
+        Fields {
+            prompts: &mut feed.sent_prompts,
+            affinities: &mut feed.affinities,
+            quarantine: &mut feed.quarantine,
+            notices: &mut feed.notices,
+        }
+    }
+}
+
 impl Hints {
+    /// Returns the hint to other entries in an output of this entry's decisions, if it is one.
+    pub fn of_output(output: &Output, now: Time) -> Option<Hints> {
+        let mut hints = Hints::default();
+        match output {
+            Output::Prefill(number, time) => {
+                let millis = time.millis().try_into().unwrap_or(u32::MAX);
+                hints.prompts.push((*number, millis));
+            }
+            Output::SessionAffinity(affinity) => hints.affinities.push(affinity.clone()),
+            Output::QuarantineUpdate(update) => hints.quarantine.push((update.clone(), now)),
+            Output::Notice(update) => hints.notices.push(*update),
+            _ => return None,
+        }
+        Some(hints)
+    }
+
+    /// Takes the hints out of a frame.
+    pub fn take<'a>(frame: impl Into<Fields<'a>>, now: Time) -> Hints {
+        let fields = frame.into();
+        let quarantine = std::mem::take(fields.quarantine);
+        Hints {
+            prompts: std::mem::take(fields.prompts),
+            affinities: std::mem::take(fields.affinities),
+            quarantine: quarantine.into_iter().map(|update| (update, now)).collect(),
+            notices: std::mem::take(fields.notices),
+        }
+    }
+
+    /// Copies the hints into a frame. The quarantine updates get their ages as of `now`.
+    pub fn put<'a>(&self, frame: impl Into<Fields<'a>>, now: Time) {
+        let fields = frame.into();
+        fields.prompts.clone_from(&self.prompts);
+        fields.affinities.clone_from(&self.affinities);
+        let delayed = |(update, at): &(Update, Time)| update.clone().delayed(now.since(*at));
+        *fields.quarantine = self.quarantine.iter().map(delayed).collect();
+        fields.notices.clone_from(&self.notices);
+    }
+
+    /// Returns the hints that may be sent late or twice. A prompt must not be counted twice, and a
+    /// late one has been read.
+    pub fn without_prompts(self) -> Hints {
+        Hints {
+            prompts: Vec::new(),
+            ..self
+        }
+    }
+
+    /// Returns whether there are no hints.
     pub fn is_empty(&self) -> bool {
         self.prompts.is_empty()
             && self.affinities.is_empty()
@@ -43,14 +122,6 @@
             && self.notices.is_empty()
     }
 
-    /// Returns the quarantine updates with their ages as of `now`.
-    pub fn quarantine_at(&self, now: Time) -> Vec<Update> {
-        let quarantine = self.quarantine.iter().cloned();
-        quarantine
-            .map(|(update, at)| update.delayed(now.since(at)))
-            .collect()
-    }
-
     /// Queues more hints, up to the maximum of each kind.
     pub fn extend(&mut self, more: &Hints) {
         if self.prompts.len() < MAX_PROMPTS {
@@ -67,24 +138,17 @@
         }
     }
 
-    /// Returns the commands that pass the hints to the decisions of this entry.
-    pub fn commands(&self) -> Vec<Command> {
-        let prefill = |(number, ms): &(u64, u32)| {
-            let prefill_time = Span::from_millis(u64::from(*ms));
-            Command::Prefill(*number, prefill_time)
+    /// Returns the inputs that pass the hints to the decisions of this entry.
+    pub fn inputs(&self) -> impl Iterator<Item = Input> + use<'_> {
+        let prefill = |(number, millis): &(u64, u32)| {
+            Input::Prefill(*number, Span::from_millis(u64::from(*millis)))
         };
         let prompts = self.prompts.iter().map(prefill);
-        let affinities = self.affinities.iter().cloned().map(Command::Affinity);
-        let quarantine = self
-            .quarantine
-            .iter()
-            .map(|(update, _)| Command::Quarantine(update.clone()));
-        let notices = self.notices.iter().copied().map(Command::Notice);
-        prompts
-            .chain(affinities)
-            .chain(quarantine)
-            .chain(notices)
-            .collect()
+        let affinities = self.affinities.iter().cloned().map(Input::SessionAffinity);
+        let quarantine = self.quarantine.iter().map(|(update, _)| update.clone());
+        let quarantine = quarantine.map(Input::QuarantineUpdate);
+        let notices = self.notices.iter().copied().map(Input::Notice);
+        prompts.chain(affinities).chain(quarantine).chain(notices)
     }
 }
 
--- a/crates/daemon/src/hosted/relay.rs
+++ b/crates/daemon/src/hosted/relay.rs
@@ -13,11 +13,10 @@
 use super::speeds::{Exchange, Sums};
 use super::usage::Usage;
 use sorreldeck::duty::{Tally, Update as UsageUpdate};
+use sorreldeck::entry::{Input, Output};
 use sorreldeck::era::Stamp;
-use sorreldeck::notice;
 use sorreldeck::pick::{Link, SpeedSum};
-use sorreldeck::quarantine;
-use sorreldeck::release::{Affinity, Report};
+use sorreldeck::release::Report;
 use sorreldeck::replication::{Action, Peer, Planner, Status, Subscription, Timeouts};
 use sorreldeck::wire::{self, Feed, Frame, TABLE_COUNT};
 use sorreldeck::{AccountId, Hall, InstanceId, PoolId, Span, Time};
@@ -41,7 +40,7 @@
 const MIN_POLL_INTERVAL: Span = Span::from_millis(1_500);
 
 /// A command for the event loop.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug)]
 pub enum Command {
     /// Open a link to an entry.
     Open(InstanceId, SocketAddr),
@@ -53,18 +52,8 @@
     Read(Subscription),
     /// Abort the long poll of a table and read it at once.
     Poll(Table),
-    /// Process a report of a data hall's entries on a release.
-    Report(PoolId, Hall, Report),
-    /// Process that an entry sent an upstream a prompt with this prefill time.
-    Prefill(u64, Span),
-    /// Process that an entry serves a session that is bound to its release by affinity.
-    Affinity(Affinity),
-    /// Process a quarantine update of an entry: requests during which upstreams crashed.
-    Quarantine(quarantine::Update),
-    /// Process a notice of an upstream to another entry.
-    Notice(notice::Update),
-    /// Process how long work of other entries took at upstreams.
-    SpeedSums(Vec<SpeedSum>),
+    /// Pass what other entries told to the decisions of this one.
+    Handle(Input),
 }
 
 /// An entry that gets the tables from this one.
@@ -250,39 +239,15 @@
         self.reports.set_local(pool, self.own.name.clone(), report);
     }
 
-    /// Tells other entries that this one sent an upstream a prompt with this prefill time.
-    pub fn share_prefill(&mut self, number: u64, prefill_time: Span) {
-        let prompt = (number, prefill_time.millis().try_into().unwrap_or(u32::MAX));
-        self.queue_hints(Hints {
-            prompts: vec![prompt],
-            ..Hints::default()
-        });
-    }
-
-    /// Tells other entries that this one serves a session that is bound to its release by affinity.
-    pub fn share_affinity(&mut self, affinity: Affinity, now: Time) {
-        let affinities = vec![affinity];
-        self.affinities.record(&affinities, now);
-        self.queue_hints(Hints {
-            affinities,
-            ..Hints::default()
-        });
-    }
-
-    /// Shares this entry's report on requests during which upstreams crashed.
-    pub fn share_quarantine(&mut self, update: quarantine::Update, now: Time) {
-        self.queue_hints(Hints {
-            quarantine: vec![(update, now)],
-            ..Hints::default()
-        });
-    }
-
-    /// Shares a notice of an upstream with other entries.
-    pub fn share_notice(&mut self, update: notice::Update) {
-        self.queue_hints(Hints {
-            notices: vec![update],
-            ..Hints::default()
-        });
+    /// Shares an output of this entry's decisions with other entries, if it is a hint; returns
+    /// whether it is one.
+    pub fn share(&mut self, output: &Output, now: Time) -> bool {
+        let Some(hints) = Hints::of_output(output, now) else {
+            return false;
+        };
+        self.affinities.record(&hints.affinities, now);
+        self.queue_hints(hints);
+        true
     }
 
     /// Tells other entries how long work of this one took at upstreams.
@@ -528,13 +493,10 @@
             leaving: self.leaving,
             tables,
             release_reports: reports,
-            sent_prompts: subscriber.hints.prompts.clone(),
-            affinities: subscriber.hints.affinities.clone(),
-            quarantine: subscriber.hints.quarantine_at(now),
-            notices: subscriber.hints.notices.clone(),
-            speeds: Vec::new(),
             epoch_us: self.usage.as_ref().and_then(Usage::agreed),
+            ..Feed::default()
         };
+        subscriber.hints.put(&mut feed, now);
         let subscriber = self.subscribers.get_mut(&link)?;
         for table in &feed.tables {
             subscriber.stamps[table.number] = Stamp::new(table.era, table.version);
@@ -591,10 +553,7 @@
                 follow.release_reports = self.reports.reports_of(&self.own.name);
             }
             if has_hints {
-                follow.sent_prompts.clone_from(&hints.prompts);
-                follow.affinities.clone_from(&hints.affinities);
-                follow.quarantine = hints.quarantine_at(now);
-                follow.notices.clone_from(&hints.notices);
+                hints.put(&mut follow, now);
                 was_sent = true;
             }
             if has_speeds {
@@ -603,11 +562,8 @@
             commands.push(Command::Send(*link, Frame::Follow(Box::new(follow))));
         }
         if !was_sent {
-            // The prompts will have been read by the time that a source is linked again.
             // Session affinities persist, and a request that crashes upstreams continues to do so.
-            self.hints.affinities = hints.affinities;
-            self.hints.quarantine = hints.quarantine;
-            self.hints.notices = hints.notices;
+            self.hints = hints.without_prompts();
         }
         commands
     }
@@ -620,18 +576,8 @@
     /// Returns a keep-alive for a source.
     fn keep_alive(&self) -> wire::Follow {
         wire::Follow {
-            entry: self.own.name.clone(),
-            hall: self.own.hall.clone(),
-            cursor: None,
             reads_store: self.reads_store(),
-            release_reports: Vec::new(),
-            sent_prompts: Vec::new(),
-            affinities: Vec::new(),
-            quarantine: Vec::new(),
-            notices: Vec::new(),
-            speeds: Vec::new(),
-            counts: Vec::new(),
-            epoch_us: None,
+            ..wire::Follow::new(self.own.name.clone(), self.own.hall.clone())
         }
     }
 
@@ -657,20 +603,18 @@
         if self.primary.is_none() {
             return;
         }
-        self.hints.extend(&Hints {
-            prompts: Vec::new(),
-            ..hints.clone()
-        });
+        self.hints.extend(&hints.clone().without_prompts());
     }
 
     /// Handles a subscription or the keep-alive of a subscriber.
     fn handle_follow(
         &mut self,
         link: Link,
-        follow: wire::Follow,
+        mut follow: wire::Follow,
         mirror: &mut Mirror,
         now: Time,
     ) -> Vec<Command> {
+        let hints = Hints::take(&mut follow, now);
         let is_same_hall = follow.hall == self.own.hall;
         if let Some(cursor) = follow.cursor {
             let stamps = cursor
@@ -699,20 +643,10 @@
             usage.merge(&follow.entry, follow.counts, follow.epoch_us);
         }
         if is_same_hall {
-            let hints = Hints {
-                prompts: follow.sent_prompts,
-                affinities: follow.affinities,
-                quarantine: follow
-                    .quarantine
-                    .into_iter()
-                    .map(|update| (update, now))
-                    .collect(),
-                notices: follow.notices,
-            };
             self.affinities.record(&hints.affinities, now);
             self.queue_for_subscribers(&hints, Some(link), true);
             self.forward_hints(&hints);
-            commands.extend(hints.commands());
+            commands.extend(hints.inputs().map(Command::Handle));
             self.speeds.record_local(&follow.entry, &follow.speeds);
             commands.extend(speed_command(follow.speeds));
         }
@@ -721,7 +655,8 @@
                 .set_local(pool.clone(), follow.entry.clone(), report);
             let others = self.reports.local_sum_without(&pool, &self.own.name);
             let hall = self.own.hall.clone();
-            commands.extend(others.map(|sum| Command::Report(pool, hall, sum)));
+            let input = others.map(|sum| Input::ReleaseReport(pool, hall, sum));
+            commands.extend(input.map(Command::Handle));
         }
         commands.extend(self.publish_to(link, mirror, now));
         commands
@@ -731,7 +666,7 @@
     fn handle_feed(
         &mut self,
         link: Link,
-        feed: Feed,
+        mut feed: Feed,
         mirror: &mut Mirror,
         now: Time,
     ) -> (Vec<Update>, Vec<Command>) {
@@ -746,6 +681,7 @@
         }
         let name = source.name.clone();
         let is_same_hall = self.follow.is_same_hall(&name);
+        let hints = Hints::take(&mut feed, now);
         let mut updates = Vec::new();
         let mut gap = false;
         for delta in feed.tables {
@@ -765,18 +701,8 @@
             leaving: feed.leaving,
         };
         self.follow.record_status(&name, status, now);
-        let hints = Hints {
-            prompts: feed.sent_prompts,
-            affinities: feed.affinities,
-            quarantine: feed
-                .quarantine
-                .into_iter()
-                .map(|update| (update, now))
-                .collect(),
-            notices: feed.notices,
-        };
         self.affinities.record(&hints.affinities, now);
-        let mut commands = hints.commands();
+        let mut commands: Vec<Command> = hints.inputs().map(Command::Handle).collect();
         if !is_same_hall {
             self.speeds.record_remote(&feed.speeds);
         }
@@ -798,7 +724,8 @@
             // If this entry has subscribers, they send it the reports of its own data hall
             // directly, which are more current.
             if hall != self.own.hall || self.subscribers.is_empty() {
-                commands.push(Command::Report(pool, hall, report));
+                let input = Input::ReleaseReport(pool, hall, report);
+                commands.push(Command::Handle(input));
             }
         }
         (updates, commands)
@@ -823,7 +750,7 @@
 
 /// Returns the command that passes speed sums to the decisions of this entry, if there are any.
 fn speed_command(sums: Vec<SpeedSum>) -> Option<Command> {
-    (!sums.is_empty()).then_some(Command::SpeedSums(sums))
+    (!sums.is_empty()).then(|| Command::Handle(Input::SpeedSums(sums)))
 }
 
 /// Returns the difference between UTC and the store's clock according to this process, in
--- a/crates/daemon/tests/relay/main.rs
+++ b/crates/daemon/tests/relay/main.rs
@@ -10,6 +10,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use sorreldeck::entry::Output;
 use sorreldeck::era::Era;
 use sorreldeck::notice;
 use sorreldeck::pick::Link;
@@ -331,7 +332,7 @@
 #[test_case(4, 80; "many entries")]
 fn session_pins_reach_all_entries(halls: usize, entries: usize) {
     let world = share_from_each(11, halls, entries, |relay, number, now| {
-        relay.share_affinity(pin(number), now);
+        relay.share(&Output::SessionAffinity(pin(number)), now);
     });
     assert_all_received(&world, |node| node.affinities.clone());
 }
@@ -381,7 +382,7 @@
             ago_ms: 0,
             requests: vec![Fingerprint::of(&[b"request"])],
         };
-        relay.share_quarantine(word, now);
+        relay.share(&Output::QuarantineUpdate(word), now);
     });
     assert_all_received(&world, |node| {
         node.quarantine_updates.iter().filter_map(crashed).collect()
@@ -400,11 +401,12 @@
 #[test_case(3, 3; "an entry in each of three halls")]
 #[test_case(4, 80; "eighty entries")]
 fn notices_of_upstreams_reach_all_entries(halls: usize, entries: usize) {
-    let world = share_from_each(14, halls, entries, |relay, number, _| {
-        relay.share_notice(notice::Update {
+    let world = share_from_each(14, halls, entries, |relay, number, now| {
+        let update = notice::Update {
             upstream: number,
             change: notice::Change::Unlimited,
-        });
+        };
+        relay.share(&Output::Notice(update), now);
     });
     assert_all_received(&world, |node| {
         let upstreams = node.notices.iter().map(|word| word.upstream);
@@ -425,7 +427,8 @@
     let mut world = World::new(12, 3, 30);
     world.run(250);
     let now = world.now;
-    world.nodes[0].relay.share_affinity(pin(7), now);
+    let relay = &mut world.nodes[0].relay;
+    relay.share(&Output::SessionAffinity(pin(7)), now);
     world.run(15);
     let mut readers = (2..30).filter(|n| world.nodes[*n].subscription == Subscription::All);
     let reader = readers.next().unwrap();
@@ -438,11 +441,20 @@
     }
 }
 
+fn share_prompt(relay: &mut Relay, now: Time) {
+    let output = Output::Prefill(7, Span::from_millis(900));
+    relay.share(&output, now);
+}
+
+fn share_speed(relay: &mut Relay, _now: Time) {
+    relay.share_speeds(&[speeds::sum(7, 1, 0)]);
+}
+
 /// A report on a release that is shared while other matter is sent more often than reports may be:
 /// it waits for its turn, and must not count as sent with the frames before.
-#[test_case(|relay, _| relay.share_prefill(7, Span::from_millis(900)); "prefill times")]
-#[test_case(|relay, step| relay.share_speeds(&[speeds::sum(step, 1, 0)]); "speed sums")]
-fn a_report_is_sent_beside_hints(share: fn(&mut Relay, u64)) {
+#[test_case(share_prompt; "prefill times")]
+#[test_case(share_speed; "speed sums")]
+fn a_report_is_sent_beside_hints(share: fn(&mut Relay, Time)) {
     // A bad release must be abandoned within 5 s; of these, trials need most.
     const ARRIVAL_STEPS: u64 = 100;
     let mut world = World::new(15, 3, 12);
@@ -456,7 +468,7 @@
     for step in 0..ARRIVAL_STEPS {
         let relay = &mut world.nodes[reporter].relay;
         if step % 10 == 0 {
-            share(relay, step);
+            share(relay, world.now);
         }
         if step == 1 {
             relay.share_report("engines".parse().unwrap(), report.clone());
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -5,6 +5,7 @@
 use crate::store::Store;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use sorreldeck::entry::Input;
 use sorreldeck::era::Freshness;
 use sorreldeck::notice;
 use sorreldeck::pick::{Link, SpeedSum};
@@ -123,6 +124,18 @@
         }
     }
 
+    /// Records what other entries told.
+    fn record(&mut self, input: Input) {
+        match input {
+            Input::SessionAffinity(new) => drop(self.affinities.insert(new.session)),
+            Input::QuarantineUpdate(update) => self.quarantine_updates.push(update),
+            Input::Notice(update) => self.notices.push(update),
+            Input::SpeedSums(sums) => self.speeds.extend(sums),
+            Input::ReleaseReport(_, hall, report) => self.reports.push((hall, report)),
+            _ => {}
+        }
+    }
+
     /// Returns whether the process exists, suspended or not.
     pub fn is_up(&self, now: Time) -> bool {
         now >= self.down_until
@@ -336,12 +349,7 @@
                 Command::Poll(table) => {
                     self.nodes[node].polls[table as usize] = Poll::default();
                 }
-                Command::Affinity(new) => drop(self.nodes[node].affinities.insert(new.session)),
-                Command::Quarantine(update) => self.nodes[node].quarantine_updates.push(update),
-                Command::Notice(update) => self.nodes[node].notices.push(update),
-                Command::SpeedSums(sums) => self.nodes[node].speeds.extend(sums),
-                Command::Report(_, hall, report) => self.nodes[node].reports.push((hall, report)),
-                Command::Prefill(..) => {}
+                Command::Handle(input) => self.nodes[node].record(input),
             }
         }
     }
