--- a/crates/core/src/entry/answer.rs
+++ b/crates/core/src/entry/answer.rs
@@ -147,7 +147,7 @@
 
     /// Removes the current run of a request from its upstream and from the count of its version.
     pub(super) fn finish_run(&mut self, request: RequestId) {
-        self.finish_prefill(request);
+        self.finish_prefill(request, None);
         let Some(flight) = self.flights.get_mut(&request) else {
             return;
         };
--- a/crates/core/src/entry/routed/learn.rs
+++ b/crates/core/src/entry/routed/learn.rs
@@ -1,6 +1,7 @@
 //! Updates the statistics on upstreams and releases from the answers to routed requests.
 
 use super::*;
+use crate::pick::PrefillEnd;
 
 impl Entry {
     pub(super) fn record_load(&mut self, link: Link, load: (u32, u32, u32), now: Time) {
@@ -18,8 +19,8 @@
         self.peers.report(link, load, now);
     }
 
-    /// Records that the upstream of a run completed its prefill or no longer has to.
-    pub(in crate::entry) fn finish_prefill(&mut self, request: RequestId) {
+    /// Records that the upstream of a run completed its prefill, or that it no longer has to.
+    pub(in crate::entry) fn finish_prefill(&mut self, request: RequestId, read_at: Option<Time>) {
         let Some(flight) = self.flights.get_mut(&request) else {
             return;
         };
@@ -27,7 +28,11 @@
             return;
         };
         if std::mem::take(&mut route_state.estimate.prefill_pending) {
-            self.peers.prefill_ended(link, route_state.estimate.prefill);
+            let sent_at = route_state.sent_at;
+            let read = |read_at| PrefillEnd::Read { sent_at, read_at };
+            let end = read_at.map_or(PrefillEnd::Abandoned, read);
+            let prefill = route_state.estimate.prefill;
+            self.peers.prefill_ended(link, prefill, end);
         }
     }
 
--- a/crates/core/src/entry/routed/send.rs
+++ b/crates/core/src/entry/routed/send.rs
@@ -110,7 +110,8 @@
             .ok_or_else(|| self.no_upstream_available(&flight.pool, now))?;
         self.begin_run(now, flight, chosen.link)?;
         let estimate = self.estimate(now, &flight.pool, workload.as_ref(), &chosen);
-        self.peers.prefill_started(chosen.link, estimate.prefill);
+        self.peers
+            .prefill_started(chosen.link, estimate.prefill, now);
         let min_reported = match self.peers.is_contended(&flight.pool) {
             true => MIN_CONTENDED_PREFILL,
             false => MIN_REPORTED_PREFILL,
--- a/crates/core/src/entry/routed/timeout.rs
+++ b/crates/core/src/entry/routed/timeout.rs
@@ -9,6 +9,11 @@
 /// The interval between two ticks beyond which this process itself is taken to have been paused, so
 /// that missing data does not indicate a stalled upstream.
 const MAX_TICK_INTERVAL: Span = Span::from_millis(250);
+/// The interval between reports on upstreams whose answers are overdue; a report reaches the other
+/// entries after up to three batches of hints.
+const OVERDUE_INTERVAL: Span = Span::from_millis(100);
+/// The longest further delay that is expected of an overdue answer.
+const MAX_OVERDUE: Span = Span::from_millis(1_000);
 
 impl Entry {
     /// Ends requests past their deadline and retries those at stalled upstreams.
@@ -18,6 +23,7 @@
         }
         self.last_tick = now;
         self.record_slow_waits(now);
+        self.report_overdue(now, out);
         let mut expired: Vec<RequestId> = Vec::new();
         let mut stalled: Vec<(RequestId, Link, Run)> = Vec::new();
         for (request, flight) in &self.flights {
@@ -40,6 +46,36 @@
         }
     }
 
+    /// Reports the upstreams of contended pools that have not answered a prompt within its expected
+    /// time: they read longer than expected, and other entries would send them more.
+    fn report_overdue(&mut self, now: Time, out: &mut Outputs) {
+        if now.since(self.overdue_checked) < OVERDUE_INTERVAL {
+            return;
+        }
+        self.overdue_checked = now;
+        let mut overdue: BTreeMap<Link, Span> = BTreeMap::new();
+        for flight in self.flights.values() {
+            let (Some(link), Some(state)) = (flight.link, &flight.route_state) else {
+                continue;
+            };
+            if flight.head_sent || !self.peers.is_contended(&flight.pool) {
+                continue;
+            }
+            let expected = state.estimate.time_to_first_byte() + OVERDUE_INTERVAL;
+            let over = now.since(state.sent_at) - expected;
+            if over > Span::default() {
+                let longest = overdue.entry(link).or_default();
+                *longest = over.max(*longest);
+            }
+        }
+        for (link, over) in overdue {
+            // What has taken longer than expected takes as much longer again, on average.
+            let left = over.max(OVERDUE_INTERVAL).min(MAX_OVERDUE);
+            let start_id = self.peers.extend_queue(link, left, now);
+            out.extend(start_id.map(|start_id| Output::Overdue(start_id, left)));
+        }
+    }
+
     /// Records the wait of all runs that have not started to answer, in pools whose releases are
     /// being compared.
     fn record_slow_waits(&mut self, now: Time) {
--- a/crates/core/src/pick/mod.rs
+++ b/crates/core/src/pick/mod.rs
@@ -35,7 +35,7 @@
 pub use impact::Impact;
 pub use outlook::Outlook;
 pub use pace::Pace;
-pub use peer::{prefill_wait, Peer};
+pub use peer::{prefill_wait, Peer, PrefillEnd};
 pub(crate) use peer::{CROSS_HALL_PENALTY, PREFIX_LIFETIME};
 pub use speed::{Slowdown, SpeedSum, Speeds};
 
@@ -278,16 +278,31 @@
     }
 
     /// Adds a prefill of this duration to an upstream.
-    pub fn prefill_started(&mut self, link: Link, prefill: Span) {
+    pub fn prefill_started(&mut self, link: Link, prefill: Span, now: Time) {
         if let Some(peer) = self.peers.get_mut(&link) {
-            peer.pending_prefill = peer.pending_prefill + prefill;
+            peer.prefill_started(prefill, now);
         }
     }
 
     /// Removes a prefill of this duration, after it has ended or was abandoned.
-    pub fn prefill_ended(&mut self, link: Link, prefill: Span) {
+    pub fn prefill_ended(&mut self, link: Link, prefill: Span, end: PrefillEnd) {
         if let Some(peer) = self.peers.get_mut(&link) {
-            peer.pending_prefill = peer.pending_prefill - prefill;
+            peer.prefill_ended(prefill, end);
+        }
+    }
+
+    /// Records that an upstream has prompts to read for this long at least; returns the identifier
+    /// of its start.
+    pub fn extend_queue(&mut self, link: Link, left: Span, now: Time) -> Option<u64> {
+        let peer = self.peers.get_mut(&link)?;
+        peer.extend_queue(left, now);
+        Some(peer.start_id())
+    }
+
+    /// Records the same on the report of another entry.
+    pub fn extend_remote_queue(&mut self, start_id: u64, left: Span, now: Time) {
+        if let Some(peer) = self.by_start_id(start_id).next() {
+            peer.extend_queue(left, now);
         }
     }
 
--- a/crates/core/src/pick/peer.rs
+++ b/crates/core/src/pick/peer.rs
@@ -1,6 +1,6 @@
 //! The state of one upstream as known to an entry, and its score.
 
-use super::backlog::Backlog;
+use super::backlog::{Backlog, Queue};
 use super::pace::{Pace, PaceReport};
 use super::speed::Slowdown;
 use super::{Criteria, Placement, Prefix};
@@ -49,9 +49,6 @@
 /// prompts in chunks, and part of each pending prompt is already processed.
 const PENDING_SHARE: f64 = 0.5;
 
-/// The same at a contended upstream for the prompts of other entries, whose processed part is
-/// deducted.
-const REMOTE_SHARE: f64 = 0.85;
 /// The time from which a contended upstream that just started to read an idle prompt answers, beside
 /// the prefill.
 const CONTENDED_BASE: Span = Span::from_millis(25);
@@ -65,6 +62,20 @@
     Span::from_secs_f64(pending.secs_f64() * PENDING_SHARE)
 }
 
+/// How the prefill of a prompt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PrefillEnd {
+    /// The prompt was read.
+    Read {
+        /// When it was sent.
+        sent_at: Time,
+        /// When its answer began.
+        read_at: Time,
+    },
+    /// Its run ended before.
+    Abandoned,
+}
+
 /// A prefix that was sent to an upstream.
 #[derive(Clone, Copy, Debug)]
 struct SentPrefix {
@@ -111,6 +122,8 @@
     pub(super) is_contended: bool,
     /// How long its work takes, for contended pools.
     slowdown: Slowdown,
+    /// The prompts that it has to read, for contended pools.
+    queue: Queue,
     /// The speed by which it is the home of prefixes, in steps.
     home_step: i32,
     /// Whether it has sent a notice. Most upstreams have not; the flag saves the lookup on each
@@ -150,6 +163,7 @@
             pace: PaceReport::default(),
             is_contended: false,
             slowdown: Slowdown::USUAL,
+            queue: Queue::default(),
             home_step: 0,
             has_notice: false,
             prefixes: HashMap::new(),
@@ -232,6 +246,7 @@
     /// Adds a prefill of this duration that another entry sent.
     pub(super) fn add_remote_prefill(&mut self, prefill: Span, now: Time) {
         self.remote_prefill.add(prefill, now);
+        self.queue.add(prefill, now);
     }
 
     /// Returns the pending prefill of all known requests.
@@ -306,22 +321,41 @@
         Slowdown::USUAL.times(self.pace.factor(now)).usual(took)
     }
 
-    /// Returns the time until the upstream has processed its known prompts.
+    /// Returns the time until the upstream has read its known prompts.
     pub(super) fn backlog(&self, now: Time) -> Span {
-        self.load.wait + self.pending_prefill(now)
+        match self.is_contended {
+            true => self.queue.remaining(now),
+            false => self.load.wait + self.pending_prefill(now),
+        }
     }
 
     /// Returns the expected wait of a prompt for the prompts before it.
     pub(super) fn wait(&self, now: Time) -> Span {
         match self.is_contended {
-            true => {
-                let remote = self.remote_prefill.remaining(now).secs_f64() * REMOTE_SHARE;
-                prefill_wait(self.pending_prefill) + Span::from_secs_f64(remote)
-            }
+            true => self.queue.remaining(now),
             false => prefill_wait(self.pending_prefill(now)),
         }
     }
 
+    /// Records that a prompt was sent that takes this long to read.
+    pub(super) fn prefill_started(&mut self, prefill: Span, now: Time) {
+        self.pending_prefill = self.pending_prefill + prefill;
+        self.queue.add(prefill, now);
+    }
+
+    /// Records that a prompt was read or abandoned.
+    pub(super) fn prefill_ended(&mut self, prefill: Span, end: PrefillEnd) {
+        self.pending_prefill = self.pending_prefill - prefill;
+        if let PrefillEnd::Read { sent_at, read_at } = end {
+            self.queue.read_through(sent_at, read_at);
+        }
+    }
+
+    /// Records that the upstream has prompts to read for this long at least.
+    pub(super) fn extend_queue(&mut self, left: Span, now: Time) {
+        self.queue.extend_to(left, now);
+    }
+
     /// Returns the expected time to the first token.
     pub(super) fn expected(&self, criteria: &Criteria, is_home: bool, now: Time) -> Span {
         let uncached = f64::from(self.uncached_tokens(criteria, is_home, now));
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -11,6 +11,8 @@
 //! # Ok::<(), sorreldeck::Error>(())
 //! ```
 
+mod speeds;
+
 use crate::bill::Record;
 use crate::duty;
 use crate::era::Era;
@@ -19,6 +21,7 @@
 use crate::failure::Failure;
 use crate::id::*;
 use crate::notice;
+use crate::pick::SpeedSum;
 use crate::quarantine::Update;
 use crate::release::{Affinity, Report};
 use crate::tree::{Change, Class};
@@ -337,6 +340,9 @@
     /// milliseconds.
     #[serde(rename = "sent")]
     pub sent_prompts: Vec<(u64, u32)>,
+    /// Upstreams whose answers are overdue, with the milliseconds for which they read at least.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub overdue: BTreeMap<u64, u32>,
     /// The sessions that it serves and that stay at their release.
     #[serde(rename = "stays")]
     pub affinities: Vec<Affinity>,
@@ -347,6 +353,9 @@
     /// Notices that upstreams sent about themselves.
     #[serde(default)]
     pub notices: Vec<notice::Update>,
+    /// How long work took at upstreams since the last message with such sums.
+    #[serde(default, skip_serializing_if = "Vec::is_empty", with = "speeds")]
+    pub speeds: Vec<SpeedSum>,
     /// Its counts of started requests.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub counts: Vec<duty::Update>,
@@ -355,6 +364,27 @@
     pub epoch_us: Option<i64>,
 }
 
+impl Follow {
+    /// Creates a message that only shows that the entry is alive.
+    pub fn new(entry: InstanceId, hall: Hall) -> Follow {
+        Follow {
+            entry,
+            hall,
+            cursor: None,
+            reads_store: false,
+            release_reports: Vec::new(),
+            sent_prompts: Vec::new(),
+            overdue: BTreeMap::new(),
+            affinities: Vec::new(),
+            quarantine: Vec::new(),
+            notices: Vec::new(),
+            speeds: Vec::new(),
+            counts: Vec::new(),
+            epoch_us: None,
+        }
+    }
+}
+
 /// A message of an entry to those that replicate the tables of the platform's store from it.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Feed {
@@ -379,6 +409,9 @@
     /// prompt, in milliseconds.
     #[serde(rename = "sent")]
     pub sent_prompts: Vec<(u64, u32)>,
+    /// Upstreams whose answers are overdue, with the milliseconds for which they read at least.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub overdue: BTreeMap<u64, u32>,
     /// The sessions that entries serve and that stay at their release.
     #[serde(rename = "stays")]
     pub affinities: Vec<Affinity>,
@@ -389,6 +422,9 @@
     /// Notices that upstreams sent about themselves.
     #[serde(default)]
     pub notices: Vec<notice::Update>,
+    /// How long work took at upstreams since the last message with such sums.
+    #[serde(default, skip_serializing_if = "Vec::is_empty", with = "speeds")]
+    pub speeds: Vec<SpeedSum>,
     /// The UTC time at the origin of the store's clock, in microseconds, if known.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub epoch_us: Option<i64>,
--- a/crates/core/tests/random.rs
+++ b/crates/core/tests/random.rs
@@ -298,9 +298,10 @@
             | entry::Output::RecordQuarantine(_)
             | entry::Output::Prefill(..)
             | entry::Output::SessionAffinity(..)
-            | entry::Output::SpeedSums(_)
             | entry::Output::Suspect(_)
             | entry::Output::Notice(_)
+            | entry::Output::SpeedSums(_)
+            | entry::Output::Overdue(..)
             | entry::Output::RequestStarted(_)
             | entry::Output::RequestEnded(_) => {}
         }
--- a/crates/daemon/src/hosted/relay.rs
+++ b/crates/daemon/src/hosted/relay.rs
@@ -1,6 +1,6 @@
 //! Replication of the store's tables between entries. The same links carry release reports,
-//! prefill times of long prompts, session affinities, quarantine updates and notices of
-//! upstreams.
+//! prefill times of long prompts, session affinities, quarantine updates, notices of upstreams
+//! and speed sums.
 //!
 //! [`sorreldeck::replication`] chooses the entries from which this one gets the tables, its
 //! sources. This module handles the messages to and from the sources and to the entries that
@@ -10,13 +10,13 @@
 use super::hints::{Affinities, Hints};
 use super::mirror::{Merge, Mirror, Update};
 use super::reports::Reports;
+use super::speeds::{Exchange, Sums};
 use super::usage::Usage;
 use sorreldeck::duty::{Tally, Update as UsageUpdate};
+use sorreldeck::entry::{Input, Output};
 use sorreldeck::era::Stamp;
-use sorreldeck::notice;
-use sorreldeck::pick::Link;
-use sorreldeck::quarantine;
-use sorreldeck::release::{Affinity, Report};
+use sorreldeck::pick::{Link, SpeedSum};
+use sorreldeck::release::Report;
 use sorreldeck::replication::{Action, Peer, Planner, Status, Subscription, Timeouts};
 use sorreldeck::wire::{self, Feed, Frame, TABLE_COUNT};
 use sorreldeck::{AccountId, Hall, InstanceId, PoolId, Span, Time};
@@ -40,7 +40,7 @@
 const MIN_POLL_INTERVAL: Span = Span::from_millis(1_500);
 
 /// A command for the event loop.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug)]
 pub enum Command {
     /// Open a link to an entry.
     Open(InstanceId, SocketAddr),
@@ -52,16 +52,8 @@
     Read(Subscription),
     /// Abort the long poll of a table and read it at once.
     Poll(Table),
-    /// Process a report of a data hall's entries on a release.
-    Report(PoolId, Hall, Report),
-    /// Process that an entry sent an upstream a prompt with this prefill time.
-    Prefill(u64, Span),
-    /// Process that an entry serves a session that is bound to its release by affinity.
-    Affinity(Affinity),
-    /// Process a quarantine update of an entry: requests during which upstreams crashed.
-    Quarantine(quarantine::Update),
-    /// Process a notice of an upstream to another entry.
-    Notice(notice::Update),
+    /// Pass what other entries told to the decisions of this one.
+    Handle(Input),
 }
 
 /// An entry that gets the tables from this one.
@@ -78,6 +70,8 @@
     reads_store: bool,
     /// The hints that are queued for it.
     hints: Hints,
+    /// The speed sums that are queued for it.
+    speeds: Sums,
 }
 
 /// An entry that this one gets the tables from.
@@ -89,6 +83,8 @@
     /// Whether it was asked for the tables.
     is_subscribed: bool,
     last_sent: Time,
+    /// When it was last sent release reports, and the change counter up to which they were sent.
+    reported_at: Time,
     sent_reports: u64,
     /// Whether it got the counts from before the link was opened.
     has_counts: bool,
@@ -115,6 +111,8 @@
     hints: Hints,
     /// The sessions that are bound to their release by affinity.
     affinities: Affinities,
+    /// The speed sums that are not sent yet.
+    speeds: Exchange,
     /// The source that forwards the hints of this entry, if there is one.
     primary: Option<InstanceId>,
     /// Whether this entry is about to stop.
@@ -138,6 +136,7 @@
             operator_answered: Time::default(),
             hints: Hints::default(),
             affinities: Affinities::default(),
+            speeds: Exchange::default(),
             primary: None,
             leaving: false,
             usage: None,
@@ -240,39 +239,20 @@
         self.reports.set_local(pool, self.own.name.clone(), report);
     }
 
-    /// Tells other entries that this one sent an upstream a prompt with this prefill time.
-    pub fn share_prefill(&mut self, number: u64, prefill_time: Span) {
-        let prompt = (number, prefill_time.millis().try_into().unwrap_or(u32::MAX));
-        self.queue_hints(Hints {
-            prompts: vec![prompt],
-            ..Hints::default()
-        });
-    }
-
-    /// Tells other entries that this one serves a session that is bound to its release by affinity.
-    pub fn share_affinity(&mut self, affinity: Affinity, now: Time) {
-        let affinities = vec![affinity];
-        self.affinities.record(&affinities, now);
-        self.queue_hints(Hints {
-            affinities,
-            ..Hints::default()
-        });
-    }
-
-    /// Shares this entry's report on requests during which upstreams crashed.
-    pub fn share_quarantine(&mut self, update: quarantine::Update, now: Time) {
-        self.queue_hints(Hints {
-            quarantine: vec![(update, now)],
-            ..Hints::default()
-        });
+    /// Shares an output of this entry's decisions with other entries, if it is a hint; returns
+    /// whether it is one.
+    pub fn share(&mut self, output: &Output, now: Time) -> bool {
+        let Some(hints) = Hints::of_output(output, now) else {
+            return false;
+        };
+        self.affinities.record(&hints.affinities, now);
+        self.queue_hints(hints);
+        true
     }
 
-    /// Shares a notice of an upstream with other entries.
-    pub fn share_notice(&mut self, update: notice::Update) {
-        self.queue_hints(Hints {
-            notices: vec![update],
-            ..Hints::default()
-        });
+    /// Tells other entries how long work of this one took at upstreams.
+    pub fn share_speeds(&mut self, sums: &[SpeedSum]) {
+        self.speeds.record_own(sums, self.primary.is_some());
     }
 
     /// Sends hints of this entry to the source that forwards them or, without such a source, to
@@ -323,6 +303,7 @@
             opened_at: now,
             is_subscribed,
             last_sent: now,
+            reported_at: Time::default(),
             sent_reports: 0,
             has_counts: false,
         };
@@ -411,6 +392,7 @@
         commands.extend(self.poll_stale(mirror, now));
         commands.extend(self.subscribe_to_rest(mirror, now));
         commands.extend(self.notify_sources(mirror, now));
+        self.queue_speeds(now);
         commands.extend(self.publish(mirror, now));
         commands
     }
@@ -437,6 +419,43 @@
         commands
     }
 
+    /// Queues the speed sums that are due for the subscribers.
+    fn queue_speeds(&mut self, now: Time) {
+        let Some(batch) = self.speeds.take_due(now) else {
+            return;
+        };
+        let readers = self.first_readers();
+        for (link, subscriber) in &mut self.subscribers {
+            if subscriber.hall == self.own.hall {
+                subscriber.speeds.add(&batch.for_local(&subscriber.entry));
+            } else if readers.get(&subscriber.hall) == Some(link) {
+                subscriber.speeds.add(&batch.for_remote());
+            }
+        }
+    }
+
+    /// Returns the link to the subscriber in each other data hall that forwards speed sums there:
+    /// the first in rank that reads the store, so that its data hall gets each sum once.
+    fn first_readers(&self) -> BTreeMap<Hall, Link> {
+        let mut readers: Vec<(usize, &Hall, Link)> = self
+            .subscribers
+            .iter()
+            .filter(|(_, s)| s.reads_store && s.hall != self.own.hall)
+            .map(|(link, s)| (self.rank(&s.entry), &s.hall, *link))
+            .collect();
+        // The last one of each data hall stays in the map.
+        readers.sort_by(|a, b| b.cmp(a));
+        let links = readers
+            .into_iter()
+            .map(|(_, hall, link)| (hall.clone(), link));
+        links.collect()
+    }
+
+    /// Returns the rank of an entry in its data hall; unknown entries are last.
+    fn rank(&self, entry: &InstanceId) -> usize {
+        self.follow.rank(entry).unwrap_or(usize::MAX)
+    }
+
     /// Sends changes to the subscribers.
     pub fn publish(&mut self, mirror: &mut Mirror, now: Time) -> Vec<Command> {
         let links: Vec<Link> = self.subscribers.keys().copied().collect();
@@ -457,7 +476,8 @@
                 tables.extend(mirror.delta(*table, *stamp));
             }
         }
-        if !is_due && !has_hints && tables.is_empty() {
+        let has_speeds = !subscriber.speeds.is_empty();
+        if !is_due && !has_hints && !has_speeds && tables.is_empty() {
             return None;
         }
         let reports = match subscriber.sent_reports < self.reports.changes() {
@@ -466,19 +486,17 @@
                 .reports_for(&subscriber.entry, &subscriber.hall, &self.own.hall),
             false => Vec::new(),
         };
-        let feed = Feed {
+        let mut feed = Feed {
             last_contact_us: self.follow.last_sync().and_then(|at| mirror.store_time(at)),
             clock_us: mirror.store_time(now),
             era: mirror.era(),
             leaving: self.leaving,
             tables,
             release_reports: reports,
-            sent_prompts: subscriber.hints.prompts.clone(),
-            affinities: subscriber.hints.affinities.clone(),
-            quarantine: subscriber.hints.quarantine_at(now),
-            notices: subscriber.hints.notices.clone(),
             epoch_us: self.usage.as_ref().and_then(Usage::agreed),
+            ..Feed::default()
         };
+        subscriber.hints.put(&mut feed, now);
         let subscriber = self.subscribers.get_mut(&link)?;
         for table in &feed.tables {
             subscriber.stamps[table.number] = Stamp::new(table.era, table.version);
@@ -486,6 +504,7 @@
         subscriber.last_sent = now;
         subscriber.sent_reports = self.reports.changes();
         subscriber.hints = Hints::default();
+        feed.speeds = subscriber.speeds.take();
         Some(Command::Send(link, Frame::Feed(Box::new(feed))))
     }
 
@@ -498,6 +517,8 @@
         let reads_store = self.reads_store();
         let keep_alive = self.keep_alive();
         let hints = std::mem::take(&mut self.hints);
+        // Sums that no source gets are dropped: the runs will be long past when one is linked.
+        let speeds = self.speeds.take_own();
         let mut was_sent = reads_store && self.primary.is_none();
         let leaving = self.leaving;
         let changed_counts = self.usage.as_mut();
@@ -511,37 +532,38 @@
                 self.usage.as_ref().filter(|_| is_same_hall),
             );
             let passed = now.since(source.last_sent);
-            let has_new_reports =
-                source.sent_reports < changes && has_reports && passed >= heartbeat;
-            let has_hints = !hints.is_empty() && self.primary.as_ref() == Some(&source.name);
-            if !has_new_reports && !has_hints && counts.is_empty() && passed < KEEP_ALIVE {
+            let has_new_reports = source.sent_reports < changes && has_reports;
+            let has_new_reports = has_new_reports && now.since(source.reported_at) >= heartbeat;
+            let is_primary = self.primary.as_ref() == Some(&source.name);
+            let has_hints = !hints.is_empty() && is_primary;
+            let has_speeds = !speeds.is_empty() && is_primary;
+            let is_idle = !has_new_reports && !has_hints && !has_speeds && counts.is_empty();
+            if is_idle && passed < KEEP_ALIVE {
                 continue;
             }
             source.last_sent = now;
-            source.sent_reports = changes;
             let mut follow = keep_alive.clone();
             if !counts.is_empty() {
                 follow.counts = counts;
                 follow.epoch_us = epoch;
             }
             if has_new_reports {
+                source.reported_at = now;
+                source.sent_reports = changes;
                 follow.release_reports = self.reports.reports_of(&self.own.name);
             }
             if has_hints {
-                follow.sent_prompts.clone_from(&hints.prompts);
-                follow.affinities.clone_from(&hints.affinities);
-                follow.quarantine = hints.quarantine_at(now);
-                follow.notices.clone_from(&hints.notices);
+                hints.put(&mut follow, now);
                 was_sent = true;
             }
+            if has_speeds {
+                follow.speeds.clone_from(&speeds);
+            }
             commands.push(Command::Send(*link, Frame::Follow(Box::new(follow))));
         }
         if !was_sent {
-            // The prompts will have been read by the time that a source is linked again.
             // Session affinities persist, and a request that crashes upstreams continues to do so.
-            self.hints.affinities = hints.affinities;
-            self.hints.quarantine = hints.quarantine;
-            self.hints.notices = hints.notices;
+            self.hints = hints.without_prompts();
         }
         commands
     }
@@ -554,17 +576,8 @@
     /// Returns a keep-alive for a source.
     fn keep_alive(&self) -> wire::Follow {
         wire::Follow {
-            entry: self.own.name.clone(),
-            hall: self.own.hall.clone(),
-            cursor: None,
             reads_store: self.reads_store(),
-            release_reports: Vec::new(),
-            sent_prompts: Vec::new(),
-            affinities: Vec::new(),
-            quarantine: Vec::new(),
-            notices: Vec::new(),
-            counts: Vec::new(),
-            epoch_us: None,
+            ..wire::Follow::new(self.own.name.clone(), self.own.hall.clone())
         }
     }
 
@@ -590,20 +603,18 @@
         if self.primary.is_none() {
             return;
         }
-        self.hints.extend(&Hints {
-            prompts: Vec::new(),
-            ..hints.clone()
-        });
+        self.hints.extend(&hints.clone().without_prompts());
     }
 
     /// Handles a subscription or the keep-alive of a subscriber.
     fn handle_follow(
         &mut self,
         link: Link,
-        follow: wire::Follow,
+        mut follow: wire::Follow,
         mirror: &mut Mirror,
         now: Time,
     ) -> Vec<Command> {
+        let hints = Hints::take(&mut follow, now);
         let is_same_hall = follow.hall == self.own.hall;
         if let Some(cursor) = follow.cursor {
             let stamps = cursor
@@ -620,6 +631,7 @@
                     affinities: self.affinities.live(now),
                     ..Hints::default()
                 },
+                speeds: Sums::default(),
             };
             self.subscribers.insert(link, subscriber);
         }
@@ -631,27 +643,20 @@
             usage.merge(&follow.entry, follow.counts, follow.epoch_us);
         }
         if is_same_hall {
-            let hints = Hints {
-                prompts: follow.sent_prompts,
-                affinities: follow.affinities,
-                quarantine: follow
-                    .quarantine
-                    .into_iter()
-                    .map(|update| (update, now))
-                    .collect(),
-                notices: follow.notices,
-            };
             self.affinities.record(&hints.affinities, now);
             self.queue_for_subscribers(&hints, Some(link), true);
             self.forward_hints(&hints);
-            commands.extend(hints.commands());
+            commands.extend(hints.inputs().map(Command::Handle));
+            self.speeds.record_local(&follow.entry, &follow.speeds);
+            commands.extend(speed_command(follow.speeds));
         }
         for (pool, report) in follow.release_reports.into_iter().filter(|_| is_same_hall) {
             self.reports
                 .set_local(pool.clone(), follow.entry.clone(), report);
             let others = self.reports.local_sum_without(&pool, &self.own.name);
             let hall = self.own.hall.clone();
-            commands.extend(others.map(|sum| Command::Report(pool, hall, sum)));
+            let input = others.map(|sum| Input::ReleaseReport(pool, hall, sum));
+            commands.extend(input.map(Command::Handle));
         }
         commands.extend(self.publish_to(link, mirror, now));
         commands
@@ -661,7 +666,7 @@
     fn handle_feed(
         &mut self,
         link: Link,
-        feed: Feed,
+        mut feed: Feed,
         mirror: &mut Mirror,
         now: Time,
     ) -> (Vec<Update>, Vec<Command>) {
@@ -676,6 +681,7 @@
         }
         let name = source.name.clone();
         let is_same_hall = self.follow.is_same_hall(&name);
+        let hints = Hints::take(&mut feed, now);
         let mut updates = Vec::new();
         let mut gap = false;
         for delta in feed.tables {
@@ -695,18 +701,12 @@
             leaving: feed.leaving,
         };
         self.follow.record_status(&name, status, now);
-        let hints = Hints {
-            prompts: feed.sent_prompts,
-            affinities: feed.affinities,
-            quarantine: feed
-                .quarantine
-                .into_iter()
-                .map(|update| (update, now))
-                .collect(),
-            notices: feed.notices,
-        };
         self.affinities.record(&hints.affinities, now);
-        let mut commands = hints.commands();
+        let mut commands: Vec<Command> = hints.inputs().map(Command::Handle).collect();
+        if !is_same_hall {
+            self.speeds.record_remote(&feed.speeds);
+        }
+        commands.extend(speed_command(feed.speeds));
         if gap {
             if let Some(source) = self.sources.get_mut(&link) {
                 source.last_sent = now;
@@ -724,7 +724,8 @@
             // If this entry has subscribers, they send it the reports of its own data hall
             // directly, which are more current.
             if hall != self.own.hall || self.subscribers.is_empty() {
-                commands.push(Command::Report(pool, hall, report));
+                let input = Input::ReleaseReport(pool, hall, report);
+                commands.push(Command::Handle(input));
             }
         }
         (updates, commands)
@@ -747,6 +748,11 @@
     }
 }
 
+/// Returns the command that passes speed sums to the decisions of this entry, if there are any.
+fn speed_command(sums: Vec<SpeedSum>) -> Option<Command> {
+    (!sums.is_empty()).then(|| Command::Handle(Input::SpeedSums(sums)))
+}
+
 /// Returns the difference between UTC and the store's clock according to this process, in
 /// microseconds.
 pub fn own_epoch(mirror: &Mirror, now: Time) -> Option<i64> {
