--- a/crates/core/src/entry/routed/learn.rs
+++ b/crates/core/src/entry/routed/learn.rs
@@ -1,7 +1,7 @@
 //! Updates the statistics on upstreams and releases from the answers to routed requests.
 
 use super::*;
-use crate::pick::PrefillEnd;
+use crate::pick::{PrefillEnd, Start};
 
 impl Entry {
     pub(super) fn record_load(&mut self, link: Link, load: (u32, u32, u32), now: Time) {
@@ -81,6 +81,7 @@
         let Estimate {
             uncached_tokens,
             wait,
+            slowdown,
             ..
         } = route_state.estimate;
         let elapsed = now.since(route_state.sent_at);
@@ -91,8 +92,14 @@
             return;
         }
         if let Some(link) = flight.link {
+            let start = Start {
+                link,
+                wait,
+                slowdown,
+                took: elapsed,
+            };
             self.peers
-                .record_start(link, &workload, uncached_tokens, (wait, elapsed), now);
+                .record_start(&workload, uncached_tokens, start, now);
         }
     }
 
--- a/crates/core/src/entry/routed/mod.rs
+++ b/crates/core/src/entry/routed/mod.rs
@@ -14,7 +14,7 @@
 use super::*;
 use crate::latency::Workload;
 use crate::notice::Notice;
-use crate::pick::{Placement, Prefix};
+use crate::pick::{Placement, Prefix, Slowdown};
 use crate::tree::Route;
 use crate::wire::{Confidence, Header, Load};
 
@@ -84,6 +84,8 @@
     pub prefill: Span,
     /// The wait for earlier prefills at the upstream.
     pub wait: Span,
+    /// How long work takes at the upstream.
+    pub slowdown: Slowdown,
     /// Whether the prefill still counts as pending at the upstream.
     pub prefill_pending: bool,
 }
--- a/crates/core/src/entry/routed/send.rs
+++ b/crates/core/src/entry/routed/send.rs
@@ -172,6 +172,7 @@
             uncached_tokens: chosen.uncached_tokens,
             prefill: chosen.slowdown.scale(usual),
             wait: chosen.wait,
+            slowdown: chosen.slowdown,
             prefill_pending: true,
         }
     }
--- a/crates/core/src/pick/backlog.rs
+++ b/crates/core/src/pick/backlog.rs
@@ -27,7 +27,7 @@
 }
 
 /// The number of recent prompts that a queue remembers.
-const MAX_RECENT: usize = 64;
+const MAX_RECENT: usize = 512;
 
 /// The prompts of all entries that an upstream reads one after the other.
 ///
--- a/crates/core/src/pick/contention.rs
+++ b/crates/core/src/pick/contention.rs
@@ -1,16 +1,12 @@
 //! Which pools are contended: their upstreams share machines with others or have less room than
 //! callers ask for. Only there are speeds learned and used.
 
-use super::{usual, Link, Peer, Peers, SpeedSum};
+use super::{usual, Link, Peer, Peers, Slowdown, SpeedSum};
 use crate::id::PoolId;
 use crate::latency::Workload;
 use crate::unit::{Rate, Span, Time};
 use std::collections::HashSet;
 
-/// The part of the time to the first token that counts as work whatever wait was expected: one in
-/// this number.
-const MIN_SERVED_PART: u64 = 4;
-
 /// For which pools the decisions under contention are made.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Contention {
@@ -39,6 +35,19 @@
     }
 }
 
+/// The time to the first token of a run, and what was expected when it was sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Start {
+    /// The upstream.
+    pub link: Link,
+    /// The expected wait for earlier prompts.
+    pub wait: Span,
+    /// How long work was expected to take at the upstream.
+    pub slowdown: Slowdown,
+    /// The time to the first token.
+    pub took: Span,
+}
+
 impl Peers {
     /// Sets for which pools the decisions under contention are made.
     pub fn set_contention(&mut self, contention: Contention) {
@@ -74,30 +83,21 @@
         }
     }
 
-    /// Records that a run started to answer after `took`, of which `wait` is attributed to earlier
-    /// prompts.
-    pub fn record_start(
-        &mut self,
-        link: Link,
-        workload: &Workload,
-        tokens: u32,
-        (wait, took): (Span, Span),
-        now: Time,
-    ) {
-        let Some(peer) = self.peers.get(&link) else {
+    /// Records that a run of a prompt with this many uncached tokens started to answer.
+    pub fn record_start(&mut self, workload: &Workload, tokens: u32, start: Start, now: Time) {
+        let Some(peer) = self.peers.get(&start.link) else {
             return;
         };
         let usual = self.usual_time(workload, tokens, now);
-        // The wait is an estimate, so part of the time always counts as work. Behind a long wait
-        // the rest tells little.
-        let served = (took - wait).max(Span::from_micros(took.micros() / MIN_SERVED_PART));
-        if wait <= usual {
-            let start_id = peer.start_id();
-            let at_pace = peer.without_pace(served, now);
-            self.speeds.record(start_id, at_pace, usual, now);
-        }
-        let served = self.peers[&link].slowdown(now).usual(served);
-        usual::record(&mut self.speeds, workload, tokens, served, now);
+        // A slow upstream is slow to read the prompts before this one as well, so the error of the
+        // whole time is attributed to its speed.
+        let expected = start.wait + start.slowdown.scale(usual);
+        let error = start.took.secs_f64() / expected.secs_f64().max(1e-3);
+        let corrected = Span::from_secs_f64(usual.secs_f64() * error);
+        let at_upstream = start.slowdown.scale(corrected);
+        let start_id = peer.start_id();
+        self.speeds.record(start_id, at_upstream, usual, now);
+        usual::record(&mut self.speeds, workload, tokens, corrected, now);
     }
 
     /// Returns the usual time in which a prompt starts to be answered.
--- a/crates/core/src/pick/mod.rs
+++ b/crates/core/src/pick/mod.rs
@@ -31,7 +31,7 @@
 mod warmup;
 
 pub use availability::Availability;
-pub use contention::Contention;
+pub use contention::{Contention, Start};
 pub use impact::Impact;
 pub use outlook::Outlook;
 pub use pace::Pace;
--- a/crates/core/src/pick/peer.rs
+++ b/crates/core/src/pick/peer.rs
@@ -316,11 +316,6 @@
         }
     }
 
-    /// Returns how long work would have taken at the usual pace.
-    pub(super) fn without_pace(&self, took: Span, now: Time) -> Span {
-        Slowdown::USUAL.times(self.pace.factor(now)).usual(took)
-    }
-
     /// Returns the time until the upstream has read its known prompts.
     pub(super) fn backlog(&self, now: Time) -> Span {
         match self.is_contended {
--- a/crates/core/src/pick/speed.rs
+++ b/crates/core/src/pick/speed.rs
@@ -63,11 +63,6 @@
             false => Span::from_secs_f64(usual.secs_f64() * self.0),
         }
     }
-
-    /// Returns the usual duration of work that took `took` at this upstream.
-    pub fn usual(self, took: Span) -> Span {
-        Span::from_secs_f64(took.secs_f64() / self.0.max(1e-3))
-    }
 }
 
 impl Default for Slowdown {
--- a/crates/core/tests/latency.rs
+++ b/crates/core/tests/latency.rs
@@ -1,7 +1,7 @@
 //! The learned prefill time affects routing and stall timeouts.
 
 use sorreldeck::latency::{Estimator, Workload};
-use sorreldeck::pick::{Constraints, Criteria, Link, Peers, Policy};
+use sorreldeck::pick::{Constraints, Criteria, Link, Peers, Policy, PrefillEnd};
 use sorreldeck::reuse::Scope;
 use sorreldeck::wire::Load;
 use sorreldeck::{PoolId, Rate, Span, Time};
@@ -79,7 +79,7 @@
         };
         peers.join(link, name.parse().unwrap(), pool, load);
     }
-    peers.prefill_started(1, pending);
+    peers.prefill_started(1, pending, Time::default());
     peers
 }
 
@@ -110,6 +110,6 @@
     for _ in 0..8 {
         assert_eq!(pick(&mut peers, &pool), 2);
     }
-    peers.prefill_ended(1, Span::from_millis(1_400));
+    peers.prefill_ended(1, Span::from_millis(1_400), PrefillEnd::Abandoned);
     assert_eq!(pick(&mut peers, &pool), 1, "its prefill has ended");
 }
