--- a/crates/daemon/src/hosted/client.rs
+++ b/crates/daemon/src/hosted/client.rs
@@ -4,7 +4,7 @@
 //! connection: an upstream may close a pooled connection without notice, and then it would be
 //! unknown whether the request ran.
 
-use super::event_loop::Message;
+use super::message::Message;
 use crate::clock::Clock;
 use crate::loss;
 use async_channel::Sender;
--- a/crates/daemon/src/hosted/duties.rs
+++ b/crates/daemon/src/hosted/duties.rs
@@ -3,7 +3,8 @@
 //! [`sorreldeck::duty`] makes the decisions; this module makes the calls to the store and the
 //! platform and writes the log lines.
 
-use super::event_loop::{EventLoop, Message};
+use super::event_loop::EventLoop;
+use super::message::Message;
 use async_channel::Sender;
 use async_std::task;
 use log::{info, warn};
--- a/crates/daemon/src/hosted/event_loop.rs
+++ b/crates/daemon/src/hosted/event_loop.rs
@@ -3,11 +3,12 @@
 use super::answers::Answers;
 use super::client::{self, Client};
 use super::duties::Duties;
-use super::followers::{Followers, Outcome, Read};
+use super::followers::Followers;
 use super::holds::{Record, Recorder};
+use super::message::{Message, Outcome, Read, Snapshot};
 use super::mirror::{Mirror, Update, ENTRY_PREFIX};
 use super::mover::{Mover, Proposal};
-use super::peer::{self, Peering};
+use super::peer::Peering;
 use super::relay::{self, Command, Relay};
 use super::restorer::Restorer;
 use super::shared::{self, Shared};
@@ -20,7 +21,7 @@
 use log::{info, warn};
 use sorreldeck::duty::{Context, Tally};
 use sorreldeck::entry::{
-    Entry, Input, Output, Part, Payload, Reply, Request, Settings as Decisions, Summary,
+    Entry, Input, Output, Part, Payload, Reply, Settings as Decisions, Summary,
 };
 use sorreldeck::era::Freshness;
 use sorreldeck::pick::Link;
@@ -78,34 +79,6 @@
 /// reports a different era in each answer is polled only by the followers' own pauses.
 const MIN_RESTORE_INTERVAL: Span = Span::from_millis(1_000);
 
-/// A message to the event loop.
-pub enum Message {
-    /// A request of a client and the channel for its response.
-    Request(Box<Request>, Sender<Part>),
-    /// The client of a request disconnected.
-    Disconnected(RequestId),
-    /// A part of an upstream's response to a run.
-    Reply(Link, Run, Reply),
-    /// The outcome of a poll of a table.
-    Store(Table, Outcome),
-    /// Tables from another entry.
-    Snapshots(Vec<peer::Snapshot>),
-    /// An event on a link to another entry.
-    Link(Event),
-    /// A link that another entry opened.
-    LinkAccepted(Link, Outbox),
-    /// The outcome of opening a link to an entry.
-    LinkOpened(InstanceId, Link, Result<Outbox, String>),
-    /// The outcome of writing the record of a roll-out.
-    MoveRecorded(String, Result<(), String>),
-    /// The outcome of writing lost rows again.
-    RowsRestored(Result<(), String>),
-    /// The outcome of writing the record of a quarantined request.
-    HoldRecorded(Fingerprint, Result<(), String>),
-    /// A closure that needs access to the event loop's state.
-    Execute(Box<dyn FnOnce(&mut EventLoop) + Send>),
-}
-
 /// The state of a hosted entry.
 pub struct EventLoop {
     entry: Entry,
@@ -605,13 +578,12 @@
         }
     }
 
-    fn apply_snapshots(&mut self, copies: Vec<peer::Snapshot>) {
+    fn apply_snapshots(&mut self, copies: Vec<Snapshot>) {
         let now = self.clock.now();
         for copy in copies {
             let table = copy.table;
             let before = self.mirror.stamp(table);
-            let (page, retained) = copy.page();
-            let updates = self.mirror.apply_copy(table, page, retained, now);
+            let updates = self.mirror.apply_copy(table, copy.page, copy.retained, now);
             self.handle_restore("asked");
             let version = self.mirror.stamp(table);
             if version > before {
--- a/crates/daemon/src/hosted/followers.rs
+++ b/crates/daemon/src/hosted/followers.rs
@@ -6,7 +6,7 @@
 //! tables are polled with long waits, which restart when the store is reachable again or when
 //! none of them delivered a change that the operator table announced.
 
-use super::event_loop::Message;
+use super::message::{Message, Outcome, Read};
 use super::shared::Shared;
 use crate::clock::{self, Clock};
 use async_channel::{Receiver, Sender};
@@ -14,8 +14,8 @@
 use futures_lite::FutureExt;
 use sorreldeck::era::Stamp;
 use sorreldeck::replication::Subscription;
-use sorreldeck::{Span, Time};
-use sorreldeck_platform::store::{Page, Trouble};
+use sorreldeck::Span;
+use sorreldeck_platform::store::Trouble;
 use sorreldeck_platform::{Store, Table};
 use std::sync::atomic::{AtomicU64, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -53,26 +53,6 @@
 const EXTRA_CALL_TIMEOUT: Duration = Duration::from_millis(500);
 const EXTRA_CALL_PAUSE: Duration = Duration::from_millis(100);
 
-/// The rows that one call returned.
-pub struct Read {
-    pub page: Page,
-    /// Whether `page` holds the whole table.
-    pub whole: bool,
-    /// When the call began.
-    pub started: Time,
-}
-
-/// The outcome of a call for a table.
-pub enum Outcome {
-    /// The table or changes of it.
-    Page(Read),
-    /// The table could not be read.
-    Failed(Trouble),
-    /// The store no longer has the changes after this version, or the version is of another
-    /// era; the table will be read as a whole.
-    Forgotten(Stamp),
-}
-
 /// What the follower of a table does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Mode {
--- a/crates/daemon/src/hosted/frontend.rs
+++ b/crates/daemon/src/hosted/frontend.rs
@@ -1,6 +1,6 @@
 //! The frontend: accepts requests of clients and sends the responses.
 
-use super::event_loop::Message;
+use super::message::Message;
 use super::shared::Shared;
 use async_channel::{Receiver, Sender};
 use async_std::net::{TcpListener, TcpStream};
--- a/crates/daemon/src/hosted/holds.rs
+++ b/crates/daemon/src/hosted/holds.rs
@@ -5,7 +5,7 @@
 //! arrive. Each entry delays its write by its own jitter, so that usually only one of them
 //! writes.
 
-use super::event_loop::Message;
+use super::message::Message;
 use super::mirror::Mirror;
 use super::mover;
 use async_channel::Sender;
--- a/crates/daemon/src/hosted/mover.rs
+++ b/crates/daemon/src/hosted/mover.rs
@@ -4,7 +4,7 @@
 //! one of several concurrent writers succeeds. Each entry delays its write by its own jitter,
 //! so that usually only one tries.
 
-use super::event_loop::Message;
+use super::message::Message;
 use super::mirror::Mirror;
 use async_channel::Sender;
 use async_std::task;
--- a/crates/daemon/src/hosted/peer.rs
+++ b/crates/daemon/src/hosted/peer.rs
@@ -5,10 +5,9 @@
 //! and accepts the long-lived replication links as well, whose messages are handled by
 //! [`relay`](super::relay).
 
-use super::event_loop::Message;
+use super::message::{Message, Snapshot};
 use super::mirror::Mirror;
 use super::pack;
-use super::replica::Retained;
 use super::shared::Shared;
 use crate::clock;
 use async_channel::{Receiver, Sender};
@@ -16,9 +15,9 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use log::{info, warn};
-use sorreldeck::era::{Era, Stamp};
+use sorreldeck::era::Stamp;
 use sorreldeck::pick::Link;
-use sorreldeck::wire::{Cursor, Frame, RetainedRow, TableCopy};
+use sorreldeck::wire::{Cursor, Frame, TableCopy};
 use sorreldeck::InstanceId;
 use sorreldeck_net::link::{self, Event, Keys, Outbox};
 use sorreldeck_platform::store::{Page, Row};
@@ -42,31 +41,6 @@
 /// The number of entries that are asked at a time; one of them may be unreachable too.
 const CONCURRENT_REQUESTS: usize = 2;
 
-/// A copy of a table from another entry.
-#[derive(Clone, Debug)]
-pub struct Snapshot {
-    pub table: Table,
-    version: u64,
-    era: Era,
-    rows: Vec<Row>,
-    retained: Vec<RetainedRow>,
-}
-
-impl Snapshot {
-    /// Returns the copy as a page of the store, and the rows that remain valid although the
-    /// store lost them.
-    pub fn page(self) -> (Page, Vec<Retained>) {
-        let page = Page {
-            rows: self.rows,
-            version: self.version,
-            now: Duration::ZERO,
-            era: Some(self.era),
-        };
-        let retained = self.retained.into_iter().map(pack::from_retained);
-        (page, retained.collect())
-    }
-}
-
 /// The links to other entries.
 pub struct Peering {
     keys: Keys,
@@ -207,12 +181,17 @@
         value: Some(value.into_vec()),
         version,
     };
+    let page = Page {
+        rows: copy.rows.into_iter().map(row).collect(),
+        version: copy.version,
+        now: Duration::ZERO,
+        era: Some(copy.era),
+    };
+    let retained = copy.retained.into_iter().map(pack::from_retained);
     Some(Snapshot {
         table: *Table::ALL.get(copy.number)?,
-        version: copy.version,
-        era: copy.era,
-        rows: copy.rows.into_iter().map(row).collect(),
-        retained: copy.retained,
+        page,
+        retained: retained.collect(),
     })
 }
 
--- a/crates/daemon/src/hosted/restorer.rs
+++ b/crates/daemon/src/hosted/restorer.rs
@@ -5,7 +5,7 @@
 //! first, and the others see the result before their delay has passed. The row with an entry's
 //! address is written only by that entry.
 
-use super::event_loop::Message;
+use super::message::Message;
 use super::mirror::{Mirror, Rewrite, ENTRY_PREFIX};
 use super::mover;
 use async_channel::Sender;
--- a/crates/daemon/src/hosted/shared.rs
+++ b/crates/daemon/src/hosted/shared.rs
@@ -1,6 +1,6 @@
 //! State that tasks share with the event loop of a hosted entry.
 
-use super::event_loop::Message;
+use super::message::Message;
 use async_channel::Sender;
 use sorreldeck::{Incarnation, RequestId};
 use sorreldeck_platform::config::Limits;
--- a/crates/daemon/src/hosted/web.rs
+++ b/crates/daemon/src/hosted/web.rs
@@ -1,6 +1,7 @@
 //! HTTP endpoints for readiness and metrics.
 
-use super::event_loop::{EventLoop, Message};
+use super::event_loop::EventLoop;
+use super::message::Message;
 use super::shared::Shared;
 
 /// Returns the application of the readiness check.
