--- a/crates/daemon/src/hosted/event_loop.rs
+++ b/crates/daemon/src/hosted/event_loop.rs
@@ -1,42 +1,43 @@
-//! The event loop of a hosted entry and its messages.
+//! The event loop of a hosted entry.
+
+mod links;
+mod requests;
+mod status;
+mod store;
+mod suspension;
+mod updates;
 
 use super::answers::Answers;
 use super::client::{self, Client};
 use super::duties::Duties;
 use super::followers::Followers;
-use super::holds::{Record, Recorder};
-use super::message::{Message, Outcome, Read, Snapshot};
-use super::mirror::{Mirror, Update, ENTRY_PREFIX};
+use super::holds::Recorder;
+use super::message::Message;
+use super::mirror::Mirror;
 use super::mover::{Mover, Proposal};
 use super::peer::Peering;
-use super::relay::{self, Command, Relay};
+use super::relay::{self, Relay};
 use super::restorer::Restorer;
-use super::shared::{self, Shared};
+use super::shared::Shared;
 use crate::clock::{self, Clock};
 use crate::event_loop::{self, Flow};
 use crate::metrics::Metrics;
 use crate::options;
 use async_channel::{Receiver, Sender};
 use async_std::task;
-use log::{info, warn};
+use log::info;
 use sorreldeck::duty::{Context, Tally};
-use sorreldeck::entry::{
-    Entry, Input, Output, Part, Payload, Reply, Settings as Decisions, Summary,
-};
-use sorreldeck::era::Freshness;
+use sorreldeck::entry::{Entry, Input, Output, Part, Reply, Settings as Decisions};
 use sorreldeck::pick::Link;
-use sorreldeck::quarantine::{self, Fingerprint, Hold};
+use sorreldeck::quarantine;
 use sorreldeck::replication::{Peer, Subscription, Timeouts};
 use sorreldeck::wire::{Frame, Run};
-use sorreldeck::{
-    Failure, Hall, Incarnation, InstanceId, Region, RequestId, Revision, Span, Time, UpstreamId,
-};
+use sorreldeck::{Hall, Region, RequestId, Span, Time, UpstreamId};
 use sorreldeck_net::h1::Door;
-use sorreldeck_net::link::{Event, Outbox};
-use sorreldeck_platform::member::Registration;
-use sorreldeck_platform::{Settings, Store, Table};
+use sorreldeck_net::link::Event;
+use sorreldeck_platform::{Settings, Store};
 use std::collections::{BTreeMap, HashMap};
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -47,37 +48,10 @@
 const DRAIN_PERIOD: Span = Span::from_millis(2_400);
 /// How long before it would be killed the process ends by itself.
 const EXIT_MARGIN: Span = Span::from_millis(500);
-/// How long the store must be unreachable before other entries are asked for tables, and the
-/// interval between these requests.
-const FETCH_AFTER: Span = Span::from_millis(300);
-const FETCH_INTERVAL: Span = Span::from_millis(500);
-/// Interval between release reports: a bad release must be abandoned within 5 s, and reports
-/// cross at most three links.
-const REPORT_INTERVAL: Span = Span::from_millis(500);
 /// How long an entry waits for the addresses of the others when the whole installation starts
 /// for the first time. All entries start within 0.3 s of each other; another second for slow
 /// ones does no harm, since there are no clients yet.
 const FIRST_START_WAIT: Span = Span::from_millis(1_300);
-/// Interval between requests for tables after several brought nothing newer, since all entries
-/// may have lost contact with the store. A change must be known within about 7 s.
-const SLOW_FETCH_INTERVAL: Span = Span::from_millis(2_000);
-
-/// Minimum suspension of the machine after which the tables are polled anew. A page of the
-/// store is about 20 ms old, and links tolerate 0.5 s.
-const MIN_SUSPENSION: Span = Span::from_millis(200);
-/// After a suspension, the tables are trusted again if the last contact with the store,
-/// directly or through other entries, was within this time. Answers arrive every 0.5 s.
-const MAX_AGE: Span = Span::from_millis(700);
-/// Maximum time for which the tables are not trusted after a suspension: the store answers
-/// within about 5 ms, another entry within 0.5 s.
-const MAX_DISTRUST: Span = Span::from_millis(600);
-
-/// Interval between log lines with the sizes of this entry's state.
-const STATE_LOG_INTERVAL: Span = Span::from_millis(10_000);
-
-/// Minimum interval between polls of all tables because the store's era changed. A store that
-/// reports a different era in each answer is polled only by the followers' own pauses.
-const MIN_RESTORE_INTERVAL: Span = Span::from_millis(1_000);
 
 /// The state of a hosted entry.
 pub struct EventLoop {
@@ -255,40 +229,6 @@
         (self.door.is_shut() && idle) || waited >= self.grace - EXIT_MARGIN
     }
 
-    /// Detects that the machine was suspended, before messages that arrived in the meantime are
-    /// handled. Ends what has timed out, restarts long polls that stood still and suspends
-    /// trust in the tables until they are confirmed.
-    fn detect_suspension(&mut self) {
-        let suspended = self.clock.suspended();
-        let span = suspended - self.suspended;
-        if span < MIN_SUSPENSION {
-            return;
-        }
-        self.suspended = suspended;
-        info!("event=suspended for_ms={}", span.millis());
-        let now = self.clock.now();
-        self.distrusted_since = Some(now);
-        self.handle(Input::Suspended);
-        self.handle(Input::Tick);
-        self.client.clear_pool();
-        self.relay.invalidate(now);
-        for table in Table::ALL {
-            self.followers.poll(table);
-        }
-    }
-
-    /// Trusts the tables again once they are confirmed, or if that takes too long.
-    fn end_distrust(&mut self, now: Time) {
-        let Some(since) = self.distrusted_since else {
-            return;
-        };
-        let age = self.relay.follow().age(now);
-        if age.is_some_and(|age| age < MAX_AGE) || now.since(since) >= MAX_DISTRUST {
-            self.distrusted_since = None;
-            self.handle(Input::Resynced);
-        }
-    }
-
     fn tick(&mut self, stopping: bool) {
         self.detect_suspension();
         self.handle(Input::Tick);
@@ -377,15 +317,7 @@
     fn handle_message(&mut self, message: Message) {
         self.detect_suspension();
         match message {
-            Message::Request(request, parts) => {
-                if let Payload::Routed(routed) = &request.payload {
-                    let session = routed.session.map_or(String::new(), |s| format!("{s:x}"));
-                    let label = (routed.label.clone(), session);
-                    self.labels.insert(request.request, label);
-                }
-                self.responses.insert(request.request, parts);
-                self.handle(Input::Request(request));
-            }
+            Message::Request(request, parts) => self.begin_request(request, parts),
             Message::Disconnected(request) => {
                 self.responses.remove(&request);
                 self.handle(Input::Disconnected(request));
@@ -396,53 +328,7 @@
                 }
                 self.handle(Input::Reply(link, run, reply));
             }
-            Message::Store(
-                table,
-                Outcome::Page(Read {
-                    page,
-                    whole,
-                    started,
-                }),
-            ) => {
-                let now = self.clock.now();
-                if self.mirror.observe_era(table, &page, whole, started, now) == Freshness::Stale {
-                    return;
-                }
-                self.handle_restore("store");
-                // The answer may have waited in the channel while the machine was suspended.
-                let sent_at = self.mirror.local_time(page.now.as_micros() as u64);
-                let contact = sent_at
-                    .filter(|_| !page.now.is_zero())
-                    .map_or(now, |at| at.min(now));
-                self.record_answer(table, contact);
-                let updates = self.mirror.apply(table, page, whole, now);
-                self.log_ignored();
-                self.apply_updates(updates, "store");
-                self.answers.record(table, now);
-                if table == Table::Own && self.first_start_until.is_none() {
-                    self.relay.listed(now);
-                }
-                let commands = self.relay.publish(&mut self.mirror, now);
-                self.execute_commands(commands);
-            }
-            Message::Store(table, Outcome::Failed(error)) => {
-                let now = self.clock.now();
-                if !self.mirror.is_failing(table) {
-                    warn!("event=store-lost table={table:?} error={error}");
-                }
-                self.mirror.mark_failing(table);
-                // Without the list of entries this entry works on its own.
-                self.first_start_until = None;
-                self.relay.listed(now);
-                self.relay.note_failure(table);
-                if table == Table::Operator {
-                    self.failing_since.get_or_insert(now);
-                }
-            }
-            Message::Store(table, Outcome::Forgotten(known)) => {
-                let silent = self.answers.silence_ms(table, self.clock.now());
-                warn!("event=store-forgot table={table:?} known={known} silent_ms={silent}");
-            }
+            Message::Store(table, outcome) => self.handle_outcome(table, outcome),
             Message::Snapshots(copies) => self.apply_snapshots(copies),
             Message::Link(Event::Down(link)) => {
                 self.peering.close(link);
@@ -465,402 +351,6 @@
         }
     }
 
-    fn handle_link_opened(&mut self, name: InstanceId, link: Link, outbox: Result<Outbox, String>) {
-        let now = self.clock.now();
-        let link = match outbox {
-            Ok(outbox) => {
-                self.peering.add(link, outbox);
-                Some(link)
-            }
-            Err(error) => {
-                warn!("event=source-not-linked entry={name} error={error:?}");
-                None
-            }
-        };
-        let commands = self.relay.opened(name, link, &self.mirror, now);
-        self.execute_commands(commands);
-    }
-
-    fn handle_frame(&mut self, link: Link, frame: Frame) {
-        if let Frame::FetchTables(cursor) = &frame {
-            return self.peering.answer(link, cursor, &self.mirror);
-        }
-        let now = self.clock.now();
-        let era = self.mirror.era();
-        let (updates, commands) = self.relay.handle_frame(link, frame, &mut self.mirror, now);
-        let has_updates = !updates.is_empty();
-        // The name is copied only if it is needed, since most frames contain no updates.
-        let needs_name = has_updates || self.mirror.era() != era;
-        let source = self.relay.source(link).filter(|_| needs_name);
-        let from = source.map(InstanceId::to_string);
-        let from = from.as_deref().unwrap_or("unknown");
-        self.handle_restore(from);
-        self.apply_updates(updates, from);
-        self.execute_commands(commands);
-        if has_updates {
-            let commands = self.relay.publish(&mut self.mirror, now);
-            self.execute_commands(commands);
-        }
-    }
-
-    /// Runs replication: passes the mirrored versions to the followers, executes due commands
-    /// and logs changes of the sources.
-    fn replicate(&mut self, now: Time) {
-        if self.first_start_until.is_some_and(|until| now < until) {
-            return;
-        }
-        self.first_start_until = None;
-        for table in Table::ALL {
-            let known = self.mirror.base(table);
-            self.followers
-                .set_mirrored(table, known.map(|_| self.mirror.stamp(table)));
-        }
-        let wait = self.relay.follow().timeouts().long_poll;
-        let before = self.relay.follow().subscription();
-        let commands = self.relay.step(&mut self.mirror, now);
-        let reads_all = self.relay.follow().subscription() == Subscription::All;
-        self.followers.set_max_wait(reads_all.then_some(wait));
-        self.execute_commands(commands);
-        let follow = self.relay.follow();
-        let subscription = follow.subscription();
-        let sources: Vec<String> = follow.sources(now).iter().map(|s| s.to_string()).collect();
-        if subscription == Subscription::Nothing && !sources.is_empty() {
-            self.failing_since = None;
-        }
-        if subscription != before || sources != self.logged_sources {
-            let age = follow.age(now).map_or(-1, |age| age.millis() as i64);
-            info!(
-                "event=sources reading={subscription:?} before={before:?} sources={sources:?} age_ms={age} takers={}",
-                self.relay.subscribers()
-            );
-            self.logged_sources = sources;
-        }
-    }
-
-    fn execute_commands(&mut self, commands: Vec<Command>) {
-        for command in commands {
-            match command {
-                Command::Open(name, address) => self.peering.open(name, address, &self.shared),
-                Command::Close(link) => self.peering.close(link),
-                Command::Send(link, frame) => self.peering.send(link, frame),
-                Command::Read(subscription) => self.followers.read(subscription),
-                Command::Poll(table) => self.poll_table(table),
-                Command::Handle(input) => {
-                    if let Input::SpeedSums(sums) = &input {
-                        self.metrics.count_heard_speed_sums(sums.len());
-                    }
-                    self.handle(input);
-                }
-            }
-        }
-    }
-
-    /// Polls a table anew whose long poll yields nothing.
-    fn poll_table(&mut self, table: Table) {
-        let silent = self.answers.silence_ms(table, self.clock.now());
-        let version = self.mirror.version(table);
-        info!("event=asked-anew table={table:?} version={version} silent_ms={silent}");
-        self.followers.poll(table);
-    }
-
-    fn record_answer(&mut self, table: Table, now: Time) {
-        if self.mirror.is_failing(table) {
-            info!("event=store-regained table={table:?}");
-        }
-        self.relay.note_answer(table, now);
-        // At the start, any answer shows that the store is reachable, and the other tables will
-        // follow.
-        if table == Table::Operator || !self.mirror.has_operator_table() {
-            self.failing_since = None;
-        }
-        if table == Table::Operator {
-            self.vain_fetches = 0;
-        }
-    }
-
-    fn apply_snapshots(&mut self, copies: Vec<Snapshot>) {
-        let now = self.clock.now();
-        for copy in copies {
-            let table = copy.table;
-            let before = self.mirror.stamp(table);
-            let updates = self.mirror.apply_copy(table, copy.page, copy.retained, now);
-            self.handle_restore("asked");
-            let version = self.mirror.stamp(table);
-            if version > before {
-                self.vain_fetches = 0;
-                info!("event=learned-from-entry table={table:?} version={version} before={before}");
-            }
-            self.apply_updates(updates, "asked");
-        }
-    }
-
-    /// Handles updates; `from` names their source in the log.
-    fn apply_updates(&mut self, updates: Vec<Update>, from: &str) {
-        let has_entries = updates
-            .iter()
-            .any(|update| matches!(update, Update::Entry(_)));
-        for update in updates {
-            self.apply_update(update, from);
-        }
-        if has_entries {
-            // One input for all of them: when an installation starts, up to 300 entries appear
-            // at once.
-            let entries = self.relay.follow().entries().cloned().collect();
-            self.handle(Input::Entries(entries));
-        }
-        for replaced in self.mirror.take_replaced() {
-            info!(
-                "event=table-restored table={:?} stamp={} before={} kept={:?} from={from}",
-                replaced.table, replaced.after, replaced.before, replaced.retained
-            );
-        }
-        for suspects in self.mirror.take_suspects() {
-            info!(
-                "event=held upstreams={:?} of={} for_ms={}",
-                suspects.keys,
-                suspects.listed,
-                suspects.grace_period.millis()
-            );
-        }
-        for row in self.mirror.take_malformed() {
-            warn!(
-                "event=not-understood table={:?} key={:?} error={:?}",
-                row.table, row.key, row.message
-            );
-        }
-    }
-
-    /// Handles a restore of the store from a backup. The mirrored tables remain in use until
-    /// all tables have been read as a whole, and pending long polls are useless.
-    fn handle_restore(&mut self, from: &str) {
-        let Some(before) = self.mirror.take_restored() else {
-            return;
-        };
-        let now = self.clock.now();
-        let era = self.mirror.era();
-        warn!("event=store-era era={era} before={before} from={from}");
-        self.relay.invalidate(now);
-        let is_due = self
-            .restore_polled_at
-            .is_none_or(|at| now.since(at) >= MIN_RESTORE_INTERVAL);
-        for table in Table::ALL {
-            self.followers.set_mirrored(table, None);
-            if is_due {
-                self.followers.poll(table);
-            }
-        }
-        if is_due {
-            self.restore_polled_at = Some(now);
-        }
-    }
-
-    /// Logs the pages that were ignored.
-    fn log_ignored(&mut self) {
-        for ignored in self.mirror.take_ignored() {
-            self.metrics.count_ignored_page();
-            warn!(
-                "event=page-ignored table={:?} version={} known={} era={}",
-                ignored.table,
-                ignored.version,
-                ignored.known,
-                ignored
-                    .era
-                    .map_or_else(|| "-".to_owned(), |e| e.to_string())
-            );
-        }
-    }
-
-    /// Returns the log fields that describe the origin of an update: its source, the version up
-    /// to which the table is mirrored, and how long the store has not answered this entry for
-    /// it.
-    fn origin(&self, table: Table, from: &str) -> String {
-        let version = self.mirror.version(table);
-        let silent = self.answers.silence_ms(table, self.clock.now());
-        format!("from={from} version={version} silent_ms={silent}")
-    }
-
-    fn apply_update(&mut self, update: Update, from: &str) {
-        match update {
-            Update::Config(config) => self.apply_config(*config, from),
-            Update::Joined(listed) => self.join(*listed, from),
-            Update::Retired(upstream) => {
-                let origin = self.origin(Table::Upstreams, from);
-                info!("event=retired upstream={upstream} {origin}");
-                if let Some(link) = self.upstreams.remove(&upstream) {
-                    self.addresses.remove(&link);
-                    self.handle(Input::Retire(link));
-                }
-            }
-            Update::Move(order, state, began) => {
-                let origin = self.origin(Table::Progress, from);
-                info!(
-                    "event=move pool={} to={} number={} state={state:?} began={began:?} {origin}",
-                    order.pool, order.to, order.issued
-                );
-                self.handle(Input::Move(order, state, began));
-            }
-            Update::Cold(upstream, remaining) => {
-                let origin = self.origin(Table::Upstreams, from);
-                info!(
-                    "event=cold upstream={upstream} for_ms={} {origin}",
-                    remaining.millis()
-                );
-                if let Some(link) = self.upstreams.get(&upstream).copied() {
-                    self.handle(Input::Cold(link, remaining));
-                }
-            }
-            Update::Evacuated(halls) => {
-                let origin = self.origin(Table::Operator, from);
-                info!("event=evacuate halls={halls:?} {origin}");
-                self.handle(Input::Evacuate(halls));
-            }
-            Update::Quarantine(fingerprint, record) => self.apply_quarantine(fingerprint, record),
-            Update::Entry(peer) => {
-                self.peering.add_peer(peer.name.clone(), peer.address);
-                self.relay.learn(peer);
-            }
-        }
-    }
-
-    /// Handles the quarantine record of a request, or its removal.
-    fn apply_quarantine(&mut self, fingerprint: Fingerprint, record: Option<Record>) {
-        let Some(record) = record else {
-            return self.handle(Input::QuarantineRemoved(fingerprint));
-        };
-        // Without the store's clock no row has arrived yet, and no record either.
-        if let Some(until) = self.mirror.local_time(record.until_us) {
-            let hold = Hold {
-                until,
-                previous: record.before,
-                is_own: record.by == self.own.name,
-            };
-            self.handle(Input::Quarantined(fingerprint, hold));
-        }
-    }
-
-    fn apply_config(&mut self, config: sorreldeck_platform::Configuration, from: &str) {
-        let revision = config.tree.revision();
-        if revision <= self.entry.tree().revision() && revision > Revision(0) {
-            return;
-        }
-        let origin = self.origin(Table::Operator, from);
-        info!(
-            "event=config revision={revision} before={} routes={} {origin}",
-            self.entry.tree().revision(),
-            config.tree.routes().len()
-        );
-        self.shared.set_limits(config.limits);
-        self.handle(Input::Tree(Arc::new(config.tree)));
-    }
-
-    fn join(&mut self, mut listed: Registration, from: &str) {
-        // If the row has no incarnation, the address stands for it, so that notices of one
-        // incarnation are not attributed to another.
-        let incarnation = &mut listed.member.placement.incarnation;
-        incarnation.get_or_insert_with(|| incarnation_of(listed.address));
-        let placement = &mut listed.member.placement;
-        placement.region = placement
-            .hall
-            .as_ref()
-            .and_then(|hall| self.regions.get(hall).cloned());
-        let link = self.next_link;
-        self.next_link += 1;
-        let member = &listed.member;
-        let origin = self.origin(Table::Upstreams, from);
-        info!(
-            "event=joined upstream={} start={:?} pool={} address={} hall={:?} release={:?} {origin}",
-            member.upstream,
-            member.placement.incarnation,
-            member.pool,
-            listed.address,
-            member.placement.hall,
-            member.placement.release
-        );
-        self.upstreams.insert(member.upstream.clone(), link);
-        self.addresses.insert(link, listed.address);
-        self.handle(Input::Join(link, Box::new(listed.member)));
-    }
-
-    /// Publishes this entry's address once the store can be written.
-    fn announce(&mut self) {
-        if self.link_address.is_none() || self.announced {
-            return;
-        }
-        // At the first start of an installation the table is empty.
-        if self.mirror.version(Table::Own) == 0 && self.first_start_until.is_none() {
-            return;
-        }
-        self.announced = true;
-        let key = format!("{ENTRY_PREFIX}{}", self.own.name);
-        let known = self.mirror.row(Table::Own, &key);
-        let text = serde_json::to_string(&self.own).expect("a peer is always JSON");
-        if known.and_then(|row| row.value.as_deref()) == Some(text.as_bytes()) {
-            return;
-        }
-        let (store, send) = (self.store.clone(), self.shared.send.clone());
-        task::spawn(async move {
-            let change = sorreldeck_platform::store::Change::default();
-            let change = change.put(Table::Own, &key, text.as_bytes());
-            if let Err(error) = store.change(&change).await {
-                warn!("event=announce-failed error={error}");
-                task::sleep(SLOW_FETCH_INTERVAL.into()).await;
-                let again = |event_loop: &mut EventLoop| event_loop.announced = false;
-                // Sending fails only while the process ends, since the event loop runs until
-                // then.
-                let _ = send.send(Message::Execute(Box::new(again))).await;
-            }
-        });
-    }
-
-    /// Shares this entry's reports on canary releases with other entries.
-    fn share_reports(&mut self, now: Time) {
-        if now.since(self.reported_at) < REPORT_INTERVAL {
-            return;
-        }
-        self.reported_at = now;
-        for (pool, report) in self.entry.move_reports() {
-            self.relay.share_report(pool, report);
-        }
-    }
-
-    /// Logs the sizes of this entry's state.
-    fn log_state(&mut self, now: Time) {
-        if now.since(self.state_logged_at) < STATE_LOG_INTERVAL {
-            return;
-        }
-        self.state_logged_at = now;
-        let rows: usize = Table::ALL
-            .iter()
-            .map(|t| self.mirror.rows(*t).count())
-            .sum();
-        let (memory, peak) = shared::memory();
-        info!(
-            "event=state memory_kb={memory} peak_kb={peak} links={} takers={} rows={rows} upstreams={} explained={} counts={}",
-            self.peering.links(),
-            self.relay.subscribers(),
-            self.upstreams.len(),
-            self.entry.history().len(),
-            self.relay.usage().map_or(0, |c| c.tally().retained()),
-        );
-    }
-
-    /// Asks other entries for tables while the store is unreachable.
-    fn fetch_tables(&mut self, now: Time) {
-        let Some(since) = self.failing_since else {
-            return;
-        };
-        let pause = match self.vain_fetches {
-            0..=2 => FETCH_INTERVAL,
-            _ => SLOW_FETCH_INTERVAL,
-        };
-        if now.since(since) < FETCH_AFTER || now.since(self.fetched_at) < pause {
-            return;
-        }
-        self.fetched_at = now;
-        self.vain_fetches += 1;
-        self.peering.request_tables(&self.mirror, &self.shared);
-    }
-
     /// Passes an input to the decisions and executes their outputs.
     pub fn handle(&mut self, input: Input) {
         let now = self.clock.now();
@@ -913,96 +403,4 @@
             }
         }
     }
-
-    fn respond(&mut self, request: RequestId, part: Part) {
-        let last = matches!(part, Part::End | Part::Fail(_));
-        if let Some(parts) = self.responses.get(&request) {
-            // If the client disconnected, [`Message::Disconnected`] follows.
-            let _ = parts.try_send(part);
-        }
-        if last {
-            self.responses.remove(&request);
-        }
-    }
-
-    /// Logs the one line of a request that has ended.
-    fn log_request(&mut self, done: &Summary) {
-        let request = done.request;
-        let (label, session) = self.labels.remove(&request).unwrap_or_default();
-        let Some(decision) = self.entry.history().get(request) else {
-            return;
-        };
-        let tries: Vec<String> = decision
-            .attempts
-            .iter()
-            .map(|t| {
-                let version = t.version.as_ref().map_or("-", |v| v.as_str());
-                let known = t.snapshot.map_or_else(String::new, |k| format!(" [{k}]"));
-                let due = t.forecast.map_or_else(String::new, |d| format!(" [{d}]"));
-                format!("{}/{version}{known}{due}: {}", t.upstream, t.outcome)
-            })
-            .collect();
-        let failure = decision
-            .failure
-            .as_ref()
-            .map_or_else(String::new, Failure::to_string);
-        let fingerprint = decision
-            .fingerprint
-            .map_or_else(String::new, |f| f.to_string());
-        info!(
-            "event=request id={label} session={session} fingerprint={fingerprint} asked={:?} revision={} account={} first_ms={} whole_ms={} tries={tries:?} failure={failure:?}",
-            decision.asked,
-            decision.revision,
-            done.account.as_ref().map_or("-", |a| a.as_str()),
-            done.first_byte.map_or(-1, |s| s.millis() as i64),
-            done.duration.millis(),
-        );
-    }
-
-    /// Returns the metrics of this process as text.
-    pub fn metrics_text(&mut self) -> String {
-        self.metrics.set_invariants(self.entry.invariants());
-        let now = self.clock.now();
-        for table in Table::ALL {
-            let silence = self.answers.silence_ms(table, now);
-            let version = self.mirror.version(table);
-            self.metrics
-                .set_table(&format!("{table:?}"), version as i64, silence);
-        }
-        let gauges = self.metrics.gauges();
-        gauges.revision.set(self.entry.tree().revision().0 as i64);
-        gauges.in_flight.set(self.entry.in_flight() as i64);
-        gauges.quarantined.set(self.entry.quarantined(now) as i64);
-        let peers = self.entry.peers();
-        gauges.cold.set(peers.cold(now) as i64);
-        gauges.leaving.set(peers.leaving() as i64);
-        gauges.paused.set(peers.resting(now) as i64);
-        gauges.limited.set(peers.limited() as i64);
-        let evacuated = peers.hall_states().evacuated();
-        gauges.evacuated.set(evacuated.len() as i64);
-        if let Some(duties) = &self.duties {
-            let outcomes = duties.outcomes();
-            gauges.reports_taken.set(outcomes.taken as i64);
-            gauges.reports_failed.set(outcomes.failed as i64);
-            gauges.unreported.set(duties.duty().unreported() as i64);
-            let fence = duties.duty().fence(now).unwrap_or(0);
-            gauges.fence.set(fence as i64);
-        }
-        gauges.links.set(self.upstreams.len() as i64);
-        let age = self.relay.follow().age(now);
-        gauges.era.set(self.mirror.era().0 as i64);
-        gauges
-            .tables_age
-            .set(age.map_or(-1, |age| age.millis() as i64));
-        self.metrics.encode()
-    }
-}
-
-/// Returns a number that identifies the upstream at an address by that address.
-fn incarnation_of(address: SocketAddr) -> Incarnation {
-    let host = match address.ip() {
-        IpAddr::V4(ip) => u64::from(u32::from(ip)),
-        IpAddr::V6(ip) => u128::from(ip) as u64,
-    };
-    Incarnation(host << u16::BITS | u64::from(address.port()))
 }
--- /dev/null
+++ b/crates/daemon/src/hosted/event_loop/status.rs
@@ -0,0 +1,71 @@
+//! The log line with the sizes of this entry's state, and its metrics.
+
+use super::EventLoop;
+use crate::hosted::shared;
+use log::info;
+use sorreldeck::{Span, Time};
+use sorreldeck_platform::Table;
+
+/// Interval between log lines with the sizes of this entry's state.
+const STATE_LOG_INTERVAL: Span = Span::from_millis(10_000);
+
+impl EventLoop {
+    /// Logs the sizes of this entry's state.
+    pub(super) fn log_state(&mut self, now: Time) {
+        if now.since(self.state_logged_at) < STATE_LOG_INTERVAL {
+            return;
+        }
+        self.state_logged_at = now;
+        let rows: usize = Table::ALL
+            .iter()
+            .map(|t| self.mirror.rows(*t).count())
+            .sum();
+        let (memory, peak) = shared::memory();
+        info!(
+            "event=state memory_kb={memory} peak_kb={peak} links={} takers={} rows={rows} upstreams={} explained={} counts={}",
+            self.peering.links(),
+            self.relay.subscribers(),
+            self.upstreams.len(),
+            self.entry.history().len(),
+            self.relay.usage().map_or(0, |c| c.tally().retained()),
+        );
+    }
+
+    /// Returns the metrics of this process as text.
+    pub fn metrics_text(&mut self) -> String {
+        self.metrics.set_invariants(self.entry.invariants());
+        let now = self.clock.now();
+        for table in Table::ALL {
+            let silence = self.answers.silence_ms(table, now);
+            let version = self.mirror.version(table);
+            self.metrics
+                .set_table(&format!("{table:?}"), version as i64, silence);
+        }
+        let gauges = self.metrics.gauges();
+        gauges.revision.set(self.entry.tree().revision().0 as i64);
+        gauges.in_flight.set(self.entry.in_flight() as i64);
+        gauges.quarantined.set(self.entry.quarantined(now) as i64);
+        let peers = self.entry.peers();
+        gauges.cold.set(peers.cold(now) as i64);
+        gauges.leaving.set(peers.leaving() as i64);
+        gauges.paused.set(peers.resting(now) as i64);
+        gauges.limited.set(peers.limited() as i64);
+        let evacuated = peers.hall_states().evacuated();
+        gauges.evacuated.set(evacuated.len() as i64);
+        if let Some(duties) = &self.duties {
+            let outcomes = duties.outcomes();
+            gauges.reports_taken.set(outcomes.taken as i64);
+            gauges.reports_failed.set(outcomes.failed as i64);
+            gauges.unreported.set(duties.duty().unreported() as i64);
+            let fence = duties.duty().fence(now).unwrap_or(0);
+            gauges.fence.set(fence as i64);
+        }
+        gauges.links.set(self.upstreams.len() as i64);
+        let age = self.relay.follow().age(now);
+        gauges.era.set(self.mirror.era().0 as i64);
+        gauges
+            .tables_age
+            .set(age.map_or(-1, |age| age.millis() as i64));
+        self.metrics.encode()
+    }
+}
