--- a/crates/core/src/wire/speeds.rs
+++ b/crates/core/src/wire/speeds.rs
@@ -1,5 +1,5 @@
-//! The encoding of speed sums as bytes, a quarter shorter than as CBOR numbers: the identifier in
-//! 8 bytes, little-endian, then weight and logarithm as variable-length integers.
+//! The encoding of speed sums as bytes, which is shorter than CBOR numbers: the identifier, a hash,
+//! in 8 bytes, little-endian, then weight and logarithm as variable-length integers.
 
 use crate::pick::SpeedSum;
 use serde::de::Error;
--- a/crates/daemon/tests/relay/speeds.rs
+++ b/crates/daemon/tests/relay/speeds.rs
@@ -10,6 +10,7 @@
 use sorreldeck::wire::{self, Feed, Frame};
 use sorreldeck::Span;
 use sorreldeck_sim::{Node, World};
+use sorreldeckd::metrics::Metrics;
 use std::collections::{BTreeMap, BTreeSet};
 use test_case::test_case;
 
@@ -261,3 +262,18 @@
     buf.remove(at + 11);
     assert!(wire::decode(&buf).is_err());
 }
+
+#[test]
+fn told_and_heard_sums_are_counted() {
+    let metrics = Metrics::default();
+    metrics.count_told_speed_sums(3);
+    metrics.count_told_speed_sums(4);
+    metrics.count_heard_speed_sums(9);
+    let text = metrics.encode();
+    for line in [
+        "sorreldeck_speed_sums_told_total 7",
+        "sorreldeck_speed_sums_heard_total 9",
+    ] {
+        assert!(text.lines().any(|l| l == line), "{text}");
+    }
+}
