--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -150,6 +150,9 @@
     Prefill(u64, Span),
     /// Other entries reported how long their runs took to start, by upstream.
     SpeedSums(Vec<SpeedSum>),
+    /// Another entry reported that the upstream with this start identifier has prompts to read for
+    /// this long at least.
+    Overdue(u64, Span),
     /// Another entry reported the affinity of a session to a release.
     SessionAffinity(release::Affinity),
     /// Another entry reported an upstream crash with the requests that ran there, or that a suspect
@@ -241,6 +244,9 @@
     Prefill(u64, Span),
     /// Report to the other entries how long runs took to start, by upstream.
     SpeedSums(Vec<SpeedSum>),
+    /// Report to the other entries that the upstream with this start identifier has prompts to read
+    /// for this long at least.
+    Overdue(u64, Span),
     /// Report the affinity of a session to a release to the other entries.
     SessionAffinity(release::Affinity),
     /// Report to the other entries an upstream crash with the requests that ran there, or that a
@@ -309,6 +315,8 @@
     last_resend: Time,
     /// When the slowdowns of upstreams were last updated.
     speeds_refreshed: Time,
+    /// When overdue answers were last looked for.
+    overdue_checked: Time,
     draining: bool,
 }
 
@@ -346,6 +354,7 @@
             last_report: Time::default(),
             last_resend: Time::default(),
             speeds_refreshed: Time::default(),
+            overdue_checked: Time::default(),
             draining: false,
             settings,
         }
@@ -374,6 +383,7 @@
             Input::Prefill(start_id, prefill) => {
                 self.peers.add_remote_prefill(start_id, prefill, now)
             }
+            Input::Overdue(start_id, left) => self.peers.extend_remote_queue(start_id, left, now),
             Input::SpeedSums(sums) => self.peers.merge_speeds(&sums, now),
             Input::SessionAffinity(affinity) => self.releases.merge_affinity(affinity, now),
             Input::QuarantineUpdate(update) => self.apply_quarantine_update(now, update),
--- a/crates/core/src/entry/routed/reply.rs
+++ b/crates/core/src/entry/routed/reply.rs
@@ -96,7 +96,7 @@
         }
         flight.status = status;
         flight.headers = headers;
-        self.finish_prefill(run.request);
+        self.finish_prefill(run.request, (status < 500).then_some(now));
         if status < 500 {
             self.record_latency(now, run.request);
         }
--- a/crates/core/src/entry/routed/send.rs
+++ b/crates/core/src/entry/routed/send.rs
@@ -9,7 +9,7 @@
 /// when shorter prefills are mostly complete.
 const MIN_REPORTED_PREFILL: Span = Span::from_millis(100);
 /// The same for contended pools, where several short prefills in a row hold up a prompt.
-const MIN_CONTENDED_PREFILL: Span = Span::from_millis(60);
+const MIN_CONTENDED_PREFILL: Span = Span::from_millis(40);
 
 impl Entry {
     /// Chooses the pool and release of a routed request. Returns the subset of upstreams to which a
@@ -110,7 +110,8 @@
             .ok_or_else(|| self.no_upstream_available(&flight.pool, now))?;
         self.begin_run(now, flight, chosen.link)?;
         let estimate = self.estimate(now, &flight.pool, workload.as_ref(), &chosen);
-        self.peers.prefill_started(chosen.link, estimate.prefill);
+        self.peers
+            .prefill_started(chosen.link, estimate.prefill, now);
         let min_reported = match self.peers.is_contended(&flight.pool) {
             true => MIN_CONTENDED_PREFILL,
             false => MIN_REPORTED_PREFILL,
@@ -171,6 +172,7 @@
             uncached_tokens: chosen.uncached_tokens,
             prefill: chosen.slowdown.scale(usual),
             wait: chosen.wait,
+            slowdown: chosen.slowdown,
             prefill_pending: true,
         }
     }
--- a/crates/daemon/src/hosted/relay.rs
+++ b/crates/daemon/src/hosted/relay.rs
@@ -1,46 +1,38 @@
 //! Replication of the store's tables between entries. The same links carry release reports,
-//! prefill times of long prompts, session affinities, quarantine updates and notices of
-//! upstreams.
+//! prefill times of long prompts, session affinities, quarantine updates, notices of upstreams
+//! and speed sums.
 //!
 //! [`sorreldeck::replication`] chooses the entries from which this one gets the tables, its
 //! sources. This module handles the messages to and from the sources and to the entries that
 //! get the tables from this one, its subscribers. It uses neither sockets nor a clock: frames
 //! go in, commands come out.
 
+mod sources;
+mod subscribers;
+
 use super::hints::{Affinities, Hints};
-use super::mirror::{Merge, Mirror, Update};
+use super::mirror::{Mirror, Update};
 use super::reports::Reports;
+use super::speeds::{Exchange, Sums};
 use super::usage::Usage;
-use sorreldeck::duty::{Tally, Update as UsageUpdate};
+use sorreldeck::duty::Tally;
+use sorreldeck::entry::{Input, Output};
 use sorreldeck::era::Stamp;
-use sorreldeck::notice;
-use sorreldeck::pick::Link;
-use sorreldeck::quarantine;
-use sorreldeck::release::{Affinity, Report};
-use sorreldeck::replication::{Action, Peer, Planner, Status, Subscription, Timeouts};
-use sorreldeck::wire::{self, Feed, Frame, TABLE_COUNT};
+use sorreldeck::pick::{Link, SpeedSum};
+use sorreldeck::release::Report;
+use sorreldeck::replication::{Action, Peer, Planner, Subscription, Timeouts};
+use sorreldeck::wire::{Frame, TABLE_COUNT};
 use sorreldeck::{AccountId, Hall, InstanceId, PoolId, Span, Time};
 use sorreldeck_platform::Table;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-/// Keep-alive interval towards sources; a link that is silent for 7 s is considered broken.
-const KEEP_ALIVE: Span = Span::from_millis(2_000);
-
-/// How long hints are batched before they are sent. Up to three such delays add up on the way
-/// between two entries; one message per prompt would be 150 messages a second on each link.
-const HINT_BATCH_DELAY: Span = Span::from_millis(40);
-
-/// How long the first source of an entry without tables may take before the other sources are
-/// asked too. A whole table of 3,000 rows takes 0.2 s on the smallest instances.
-const FIRST_SOURCE_TIMEOUT: Span = Span::from_millis(400);
-
 /// Minimum interval between two polls of the same table: the maximum duration of a call, so
 /// that no call that would still be answered is aborted.
 const MIN_POLL_INTERVAL: Span = Span::from_millis(1_500);
 
 /// A command for the event loop.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug)]
 pub enum Command {
     /// Open a link to an entry.
     Open(InstanceId, SocketAddr),
@@ -52,16 +44,8 @@
     Read(Subscription),
     /// Abort the long poll of a table and read it at once.
     Poll(Table),
-    /// Process a report of a data hall's entries on a release.
-    Report(PoolId, Hall, Report),
-    /// Process that an entry sent an upstream a prompt with this prefill time.
-    Prefill(u64, Span),
-    /// Process that an entry serves a session that is bound to its release by affinity.
-    Affinity(Affinity),
-    /// Process a quarantine update of an entry: requests during which upstreams crashed.
-    Quarantine(quarantine::Update),
-    /// Process a notice of an upstream to another entry.
-    Notice(notice::Update),
+    /// Pass what other entries told to the decisions of this one.
+    Handle(Input),
 }
 
 /// An entry that gets the tables from this one.
@@ -78,6 +62,8 @@
     reads_store: bool,
     /// The hints that are queued for it.
     hints: Hints,
+    /// The speed sums that are queued for it.
+    speeds: Sums,
 }
 
 /// An entry that this one gets the tables from.
@@ -89,6 +75,8 @@
     /// Whether it was asked for the tables.
     is_subscribed: bool,
     last_sent: Time,
+    /// When it was last sent release reports, and the change counter up to which they were sent.
+    reported_at: Time,
     sent_reports: u64,
     /// Whether it got the counts from before the link was opened.
     has_counts: bool,
@@ -115,6 +103,8 @@
     hints: Hints,
     /// The sessions that are bound to their release by affinity.
     affinities: Affinities,
+    /// The speed sums that are not sent yet.
+    speeds: Exchange,
     /// The source that forwards the hints of this entry, if there is one.
     primary: Option<InstanceId>,
     /// Whether this entry is about to stop.
@@ -138,6 +128,7 @@
             operator_answered: Time::default(),
             hints: Hints::default(),
             affinities: Affinities::default(),
+            speeds: Exchange::default(),
             primary: None,
             leaving: false,
             usage: None,
@@ -240,39 +231,20 @@
         self.reports.set_local(pool, self.own.name.clone(), report);
     }
 
-    /// Tells other entries that this one sent an upstream a prompt with this prefill time.
-    pub fn share_prefill(&mut self, number: u64, prefill_time: Span) {
-        let prompt = (number, prefill_time.millis().try_into().unwrap_or(u32::MAX));
-        self.queue_hints(Hints {
-            prompts: vec![prompt],
-            ..Hints::default()
-        });
-    }
-
-    /// Tells other entries that this one serves a session that is bound to its release by affinity.
-    pub fn share_affinity(&mut self, affinity: Affinity, now: Time) {
-        let affinities = vec![affinity];
-        self.affinities.record(&affinities, now);
-        self.queue_hints(Hints {
-            affinities,
-            ..Hints::default()
-        });
-    }
-
-    /// Shares this entry's report on requests during which upstreams crashed.
-    pub fn share_quarantine(&mut self, update: quarantine::Update, now: Time) {
-        self.queue_hints(Hints {
-            quarantine: vec![(update, now)],
-            ..Hints::default()
-        });
+    /// Shares an output of this entry's decisions with other entries, if it is a hint; returns
+    /// whether it is one.
+    pub fn share(&mut self, output: &Output, now: Time) -> bool {
+        let Some(hints) = Hints::of_output(output, now) else {
+            return false;
+        };
+        self.affinities.record(&hints.affinities, now);
+        self.queue_hints(hints);
+        true
     }
 
-    /// Shares a notice of an upstream with other entries.
-    pub fn share_notice(&mut self, update: notice::Update) {
-        self.queue_hints(Hints {
-            notices: vec![update],
-            ..Hints::default()
-        });
+    /// Tells other entries how long work of this one took at upstreams.
+    pub fn share_speeds(&mut self, sums: &[SpeedSum]) {
+        self.speeds.record_own(sums, self.primary.is_some());
     }
 
     /// Sends hints of this entry to the source that forwards them or, without such a source, to
@@ -284,80 +256,6 @@
         self.hints.extend(&hints);
     }
 
-    /// Queues hints for the subscribers, except for the one that sent them. Hints of other data
-    /// halls are queued only for subscribers in this data hall.
-    fn queue_for_subscribers(&mut self, hints: &Hints, from: Option<Link>, is_own: bool) {
-        let own_hall = &self.own.hall;
-        for (link, subscriber) in &mut self.subscribers {
-            let is_same_hall = subscriber.hall == *own_hall;
-            let is_recipient = is_same_hall || (is_own && subscriber.reads_store);
-            if is_recipient && Some(*link) != from {
-                subscriber.hints.extend(hints);
-            }
-        }
-    }
-
-    /// Handles an opened link to a source, or `None` if the link could not be opened.
-    pub fn opened(
-        &mut self,
-        name: InstanceId,
-        link: Option<Link>,
-        mirror: &Mirror,
-        now: Time,
-    ) -> Vec<Command> {
-        let Some(link) = link else {
-            self.follow.link_closed(&name, now);
-            return Vec::new();
-        };
-        if !self.follow.link_opened(&name, now) {
-            // If the link stayed open, the entry at its other end would keep reading the store.
-            return vec![Command::Close(link)];
-        }
-        let is_subscribed = self.subscribes_at_once(&name, mirror);
-        let frame = match is_subscribed {
-            true => self.subscription_frame(&name, mirror, now),
-            false => Frame::Follow(Box::new(self.keep_alive())),
-        };
-        let source = Source {
-            name,
-            opened_at: now,
-            is_subscribed,
-            last_sent: now,
-            sent_reports: 0,
-            has_counts: false,
-        };
-        self.sources.insert(link, source);
-        vec![Command::Send(link, frame)]
-    }
-
-    /// Returns whether a source is asked for the tables as soon as it is linked. An entry
-    /// without tables asks only one source of its own data hall: each source would send all
-    /// tables whole, which delays the start when a hundred entries start together.
-    fn subscribes_at_once(&self, source: &InstanceId, mirror: &Mirror) -> bool {
-        let is_first = !self.sources.values().any(|s| s.is_subscribed);
-        mirror.has_operator_table() || (is_first && self.follow.is_same_hall(source))
-    }
-
-    /// Asks the other sources once the first one has sent the tables or has had the time to.
-    fn subscribe_to_rest(&mut self, mirror: &Mirror, now: Time) -> Vec<Command> {
-        let is_due = |s: &Source| {
-            !s.is_subscribed
-                && (mirror.has_operator_table() || now.since(s.opened_at) >= FIRST_SOURCE_TIMEOUT)
-        };
-        let due = self.sources.iter().filter(|(_, s)| is_due(s));
-        let due: Vec<(Link, InstanceId)> = due.map(|(l, s)| (*l, s.name.clone())).collect();
-        let mut commands = Vec::new();
-        for (link, name) in due {
-            let frame = self.subscription_frame(&name, mirror, now);
-            if let Some(source) = self.sources.get_mut(&link) {
-                source.is_subscribed = true;
-                source.last_sent = now;
-            }
-            commands.push(Command::Send(link, frame));
-        }
-        commands
-    }
-
     /// Handles a closed link.
     pub fn closed(&mut self, link: Link, now: Time) {
         self.subscribers.remove(&link);
@@ -411,6 +309,7 @@
         commands.extend(self.poll_stale(mirror, now));
         commands.extend(self.subscribe_to_rest(mirror, now));
         commands.extend(self.notify_sources(mirror, now));
+        self.queue_speeds(now);
         commands.extend(self.publish(mirror, now));
         commands
     }
@@ -437,314 +336,15 @@
         commands
     }
 
-    /// Sends changes to the subscribers.
-    pub fn publish(&mut self, mirror: &mut Mirror, now: Time) -> Vec<Command> {
-        let links: Vec<Link> = self.subscribers.keys().copied().collect();
-        let commands = links
-            .into_iter()
-            .filter_map(|link| self.publish_to(link, mirror, now));
-        commands.collect()
-    }
-
-    fn publish_to(&mut self, link: Link, mirror: &mut Mirror, now: Time) -> Option<Command> {
-        let subscriber = self.subscribers.get(&link)?;
-        let is_due = now.since(subscriber.last_sent) >= self.follow.timeouts().heartbeat;
-        let has_hints =
-            !subscriber.hints.is_empty() && now.since(subscriber.last_sent) >= HINT_BATCH_DELAY;
-        let mut tables = Vec::new();
-        for (table, stamp) in Table::ALL.iter().zip(&subscriber.stamps) {
-            if is_due || mirror.has_changed(*table, *stamp) {
-                tables.extend(mirror.delta(*table, *stamp));
-            }
-        }
-        if !is_due && !has_hints && tables.is_empty() {
-            return None;
-        }
-        let reports = match subscriber.sent_reports < self.reports.changes() {
-            true => self
-                .reports
-                .reports_for(&subscriber.entry, &subscriber.hall, &self.own.hall),
-            false => Vec::new(),
-        };
-        let feed = Feed {
-            last_contact_us: self.follow.last_sync().and_then(|at| mirror.store_time(at)),
-            clock_us: mirror.store_time(now),
-            era: mirror.era(),
-            leaving: self.leaving,
-            tables,
-            release_reports: reports,
-            sent_prompts: subscriber.hints.prompts.clone(),
-            affinities: subscriber.hints.affinities.clone(),
-            quarantine: subscriber.hints.quarantine_at(now),
-            notices: subscriber.hints.notices.clone(),
-            epoch_us: self.usage.as_ref().and_then(Usage::agreed),
-        };
-        let subscriber = self.subscribers.get_mut(&link)?;
-        for table in &feed.tables {
-            subscriber.stamps[table.number] = Stamp::new(table.era, table.version);
-        }
-        subscriber.last_sent = now;
-        subscriber.sent_reports = self.reports.changes();
-        subscriber.hints = Hints::default();
-        Some(Command::Send(link, Frame::Feed(Box::new(feed))))
-    }
-
-    /// Sends keep-alives, release reports, counts and hints to the sources.
-    fn notify_sources(&mut self, mirror: &Mirror, now: Time) -> Vec<Command> {
-        let heartbeat = self.follow.timeouts().heartbeat;
-        let changes = self.reports.changes();
-        let mut commands = Vec::new();
-        let has_reports = self.reports.has_reports_of(&self.own.name);
-        let reads_store = self.reads_store();
-        let keep_alive = self.keep_alive();
-        let hints = std::mem::take(&mut self.hints);
-        let mut was_sent = reads_store && self.primary.is_none();
-        let leaving = self.leaving;
-        let changed_counts = self.usage.as_mut();
-        let changed_counts = changed_counts.map_or(Vec::new(), |c| c.due(leaving, now));
-        let epoch = own_epoch(mirror, now).filter(|_| self.usage.is_some());
-        for (link, source) in &mut self.sources {
-            let is_same_hall = self.follow.is_same_hall(&source.name);
-            let counts = counts_for(
-                source,
-                &changed_counts,
-                self.usage.as_ref().filter(|_| is_same_hall),
-            );
-            let passed = now.since(source.last_sent);
-            let has_new_reports =
-                source.sent_reports < changes && has_reports && passed >= heartbeat;
-            let has_hints = !hints.is_empty() && self.primary.as_ref() == Some(&source.name);
-            if !has_new_reports && !has_hints && counts.is_empty() && passed < KEEP_ALIVE {
-                continue;
-            }
-            source.last_sent = now;
-            source.sent_reports = changes;
-            let mut follow = keep_alive.clone();
-            if !counts.is_empty() {
-                follow.counts = counts;
-                follow.epoch_us = epoch;
-            }
-            if has_new_reports {
-                follow.release_reports = self.reports.reports_of(&self.own.name);
-            }
-            if has_hints {
-                follow.sent_prompts.clone_from(&hints.prompts);
-                follow.affinities.clone_from(&hints.affinities);
-                follow.quarantine = hints.quarantine_at(now);
-                follow.notices.clone_from(&hints.notices);
-                was_sent = true;
-            }
-            commands.push(Command::Send(*link, Frame::Follow(Box::new(follow))));
-        }
-        if !was_sent {
-            // The prompts will have been read by the time that a source is linked again.
-            // Session affinities persist, and a request that crashes upstreams continues to do so.
-            self.hints.affinities = hints.affinities;
-            self.hints.quarantine = hints.quarantine;
-            self.hints.notices = hints.notices;
-        }
-        commands
-    }
-
     /// Returns whether this entry reads all tables of the store itself.
     fn reads_store(&self) -> bool {
         self.follow.subscription() == Subscription::All
     }
-
-    /// Returns a keep-alive for a source.
-    fn keep_alive(&self) -> wire::Follow {
-        wire::Follow {
-            entry: self.own.name.clone(),
-            hall: self.own.hall.clone(),
-            cursor: None,
-            reads_store: self.reads_store(),
-            release_reports: Vec::new(),
-            sent_prompts: Vec::new(),
-            affinities: Vec::new(),
-            quarantine: Vec::new(),
-            notices: Vec::new(),
-            counts: Vec::new(),
-            epoch_us: None,
-        }
-    }
-
-    /// Returns the frame that asks a source for everything newer than the mirrored tables. A
-    /// source in this data hall may have just started and gets all session affinities; other
-    /// sources get theirs from entries of their own data hall.
-    fn subscription_frame(&self, source: &InstanceId, mirror: &Mirror, now: Time) -> Frame {
-        let affinities = match self.follow.is_same_hall(source) {
-            true => self.affinities.live(now),
-            false => Vec::new(),
-        };
-        Frame::Follow(Box::new(wire::Follow {
-            cursor: Some(mirror.cursor()),
-            affinities,
-            ..self.keep_alive()
-        }))
-    }
-
-    /// Queues hints for the primary source, except for prompts, which must not be counted
-    /// twice. An entry that cannot reach the primary source sends its hints only to this entry,
-    /// which otherwise forwards them to its own subscribers alone.
-    fn forward_hints(&mut self, hints: &Hints) {
-        if self.primary.is_none() {
-            return;
-        }
-        self.hints.extend(&Hints {
-            prompts: Vec::new(),
-            ..hints.clone()
-        });
-    }
-
-    /// Handles a subscription or the keep-alive of a subscriber.
-    fn handle_follow(
-        &mut self,
-        link: Link,
-        follow: wire::Follow,
-        mirror: &mut Mirror,
-        now: Time,
-    ) -> Vec<Command> {
-        let is_same_hall = follow.hall == self.own.hall;
-        if let Some(cursor) = follow.cursor {
-            let stamps = cursor
-                .versions
-                .map(|version| Stamp::new(cursor.era, version));
-            let subscriber = Subscriber {
-                entry: follow.entry.clone(),
-                hall: follow.hall,
-                stamps,
-                last_sent: Time::default(),
-                sent_reports: 0,
-                reads_store: follow.reads_store,
-                hints: Hints {
-                    affinities: self.affinities.live(now),
-                    ..Hints::default()
-                },
-            };
-            self.subscribers.insert(link, subscriber);
-        }
-        if let Some(subscriber) = self.subscribers.get_mut(&link) {
-            subscriber.reads_store = follow.reads_store;
-        }
-        let mut commands = Vec::new();
-        if let Some(usage) = self.usage.as_mut().filter(|_| is_same_hall) {
-            usage.merge(&follow.entry, follow.counts, follow.epoch_us);
-        }
-        if is_same_hall {
-            let hints = Hints {
-                prompts: follow.sent_prompts,
-                affinities: follow.affinities,
-                quarantine: follow
-                    .quarantine
-                    .into_iter()
-                    .map(|update| (update, now))
-                    .collect(),
-                notices: follow.notices,
-            };
-            self.affinities.record(&hints.affinities, now);
-            self.queue_for_subscribers(&hints, Some(link), true);
-            self.forward_hints(&hints);
-            commands.extend(hints.commands());
-        }
-        for (pool, report) in follow.release_reports.into_iter().filter(|_| is_same_hall) {
-            self.reports
-                .set_local(pool.clone(), follow.entry.clone(), report);
-            let others = self.reports.local_sum_without(&pool, &self.own.name);
-            let hall = self.own.hall.clone();
-            commands.extend(others.map(|sum| Command::Report(pool, hall, sum)));
-        }
-        commands.extend(self.publish_to(link, mirror, now));
-        commands
-    }
-
-    /// Handles tables and hints from a source.
-    fn handle_feed(
-        &mut self,
-        link: Link,
-        feed: Feed,
-        mirror: &mut Mirror,
-        now: Time,
-    ) -> (Vec<Update>, Vec<Command>) {
-        let Some(source) = self.sources.get(&link) else {
-            return (Vec::new(), Vec::new());
-        };
-        if let Some(clock) = feed.clock_us {
-            mirror.note_clock(clock, now);
-        }
-        if let Some(usage) = &mut self.usage {
-            usage.agree(feed.epoch_us);
-        }
-        let name = source.name.clone();
-        let is_same_hall = self.follow.is_same_hall(&name);
-        let mut updates = Vec::new();
-        let mut gap = false;
-        for delta in feed.tables {
-            match mirror.apply_delta(delta, now) {
-                Merge::Stale => {}
-                Merge::Gap => gap = true,
-                Merge::Applied(more) => updates.extend(more),
-            }
-        }
-        // The time of the last contact must not be taken over without the changes that belong
-        // to it: the tables would seem more current than they are, here and at all subscribers.
-        // The same holds for a source that does not know yet that the store was restored.
-        let is_current = !gap && feed.era >= mirror.era();
-        let last_contact = feed.last_contact_us.filter(|_| is_current);
-        let status = Status {
-            last_sync: last_contact.and_then(|micros| mirror.local_time(micros)),
-            leaving: feed.leaving,
-        };
-        self.follow.record_status(&name, status, now);
-        let hints = Hints {
-            prompts: feed.sent_prompts,
-            affinities: feed.affinities,
-            quarantine: feed
-                .quarantine
-                .into_iter()
-                .map(|update| (update, now))
-                .collect(),
-            notices: feed.notices,
-        };
-        self.affinities.record(&hints.affinities, now);
-        let mut commands = hints.commands();
-        if gap {
-            if let Some(source) = self.sources.get_mut(&link) {
-                source.last_sent = now;
-            }
-            let frame = self.subscription_frame(&name, mirror, now);
-            commands.push(Command::Send(link, frame));
-        }
-        if !is_same_hall {
-            self.queue_for_subscribers(&hints, None, false);
-        }
-        for (pool, hall, report) in feed.release_reports {
-            if hall != self.own.hall {
-                self.reports.merge_remote(&pool, &hall, &report);
-            }
-            // If this entry has subscribers, they send it the reports of its own data hall
-            // directly, which are more current.
-            if hall != self.own.hall || self.subscribers.is_empty() {
-                commands.push(Command::Report(pool, hall, report));
-            }
-        }
-        (updates, commands)
-    }
 }
 
-/// Returns the counts that are due for a source: all if it has none yet, otherwise the changed
-/// ones. `counted` is `None` for a source that gets no counts.
-fn counts_for(
-    source: &mut Source,
-    changed: &[UsageUpdate],
-    usage: Option<&Usage>,
-) -> Vec<UsageUpdate> {
-    let Some(usage) = usage else {
-        return Vec::new();
-    };
-    match std::mem::replace(&mut source.has_counts, true) {
-        true => changed.to_vec(),
-        false => usage.tally().snapshot(),
-    }
+/// Returns the command that passes speed sums to the decisions of this entry, if there are any.
+fn speed_command(sums: Vec<SpeedSum>) -> Option<Command> {
+    (!sums.is_empty()).then(|| Command::Handle(Input::SpeedSums(sums)))
 }
 
 /// Returns the difference between UTC and the store's clock according to this process, in
