--- a/crates/core/src/tree/change.rs
+++ b/crates/core/src/tree/change.rs
@@ -58,8 +58,8 @@
     /// Returns the edits that turn this tree into `new`.
     pub fn diff(&self, new: &Tree) -> Vec<Edit> {
         let mut edits = Vec::new();
-        for (key, old) in &self.entries {
-            let now = new.entries.get(key);
+        for (key, old) in self.entries() {
+            let now = new.entries().get(key);
             if now != Some(old) {
                 edits.push(Edit {
                     key: key.clone(),
@@ -68,8 +68,8 @@
                 });
             }
         }
-        for (key, value) in &new.entries {
-            if !self.entries.contains_key(key) {
+        for (key, value) in new.entries() {
+            if !self.entries().contains_key(key) {
                 edits.push(Edit {
                     key: key.clone(),
                     old: None,
--- a/crates/core/src/tree/mod.rs
+++ b/crates/core/src/tree/mod.rs
@@ -33,13 +33,14 @@
 use serde::Serialize;
 use serde_json::{Map, Value};
 use std::collections::{BTreeMap, HashMap, HashSet};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 /// A checked settings tree at one revision.
 #[derive(Clone, Debug, Default)]
 pub struct Tree {
     revision: Revision,
-    entries: BTreeMap<Key, Value>,
+    /// Written from the sections when they are first asked for, unless the tree was read from them.
+    entries: OnceLock<BTreeMap<Key, Value>>,
     pools: BTreeMap<PoolId, Pool>,
     models: BTreeMap<ModelId, Model>,
     versions: BTreeMap<VersionId, Version>,
@@ -47,7 +48,7 @@
     cascades: BTreeMap<CascadeId, Cascade>,
     operators: BTreeMap<OperatorId, Operator>,
     nodes: BTreeMap<NodePath, Node>,
-    routes: BTreeMap<RouteId, Route>,
+    routes: BTreeMap<RouteId, Arc<Route>>,
     progress: BTreeMap<RolloutId, Progress>,
     halls: BTreeMap<Hall, Standing>,
     by_host: route::Index,
@@ -56,6 +57,26 @@
     allowed: HashSet<(AccountId, VersionId)>,
 }
 
+/// The typed entries of a tree that leads requests from routes to pools.
+///
+/// ```
+/// use sorreldeck::tree::Sections;
+/// use sorreldeck::{Revision, Tree};
+///
+/// let tree = Tree::from_sections(Revision(3), Sections::default())?;
+/// assert!(tree.entries().is_empty());
+/// # Ok::<(), sorreldeck::Error>(())
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Sections {
+    /// The pools.
+    pub pools: BTreeMap<PoolId, Pool>,
+    /// The nodes.
+    pub nodes: BTreeMap<NodePath, Node>,
+    /// The routes.
+    pub routes: BTreeMap<RouteId, Arc<Route>>,
+}
+
 /// One setting in force at a node and the node that it was written at.
 #[derive(Clone, Debug, PartialEq, Serialize, serde::Deserialize)]
 pub struct Origin {
@@ -91,11 +112,31 @@
         for (key, value) in &entries {
             tree.put(key, value)?;
         }
-        tree.entries = entries;
-        tree.compile();
-        tree.compile_allowed();
-        check::check(&tree)?;
-        Ok(tree)
+        tree.entries = OnceLock::from(entries);
+        tree.checked()
+    }
+
+    /// Builds and checks a tree from typed entries, and keeps nothing else of them.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Category::Invalid`]; the error names the entry and field.
+    pub fn from_sections(revision: Revision, sections: Sections) -> Result<Tree> {
+        let tree = Tree {
+            revision,
+            pools: sections.pools,
+            nodes: sections.nodes,
+            routes: sections.routes,
+            ..Tree::default()
+        };
+        tree.checked()
+    }
+
+    fn checked(mut self) -> Result<Tree> {
+        self.compile();
+        self.compile_allowed();
+        check::check(&self)?;
+        Ok(self)
     }
 
     /// Returns the tree that a change makes of this one.
@@ -123,7 +164,7 @@
     ///
     /// Fails with [`Category::Invalid`] if a rule is broken.
     pub fn with(&self, edits: &[Edit], revision: Revision) -> Result<Tree> {
-        let mut entries = self.entries.clone();
+        let mut entries = self.entries().clone();
         for edit in edits {
             match &edit.new {
                 Some(value) => entries.insert(edit.key.clone(), value.clone()),
@@ -190,9 +231,17 @@
         self.revision
     }
 
-    /// Returns the entries as they were written.
+    /// Returns the entries as they were written, or as they would be for a tree of typed entries.
     pub fn entries(&self) -> &BTreeMap<Key, Value> {
-        &self.entries
+        self.entries.get_or_init(|| self.write())
+    }
+
+    fn write(&self) -> BTreeMap<Key, Value> {
+        let mut entries = BTreeMap::new();
+        write(&mut entries, Section::Pools, &self.pools);
+        write(&mut entries, Section::Nodes, &self.nodes);
+        write(&mut entries, Section::Routes, &self.routes);
+        entries
     }
 
     /// Returns a node with all that it inherits, or `None` if there is none.
@@ -206,7 +255,7 @@
         let mut found: BTreeMap<String, Origin> = defaults();
         for node in path.lineage() {
             let key = Key::new(Section::Nodes, &node);
-            let Some(Value::Object(fields)) = self.entries.get(&key) else {
+            let Some(Value::Object(fields)) = self.entries().get(&key) else {
                 continue;
             };
             for (field, value) in fields {
@@ -244,7 +293,7 @@
     pub fn owner(&self, key: &Key) -> NodePath {
         let owner = match key.section {
             Section::Nodes => key.name.parse().ok(),
-            _ => self.entries.get(key).and_then(written_owner),
+            _ => self.entries().get(key).and_then(written_owner),
         };
         owner.unwrap_or_else(NodePath::root)
     }
@@ -321,7 +370,7 @@
     /// Returns a node as it was written.
     node, nodes, NodePath, Node;
     /// Returns a route.
-    route, routes, RouteId, Route;
+    route, routes, RouteId, Arc<Route>;
     /// Returns the record of a roll-out.
     record, progress, RolloutId, Progress;
     /// Returns how a data hall stands.
@@ -393,6 +442,17 @@
     Ok(())
 }
 
+fn write<K, V>(entries: &mut BTreeMap<Key, Value>, section: Section, of: &BTreeMap<K, V>)
+where
+    K: std::fmt::Display,
+    V: Serialize,
+{
+    for (name, entry) in of {
+        let value = serde_json::to_value(entry).expect("the names of fields are strings");
+        entries.insert(Key::new(section, name), value);
+    }
+}
+
 fn written_owner(entry: &Value) -> Option<NodePath> {
     entry.get("owner")?.as_str()?.parse().ok()
 }
--- a/crates/core/src/tree/route.rs
+++ b/crates/core/src/tree/route.rs
@@ -132,9 +132,9 @@
 pub(super) struct Index(HashMap<String, HashMap<String, (RouteId, Arc<Route>)>>);
 
 impl Index {
-    pub fn insert(&mut self, name: &RouteId, route: &Route) {
+    pub fn insert(&mut self, name: &RouteId, route: &Arc<Route>) {
         let of_host = self.0.entry(route.host.clone()).or_default();
-        let named = (name.clone(), Arc::new(route.clone()));
+        let named = (name.clone(), route.clone());
         of_host.insert(route.prefix.clone(), named);
     }
 
