--- a/crates/core/src/entry/routed/learn.rs
+++ b/crates/core/src/entry/routed/learn.rs
@@ -158,8 +158,10 @@
         ) else {
             return;
         };
-        // A resumed stream includes the pause of its switch between upstreams.
-        if !route_state.route.stream || route_state.sent_at > first {
+        // A resumed stream includes the pause of its switch between upstreams, and a stream whose
+        // caller is slow to read is as slow as that.
+        let is_steady = route_state.reading == Reading::Steady && route_state.sent_at <= first;
+        if !route_state.route.stream || !is_steady {
             return;
         }
         let events = u64::from(flight.parts);
--- a/crates/core/src/entry/routed/mod.rs
+++ b/crates/core/src/entry/routed/mod.rs
@@ -73,6 +73,20 @@
     pub recorded_slow: bool,
     /// Whether the previous run ended with an error of a plain service.
     pub retries_error: bool,
+    /// How the answer of the current run is read.
+    pub reading: Reading,
+}
+
+/// How an answer is read from its upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum Reading {
+    /// As it comes.
+    #[default]
+    Steady,
+    /// Not at the moment, because the caller is slow to read.
+    Paused,
+    /// Again, since this time.
+    Continued(Time),
 }
 
 /// The expected work of a run when it was sent.
@@ -156,6 +170,10 @@
         /// The number of the last event in the chunk.
         last_event: Option<u64>,
     },
+    /// Nothing more of the answer is read until its caller has read what has come.
+    Paused,
+    /// The answer is read again.
+    Continued,
     /// The end of a complete answer.
     End,
     /// The run failed, before or in the middle of the answer.
@@ -212,6 +230,7 @@
             estimate: Estimate::default(),
             recorded_slow: false,
             retries_error: false,
+            reading: Reading::Steady,
         };
         Ok((context, route_state))
     }
--- a/crates/core/src/entry/routed/reply.rs
+++ b/crates/core/src/entry/routed/reply.rs
@@ -28,7 +28,10 @@
         reply: Reply,
         out: &mut Outputs,
     ) {
-        self.peers.heard_from(link, now);
+        match reply {
+            Reply::Paused | Reply::Continued => {}
+            _ => self.peers.heard_from(link, now),
+        }
         match reply {
             Reply::Head(head) => {
                 self.peers.answered(link, now);
@@ -40,11 +43,20 @@
                 self.apply_notice(link, notice, load, Time::default(), now)
             }
             Reply::Data { data, last_event } => self.on_routed_data(run, data, last_event, out),
+            Reply::Paused => self.set_reading(run, Reading::Paused),
+            Reply::Continued => self.set_reading(run, Reading::Continued(now)),
             Reply::End => self.on_routed_end(now, link, run, out),
             Reply::Fail(failure) => self.on_routed_failure(now, link, run, failure, out),
         }
     }
 
+    fn set_reading(&mut self, run: Run, reading: Reading) {
+        let flight = self.flight(run);
+        if let Some(route_state) = flight.and_then(|flight| flight.route_state.as_mut()) {
+            route_state.reading = reading;
+        }
+    }
+
     /// Applies the notice and load in the answer to a request that was sent at `sent_at`.
     fn apply_notice(
         &mut self,
--- a/crates/core/src/entry/routed/send.rs
+++ b/crates/core/src/entry/routed/send.rs
@@ -129,6 +129,7 @@
             route_state.runs += 1;
             route_state.estimate = estimate;
             route_state.recorded_slow = false;
+            route_state.reading = Reading::Steady;
         }
         if let Some(start) = self.routed_start_frame(now, flight) {
             out.push(Output::Send(chosen.link, Frame::Start(Box::new(start))));
--- a/crates/core/src/entry/routed/timeout.rs
+++ b/crates/core/src/entry/routed/timeout.rs
@@ -63,11 +63,14 @@
         if !may_retry || route_state.runs >= route_state.route.tries {
             return None;
         }
-        let heard = self
-            .peers
-            .get(link)
-            .map_or(route_state.sent_at, |p| p.last_heard);
-        let since = now.since(heard.max(route_state.sent_at));
+        let read_since = match route_state.reading {
+            Reading::Steady => route_state.sent_at,
+            // What is not read cannot be told from what does not come.
+            Reading::Paused => return None,
+            Reading::Continued(at) => at,
+        };
+        let heard = self.peers.get(link).map_or(read_since, |p| p.last_heard);
+        let since = now.since(heard.max(read_since));
         let limit = match flight.head_sent {
             true => self.stream_stall_timeout(flight, route_state),
             false => {
--- a/crates/core/tests/routed.rs
+++ b/crates/core/tests/routed.rs
@@ -393,6 +393,31 @@
     assert_ne!(Some(again.link), failing);
 }
 
+/// An answer that is not read, because its caller is slow, does not show that its upstream is silent:
+/// leaving that would repeat the work for nothing. Once the answer is read again, the upstream has as
+/// long as any other.
+#[test]
+fn streams_that_are_not_read_stay_at_their_upstream() {
+    let mut fixture = Fixture::new();
+    let (_, outputs) = fixture.send("/drafts/1", Some("key"));
+    let run = sent(&outputs).unwrap();
+    fixture.head(&run, 200, Some(0.9));
+    fixture.events(&run, 1);
+    fixture.handle(Input::Reply(run.link, run.run, Reply::Paused));
+    assert!(
+        sent(&fixture.pass(1_600)).is_none(),
+        "the answer is not read"
+    );
+    fixture.handle(Input::Reply(run.link, run.run, Reply::Continued));
+    assert!(
+        sent(&fixture.pass(600)).is_none(),
+        "it has just been read again"
+    );
+    let outputs = fixture.pass(400);
+    assert!(cancelled(&outputs, run.run));
+    assert_eq!(sent(&outputs).unwrap().order.last_event_id, Some(1));
+}
+
 /// Guards against delaying new requests after an outage: ten seconds after all entries lost power,
 /// 1,631 requests arrived in 2 s, most of them resumed streams, and new requests started after 3.5
 /// s in the median.
--- a/crates/daemon/src/hosted/client.rs
+++ b/crates/daemon/src/hosted/client.rs
@@ -5,6 +5,7 @@
 //! unknown whether the request ran.
 
 use super::event_loop::Message;
+use super::response::Unread;
 use crate::clock::Clock;
 use crate::loss;
 use async_channel::Sender;
@@ -72,8 +73,15 @@
         self.pool.lock().unwrap_or_else(|e| e.into_inner()).clear();
     }
 
-    /// Starts a run; the event loop gets the parts of the response as messages.
-    pub fn open(&self, link: Link, address: Option<SocketAddr>, start: Start) -> Handle {
+    /// Starts a run; the event loop gets the parts of the response as messages. While the caller
+    /// has too much of it `unread`, nothing is read from the upstream.
+    pub fn open(
+        &self,
+        link: Link,
+        address: Option<SocketAddr>,
+        start: Start,
+        unread: Unread,
+    ) -> Handle {
         let run_task = RunTask {
             pool: self.pool.clone(),
             messages: self.messages.clone(),
@@ -83,6 +91,7 @@
             clock: self.clock.clone(),
             started_at: self.clock.now(),
             time_left: Span::from_micros(start.deadline_us),
+            unread,
         };
         Handle(Some(task::spawn(run_task.work(address, start))))
     }
@@ -97,6 +106,7 @@
     clock: Clock,
     started_at: Time,
     time_left: Span,
+    unread: Unread,
 }
 
 /// The response of an upstream.
@@ -286,6 +296,7 @@
                     .await;
                 }
             }
+            self.until_read().await;
         }
         self.return_channel(address, channel);
         match pending.is_empty() {
@@ -294,6 +305,15 @@
         }
     }
 
+    /// Waits until the caller has read enough of the response.
+    async fn until_read(&self) {
+        if self.unread.is_full() {
+            self.send_reply(Reply::Paused).await;
+            self.unread.drained().await;
+            self.send_reply(Reply::Continued).await;
+        }
+    }
+
     /// Forwards the events that are complete.
     async fn forward_events(&self, pending: &mut Vec<u8>) {
         let end = pending.windows(2).rposition(|pair| pair == b"\n\n");
--- a/crates/daemon/src/hosted/event_loop.rs
+++ b/crates/daemon/src/hosted/event_loop.rs
@@ -9,13 +9,14 @@
 use super::mover::{Mover, Proposal};
 use super::peer::{self, Peering};
 use super::relay::{self, Command, Relay};
+use super::response::{self, Writer};
 use super::restorer::Restorer;
 use super::shared::{self, Shared};
 use crate::clock::{self, Clock};
 use crate::event_loop::{self, Flow};
 use crate::metrics::Metrics;
 use crate::options;
-use async_channel::{Receiver, Sender};
+use async_channel::Receiver;
 use async_std::task;
 use log::{info, warn};
 use sorreldeck::duty::{Context, Tally};
@@ -81,7 +82,7 @@
 /// A message to the event loop.
 pub enum Message {
     /// A request of a client and the channel for its response.
-    Request(Box<Request>, Sender<Part>),
+    Request(Box<Request>, response::Writer),
     /// The client of a request disconnected.
     Disconnected(RequestId),
     /// A part of an upstream's response to a run.
@@ -123,7 +124,7 @@
     followers: Followers,
     client: Client,
     runs: HashMap<Run, client::Handle>,
-    responses: HashMap<RequestId, Sender<Part>>,
+    responses: HashMap<RequestId, response::Writer>,
     /// The clients' labels of requests and sessions, for the log.
     labels: HashMap<RequestId, (String, String)>,
     upstreams: HashMap<UpstreamId, Link>,
@@ -400,13 +401,13 @@
     fn handle_message(&mut self, message: Message) {
         self.detect_suspension();
         match message {
-            Message::Request(request, parts) => {
+            Message::Request(request, response) => {
                 if let Payload::Routed(routed) = &request.payload {
                     let session = routed.session.map_or(String::new(), |s| format!("{s:x}"));
                     let label = (routed.label.clone(), session);
                     self.labels.insert(request.request, label);
                 }
-                self.responses.insert(request.request, parts);
+                self.responses.insert(request.request, response);
                 self.handle(Input::Request(request));
             }
             Message::Disconnected(request) => {
@@ -898,7 +899,9 @@
         match output {
             Output::Send(link, Frame::Start(start)) => {
                 let (run, address) = (start.run, self.addresses.get(&link).copied());
-                let handle = self.client.open(link, address, *start);
+                let response = self.responses.get(&run.request);
+                let unread = response.map(Writer::unread).unwrap_or_default();
+                let handle = self.client.open(link, address, *start, unread);
                 self.runs.insert(run, handle);
             }
             Output::Send(_, Frame::Cancel(run)) => drop(self.runs.remove(&run)),
@@ -940,9 +943,8 @@
 
     fn respond(&mut self, request: RequestId, part: Part) {
         let last = matches!(part, Part::End | Part::Fail(_));
-        if let Some(parts) = self.responses.get(&request) {
-            // If the client disconnected, [`Message::Disconnected`] follows.
-            let _ = parts.try_send(part);
+        if let Some(response) = self.responses.get(&request) {
+            response.write(part);
         }
         if last {
             self.responses.remove(&request);
--- a/crates/daemon/src/hosted/frontend.rs
+++ b/crates/daemon/src/hosted/frontend.rs
@@ -1,8 +1,9 @@
 //! The frontend: accepts requests of clients and sends the responses.
 
 use super::event_loop::Message;
+use super::response::{self, Reader};
 use super::shared::Shared;
-use async_channel::{Receiver, Sender};
+use async_channel::Sender;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use bytes::{Bytes, BytesMut};
@@ -113,18 +114,18 @@
         send: shared.send.clone(),
         done: false,
     };
-    let (send, parts) = async_channel::unbounded();
-    let message = Message::Request(Box::new(request), send);
+    let (writer, mut reader) = response::channel();
+    let message = Message::Request(Box::new(request), writer);
     if shared.send.send(message).await.is_err() {
         let failure = Failure::not_run(Reason::Leaving, "the process is about to end");
         return error_response(&failure, Some(guard));
     }
-    match parts.recv().await {
-        Ok(Part::Head { status, headers }) => {
-            streaming_response(status, headers, parts, guard, reservation)
+    match reader.read().await {
+        Some(Part::Head { status, headers }) => {
+            streaming_response(status, headers, reader, guard, reservation)
         }
-        Ok(Part::Fail(failure)) => error_response(&failure, Some(guard)),
-        Ok(Part::Data(_) | Part::End) | Err(_) => {
+        Some(Part::Fail(failure)) => error_response(&failure, Some(guard)),
+        Some(Part::Data(_) | Part::End) | None => {
             let message = "the answer has no beginning";
             let failure = Failure::new(Reason::Invariant, Verdict::MayHaveRun, message);
             error_response(&failure, Some(guard))
@@ -248,7 +249,7 @@
 fn streaming_response(
     status: u16,
     headers: Vec<Header>,
-    parts: Receiver<Part>,
+    reader: Reader,
     guard: DisconnectGuard,
     reservation: Reservation,
 ) -> Response<ResponseBody> {
@@ -256,7 +257,7 @@
         first: None,
         length: length_of(&headers),
         rest: Some(Streamed {
-            parts: Box::pin(parts),
+            reader,
             guard,
             sent: 0,
             _reserve: reservation,
@@ -290,7 +291,7 @@
 }
 
 struct Streamed {
-    parts: Pin<Box<Receiver<Part>>>,
+    reader: Reader,
     guard: DisconnectGuard,
     /// The number of bytes sent so far.
     sent: u64,
@@ -316,7 +317,6 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
-        use futures_util::Stream as _;
         if let Some(first) = self.first.take() {
             return Poll::Ready(Some(Ok(Frame::data(first))));
         }
@@ -324,7 +324,7 @@
         let Some(rest) = &mut this.rest else {
             return Poll::Ready(None);
         };
-        let part = match rest.parts.as_mut().poll_next(cx) {
+        let part = match rest.reader.poll_read(cx) {
             Poll::Pending => return Poll::Pending,
             Poll::Ready(part) => part,
         };
--- a/crates/daemon/src/hosted/mod.rs
+++ b/crates/daemon/src/hosted/mod.rs
@@ -23,6 +23,7 @@
 mod relay;
 mod replica;
 mod reports;
+pub mod response;
 mod restorer;
 mod shared;
 mod usage;
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -9,6 +9,7 @@
 mod runner;
 mod silent_connections;
 mod silent_start;
+mod slow_reader;
 mod store;
 mod suspended;
 mod usage_reports;
--- a/crates/daemon/tests/hosted/runner.rs
+++ b/crates/daemon/tests/hosted/runner.rs
@@ -15,6 +15,10 @@
 /// Duration of a request that runs long enough for a crash to break it.
 const STEADY: Duration = Duration::from_millis(150);
 
+/// Number of events of a long stream and the bytes of each.
+pub const EVENTS: usize = 4096;
+pub const EVENT_BYTES: usize = 16 * 1024;
+
 /// A request that an upstream got, and when.
 #[derive(Clone, Debug)]
 pub struct Seen {
@@ -31,6 +35,7 @@
     seen: Arc<Mutex<Vec<Seen>>>,
     left: Arc<Mutex<u32>>,
     connections: Arc<Mutex<u32>>,
+    sent_bytes: Arc<Mutex<usize>>,
     refused: Refused,
     /// Header lines added to all answers.
     headers: Arc<Mutex<String>>,
@@ -50,6 +55,7 @@
             seen: Arc::default(),
             left: Arc::default(),
             connections: Arc::default(),
+            sent_bytes: Arc::default(),
             refused: refused.clone(),
             headers: Arc::default(),
             life: async_channel::bounded(1),
@@ -99,6 +105,11 @@
         *self.connections.lock().unwrap()
     }
 
+    /// Returns the bytes of the events of long streams that were sent so far.
+    pub fn sent_bytes(&self) -> usize {
+        *self.sent_bytes.lock().unwrap()
+    }
+
     /// Returns the number of callers that disconnected while their request ran.
     pub fn left(&self) -> u32 {
         *self.left.lock().unwrap()
@@ -222,6 +233,11 @@
                 self.wait_for_end(stream).await;
                 return false;
             }
+            "long-stream" => {
+                let head = format!("{stream_head}confidence: 90\r\n\r\n");
+                return stream.write_all(head.as_bytes()).await.is_ok()
+                    && self.send_long_stream(stream).await;
+            }
             "long" => {
                 task::sleep(Duration::from_millis(700)).await;
                 (good("long"), true)
@@ -242,6 +258,19 @@
         stream.write_all(text.as_bytes()).await.is_ok() && goes_on
     }
 
+    /// Sends many events as fast as the caller reads them; returns whether it got all.
+    async fn send_long_stream(&self, stream: &mut TcpStream) -> bool {
+        for number in 1..=EVENTS {
+            let begin = format!("id: {number}\ndata: ");
+            let event = format!("{begin:x<0$}\n\n", EVENT_BYTES - 2);
+            if stream.write_all(chunk(&event).as_bytes()).await.is_err() {
+                return false;
+            }
+            *self.sent_bytes.lock().unwrap() += event.len();
+        }
+        stream.write_all(b"0\r\n\r\n").await.is_ok()
+    }
+
     /// Waits until the caller closes the connection.
     async fn wait_for_end(&self, stream: &mut TcpStream) {
         let mut buf = [0; 64];
--- a/crates/net/src/h1.rs
+++ b/crates/net/src/h1.rs
@@ -21,7 +21,7 @@
 use futures_util::future::{select, Either};
 use http_body_util::Full;
 use hyper::body::{Body, Bytes, Incoming};
-use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::client::conn::http1::{self as client, SendRequest};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -42,6 +42,9 @@
 /// How often a connection is looked at for having been idle too long.
 const LOOK_EVERY: Duration = Duration::from_millis(1000);
 
+/// The bytes that are kept of what a connection has read or is to write.
+const BUFFER: usize = 64 * 1024;
+
 /// What a caller's connection may do.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -319,6 +322,7 @@
     });
     let mut builder = Builder::new();
     builder.max_header_size(limits.head);
+    builder.max_buf_size(limits.head.max(BUFFER));
     builder.auto_date_header(false);
     let mut connection = pin!(builder.serve_connection(FuturesIo::new(io), service));
     loop {
@@ -366,9 +370,10 @@
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
-        let (send, connection) = handshake(FuturesIo::new(stream))
-            .await
-            .map_err(io::Error::other)?;
+        let handshake = client::Builder::new()
+            .max_buf_size(BUFFER)
+            .handshake(FuturesIo::new(stream));
+        let (send, connection) = handshake.await.map_err(io::Error::other)?;
         let task = task::spawn(async move {
             // Whoever waits for an answer is told of the error.
             let _ = connection.await;
