--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -27,7 +27,6 @@
 pub use decision::{Attempt, Decision, Forecast, History, Snapshot};
 pub use monitor::{rollout_of, thresholds, Aggregate, Judge, Monitor};
 pub use request::{Chat, Part, Payload, Request};
-pub use routed::handover;
 pub use routed::{Head, Member, Reply, Routed, CONFIDENCE_THRESHOLDS};
 
 use crate::bill::Record;
--- a/crates/core/src/entry/routed/mod.rs
+++ b/crates/core/src/entry/routed/mod.rs
@@ -4,7 +4,6 @@
 //! time and the prompt prefixes. Upstreams report their load with each answer and refuse requests
 //! beyond their capacity, so no sidecar is needed.
 
-pub mod handover;
 mod learn;
 mod reply;
 mod send;
--- a/crates/daemon/src/hosted/mirror/mod.rs
+++ b/crates/daemon/src/hosted/mirror/mod.rs
@@ -528,8 +528,8 @@
         let mut updates = Vec::new();
         for key in changed {
             if table == Table::Operator && key == CONFIG_KEY {
-                let row = self.row(table, key).and_then(|row| row.value.clone());
-                let read = row.map(|buf| config::decode(&buf));
+                let value = self.row(table, key).and_then(|row| row.value.as_deref());
+                let read = value.map(config::decode);
                 let config = read.and_then(|read| self.decoded(table, key, read));
                 updates.extend(config.map(|c| Update::Config(Box::new(c))));
             }
