--- a/crates/daemon/src/hosted/event_loop.rs
+++ b/crates/daemon/src/hosted/event_loop.rs
@@ -17,17 +17,18 @@
 use super::mover::{Mover, Proposal};
 use super::peer::Peering;
 use super::relay::{self, Relay};
+use super::response::{self, Writer};
 use super::restorer::Restorer;
 use super::shared::Shared;
 use crate::clock::{self, Clock};
 use crate::event_loop::{self, Flow};
 use crate::metrics::Metrics;
 use crate::options;
-use async_channel::{Receiver, Sender};
+use async_channel::Receiver;
 use async_std::task;
 use log::info;
 use sorreldeck::duty::{Context, Tally};
-use sorreldeck::entry::{Entry, Input, Output, Part, Reply, Settings as Decisions};
+use sorreldeck::entry::{Entry, Input, Output, Reply, Settings as Decisions};
 use sorreldeck::pick::{Contention, Link};
 use sorreldeck::quarantine;
 use sorreldeck::replication::{Peer, Subscription, Timeouts};
@@ -70,7 +71,7 @@
     followers: Followers,
     client: Client,
     runs: HashMap<Run, client::Handle>,
-    responses: HashMap<RequestId, Sender<Part>>,
+    responses: HashMap<RequestId, response::Writer>,
     /// The clients' labels of requests and sessions, for the log.
     labels: HashMap<RequestId, (String, String)>,
     upstreams: HashMap<UpstreamId, Link>,
@@ -359,7 +360,9 @@
         match output {
             Output::Send(link, Frame::Start(start)) => {
                 let (run, address) = (start.run, self.addresses.get(&link).copied());
-                let handle = self.client.open(link, address, *start);
+                let response = self.responses.get(&run.request);
+                let unread = response.map(Writer::unread).unwrap_or_default();
+                let handle = self.client.open(link, address, *start, unread);
                 self.runs.insert(run, handle);
             }
             Output::Send(_, Frame::Cancel(run)) => drop(self.runs.remove(&run)),
--- a/crates/daemon/src/hosted/event_loop/requests.rs
+++ b/crates/daemon/src/hosted/event_loop/requests.rs
@@ -1,29 +1,28 @@
 //! The responses to clients, and the log line of each request.
 
+use super::super::response;
 use super::EventLoop;
-use async_channel::Sender;
 use log::info;
 use sorreldeck::entry::{Input, Part, Payload, Request, Summary};
 use sorreldeck::{Failure, RequestId};
 
 impl EventLoop {
-    /// Begins a request of a client; `parts` gets its response.
-    pub(super) fn begin_request(&mut self, request: Box<Request>, parts: Sender<Part>) {
+    /// Begins a request of a client.
+    pub(super) fn begin_request(&mut self, request: Box<Request>, response: response::Writer) {
         if let Payload::Routed(routed) = &request.payload {
             let session = routed.session.map_or(String::new(), |s| format!("{s:x}"));
             let label = (routed.label.clone(), session);
             self.labels.insert(request.request, label);
         }
-        self.responses.insert(request.request, parts);
+        self.responses.insert(request.request, response);
         self.handle(Input::Request(request));
     }
 
     /// Sends a part of a response to the client.
     pub(super) fn respond(&mut self, request: RequestId, part: Part) {
         let last = matches!(part, Part::End | Part::Fail(_));
-        if let Some(parts) = self.responses.get(&request) {
-            // If the client disconnected, [`Message::Disconnected`] follows.
-            let _ = parts.try_send(part);
+        if let Some(response) = self.responses.get(&request) {
+            response.write(part);
         }
         if last {
             self.responses.remove(&request);
--- a/crates/daemon/src/hosted/message.rs
+++ b/crates/daemon/src/hosted/message.rs
@@ -2,8 +2,8 @@
 
 use super::event_loop::EventLoop;
 use super::replica::Retained;
-use async_channel::Sender;
-use sorreldeck::entry::{Part, Reply, Request};
+use super::response;
+use sorreldeck::entry::{Reply, Request};
 use sorreldeck::era::Stamp;
 use sorreldeck::pick::Link;
 use sorreldeck::quarantine::Fingerprint;
@@ -16,7 +16,7 @@
 /// A message to the event loop.
 pub enum Message {
     /// A request of a client and the channel for its response.
-    Request(Box<Request>, Sender<Part>),
+    Request(Box<Request>, response::Writer),
     /// The client of a request disconnected.
     Disconnected(RequestId),
     /// A part of an upstream's response to a run.
