--- a/crates/daemon/src/hosted/event_loop.rs
+++ b/crates/daemon/src/hosted/event_loop.rs
@@ -418,6 +418,9 @@
                 if matches!(reply, Reply::End | Reply::Fail(_)) {
                     self.runs.remove(&run);
                 }
+                if matches!(reply, Reply::Paused) {
+                    self.metrics.count_paused_read();
+                }
                 self.handle(Input::Reply(link, run, reply));
             }
             Message::Store(
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -52,6 +52,7 @@
     versions: Family<TableLabels, Gauge>,
     silences: Family<TableLabels, Gauge>,
     ignored_pages: Counter,
+    paused_reads: Counter,
     gauges: Gauges,
 }
 
@@ -140,6 +141,12 @@
             "Answers of the platform's store that changed nothing, since a later version is known",
             ignored_pages.clone(),
         );
+        let paused_reads = Counter::default();
+        registry.register(
+            "reads_paused",
+            "How often an answer was not read from its upstream, since its client was slow to read",
+            paused_reads.clone(),
+        );
         gauges.register(&mut registry);
         Metrics {
             registry,
@@ -151,6 +158,7 @@
             versions,
             silences,
             ignored_pages,
+            paused_reads,
             gauges,
         }
     }
@@ -324,6 +332,11 @@
         self.ignored_pages.inc();
     }
 
+    /// Counts an answer that is not read from its upstream until its client has read more.
+    pub fn count_paused_read(&self) {
+        self.paused_reads.inc();
+    }
+
     /// Encodes all metrics.
     pub fn encode(&self) -> String {
         let mut buf = String::new();
