--- a/crates/daemon/src/hosted/event_loop.rs
+++ b/crates/daemon/src/hosted/event_loop.rs
@@ -323,6 +323,9 @@
                 if matches!(reply, Reply::End | Reply::Fail(_)) {
                     self.runs.remove(&run);
                 }
+                if matches!(reply, Reply::Paused) {
+                    self.metrics.count_paused_read();
+                }
                 self.handle(Input::Reply(link, run, reply));
             }
             Message::Store(table, outcome) => self.handle_outcome(table, outcome),
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -54,6 +54,7 @@
     ignored_pages: Counter,
     told_speed_sums: Counter,
     heard_speed_sums: Counter,
+    paused_reads: Counter,
     gauges: Gauges,
 }
 
@@ -153,6 +154,12 @@
             "Sums of how long work took at an upstream that this entry heard from others",
             heard_speed_sums.clone(),
         );
+        let paused_reads = Counter::default();
+        registry.register(
+            "reads_paused",
+            "How often an answer was not read from its upstream, since its client was slow to read",
+            paused_reads.clone(),
+        );
         gauges.register(&mut registry);
         Metrics {
             registry,
@@ -166,6 +173,7 @@
             ignored_pages,
             told_speed_sums,
             heard_speed_sums,
+            paused_reads,
             gauges,
         }
     }
@@ -349,6 +357,11 @@
         self.heard_speed_sums.inc_by(sums as u64);
     }
 
+    /// Counts an answer that is not read from its upstream until its client has read more.
+    pub fn count_paused_read(&self) {
+        self.paused_reads.inc();
+    }
+
     /// Encodes all metrics.
     pub fn encode(&self) -> String {
         let mut buf = String::new();
