--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 //! The library has no sockets, no clock and no global randomness. Time, seeds and messages are
 //! passed in, so the daemon, the tests and the experiments execute the same code.
 
+pub mod admission;
 pub mod bill;
 pub mod cascade;
 pub mod config;
--- a/crates/core/src/pick/mod.rs
+++ b/crates/core/src/pick/mod.rs
@@ -22,12 +22,14 @@
 mod backlog;
 mod impact;
 mod notices;
+mod outlook;
 mod pace;
 mod peer;
 mod warmup;
 
 pub use availability::Availability;
 pub use impact::Impact;
+pub use outlook::Outlook;
 pub use pace::Pace;
 pub use peer::{prefill_wait, Peer};
 pub(crate) use peer::{CROSS_HALL_PENALTY, PREFIX_LIFETIME};
