--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -29,6 +29,7 @@
 pub use request::{Chat, Part, Payload, Request};
 pub use routed::{Head, Member, Reply, Routed, CONFIDENCE_THRESHOLDS};
 
+use crate::admission::Gates;
 use crate::bill::Record;
 use crate::cascade;
 use crate::failover::Outcomes;
@@ -286,6 +287,7 @@
     releases: Releases,
     saturation: Tracker,
     retry_outcomes: Outcomes,
+    gates: Gates,
     latencies: Estimator,
     reuse: Reuse,
     quarantine: Quarantine,
@@ -323,6 +325,7 @@
             releases: Releases::new(settings.exposure),
             saturation: Tracker::default(),
             retry_outcomes: Outcomes::default(),
+            gates: Gates::default(),
             latencies: Estimator::default(),
             reuse: Reuse::default(),
             quarantine: Quarantine::default(),
--- a/crates/core/src/entry/routed/mod.rs
+++ b/crates/core/src/entry/routed/mod.rs
@@ -4,6 +4,7 @@
 //! time and the prompt prefixes. Upstreams report their load with each answer and refuse requests
 //! beyond their capacity, so no sidecar is needed.
 
+mod gate;
 mod learn;
 mod reply;
 mod send;
--- a/crates/core/src/entry/routed/reply.rs
+++ b/crates/core/src/entry/routed/reply.rs
@@ -317,6 +317,7 @@
         if flight.status < 500 {
             self.peers.succeeded(link);
         }
+        self.record_rest(now, &flight);
         self.record_answered(now, &flight);
         self.set_session_affinity(now, &flight, SESSION_TTL);
         out.push(Output::Answer(run.request, Part::End));
--- a/crates/core/src/entry/routed/send.rs
+++ b/crates/core/src/entry/routed/send.rs
@@ -101,6 +101,14 @@
             prefill_rate: rate,
             scope,
         };
+        let contended = self.peers.is_contended(&flight.pool);
+        if let Some(outlook) = contended
+            .then(|| self.peers.outlook(&criteria, now))
+            .flatten()
+        {
+            let draw = self.rng.random::<f64>();
+            gate::check(&mut self.gates, flight, &outlook, now, draw)?;
+        }
         let draw = self.rng.random::<f64>();
         let chosen = self
             .peers
@@ -211,7 +219,7 @@
     /// A resumed stream ranks behind all new requests of the same account rank: it is already late,
     /// and after all entries lost power the interrupted streams of about ten seconds return
     /// together.
-    fn rank(&self) -> u8 {
+    pub(super) fn rank(&self) -> u8 {
         /// The number of route ranks within one account rank.
         const ROUTE_RANKS: u8 = 3;
         /// The highest rank value that engines accept.
--- a/crates/daemon/src/hosted/event_loop.rs
+++ b/crates/daemon/src/hosted/event_loop.rs
@@ -990,6 +990,7 @@
     /// Returns the metrics of this process as text.
     pub fn metrics_text(&mut self) -> String {
         self.metrics.set_invariants(self.entry.invariants());
+        self.metrics.set_gates(self.entry.gates());
         let now = self.clock.now();
         for table in Table::ALL {
             let silence = self.answers.silence_ms(table, now);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -7,6 +7,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
 use prometheus_client::registry::Registry;
+use sorreldeck::admission::Gates;
 use sorreldeck::entry::Summary;
 use sorreldeck::{Invariant, Invariants};
 use sorreldeck_net::link::Traffic;
@@ -31,6 +32,13 @@
     promise: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct GateLabels {
+    pool: String,
+    rank: u32,
+    reason: String,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct TableLabels {
     table: String,
@@ -49,6 +57,7 @@
     duration: Family<RequestLabels, Histogram>,
     checked: Family<InvariantLabels, Gauge>,
     violated: Family<InvariantLabels, Gauge>,
+    gates: Family<GateLabels, Gauge>,
     versions: Family<TableLabels, Gauge>,
     silences: Family<TableLabels, Gauge>,
     ignored_pages: Counter,
@@ -123,6 +132,12 @@
         );
         registry.register("promise_checked", "Checks of each promise", checked.clone());
         registry.register("promise_violated", "Checks that failed", violated.clone());
+        let gates = Family::default();
+        registry.register(
+            "gate_decisions",
+            "Requests that the gate of a pool admitted, or refused for a reason",
+            gates.clone(),
+        );
         let (versions, silences) = (Family::default(), Family::default());
         registry.register(
             "table_version",
@@ -148,6 +163,7 @@
             duration,
             checked,
             violated,
+            gates,
             versions,
             silences,
             ignored_pages,
@@ -308,6 +324,22 @@
         }
     }
 
+    /// Sets the numbers of requests that gates admitted and refused.
+    pub fn set_gates(&self, gates: &Gates) {
+        for (pool, gate) in gates.iter() {
+            for (rank, outcome, count) in gate.counts().iter() {
+                let labels = GateLabels {
+                    pool: pool.to_string(),
+                    rank: u32::from(rank),
+                    reason: outcome
+                        .map_or("admitted", |reason| reason.as_str())
+                        .to_owned(),
+                };
+                self.gates.get_or_create(&labels).set(count as i64);
+            }
+        }
+    }
+
     /// Sets the version up to which a table is known, and the time in milliseconds since the
     /// platform's store last answered for it, -1 if it never did.
     pub fn set_table(&self, table: &str, version: i64, silence: i64) {
