--- a/crates/core/src/entry/routed/gate.rs
+++ b/crates/core/src/entry/routed/gate.rs
@@ -38,7 +38,7 @@
             limit: route_state.route.timeout,
             time_left: self.deadline.since(now),
             runs: route_state.runs,
-            resumes: routed.is_resumption,
+            resumes: routed.is_resumption || self.head_sent,
         })
     }
 
--- a/crates/core/src/entry/routed/mod.rs
+++ b/crates/core/src/entry/routed/mod.rs
@@ -5,6 +5,7 @@
 //! beyond their capacity, so no sidecar is needed.
 
 mod gate;
+pub mod handover;
 mod learn;
 mod reply;
 mod send;
--- a/crates/core/src/entry/routed/send.rs
+++ b/crates/core/src/entry/routed/send.rs
@@ -1,13 +1,15 @@
 //! Sends routed requests to upstreams.
 
 use super::*;
-use crate::pick::{self, Chosen, Constraints, Peer};
+use crate::pick::{Chosen, Constraints, Peer};
 use crate::release::{Affinity, Canary, SESSION_TTL};
 use crate::wire::Metadata;
 
 /// The minimum prefill time that is reported to other entries. A report arrives after about 60 ms,
 /// when shorter prefills are mostly complete.
 const MIN_REPORTED_PREFILL: Span = Span::from_millis(100);
+/// The same for contended pools, where several short prefills in a row hold up a prompt.
+const MIN_CONTENDED_PREFILL: Span = Span::from_millis(60);
 
 impl Entry {
     /// Chooses the pool and release of a routed request. Returns the subset of upstreams to which a
@@ -80,7 +82,7 @@
             .map(|t| t.workload(&flight.pool));
         let rate = workload
             .as_ref()
-            .map(|workload| self.latencies.rate(workload));
+            .map(|w| self.prefill_rate(&flight.pool, w, flight.prompt_tokens(), now));
         let scope = self.prefix_scope(now, flight, rate);
         let avoided = self.avoided(now, flight);
         let criteria = Criteria {
@@ -101,13 +103,11 @@
             prefill_rate: rate,
             scope,
         };
-        let contended = self.peers.is_contended(&flight.pool);
-        if let Some(outlook) = contended
-            .then(|| self.peers.outlook(&criteria, now))
-            .flatten()
-        {
-            let draw = self.rng.random::<f64>();
-            gate::check(&mut self.gates, flight, &outlook, now, draw)?;
+        if self.peers.is_contended(&flight.pool) {
+            if let Some(outlook) = self.peers.outlook(&criteria, now) {
+                let draw = self.rng.random::<f64>();
+                gate::check(&mut self.gates, flight, &outlook, now, draw)?;
+            }
         }
         let draw = self.rng.random::<f64>();
         let chosen = self
@@ -115,9 +115,13 @@
             .choose_distinct(&criteria, &flight.tried, self.settings.policy, now, draw)
             .ok_or_else(|| self.no_upstream_available(&flight.pool, now))?;
         self.begin_run(now, flight, chosen.link)?;
-        let estimate = self.estimate(workload.as_ref(), &chosen);
+        let estimate = self.estimate(now, &flight.pool, workload.as_ref(), &chosen);
         self.peers.prefill_started(chosen.link, estimate.prefill);
-        if estimate.prefill >= MIN_REPORTED_PREFILL {
+        let min_reported = match self.peers.is_contended(&flight.pool) {
+            true => MIN_CONTENDED_PREFILL,
+            false => MIN_REPORTED_PREFILL,
+        };
+        if estimate.prefill >= min_reported {
             let start_id = self.peers.get(chosen.link).map(Peer::start_id);
             out.extend(start_id.map(|start_id| Output::Prefill(start_id, estimate.prefill)));
         }
@@ -158,14 +162,21 @@
     }
 
     /// Returns the estimate for a run at its chosen upstream.
-    fn estimate(&self, workload: Option<&Workload>, chosen: &Chosen) -> Estimate {
+    fn estimate(
+        &self,
+        now: Time,
+        pool: &PoolId,
+        workload: Option<&Workload>,
+        chosen: &Chosen,
+    ) -> Estimate {
         let Some(workload) = workload else {
             return Estimate::default();
         };
+        let usual = self.usual_time(pool, workload, chosen.uncached_tokens, now);
         Estimate {
             uncached_tokens: chosen.uncached_tokens,
-            prefill: self.latencies.estimate(workload, chosen.uncached_tokens),
-            wait: pick::prefill_wait(chosen.pending_prefill),
+            prefill: chosen.slowdown.scale(usual),
+            wait: chosen.wait,
             prefill_pending: true,
         }
     }
