--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -5,7 +5,7 @@
 //! the least urgent are refused first, and within a rank the client accounts that ask for the most.
 //!
 //! ```
-//! use sorreldeck::admission::{Ask, Decision, Gate, Reason};
+//! use sorreldeck::admission::{Ask, Decision, Gate, Reason, Scope};
 //! use sorreldeck::pick::Outlook;
 //! use sorreldeck::{Span, Time};
 //!
@@ -21,7 +21,7 @@
 //!     resumes: false,
 //! };
 //! let outlook = Outlook { first: Span::from_millis(300), has_free: true, backlog: Span::default() };
-//! let decision = Gate::default().decide(&ask, &outlook, Time(0), 0.5);
+//! let decision = Gate::new(Scope::Time).decide(&ask, &outlook, Time(0), 0.5);
 //! assert!(matches!(decision, Decision::Refuse(refusal) if refusal.reason == Reason::NoTime));
 //! # Ok::<(), sorreldeck::Error>(())
 //! ```
@@ -127,9 +127,20 @@
     }
 }
 
+/// For what a gate refuses requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Scope {
+    /// For want of time only: what could be served in its time may wait.
+    #[default]
+    Time,
+    /// For want of time and, while room is short, by rank and client account.
+    Room,
+}
+
 /// Lets requests in to one pool.
 #[derive(Clone, Debug)]
 pub struct Gate {
+    scope: Scope,
     pressure: Pressure,
     demand: Demand,
     patience: Patience,
@@ -140,9 +151,11 @@
     counts: Counts,
 }
 
-impl Default for Gate {
-    fn default() -> Gate {
+impl Gate {
+    /// Creates a gate that has seen no requests.
+    pub fn new(scope: Scope) -> Gate {
         Gate {
+            scope,
             pressure: Pressure::default(),
             demand: Demand::default(),
             patience: Patience::default(),
@@ -161,6 +174,8 @@
             self.unloaded.record(ask.route, outlook.first, now);
         }
         let wait = outlook.first - self.unloaded.get(ask.route, now);
+        // A long prompt takes long without any wait.
+        let wait = wait.min(outlook.backlog);
         if ask.runs == 0 {
             self.pressure.record(wait, ask.objective, now);
             self.demand.record(ask, now);
@@ -209,7 +224,7 @@
 
     /// Returns whether others fill the room for a request that can be served in its time.
     fn excess(&self, ask: &Ask, outlook: &Outlook, place: f64) -> Option<Excess> {
-        if ask.runs > 0 || outlook.has_free {
+        if ask.runs > 0 || outlook.has_free || self.scope == Scope::Time {
             return None;
         }
         let of_rank = self.demand.excess(ask.rank, self.pressure.excess());
@@ -220,21 +235,21 @@
         };
         (place < of_account).then(|| Excess {
             reason,
-            part: of_rank,
             turn: 1.0 - place / of_account,
         })
     }
 
     /// Returns when a refused request may return. Those that are refused together return one after
     /// the other, in the order of their ranks and within a rank by their turn, from the time at which
-    /// there is room on. `in_time` is for how long the request may stay away and still start in time;
-    /// the more of its rank is refused, the further beyond that it is sent, for the shortage is not
-    /// about to end.
+    /// there is room until the least urgent would be late: `in_time` is for how long the request may
+    /// stay away and still start in time. Who is late already loses nothing by staying longer.
     fn retry_after(&self, ask: &Ask, excess: &Excess, room: Span, in_time: Span) -> Span {
         let patience = ask.time_left.secs_f64() * PATIENCE;
-        let in_time = in_time.secs_f64().min(patience);
-        let latest = in_time + (patience - in_time) * excess.part;
-        let latest = latest.max(2.0 * room.secs_f64()).min(patience);
+        let harmless = match in_time > Span::default() {
+            true => in_time.secs_f64(),
+            false => patience,
+        };
+        let latest = harmless.max(2.0 * room.secs_f64()).min(patience);
         let earliest = room.secs_f64().min(latest / 2.0);
         let position = self.demand.position(ask.rank, excess.turn);
         let after = Span::from_secs_f64(earliest + (latest - earliest) * position);
@@ -246,8 +261,6 @@
 #[derive(Clone, Copy, Debug)]
 struct Excess {
     reason: Reason,
-    /// The part of its rank that is refused.
-    part: f64,
     /// Its turn among those refused, from 0 to 1; who has waited longest returns first.
     turn: f64,
 }
@@ -256,7 +269,6 @@
     fn no_time(turn: f64) -> Excess {
         Excess {
             reason: Reason::NoTime,
-            part: 1.0,
             turn,
         }
     }
@@ -279,21 +291,34 @@
 
 /// The gates of all pools.
 #[derive(Clone, Debug, Default)]
-pub struct Gates(BTreeMap<PoolId, Gate>);
+pub struct Gates {
+    scope: Scope,
+    pools: BTreeMap<PoolId, Gate>,
+}
 
 impl Gates {
+    /// Creates no gate; those that are asked for refuse in this scope.
+    pub fn new(scope: Scope) -> Gates {
+        Gates {
+            scope,
+            pools: BTreeMap::new(),
+        }
+    }
+
     /// Returns the gate of a pool.
     pub fn of(&mut self, pool: &PoolId) -> &mut Gate {
-        self.0.entry(pool.clone()).or_default()
+        let scope = self.scope;
+        let gate = self.pools.entry(pool.clone());
+        gate.or_insert_with(|| Gate::new(scope))
     }
 
     /// Returns the gate of a pool that has one.
     pub fn get_mut(&mut self, pool: &PoolId) -> Option<&mut Gate> {
-        self.0.get_mut(pool)
+        self.pools.get_mut(pool)
     }
 
     /// Returns all gates.
     pub fn iter(&self) -> impl Iterator<Item = (&PoolId, &Gate)> {
-        self.0.iter()
+        self.pools.iter()
     }
 }
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -30,7 +30,7 @@
 pub use routed::handover;
 pub use routed::{Head, Member, Reply, Routed, CONFIDENCE_THRESHOLDS};
 
-use crate::admission::Gates;
+use crate::admission::{self, Gates};
 use crate::bill::Record;
 use crate::cascade;
 use crate::failover::Outcomes;
@@ -99,6 +99,8 @@
     pub reports_starts: bool,
     /// For which pools the decisions under contention are made.
     pub contention: Contention,
+    /// For what requests to contended pools are refused.
+    pub admission: admission::Scope,
 }
 
 impl Settings {
@@ -119,6 +121,7 @@
             confidence_thresholds: routed::CONFIDENCE_THRESHOLDS,
             reports_starts: false,
             contention: Contention::default(),
+            admission: admission::Scope::default(),
         }
     }
 }
@@ -337,7 +340,7 @@
             releases: Releases::new(settings.exposure),
             saturation: Tracker::default(),
             retry_outcomes: Outcomes::default(),
-            gates: Gates::default(),
+            gates: Gates::new(settings.admission),
             latencies: Estimator::default(),
             reuse: Reuse::default(),
             quarantine: Quarantine::default(),
--- a/crates/core/src/entry/routed/gate.rs
+++ b/crates/core/src/entry/routed/gate.rs
@@ -22,7 +22,7 @@
     };
     match gates.of(&flight.pool).decide(&ask, outlook, now, draw) {
         Decision::Admit => Ok(()),
-        Decision::Refuse(refusal) => Err(flight.refused(&ask, refusal)),
+        Decision::Refuse(refusal) => Err(flight.refused(&ask, outlook, refusal)),
     }
 }
 
@@ -42,10 +42,15 @@
         })
     }
 
-    fn refused(&self, ask: &Ask, refusal: Refusal) -> Failure {
+    fn refused(&self, ask: &Ask, outlook: &Outlook, refusal: Refusal) -> Failure {
         let message = format!(
-            "{} has no room: {}, rank {}, client account {}",
-            self.pool, refusal.reason, ask.rank, ask.account
+            "{} has no room: {}, rank {}, client account {}, first token due after {}ms, work for {}ms",
+            self.pool,
+            refusal.reason,
+            ask.rank,
+            ask.account,
+            outlook.first.millis(),
+            outlook.backlog.millis()
         );
         match (self.current_verdict(), &self.last_failure) {
             (Verdict::NotRun, _) => {
--- a/crates/core/src/pick/outlook.rs
+++ b/crates/core/src/pick/outlook.rs
@@ -36,5 +36,5 @@
 
 fn is_free(peer: &Peer, now: Time) -> bool {
     let taken = peer.load.running.max(peer.in_flight) + peer.since_report;
-    peer.load.queued == 0 && taken < peer.load.slots && peer.backlog(now) < FREE_WAIT
+    !peer.has_queue(now) && taken < peer.load.slots && peer.backlog(now) < FREE_WAIT
 }
--- a/crates/core/src/pick/peer.rs
+++ b/crates/core/src/pick/peer.rs
@@ -308,7 +308,13 @@
 
     /// Returns the time until the upstream has processed its known prompts.
     pub(super) fn backlog(&self, now: Time) -> Span {
-        self.load.wait + self.pending_prefill(now)
+        let reported = self.load.wait.secs_f64() * self.freshness(now);
+        Span::from_secs_f64(reported) + self.wait(now)
+    }
+
+    /// Returns whether requests wait there by a report that is not too old to count.
+    pub(super) fn has_queue(&self, now: Time) -> bool {
+        self.load.queued > 0 && self.freshness(now) > 0.0
     }
 
     /// Returns the expected wait of a prompt for the prompts before it.
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -6,7 +6,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use sorreldeck::admission::{Ask, Decision, Gate, Reason};
+use sorreldeck::admission::{Ask, Decision, Gate, Reason, Scope};
 use sorreldeck::pick::Outlook;
 use sorreldeck::{AccountId, RouteId, Span, Time};
 use std::collections::VecDeque;
@@ -122,7 +122,7 @@
         World {
             now: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
-            gates: vec![Gate::default(); ENTRIES],
+            gates: vec![Gate::new(Scope::Room); ENTRIES],
             upstreams: slowdowns.iter().map(upstream).collect(),
             known: vec![vec![0.0; slowdowns.len()]; ENTRIES],
             callers: Vec::new(),
@@ -298,7 +298,7 @@
     /// Kills all entries: runs end, and the callers of the last seconds come back with interrupted
     /// streams.
     fn restart(&mut self, streams_ms: u64) {
-        self.gates = vec![Gate::default(); ENTRIES];
+        self.gates = vec![Gate::new(Scope::Room); ENTRIES];
         for upstream in 0..self.upstreams.len() {
             self.take_all(upstream);
         }
@@ -436,7 +436,7 @@
 
 /// Returns a gate that has seen requests of ranks 0 to 3 wait this long for a while, and the time.
 fn short_gate(ask: Ask, wait_ms: u64, requests: u64) -> (Gate, Time) {
-    let mut gate = Gate::default();
+    let mut gate = Gate::new(Scope::Room);
     for i in 0..requests {
         let ask = Ask {
             rank: (i % 4) as u8,
@@ -467,6 +467,19 @@
     assert_eq!(reason(late), Some(Reason::NoTime));
 }
 
+#[test]
+fn a_gate_for_want_of_time_refuses_nobody_for_rank() {
+    let (account, route) = ("a".parse().unwrap(), "r".parse().unwrap());
+    let ask = ask(2, &account, &route);
+    let mut gate = Gate::new(Scope::Time);
+    for i in 0..300 {
+        let decision = gate.decide(&ask, &waits(5_900), Time(i * 10_000), 0.0);
+        assert_eq!(decision, Decision::Admit);
+    }
+    let late = gate.decide(&ask, &waits(6_100), Time(3_000_000), 0.9);
+    assert!(matches!(late, Decision::Refuse(refusal) if refusal.reason == Reason::NoTime));
+}
+
 #[test]
 fn a_shortage_of_the_past_refuses_nobody() {
     let (account, route) = ("a".parse().unwrap(), "r".parse().unwrap());
