--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -29,6 +29,7 @@
 pub use request::{Chat, Part, Payload, Request};
 pub use routed::{Head, Member, Reply, Routed, CONFIDENCE_THRESHOLDS};
 
+use crate::admission::{self, Gates};
 use crate::bill::Record;
 use crate::cascade;
 use crate::failover::Outcomes;
@@ -97,6 +98,8 @@
     pub reports_starts: bool,
     /// For which pools the decisions under contention are made.
     pub contention: Contention,
+    /// For what requests to contended pools are refused.
+    pub admission: admission::Scope,
 }
 
 impl Settings {
@@ -117,6 +120,7 @@
             confidence_thresholds: routed::CONFIDENCE_THRESHOLDS,
             reports_starts: false,
             contention: Contention::default(),
+            admission: admission::Scope::default(),
         }
     }
 }
@@ -299,6 +303,7 @@
     releases: Releases,
     saturation: Tracker,
     retry_outcomes: Outcomes,
+    gates: Gates,
     latencies: Estimator,
     reuse: Reuse,
     quarantine: Quarantine,
@@ -342,6 +347,7 @@
             releases: Releases::new(settings.exposure),
             saturation: Tracker::default(),
             retry_outcomes: Outcomes::default(),
+            gates: Gates::new(settings.admission),
             latencies: Estimator::default(),
             reuse: Reuse::default(),
             quarantine: Quarantine::default(),
