--- /dev/null
+++ b/crates/core/src/escalation/mod.rs
@@ -0,0 +1,265 @@
+//! Decides which model of a route answers first, and whether its answer is delivered or dropped for
+//! that of a larger model.
+//!
+//! A larger model is asked if what its answer is expected to add exceeds what its run takes: the
+//! operator's price of the model, and the time of the upstream at a [`Price`] that rises with the
+//! wait there. At rest all that pays is escalated; at a crest, when the work asked for exceeds what the
+//! upstreams can do, the smaller models answer.
+//!
+//! All values are fractions of the worth of a right answer in time to the request at hand. That
+//! worth is taken to be in proportion to the work of the largest model on the request, and halves
+//! with each rank.
+//!
+//! ```
+//! use sorreldeck::escalation::{Answer, Case, Decider, Model, Next, Price};
+//! use sorreldeck::wire::Confidence;
+//! use sorreldeck::{Rate, Span, Time};
+//!
+//! let (route, pool) = ("drafts".parse()?, "assistant".parse()?);
+//! let models = [40_000.0, 4_000.0].map(|rate| Model { read: Rate::from_per_second(rate), cost: None });
+//! let case = Case {
+//!     route: &route,
+//!     pool: &pool,
+//!     rank: 0,
+//!     prompt_tokens: 1_000,
+//!     uncached_tokens: 600,
+//!     max_tokens: 100,
+//!     objective: Span::from_millis(2_000),
+//!     waited: Span::from_millis(50),
+//!     wait: Span::default(),
+//!     price: Price::default(),
+//!     models: &models,
+//! };
+//! let decider = Decider::default();
+//! let answer = |confidence| Answer { model: 0, dropped: None, confidence: Confidence(confidence) };
+//! assert!(matches!(decider.next(&case, &answer(0.1), Time(0)), Next::Escalate(1, _)));
+//! assert_eq!(decider.next(&case, &answer(0.9), Time(0)), Next::Keep);
+//! # Ok::<(), sorreldeck::Error>(())
+//! ```
+
+mod average;
+mod calibration;
+mod history;
+mod plan;
+mod price;
+
+pub use price::{Price, Pricing};
+
+use crate::id::{PoolId, RouteId};
+use crate::unit::{Rate, Span, Time};
+use crate::wire::Confidence;
+use calibration::{Calibration, Spread};
+use history::{History, Size};
+use plan::Plan;
+use std::collections::{BTreeMap, HashMap};
+
+/// The fraction of its value that an answer earns if it starts after the objective of its route;
+/// the same in the service-level terms of all installations.
+pub const LATE_VALUE: f64 = 0.3;
+/// The fraction of its value that an answer earns if the request was too hard for its model.
+const WRONG_VALUE: f64 = 0.05;
+/// The cost of the largest model's run as a fraction of the worth of a right answer at the most
+/// urgent rank. Whoever offers the largest model takes an answer to be worth several times its cost.
+const COST_SHARE: f64 = 0.1;
+/// The part of a token made that a token read counts in the operator's price of a model.
+const READ_COST: f64 = 0.25;
+
+/// A request, as far as the choice of its model depends on it.
+#[derive(Clone, Copy, Debug)]
+pub struct Case<'a> {
+    /// The route.
+    pub route: &'a RouteId,
+    /// The pool that answers.
+    pub pool: &'a PoolId,
+    /// The rank of the route, 0 for the most urgent.
+    pub rank: u8,
+    /// The number of prompt tokens.
+    pub prompt_tokens: u32,
+    /// The prompt tokens that a run is expected to read, as they are not cached.
+    pub uncached_tokens: u32,
+    /// The most tokens that the answer may have.
+    pub max_tokens: u32,
+    /// The time within which an answer ought to start.
+    pub objective: Span,
+    /// The time since the request arrived.
+    pub waited: Span,
+    /// The expected wait of a new run before its prompt is read.
+    pub wait: Span,
+    /// The price of a second of an upstream.
+    pub price: Price,
+    /// The models of the route, smallest first.
+    pub models: &'a [Model],
+}
+
+/// A model that may answer a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Model {
+    /// The prompt tokens that it reads in a second.
+    pub read: Rate,
+    /// The operator's price of 1,000 tokens, if the configuration tells one.
+    pub cost: Option<f64>,
+}
+
+/// The start of an answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Answer {
+    /// The index of its model.
+    pub model: usize,
+    /// The answer that was dropped for it, if any.
+    pub dropped: Option<Dropped>,
+    /// The confidence of the model.
+    pub confidence: Confidence,
+}
+
+/// An answer that was dropped for that of a larger model.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Dropped {
+    /// The index of its model.
+    pub model: usize,
+    /// The probability that it was right.
+    pub right: f64,
+}
+
+/// What to do with the answer of a model.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Next {
+    /// Deliver it.
+    Keep,
+    /// Drop it and ask the model with this index.
+    Escalate(usize, Dropped),
+}
+
+/// How many answers of a model were delivered and dropped.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// The answers that were delivered.
+    pub kept: u64,
+    /// The answers that were dropped for that of a larger model.
+    pub dropped: u64,
+}
+
+/// Decides on models, and learns from their answers.
+#[derive(Clone, Debug, Default)]
+pub struct Decider {
+    calibrations: HashMap<(PoolId, usize), Calibration>,
+    history: History,
+    tallies: BTreeMap<(PoolId, usize), Tally>,
+}
+
+impl Decider {
+    /// Returns the index of the model that answers first.
+    pub fn first(&self, case: &Case, now: Time) -> usize {
+        let plan = Plan::new(self, case, now);
+        let value = |model: usize| {
+            let quality = self.history.quality(case, model, now);
+            plan.value(model, quality, case.waited)
+        };
+        plan::best(0..case.models.len(), value).map_or(0, |(model, _)| model)
+    }
+
+    /// Returns what to do with an answer.
+    pub fn next(&self, case: &Case, answer: &Answer, now: Time) -> Next {
+        let plan = Plan::new(self, case, now);
+        let right = self.right(case, answer, now);
+        let in_time = match case.waited > case.objective {
+            true => LATE_VALUE,
+            false => 1.0,
+        };
+        let keep = plan.keep(answer.model, right, in_time);
+        match plan.escalate(answer.model, right, case.waited) {
+            Some((larger, value)) if value > keep => Next::Escalate(
+                larger,
+                Dropped {
+                    model: answer.model,
+                    right,
+                },
+            ),
+            _ => Next::Keep,
+        }
+    }
+
+    /// Records the confidence of an answer.
+    pub fn record_answer(&mut self, case: &Case, answer: &Answer, now: Time) {
+        let right = self.right(case, answer, now);
+        self.history.record(case, answer, right, now);
+        let key = (case.pool.clone(), answer.model);
+        let calibration = self.calibrations.entry(key).or_default();
+        calibration.record(answer.confidence, now);
+    }
+
+    /// Records how long a complete answer took from its first to its last token at an upstream that
+    /// ran this many requests.
+    pub fn record_stream(&mut self, case: &Case, model: usize, took: Span, running: u32) {
+        self.history.record_stream(case, model, took, running);
+    }
+
+    /// Counts an answer that was delivered or dropped.
+    pub fn count(&mut self, pool: &PoolId, model: usize, next: Next) {
+        let tally = self.tallies.entry((pool.clone(), model)).or_default();
+        match next {
+            Next::Keep => tally.kept += 1,
+            Next::Escalate(..) => tally.dropped += 1,
+        }
+    }
+
+    /// Returns the counts of delivered and dropped answers by pool and index of the model.
+    pub fn tallies(&self) -> impl Iterator<Item = (&PoolId, usize, Tally)> {
+        let rows = self.tallies.iter();
+        rows.map(|((pool, model), tally)| (pool, *model, *tally))
+    }
+
+    /// Returns the probability that an answer is right.
+    fn right(&self, case: &Case, answer: &Answer, now: Time) -> f64 {
+        let Answer { model, dropped, .. } = *answer;
+        if is_largest(case, model) {
+            return history::LARGEST_QUALITY;
+        }
+        let quality = match dropped {
+            Some(dropped) => dropped.right_at(self.history.mended(case, dropped.model, model, now)),
+            None => self.history.quality(case, model, now),
+        };
+        let spread = self.spread(case, model, now);
+        spread.posterior(quality, answer.confidence)
+    }
+
+    fn spread(&self, case: &Case, model: usize, now: Time) -> Spread {
+        let of = |model| self.calibrations.get(&(case.pool.clone(), model));
+        Spread::new(of(model), of(case.models.len().saturating_sub(1)), now)
+    }
+}
+
+impl Dropped {
+    /// Returns the probability that a larger model answers rightly which does so for this share of
+    /// the requests that were too hard for the smaller one.
+    fn right_at(self, mended: f64) -> f64 {
+        self.right + (1.0 - self.right) * mended
+    }
+}
+
+impl Case<'_> {
+    /// Returns the seconds in which a model reads this many tokens.
+    fn seconds(&self, model: usize, tokens: u32) -> f64 {
+        let rate = self.models.get(model).map_or(0.0, |m| m.read.per_second());
+        f64::from(tokens) / rate.max(1.0)
+    }
+
+    /// Returns the time in which a model reads the prompt.
+    fn reading(&self, model: usize) -> Span {
+        Span::from_secs_f64(self.seconds(model, self.uncached_tokens))
+    }
+
+    /// Returns the size of the request: a token made takes about ten times the work of one read.
+    fn size(&self) -> Size {
+        let tokens = u64::from(self.prompt_tokens) + 10 * u64::from(self.max_tokens);
+        Size(tokens as f64)
+    }
+}
+
+/// Returns the worth of an answer that is right with this probability.
+fn worth(right: f64) -> f64 {
+    right + (1.0 - right) * WRONG_VALUE
+}
+
+fn is_largest(case: &Case, model: usize) -> bool {
+    model + 1 >= case.models.len()
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod duty;
 pub mod entry;
 pub mod era;
+pub mod escalation;
 pub mod evidence;
 pub mod failover;
 pub mod halls;
