--- a/crates/core/src/entry/routed/learn.rs
+++ b/crates/core/src/entry/routed/learn.rs
@@ -31,6 +31,34 @@
         }
     }
 
+    /// Returns the usual time in which a prompt starts to be answered, without a wait.
+    pub(super) fn usual_time(
+        &self,
+        pool: &PoolId,
+        workload: &Workload,
+        tokens: u32,
+        now: Time,
+    ) -> Span {
+        match self.peers.is_contended(pool) {
+            true => self.peers.usual_time(workload, tokens, now),
+            false => self.latencies.estimate(workload, tokens),
+        }
+    }
+
+    /// Returns the rate at which the prompts of a pool are read.
+    pub(super) fn prefill_rate(
+        &self,
+        pool: &PoolId,
+        workload: &Workload,
+        tokens: u32,
+        now: Time,
+    ) -> Rate {
+        match self.peers.is_contended(pool) {
+            true => self.peers.usual_rate(workload, tokens, now),
+            false => self.latencies.rate(workload),
+        }
+    }
+
     /// Records the time to the start of an answer, or the wait so far, for the latency model. Runs
     /// of a release on trial are left out.
     pub(super) fn record_latency(&mut self, now: Time, request: RequestId) {
@@ -51,8 +79,16 @@
             ..
         } = route_state.estimate;
         let elapsed = now.since(route_state.sent_at);
-        self.latencies
-            .record(&route_state.workload(pool), uncached_tokens, wait, elapsed);
+        let workload = route_state.workload(pool);
+        if !self.peers.is_contended(pool) {
+            self.latencies
+                .record(&workload, uncached_tokens, wait, elapsed);
+            return;
+        }
+        if let Some(link) = flight.link {
+            self.peers
+                .record_start(link, &workload, uncached_tokens, (wait, elapsed), now);
+        }
     }
 
     /// Records the start of an answer, or an error, in the comparison of releases.
