--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -32,6 +32,7 @@
 
 use crate::bill::Record;
 use crate::cascade;
+use crate::escalation::{Decider, Pricing};
 use crate::failover::Outcomes;
 use crate::failure::{Failure, Reason};
 use crate::halls;
@@ -295,6 +296,9 @@
     saturation: Tracker,
     retry_outcomes: Outcomes,
     latencies: Estimator,
+    /// The choice of models in contended pools.
+    decider: Decider,
+    pricing: Pricing,
     reuse: Reuse,
     quarantine: Quarantine,
     /// The known number of entries that take requests, including this one.
@@ -336,6 +340,8 @@
             saturation: Tracker::default(),
             retry_outcomes: Outcomes::default(),
             latencies: Estimator::default(),
+            decider: Decider::default(),
+            pricing: Pricing::default(),
             reuse: Reuse::default(),
             quarantine: Quarantine::default(),
             entries: 1,
--- a/crates/core/src/entry/routed/mod.rs
+++ b/crates/core/src/entry/routed/mod.rs
@@ -9,9 +9,11 @@
 mod reply;
 mod send;
 mod timeout;
+mod worth;
 
 use super::flight::Flight;
 use super::*;
+use crate::escalation::Dropped;
 use crate::latency::Workload;
 use crate::notice::Notice;
 use crate::pick::{Placement, Prefix};
@@ -40,6 +42,8 @@
     pub any_model: bool,
     /// The number of prompt tokens.
     pub tokens: u32,
+    /// The most tokens that the answer may have.
+    pub max_tokens: u32,
     /// The prompt prefixes that may be cached, shortest first.
     pub prefixes: Vec<Prefix>,
     /// The identifier of the session.
@@ -55,6 +59,8 @@
     pub route: Arc<Route>,
     /// The index of the current model in the sizes of the route.
     pub size_index: usize,
+    /// The answer that was dropped for the current model, in a contended pool.
+    pub dropped: Option<Dropped>,
     /// The prompt prefixes, hashed for the current model.
     pub prefixes: Vec<Prefix>,
     /// The last event that was sent to the caller.
@@ -203,6 +209,7 @@
             name: name.clone(),
             route: route.clone(),
             size_index: 0,
+            dropped: None,
             prefixes: Vec::new(),
             last_event: None,
             sent_at: Time::default(),
--- a/crates/core/src/entry/routed/reply.rs
+++ b/crates/core/src/entry/routed/reply.rs
@@ -1,23 +1,28 @@
 //! Handles the answers of upstreams to routed requests.
 
 use super::*;
+use crate::escalation::{Dropped, Next, Price, LATE_VALUE};
 use crate::release::SESSION_TTL;
 use crate::tree::Repeat;
 
-/// The fraction of its value that an answer earns if it starts after the objective of its route;
-/// the same in the service-level terms of all installations.
-const LATE_VALUE: f64 = 0.3;
-
 /// The action on the head of an answer.
 enum HeadAction {
     /// Send it to the caller.
     Forward,
-    /// Escalate to the largest model.
-    Escalate,
+    /// Escalate to the model with this index.
+    Escalate(usize, Why),
     /// Retry at another upstream.
     Retry(Failure),
 }
 
+/// Why an answer is dropped for that of a larger model.
+enum Why {
+    /// Its confidence is below the threshold.
+    Unsure,
+    /// The answer of the larger model is worth more at this price of an upstream's second.
+    Worth(Price, Dropped),
+}
+
 impl Entry {
     /// Handles an event of a run at an upstream that is called directly.
     pub(in crate::entry) fn on_reply(
@@ -113,7 +118,9 @@
                 }
                 self.forward_head(now, run.request, out);
             }
-            HeadAction::Escalate => self.escalate_routed(now, link, run, confidence, out),
+            HeadAction::Escalate(model, why) => {
+                self.escalate_routed(now, link, run, confidence, model, why, out)
+            }
             HeadAction::Retry(failure) => {
                 let took = self.run_age_ms(now, run.request);
                 self.history.set_outcome(
@@ -183,23 +190,55 @@
             let failure = Failure::new(Reason::UpstreamFailed, Verdict::Ran, message);
             return HeadAction::Retry(failure);
         }
+        let Some(confidence) = confidence.filter(|_| status < 300) else {
+            return HeadAction::Forward;
+        };
+        if let Some((next, price)) = self.weigh(now, request, confidence) {
+            return self.weighed_action(now, request, next, price, may_rerun);
+        }
+        let Some(flight) = self.flights.get(&request) else {
+            return HeadAction::Forward;
+        };
+        let Some(route_state) = &flight.route_state else {
+            return HeadAction::Forward;
+        };
         let threshold =
             self.confidence_threshold(&route_state.route) * self.saturation.headroom(&flight.pool);
         let threshold = threshold * self.largest_model_value(now, flight, route_state);
         let threshold = Confidence(threshold);
-        let below_threshold = confidence.is_some_and(|c| c < threshold);
-        let has_larger = route_state.size_index + 1 < route_state.route.sizes.len();
-        match status < 300
-            && below_threshold
-            && has_larger
+        let largest = route_state.route.sizes.len().saturating_sub(1);
+        match confidence < threshold
+            && route_state.size_index < largest
             && may_rerun
             && self.charge_retry(now, request, true)
         {
-            true => HeadAction::Escalate,
+            true => HeadAction::Escalate(largest, Why::Unsure),
             false => HeadAction::Forward,
         }
     }
 
+    /// Returns the action on an answer that was weighed, as far as the request may run again.
+    fn weighed_action(
+        &mut self,
+        now: Time,
+        request: RequestId,
+        next: Next,
+        price: Price,
+        may_rerun: bool,
+    ) -> HeadAction {
+        let (next, action) = match next {
+            Next::Escalate(model, dropped)
+                if may_rerun && self.charge_retry(now, request, true) =>
+            {
+                let why = Why::Worth(price, dropped);
+                (next, HeadAction::Escalate(model, why))
+            }
+            _ => (Next::Keep, HeadAction::Forward),
+        };
+        self.count_answer(request, next);
+        action
+    }
+
     /// Returns the age of the current run in milliseconds.
     fn run_age_ms(&self, now: Time, request: RequestId) -> u64 {
         let flight = self.flights.get(&request);
@@ -242,30 +281,39 @@
         }
     }
 
-    /// Drops the answer of a smaller model and escalates to the largest.
+    /// Drops the answer of a smaller model and escalates to a larger one.
+    #[allow(clippy::too_many_arguments)]
     fn escalate_routed(
         &mut self,
         now: Time,
         link: Link,
         run: Run,
         confidence: Option<Confidence>,
+        model: usize,
+        why: Why,
         out: &mut Outputs,
     ) {
         self.peers.succeeded(link);
         self.cancel_run(link, run, out);
         let confidence = confidence.map_or(0.0, |c| c.0);
         let took = self.run_age_ms(now, run.request);
-        self.history.set_outcome(
-            run.request,
-            format!("dropped, confidence {confidence}, after {took}ms"),
-        );
         let Some(flight) = self.flights.get_mut(&run.request) else {
             return;
         };
+        let mut outcome = format!("dropped, confidence {confidence}, after {took}ms");
+        if let (Why::Worth(price, _), Some(route_state)) = (&why, &flight.route_state) {
+            let next = &route_state.route.sizes[model];
+            outcome += &format!(", price {price}, next {next}");
+        }
+        self.history.set_outcome(run.request, outcome);
         flight.run = flight.run.next_step();
         flight.tried.clear();
         if let Some(route_state) = &mut flight.route_state {
-            route_state.size_index = route_state.route.sizes.len() - 1;
+            route_state.size_index = model;
+            route_state.dropped = match why {
+                Why::Unsure => None,
+                Why::Worth(_, dropped) => Some(dropped),
+            };
         }
         self.dispatch(now, run.request, out);
     }
@@ -311,6 +359,7 @@
         }
         self.finish_run(run.request);
         self.record_event_interval(now, run.request);
+        self.record_make_time(now, run.request, link);
         let Some(flight) = self.flights.remove(&run.request) else {
             return;
         };
--- a/crates/core/src/entry/routed/send.rs
+++ b/crates/core/src/entry/routed/send.rs
@@ -75,6 +75,7 @@
             return Err(timed_out(flight));
         }
         let canary = self.select_release(now, flight)?;
+        self.set_first_model(now, flight);
         flight.hash_prefixes();
         let workload = flight
             .route_state
@@ -224,7 +225,7 @@
     /// A resumed stream ranks behind all new requests of the same account rank: it is already late,
     /// and after all entries lost power the interrupted streams of about ten seconds return
     /// together.
-    fn rank(&self) -> u8 {
+    pub(super) fn rank(&self) -> u8 {
         /// The number of route ranks within one account rank.
         const ROUTE_RANKS: u8 = 3;
         /// The highest rank value that engines accept.
--- a/crates/core/src/escalation/history.rs
+++ b/crates/core/src/escalation/history.rs
@@ -132,10 +132,16 @@
     }
 
     /// Records a complete stream; runs at the same time share the upstream.
-    pub fn record_stream(&mut self, case: &Case, model: usize, took: Span, running: u32) {
-        let tokens = f64::from(case.max_tokens.max(1));
-        let secs = took.secs_f64() / tokens / f64::from(running.max(1));
-        let key = (case.pool.clone(), model);
+    pub fn record_stream(
+        &mut self,
+        pool: &PoolId,
+        model: usize,
+        took: Span,
+        tokens: u32,
+        running: u32,
+    ) {
+        let secs = took.secs_f64() / f64::from(tokens.max(1)) / f64::from(running.max(1));
+        let key = (pool.clone(), model);
         let known = self.make_times.entry(key).or_insert(secs);
         *known += STREAM_WEIGHT * (secs - *known);
     }
--- a/crates/core/src/escalation/mod.rs
+++ b/crates/core/src/escalation/mod.rs
@@ -187,10 +187,18 @@
         calibration.record(answer.confidence, now);
     }
 
-    /// Records how long a complete answer took from its first to its last token at an upstream that
-    /// ran this many requests.
-    pub fn record_stream(&mut self, case: &Case, model: usize, took: Span, running: u32) {
-        self.history.record_stream(case, model, took, running);
+    /// Records how long a complete answer of at most so many tokens took from its first to its last
+    /// one, at an upstream that ran this many requests.
+    pub fn record_stream(
+        &mut self,
+        pool: &PoolId,
+        model: usize,
+        took: Span,
+        tokens: u32,
+        running: u32,
+    ) {
+        self.history
+            .record_stream(pool, model, took, tokens, running);
     }
 
     /// Counts an answer that was delivered or dropped.
--- a/crates/core/src/tree/check.rs
+++ b/crates/core/src/tree/check.rs
@@ -67,6 +67,16 @@
                 "an upstream that gets nothing never warms up",
             ));
         }
+        if !pool
+            .costs
+            .values()
+            .all(|cost| cost.is_finite() && *cost >= 0.0)
+        {
+            return Err(Error::at(
+                place(Section::Pools, name, "costs"),
+                "a cost is no negative number",
+            ));
+        }
         let at = place(Section::Pools, name, "prefix");
         match (pool.kind, &pool.prefix) {
             (Kind::Engine, None) => {}
--- a/crates/core/src/tree/entry.rs
+++ b/crates/core/src/tree/entry.rs
@@ -38,6 +38,9 @@
     /// What an upstream bears that has just started; everything, where nothing is written.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub warmup: Option<Warmup>,
+    /// What 1,000 tokens of a model cost the operator, in any unit; a token read counts a quarter.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub costs: BTreeMap<ModelId, f64>,
     /// The node whose operators may edit this entry; the root by default.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub owner: Option<NodePath>,
@@ -50,6 +53,13 @@
     }
 }
 
+impl super::Tree {
+    /// Returns what the models of a pool cost.
+    pub fn costs(&self, pool: &PoolId) -> Option<&BTreeMap<ModelId, f64>> {
+        self.pools.get(pool).map(|pool| &pool.costs)
+    }
+}
+
 /// What an upstream bears that has just started.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/core/src/tree/mod.rs
+++ b/crates/core/src/tree/mod.rs
@@ -51,6 +51,8 @@
     progress: BTreeMap<RolloutId, Progress>,
     halls: BTreeMap<Hall, Standing>,
     by_host: route::Index,
+    /// The shortest objective of the routes of a pool that choose among models.
+    objectives: BTreeMap<PoolId, crate::unit::Span>,
     in_force: HashMap<NodePath, Arc<Node>>,
     by_key: HashMap<String, NodePath>,
     allowed: HashSet<(AccountId, VersionId)>,
@@ -165,6 +167,11 @@
         }
         for (name, route) in &self.routes {
             self.by_host.insert(name, route);
+            for pool in route.pools.keys().filter(|_| !route.sizes.is_empty()) {
+                let objective = self.objectives.entry(pool.clone());
+                let shortest = objective.or_insert(route.objective);
+                *shortest = route.objective.min(*shortest);
+            }
         }
     }
 
--- a/crates/core/src/tree/route.rs
+++ b/crates/core/src/tree/route.rs
@@ -148,6 +148,11 @@
 }
 
 impl Tree {
+    /// Returns the shortest objective of the routes that choose among the models of a pool.
+    pub fn shortest_objective(&self, pool: &PoolId) -> Option<Span> {
+        self.objectives.get(pool).copied()
+    }
+
     /// Returns the route of a request: of those of the host, the one whose
     /// prefix begins the path and is the longest.
     pub fn route_of(&self, host: &str, path: &str) -> Option<(&RouteId, &Arc<Route>)> {
--- a/crates/core/tests/escalation.rs
+++ b/crates/core/tests/escalation.rs
@@ -320,7 +320,7 @@
         if let Rule::Decider(_) = self.rule {
             let took = Span::from_secs_f64(self.mix.make(job));
             self.ask(job, |decider, case, _| {
-                decider.record_stream(case, job.model, took, 1)
+                decider.record_stream(case.pool, job.model, took, case.max_tokens, 1)
             });
         }
     }
--- a/crates/daemon/src/hosted/frontend.rs
+++ b/crates/daemon/src/hosted/frontend.rs
@@ -183,6 +183,7 @@
         time_left: asked.time_left,
         any_model: asked.any_model,
         tokens: asked.tokens,
+        max_tokens: asked.max_tokens,
         prefixes: asked.prefixes,
         session: asked.session,
         is_resumption: asked.is_resumption,
--- a/crates/emulator/src/routed.rs
+++ b/crates/emulator/src/routed.rs
@@ -33,6 +33,7 @@
         time_left: Some(Span::from_millis(20_000)),
         any_model: false,
         tokens: 100,
+        max_tokens: 10,
         prefixes: Vec::new(),
         session: None,
         is_resumption: false,
