--- a/crates/core/src/escalation/history.rs
+++ b/crates/core/src/escalation/history.rs
@@ -10,6 +10,9 @@
 /// any answer; those between are at equal distances.
 const SMALLEST_QUALITY: f64 = 0.5;
 pub(super) const LARGEST_QUALITY: f64 = 0.97;
+/// How much of what lies between them a model that is not the largest is taken to mend: most of what
+/// is too hard for one is too hard for the next.
+const MIDDLE_SHARE: f64 = 0.5;
 /// The number of answers as which a prior counts.
 const PRIOR_WEIGHT: f64 = 8.0;
 /// How many times as long the largest model works on a token as the smallest, before any answer.
@@ -77,7 +80,11 @@
             prior_quality(smaller, models),
             prior_quality(larger, models),
         );
-        let prior = (large - small) / (1.0 - small);
+        let share = match larger + 1 == models {
+            true => 1.0,
+            false => MIDDLE_SHARE,
+        };
+        let prior = share * (large - small) / (1.0 - small);
         let mended = self.mended.get(&(case.route.clone(), smaller, larger));
         mended.map_or(prior, |average| {
             average.value(prior, PRIOR_WEIGHT, now).clamp(0.0, 1.0)
--- a/crates/core/src/escalation/mod.rs
+++ b/crates/core/src/escalation/mod.rs
@@ -38,20 +38,19 @@
 //! ```
 
 mod average;
-mod calibration;
 mod history;
 mod plan;
 mod price;
+mod spread;
 
 pub use price::{Price, Pricing};
 
 use crate::id::{PoolId, RouteId};
 use crate::unit::{Rate, Span, Time};
 use crate::wire::Confidence;
-use calibration::{Calibration, Spread};
 use history::{History, Size};
 use plan::Plan;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 /// The fraction of its value that an answer earns if it starts after the objective of its route;
 /// the same in the service-level terms of all installations.
@@ -141,7 +140,6 @@
 /// Decides on models, and learns from their answers.
 #[derive(Clone, Debug, Default)]
 pub struct Decider {
-    calibrations: HashMap<(PoolId, usize), Calibration>,
     history: History,
     tallies: BTreeMap<(PoolId, usize), Tally>,
 }
@@ -182,9 +180,6 @@
     pub fn record_answer(&mut self, case: &Case, answer: &Answer, now: Time) {
         let right = self.right(case, answer, now);
         self.history.record(case, answer, right, now);
-        let key = (case.pool.clone(), answer.model);
-        let calibration = self.calibrations.entry(key).or_default();
-        calibration.record(answer.confidence, now);
     }
 
     /// Records how long a complete answer of at most so many tokens took from its first to its last
@@ -215,32 +210,21 @@
         let rows = self.tallies.iter();
         rows.map(|((pool, model), tally)| (pool, *model, *tally))
     }
+}
 
-    /// Returns the probability that an answer is right.
+impl Decider {
+    /// Returns the probability that an answer is right. A request for which an answer was dropped is
+    /// harder than others, so that the same confidence tells less.
     fn right(&self, case: &Case, answer: &Answer, now: Time) -> f64 {
         let Answer { model, dropped, .. } = *answer;
         if is_largest(case, model) {
             return history::LARGEST_QUALITY;
         }
-        let quality = match dropped {
-            Some(dropped) => dropped.right_at(self.history.mended(case, dropped.model, model, now)),
-            None => self.history.quality(case, model, now),
-        };
-        let spread = self.spread(case, model, now);
-        spread.posterior(quality, answer.confidence)
-    }
-
-    fn spread(&self, case: &Case, model: usize, now: Time) -> Spread {
-        let of = |model| self.calibrations.get(&(case.pool.clone(), model));
-        Spread::new(of(model), of(case.models.len().saturating_sub(1)), now)
-    }
-}
-
-impl Dropped {
-    /// Returns the probability that a larger model answers rightly which does so for this share of
-    /// the requests that were too hard for the smaller one.
-    fn right_at(self, mended: f64) -> f64 {
-        self.right + (1.0 - self.right) * mended
+        let expected = dropped.map_or(0.5, |dropped| {
+            let mended = self.history.mended(case, dropped.model, model, now);
+            dropped.right + (1.0 - dropped.right) * mended
+        });
+        spread::probability(expected, answer.confidence)
     }
 }
 
--- a/crates/core/src/escalation/plan.rs
+++ b/crates/core/src/escalation/plan.rs
@@ -1,6 +1,6 @@
 //! The expected value of asking each model for a request.
 
-use super::calibration::Spread;
+use super::spread;
 use super::{worth, Case, Decider, COST_SHARE, LATE_VALUE, READ_COST};
 use crate::unit::{Span, Time};
 
@@ -15,7 +15,6 @@
     make: f64,
     /// The time in which the prompt is read.
     reading: Span,
-    spread: Spread,
     /// The share of requests too hard for this model that each larger one answers rightly.
     mended: Vec<f64>,
 }
@@ -36,7 +35,6 @@
                 read,
                 make,
                 reading: case.reading(model),
-                spread: decider.spread(case, model, now),
                 mended: (0..case.models.len()).map(mended).collect(),
             }
         };
@@ -52,11 +50,10 @@
         let prospect = &self.prospects[model];
         let head = sent + self.case.wait + prospect.reading;
         let in_time = punctuality(head, self.case.objective);
-        let by_band = prospect.spread.bands(quality).map(|(right, all)| {
-            let posterior = right / all.max(f64::MIN_POSITIVE);
-            let keep = self.keep(model, posterior, in_time);
-            let larger = self.escalate(model, posterior, head);
-            all * larger.map_or(keep, |(_, value)| value.max(keep))
+        let by_band = spread::bands(quality).map(|(share, right)| {
+            let keep = self.keep(model, right, in_time);
+            let larger = self.escalate(model, right, head);
+            share * larger.map_or(keep, |(_, value)| value.max(keep))
         });
         by_band.sum::<f64>() - prospect.read
     }
