--- a/crates/core/src/escalation/history.rs
+++ b/crates/core/src/escalation/history.rs
@@ -45,8 +45,10 @@
     qualities_by_class: HashMap<(RouteId, usize, Class), Average>,
     /// The share of right answers of a larger model when that of a smaller one was dropped.
     mended: HashMap<(RouteId, usize, usize), Average>,
-    /// The seconds of an upstream that a token takes.
+    /// The seconds between tokens.
     make_times: HashMap<(PoolId, usize), f64>,
+    /// The mean number of runs that share an upstream.
+    running: HashMap<PoolId, f64>,
 }
 
 impl History {
@@ -93,11 +95,12 @@
 
     /// Returns the time of an upstream that a model takes for a token.
     pub fn make_time(&self, case: &Case, model: usize) -> Span {
-        let known = self.make_times.get(&(case.pool.clone(), model));
-        let secs = known
-            .copied()
-            .unwrap_or_else(|| self.prior_make_time(case, model));
-        Span::from_secs_f64(secs)
+        let known = |of| self.make_times.get(&(case.pool.clone(), of)).copied();
+        let running = self.running.get(case.pool).copied().unwrap_or(1.0);
+        let secs = |of| known(of).unwrap_or_else(|| self.prior_make_time(case, of));
+        // A larger model works no less; times of few streams may say so.
+        let secs = (0..=model).map(secs).fold(0.0, f64::max);
+        Span::from_secs_f64(secs / running)
     }
 
     fn prior_make_time(&self, case: &Case, model: usize) -> f64 {
@@ -108,7 +111,8 @@
             Some(secs / slowdown(of) * slowdown(model))
         });
         let read = case.seconds(largest, 1);
-        known.unwrap_or_else(|| PRIOR_MAKE * read * slowdown(model) / PRIOR_SLOWDOWN)
+        let running = self.running.get(case.pool).copied().unwrap_or(1.0);
+        known.unwrap_or_else(|| PRIOR_MAKE * read * slowdown(model) / PRIOR_SLOWDOWN * running)
     }
 
     /// Records an answer that is right with this probability.
@@ -147,7 +151,10 @@
         tokens: u32,
         running: u32,
     ) {
-        let secs = took.secs_f64() / f64::from(tokens.max(1)) / f64::from(running.max(1));
+        let running = f64::from(running.max(1));
+        let mean = self.running.entry(pool.clone()).or_insert(running);
+        *mean += STREAM_WEIGHT * (running - *mean);
+        let secs = took.secs_f64() / f64::from(tokens.max(1));
         let key = (pool.clone(), model);
         let known = self.make_times.entry(key).or_insert(secs);
         *known += STREAM_WEIGHT * (secs - *known);
--- a/crates/core/src/escalation/spread.rs
+++ b/crates/core/src/escalation/spread.rs
@@ -30,7 +30,10 @@
     (0..BANDS).map(move |band| {
         let right = quality * density(middle(band), RIGHT) / all_right;
         let wrong = (1.0 - quality) * density(middle(band), WRONG) / all_wrong;
-        (right + wrong, probability(0.5, Confidence(middle(band))))
+        (
+            right + wrong,
+            right / (right + wrong).max(f64::MIN_POSITIVE),
+        )
     })
 }
 
