--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -32,6 +32,7 @@
 use crate::admission::{self, Gates};
 use crate::bill::Record;
 use crate::cascade;
+use crate::escalation::{Decider, Pricing};
 use crate::failover::Outcomes;
 use crate::failure::{Failure, Reason};
 use crate::halls;
@@ -305,6 +306,9 @@
     retry_outcomes: Outcomes,
     gates: Gates,
     latencies: Estimator,
+    /// The choice of models in contended pools.
+    decider: Decider,
+    pricing: Pricing,
     reuse: Reuse,
     quarantine: Quarantine,
     /// The known number of entries that take requests, including this one.
@@ -349,6 +353,8 @@
             retry_outcomes: Outcomes::default(),
             gates: Gates::new(settings.admission),
             latencies: Estimator::default(),
+            decider: Decider::default(),
+            pricing: Pricing::default(),
             reuse: Reuse::default(),
             quarantine: Quarantine::default(),
             entries: 1,
--- a/crates/core/src/entry/routed/send.rs
+++ b/crates/core/src/entry/routed/send.rs
@@ -75,6 +75,7 @@
             return Err(timed_out(flight));
         }
         let canary = self.select_release(now, flight)?;
+        self.set_first_model(now, flight);
         flight.hash_prefixes();
         let workload = flight
             .route_state
