--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -137,6 +137,21 @@
     Room,
 }
 
+impl std::str::FromStr for Scope {
+    type Err = crate::Error;
+
+    fn from_str(s: &str) -> crate::Result<Self> {
+        match s {
+            "time" => Ok(Scope::Time),
+            "room" => Ok(Scope::Room),
+            _ => Err(crate::Error::new(
+                crate::Category::Invalid,
+                format!("{s:?} is not time or room"),
+            )),
+        }
+    }
+}
+
 /// Lets requests in to one pool.
 #[derive(Clone, Debug)]
 pub struct Gate {
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -32,7 +32,7 @@
 use crate::admission::{self, Gates};
 use crate::bill::Record;
 use crate::cascade;
-use crate::escalation::{Decider, Pricing};
+use crate::escalation::{Decider, ModelChoice, Pricing};
 use crate::failover::Outcomes;
 use crate::failure::{Failure, Reason};
 use crate::halls;
@@ -101,6 +101,8 @@
     pub contention: Contention,
     /// For what requests to contended pools are refused.
     pub admission: admission::Scope,
+    /// How the models of contended pools are chosen.
+    pub model_choice: ModelChoice,
 }
 
 impl Settings {
@@ -122,6 +124,7 @@
             reports_starts: false,
             contention: Contention::default(),
             admission: admission::Scope::default(),
+            model_choice: ModelChoice::default(),
         }
     }
 }
--- a/crates/core/src/entry/routed/worth.rs
+++ b/crates/core/src/entry/routed/worth.rs
@@ -1,7 +1,7 @@
 //! Chooses the models of contended pools by what their answers are worth.
 
 use super::*;
-use crate::escalation::{Answer, Case, Model, Next, Price, Tally};
+use crate::escalation::{Answer, Case, Model, ModelChoice, Next, Price, Tally};
 use crate::pick::{Constraints, Criteria, Outlook};
 use crate::reuse::Scope;
 
@@ -87,19 +87,24 @@
         let running = self.peers.get(link).map_or(1, |peer| peer.load.running);
         let model = route_state.size_index;
         let tokens = flight.routed().map_or(0, |routed| routed.max_tokens);
-        if !route_state.route.sizes.is_empty() && self.peers.is_contended(&flight.pool) {
+        if !route_state.route.sizes.is_empty() && self.weighs_models(&flight.pool) {
             let took = now.since(first);
             self.decider
                 .record_stream(&flight.pool, model, took, tokens, running);
         }
     }
 
+    /// Returns whether the models of a pool are chosen by what their answers are worth.
+    fn weighs_models(&self, pool: &PoolId) -> bool {
+        self.settings.model_choice == ModelChoice::Worth && self.peers.is_contended(pool)
+    }
+
     /// Returns what the choice of a model depends on; `None` if the route names no models, the pool
     /// is not contended or no upstream may get the request.
     fn situation(&mut self, now: Time, flight: &Flight) -> Option<Situation> {
         let route_state = flight.route_state.as_ref()?;
         let sizes = &route_state.route.sizes;
-        if sizes.is_empty() || !self.peers.is_contended(&flight.pool) {
+        if sizes.is_empty() || !self.weighs_models(&flight.pool) {
             return None;
         }
         let costs = &self.tree.costs(&flight.pool)?;
--- a/crates/core/src/escalation/mod.rs
+++ b/crates/core/src/escalation/mod.rs
@@ -52,6 +52,31 @@
 use plan::Plan;
 use std::collections::BTreeMap;
 
+/// How the models of contended pools are chosen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ModelChoice {
+    /// The smallest first, and the largest where the confidence is below a threshold.
+    #[default]
+    Thresholds,
+    /// By what the answers are worth against the work that they take from others.
+    Worth,
+}
+
+impl std::str::FromStr for ModelChoice {
+    type Err = crate::Error;
+
+    fn from_str(s: &str) -> crate::Result<Self> {
+        match s {
+            "thresholds" => Ok(ModelChoice::Thresholds),
+            "worth" => Ok(ModelChoice::Worth),
+            _ => Err(crate::Error::new(
+                crate::Category::Invalid,
+                format!("{s:?} is not thresholds or worth"),
+            )),
+        }
+    }
+}
+
 /// The fraction of its value that an answer earns if it starts after the objective of its route;
 /// the same in the service-level terms of all installations.
 pub const LATE_VALUE: f64 = 0.3;
--- a/crates/daemon/src/hosted/event_loop.rs
+++ b/crates/daemon/src/hosted/event_loop.rs
@@ -134,6 +134,8 @@
             Contention::Detect if settings.is_contended => Contention::On,
             contention => contention,
         };
+        decisions.admission = options.admission;
+        decisions.model_choice = options.model_choice;
         let own = Peer {
             name: settings.instance.clone(),
             hall: settings.hall.clone(),
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -1,7 +1,9 @@
 //! The settings of a process: flags, each with an environment variable.
 
 use bpaf::Bpaf;
+use sorreldeck::admission::Scope;
 use sorreldeck::entry::{Judge, CONFIDENCE_THRESHOLDS};
+use sorreldeck::escalation::ModelChoice;
 use sorreldeck::pick::{Contention, Policy};
 use sorreldeck::session::Keyring;
 use sorreldeck::{Hall, InstanceId, PoolId, Share, Span, UpstreamId};
@@ -59,6 +61,12 @@
     /// Which pools are contended: on (all), off (none) or auto (all where the platform's settings ask for it, else those whose upstreams tell their pace)
     #[bpaf(long, argument("on|off|auto"), fallback(Contention::Detect))]
     pub contention: Contention,
+    /// For what contended pools refuse requests: time (what cannot be served in its time) or room (also by rank and client account while room is short)
+    #[bpaf(long, argument("time|room"), fallback(Scope::Time))]
+    pub admission: Scope,
+    /// How contended pools choose models: thresholds (of --accept) or worth (of an answer against the work it takes)
+    #[bpaf(long, argument("thresholds|worth"), fallback(ModelChoice::Thresholds))]
+    pub model_choice: ModelChoice,
     /// The format of log lines
     #[bpaf(external(log_format))]
     pub log: LogFormat,
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -131,6 +131,8 @@
         metrics: None,
         policy: Default::default(),
         contention: Default::default(),
+        admission: Default::default(),
+        model_choice: Default::default(),
         accept: options::Thresholds(sorreldeck::entry::CONFIDENCE_THRESHOLDS),
         log: LogFormat::Json,
     };
