--- a/crates/core/src/pick/contention.rs
+++ b/crates/core/src/pick/contention.rs
@@ -5,7 +5,7 @@
 use crate::id::PoolId;
 use crate::latency::Workload;
 use crate::unit::{Rate, Span, Time};
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 
 /// For which pools the decisions under contention are made.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -54,31 +54,49 @@
         self.contention = contention;
     }
 
-    /// Returns whether the decisions under contention are made for a pool.
+    /// Returns whether the decisions under contention are made for a pool. Plain services work on
+    /// several requests side by side and have no prompts to read, so they are never contended.
     pub fn is_contended(&self, pool: &PoolId) -> bool {
-        match self.contention {
-            Contention::Off => false,
-            Contention::Detect => self.contended.contains(pool),
-            Contention::On => true,
-        }
+        !self.plain.contains(pool)
+            && match self.contention {
+                Contention::Off => false,
+                Contention::Detect => self.contended.contains(pool),
+                Contention::On => true,
+            }
+    }
+
+    /// Sets the pools of plain services.
+    pub(super) fn set_plain(&mut self, plain: BTreeSet<PoolId>) {
+        self.plain = plain;
+        self.refresh_contended();
     }
 
     /// Records that an upstream told its pace, here or to another entry.
     pub(super) fn note_contended(&mut self, link: Link, from: &str) {
-        if self.peers.get(&link).is_none_or(|peer| peer.is_contended) {
+        if self.contention != Contention::Detect
+            || self.peers.get(&link).is_none_or(|peer| peer.is_contended)
+        {
             return;
         }
         let of_link = |(_, links): &(&PoolId, &Vec<Link>)| links.contains(&link);
-        let Some((pool, links)) = self.pools.iter().find(of_link) else {
+        let Some((pool, _)) = self.pools.iter().find(of_link) else {
             return;
         };
-        if self.contention != Contention::Detect || !self.contended.insert(pool.clone()) {
+        let pool = pool.clone();
+        if self.plain.contains(&pool) || !self.contended.insert(pool.clone()) {
             return;
         }
         log::info!("event=contended pool={pool} from={from}");
-        for link in links {
-            if let Some(peer) = self.peers.get_mut(link) {
-                peer.is_contended = true;
+        self.refresh_contended();
+    }
+
+    fn refresh_contended(&mut self) {
+        for (pool, links) in &self.pools {
+            let is_contended = self.is_contended(pool);
+            for link in links {
+                if let Some(peer) = self.peers.get_mut(link) {
+                    peer.is_contended = is_contended;
+                }
             }
         }
     }
@@ -117,8 +135,8 @@
         }
         let told: HashSet<u64> = sums.iter().map(|sum| sum.upstream).collect();
         let is_told = |peer: &Peer| told.contains(&peer.start_id());
-        let plain = self.peers.iter().filter(|(_, peer)| !peer.is_contended);
-        let told: Vec<Link> = plain
+        let others = self.peers.iter().filter(|(_, peer)| !peer.is_contended);
+        let told: Vec<Link> = others
             .filter(|(_, peer)| is_told(peer))
             .map(|(link, _)| *link)
             .collect();
--- a/crates/core/src/pick/mod.rs
+++ b/crates/core/src/pick/mod.rs
@@ -198,6 +198,8 @@
     contention: Contention,
     /// The pools whose upstreams told their pace.
     contended: BTreeSet<PoolId>,
+    /// The pools of plain services.
+    plain: BTreeSet<PoolId>,
     speeds: Speeds,
     turn: usize,
 }
--- a/crates/core/src/pick/warmup.rs
+++ b/crates/core/src/pick/warmup.rs
@@ -3,7 +3,7 @@
 use super::{Link, Peer, Peers};
 use crate::halls::{Change, Halls};
 use crate::id::{Hall, InstanceId, PoolId};
-use crate::tree::Tree;
+use crate::tree::{Kind, Tree};
 use crate::unit::{Span, Time};
 use crate::warmup::Entries;
 use std::collections::BTreeSet;
@@ -77,6 +77,8 @@
                 }
             }
         }
+        let plain = tree.pools().iter().filter(|(_, p)| p.kind == Kind::Plain);
+        self.set_plain(plain.map(|(pool, _)| pool.clone()).collect());
         let change = self.halls.configure(tree.evacuated().cloned().collect());
         self.mark_halls_cold(&change, now);
         change
--- a/crates/core/tests/work_left.rs
+++ b/crates/core/tests/work_left.rs
@@ -9,8 +9,9 @@
     SpeedSum, Start,
 };
 use sorreldeck::reuse::Scope;
+use sorreldeck::tree::parse_toml;
 use sorreldeck::wire::Load;
-use sorreldeck::{PoolId, Rate, Span, Time};
+use sorreldeck::{PoolId, Rate, Revision, Span, Time, Tree};
 use test_case::test_case;
 
 /// How long work takes at the upstreams, which follow each other in this order.
@@ -328,3 +329,23 @@
     assert!(!plain.is_contended(&pool()));
     assert_eq!(factor(&mut plain, 4, Time(500_000)), 1.0);
 }
+
+/// Plain services work on several requests at once; they are never contended, whenever the
+/// configuration comes.
+#[test]
+fn a_plain_service_is_not_contended() {
+    let text = r#"
+        [pools.engines]
+        kind = "plain"
+        prefix = "/engines"
+        [nodes."/"]
+    "#;
+    let tree = Tree::from_entries(Revision(1), parse_toml(text).unwrap()).unwrap();
+    let mut peers = peers(Contention::On);
+    assert!(peers.is_contended(&pool()));
+    learn(&mut peers, 4_000, Time(0));
+    peers.configure(&tree, Time(0));
+    peers.refresh_speeds(Time(0));
+    assert!(!peers.is_contended(&pool()));
+    assert_eq!(factor(&mut peers, 4, Time(0)), 1.0);
+}
