--- a/crates/core/src/entry/routed/reply.rs
+++ b/crates/core/src/entry/routed/reply.rs
@@ -10,11 +10,18 @@
     /// Send it to the caller.
     Forward,
     /// Escalate to the model with this index.
-    Escalate(usize, Why),
+    Escalate(Escalation),
     /// Retry at another upstream.
     Retry(Failure),
 }
 
+/// The model that is asked next, and why the answer is dropped for it.
+struct Escalation {
+    /// The index of the model in the sizes of the route.
+    model: usize,
+    why: Why,
+}
+
 /// Why an answer is dropped for that of a larger model.
 enum Why {
     /// Its confidence is below the threshold.
@@ -130,8 +137,8 @@
                 }
                 self.forward_head(now, run.request, out);
             }
-            HeadAction::Escalate(model, why) => {
-                self.escalate_routed(now, link, run, confidence, model, why, out)
+            HeadAction::Escalate(escalation) => {
+                self.escalate_routed(now, link, run, confidence, escalation, out)
             }
             HeadAction::Retry(failure) => {
                 let took = self.run_age_ms(now, run.request);
@@ -224,7 +231,10 @@
             && may_rerun
             && self.charge_retry(now, request, true)
         {
-            true => HeadAction::Escalate(largest, Why::Unsure),
+            true => HeadAction::Escalate(Escalation {
+                model: largest,
+                why: Why::Unsure,
+            }),
             false => HeadAction::Forward,
         }
     }
@@ -243,7 +253,7 @@
                 if may_rerun && self.charge_retry(now, request, true) =>
             {
                 let why = Why::Worth(price, dropped);
-                (next, HeadAction::Escalate(model, why))
+                (next, HeadAction::Escalate(Escalation { model, why }))
             }
             _ => (Next::Keep, HeadAction::Forward),
         };
@@ -294,17 +304,16 @@
     }
 
     /// Drops the answer of a smaller model and escalates to a larger one.
-    #[allow(clippy::too_many_arguments)]
     fn escalate_routed(
         &mut self,
         now: Time,
         link: Link,
         run: Run,
         confidence: Option<Confidence>,
-        model: usize,
-        why: Why,
+        escalation: Escalation,
         out: &mut Outputs,
     ) {
+        let Escalation { model, why } = escalation;
         self.peers.succeeded(link);
         self.cancel_run(link, run, out);
         let confidence = confidence.map_or(0.0, |c| c.0);
--- a/crates/core/src/pick/backlog.rs
+++ b/crates/core/src/pick/backlog.rs
@@ -44,6 +44,9 @@
 impl Queue {
     /// Adds a prompt after those that are waiting.
     pub fn add(&mut self, reading: Span, now: Time) {
+        if self.empty_at <= now {
+            self.recent.clear();
+        }
         self.empty_at = self.empty_at.max(now) + reading;
         self.recent.push_back((now, reading));
         if self.recent.len() > MAX_RECENT {
--- a/crates/core/src/pick/peer.rs
+++ b/crates/core/src/pick/peer.rs
@@ -246,7 +246,13 @@
     /// Adds a prefill of this duration that another entry sent.
     pub(super) fn add_remote_prefill(&mut self, prefill: Span, now: Time) {
         self.remote_prefill.add(prefill, now);
-        self.queue.add(prefill, now);
+        self.queue_prompt(prefill, now);
+    }
+
+    fn queue_prompt(&mut self, prefill: Span, now: Time) {
+        if self.is_contended {
+            self.queue.add(prefill, now);
+        }
     }
 
     /// Returns the pending prefill of all known requests.
@@ -338,7 +344,7 @@
     /// Records that a prompt was sent that takes this long to read.
     pub(super) fn prefill_started(&mut self, prefill: Span, now: Time) {
         self.pending_prefill = self.pending_prefill + prefill;
-        self.queue.add(prefill, now);
+        self.queue_prompt(prefill, now);
     }
 
     /// Records that a prompt was read or abandoned.
