--- a/crates/core/src/pick/peer.rs
+++ b/crates/core/src/pick/peer.rs
@@ -49,8 +49,7 @@
 /// prompts in chunks, and part of each pending prompt is already processed.
 const PENDING_SHARE: f64 = 0.5;
 
-/// The time from which a contended upstream that just started to read an idle prompt answers, beside
-/// the prefill.
+/// The expected time to the first token of a contended upstream, beside the prefill of the prompt.
 const CONTENDED_BASE: Span = Span::from_millis(25);
 /// The steps of the weight of a home per doubling of the speed.
 const HOME_STEPS: f64 = 2.0;
