--- a/crates/core/src/entry/routed/send.rs
+++ b/crates/core/src/entry/routed/send.rs
@@ -86,23 +86,15 @@
             .map(|w| self.prefill_rate(&flight.pool, w, flight.prompt_tokens(), now));
         let scope = self.prefix_scope(now, flight, rate);
         let avoided = self.avoided(now, flight);
+        let criteria = flight.criteria(self.settings.hall.as_ref(), &avoided);
         let criteria = Criteria {
-            pool: &flight.pool,
-            tokens: flight.prompt_tokens(),
-            urgent: false,
-            rank: flight.rank(),
-            prefixes: flight.prefixes(),
-            shared_prefix: flight.shared_prefix(),
-            last_upstream: None,
-            tried: &avoided,
             constraints: Constraints {
-                hall: self.settings.hall.as_ref(),
-                release: flight.version(),
                 subset: canary,
-                regions: flight.regions(),
+                ..criteria.constraints
             },
             prefill_rate: rate,
             scope,
+            ..criteria
         };
         if self.peers.is_contended(&flight.pool) {
             if let Some(outlook) = self.peers.outlook(&criteria, now) {
@@ -221,6 +213,33 @@
 }
 
 impl Flight {
+    /// Returns what a run of the request requires of its upstream, which is not one of `tried`,
+    /// without a rate and a canary.
+    pub(super) fn criteria<'a>(
+        &'a self,
+        hall: Option<&'a Hall>,
+        tried: &'a [Link],
+    ) -> Criteria<'a> {
+        Criteria {
+            pool: &self.pool,
+            tokens: self.prompt_tokens(),
+            urgent: false,
+            rank: self.rank(),
+            prefixes: self.prefixes(),
+            shared_prefix: self.shared_prefix(),
+            last_upstream: None,
+            tried,
+            constraints: Constraints {
+                hall,
+                release: self.version(),
+                subset: None,
+                regions: self.regions(),
+            },
+            prefill_rate: None,
+            scope: Scope::Hall,
+        }
+    }
+
     /// Returns the regions that the route and the client account allow for the request.
     pub(in crate::entry) fn regions(&self) -> [Option<&BTreeSet<Region>>; 2] {
         let route_state = self.route_state.as_ref();
--- a/crates/core/src/entry/routed/worth.rs
+++ b/crates/core/src/entry/routed/worth.rs
@@ -2,8 +2,7 @@
 
 use super::*;
 use crate::escalation::{Answer, Case, Model, ModelChoice, Next, Price, Tally};
-use crate::pick::{Constraints, Criteria, Outlook};
-use crate::reuse::Scope;
+use crate::pick::{Criteria, Outlook};
 
 /// What the choice of a model depends on, besides the request itself.
 struct Situation {
@@ -119,22 +118,8 @@
         });
         let models: Vec<Model> = models.collect();
         let criteria = Criteria {
-            pool: &flight.pool,
-            tokens: flight.prompt_tokens(),
-            urgent: false,
-            rank: flight.rank(),
-            prefixes: flight.prefixes(),
-            shared_prefix: flight.shared_prefix(),
-            last_upstream: None,
-            tried: &flight.tried,
-            constraints: Constraints {
-                hall: self.settings.hall.as_ref(),
-                release: flight.version(),
-                subset: None,
-                regions: flight.regions(),
-            },
             prefill_rate: models.get(route_state.size_index).map(|model| model.read),
-            scope: Scope::Hall,
+            ..flight.criteria(self.settings.hall.as_ref(), &flight.tried)
         };
         let outlook = self.peers.outlook(&criteria, now)?;
         let objective = self.tree.shortest_objective(&flight.pool);
--- a/crates/core/src/pick/mod.rs
+++ b/crates/core/src/pick/mod.rs
@@ -35,7 +35,7 @@
 pub use impact::Impact;
 pub use outlook::Outlook;
 pub use pace::Pace;
-pub use peer::{prefill_wait, Peer, PrefillEnd};
+pub use peer::{Peer, PrefillEnd};
 pub(crate) use peer::{CROSS_HALL_PENALTY, PREFIX_LIFETIME};
 pub use speed::{Slowdown, SpeedSum, Speeds};
 
@@ -176,8 +176,6 @@
     pub link: Link,
     /// The prompt tokens that are not in its cache.
     pub uncached_tokens: u32,
-    /// The prefill of earlier requests, of this and other entries, that has not ended.
-    pub pending_prefill: Span,
     /// The expected wait for earlier requests.
     pub wait: Span,
     /// How long work takes at the upstream.
@@ -480,7 +478,6 @@
         Some(Chosen {
             link,
             uncached_tokens: peer.uncached_tokens(criteria, home == Some(link), now),
-            pending_prefill: peer.pending_prefill(now),
             wait: peer.wait(now),
             slowdown: peer.slowdown(now),
         })
--- a/crates/core/src/pick/peer.rs
+++ b/crates/core/src/pick/peer.rs
@@ -57,7 +57,7 @@
 const HOME_HYSTERESIS: f64 = 0.75;
 
 /// Returns the wait of a prompt at an upstream with this pending prefill.
-pub fn prefill_wait(pending: Span) -> Span {
+fn prefill_wait(pending: Span) -> Span {
     Span::from_secs_f64(pending.secs_f64() * PENDING_SHARE)
 }
 
--- a/crates/core/src/pick/speed.rs
+++ b/crates/core/src/pick/speed.rs
@@ -20,7 +20,6 @@
 //! ```
 
 use crate::unit::{Span, Time};
-use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 
@@ -78,8 +77,7 @@
 }
 
 /// The runs of one upstream that an entry recorded, as it reports them to the others.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(from = "(u64, u32, i32)", into = "(u64, u32, i32)")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SpeedSum {
     /// The identifier of the start of the upstream.
     pub upstream: u64,
@@ -97,22 +95,6 @@
     }
 }
 
-impl From<(u64, u32, i32)> for SpeedSum {
-    fn from((upstream, weight, log): (u64, u32, i32)) -> Self {
-        SpeedSum {
-            upstream,
-            weight,
-            log,
-        }
-    }
-}
-
-impl From<SpeedSum> for (u64, u32, i32) {
-    fn from(sum: SpeedSum) -> Self {
-        (sum.upstream, sum.weight, sum.log)
-    }
-}
-
 /// Decaying sums over the runs of one upstream.
 #[derive(Clone, Copy, Debug, Default)]
 struct Stats {
--- a/crates/core/src/pick/usual.rs
+++ b/crates/core/src/pick/usual.rs
@@ -47,8 +47,12 @@
 
 /// Returns the usual time in which a prompt starts to be answered.
 pub fn time(speeds: &Speeds, workload: &Workload, tokens: u32, now: Time) -> Span {
+    time_at(&logs(speeds, workload, now), tokens)
+}
+
+/// Returns the usual time for a prompt, from the logarithms by length class.
+fn time_at(logs: &[f64; CLASSES + 1], tokens: u32) -> Span {
     let (class, above) = classify(tokens);
-    let logs = logs(speeds, workload, now);
     let log = logs[class] * (1.0 - above) + logs[class + 1] * above;
     Span::from_secs_f64(line(tokens).secs_f64() * log.exp())
 }
@@ -56,9 +60,10 @@
 /// Returns the rate at which a prompt of this length is read, in tokens per second.
 pub fn rate(speeds: &Speeds, workload: &Workload, tokens: u32, now: Time) -> Rate {
     let tokens = tokens.max(SHORTEST as u32);
-    let whole = time(speeds, workload, tokens, now);
-    let start = time(speeds, workload, 0, now);
-    let reading = (whole - start).secs_f64().max(1e-3);
+    let logs = logs(speeds, workload, now);
+    let reading = (time_at(&logs, tokens) - time_at(&logs, 0))
+        .secs_f64()
+        .max(1e-3);
     Rate::from_per_second(f64::from(tokens) / reading)
 }
 
