Sight: request lines name the parts of their prompts

The platform's decoder now also gives the shared parts one by one, each with a fingerprint of its own wherever it stands; nothing decides by them yet.

--- a/crates/core/src/entry/admit.rs
+++ b/crates/core/src/entry/admit.rs
@@ -37,9 +37,10 @@
             .begin(request, self.tree.revision(), incoming.payload.name());
         let admitted = self.admit(now, incoming);
         if let Ok((flight, _)) = &admitted {
-            let fingerprint = Some(flight.fingerprint);
-            self.history
-                .update(request, |d| d.fingerprint = fingerprint);
+            self.history.update(request, |d| {
+                d.fingerprint = Some(flight.fingerprint);
+                d.prompt_parts.clone_from(&flight.prompt_parts);
+            });
         }
         match admitted {
             Ok((flight, Action::Route)) => self.begin(now, flight, out),
--- a/crates/core/src/entry/decision.rs
+++ b/crates/core/src/entry/decision.rs
@@ -123,6 +123,9 @@
     /// The fingerprint, if the request was admitted.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub fingerprint: Option<Fingerprint>,
+    /// The parts of the prompt that other requests may share.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub prompt_parts: Vec<Fingerprint>,
     /// The attempts, in order.
     #[serde(rename = "tries")]
     pub attempts: Vec<Attempt>,
@@ -163,6 +166,7 @@
             class: None,
             asked,
             fingerprint: None,
+            prompt_parts: Vec::new(),
             attempts: Vec::new(),
             failure: None,
         };
--- a/crates/core/src/entry/flight.rs
+++ b/crates/core/src/entry/flight.rs
@@ -19,6 +19,8 @@
     pub context: Context,
     /// The same for every repetition of the request.
     pub fingerprint: Fingerprint,
+    /// The parts of the prompt that other requests may share.
+    pub prompt_parts: Vec<Fingerprint>,
     pub session: Option<Session>,
     pub goal: Goal,
     pub pool: PoolId,
@@ -84,6 +86,7 @@
         Flight {
             run: Run::first(request.request),
             fingerprint: request.payload.fingerprint(&context.account),
+            prompt_parts: request.payload.prompt_parts(),
             request,
             context,
             session: None,
--- a/crates/core/src/entry/request.rs
+++ b/crates/core/src/entry/request.rs
@@ -23,6 +23,8 @@
 const BYTES_PER_TOKEN: usize = 4;
 /// The length of the prompt prefix that requests are assumed to share, in tokens.
 const PREFIX_TOKENS: usize = 64;
+/// The most parts of a prompt that are distinguished.
+const MAX_PARTS: usize = 32;
 
 /// A request.
 #[derive(Clone, Debug)]
@@ -69,6 +71,22 @@
             Payload::Routed(routed) => call_fingerprint(account, &routed.host, &routed.call),
         }
     }
+
+    /// Returns the fingerprints of the parts of the prompt that other requests may share, each once.
+    pub fn prompt_parts(&self) -> Vec<Fingerprint> {
+        let all = match self {
+            Payload::Chat(chat) => chat.parts(),
+            Payload::Plain(_) => Vec::new(),
+            Payload::Routed(routed) => routed.parts.clone(),
+        };
+        let mut parts = Vec::with_capacity(all.len().min(MAX_PARTS));
+        for part in all.into_iter().take(MAX_PARTS) {
+            if !parts.contains(&part) {
+                parts.push(part);
+            }
+        }
+        parts
+    }
 }
 
 fn call_fingerprint(account: &[u8], host: &str, call: &Call) -> Fingerprint {
@@ -142,6 +160,15 @@
         self.max_tokens + self.prompt_tokens / 16
     }
 
+    /// Returns the fingerprints of the messages before the last, which other requests may share.
+    fn parts(&self) -> Vec<Fingerprint> {
+        let messages = self.body.get("messages").and_then(Value::as_array);
+        let messages = messages.map_or(&[][..], Vec::as_slice);
+        let shared = messages.len().saturating_sub(1);
+        let part = |message: &Value| Fingerprint::of_part(message.to_string().as_bytes());
+        messages[..shared].iter().map(part).collect()
+    }
+
     /// Returns the call to send to an engine; `logprobs` requests log probabilities, from which the
     /// confidence is computed.
     pub fn call(&self, version: &VersionId, stream: bool, logprobs: bool) -> Call {
--- a/crates/core/src/entry/routed/mod.rs
+++ b/crates/core/src/entry/routed/mod.rs
@@ -46,6 +46,8 @@
     pub max_tokens: u32,
     /// The prompt prefixes that may be cached, shortest first.
     pub prefixes: Vec<Prefix>,
+    /// The parts of the prompt that other requests may share, in order.
+    pub parts: Vec<Fingerprint>,
     /// The identifier of the session.
     pub session: Option<u64>,
     /// Whether the caller resumes an interrupted stream.
--- a/crates/core/src/quarantine/fingerprint.rs
+++ b/crates/core/src/quarantine/fingerprint.rs
@@ -17,7 +17,7 @@
 use std::str::FromStr;
 
 /// A digest of what a request asks and for which client account, without the data that identifies a
-/// single attempt.
+/// single attempt, or a digest of one part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Fingerprint(u64);
@@ -33,6 +33,11 @@
         }
         Fingerprint(digest::truncate(&hasher.finalize()))
     }
+
+    /// Computes the fingerprint of one part of a prompt, which is the same wherever the part stands.
+    pub fn of_part(part: &[u8]) -> Fingerprint {
+        Fingerprint::of(&[b"part of a prompt", part])
+    }
 }
 
 impl fmt::Display for Fingerprint {
--- a/crates/daemon/src/hosted/event_loop/requests.rs
+++ b/crates/daemon/src/hosted/event_loop/requests.rs
@@ -53,8 +53,14 @@
         let fingerprint = decision
             .fingerprint
             .map_or_else(String::new, |f| f.to_string());
+        let parts: Vec<String> = decision
+            .prompt_parts
+            .iter()
+            .map(|p| p.to_string())
+            .collect();
         info!(
-            "event=request id={label} session={session} fingerprint={fingerprint} asked={:?} revision={} account={} first_ms={} whole_ms={} tries={tries:?} failure={failure:?}",
+            "event=request id={label} session={session} fingerprint={fingerprint} parts={} asked={:?} revision={} account={} first_ms={} whole_ms={} tries={tries:?} failure={failure:?}",
+            parts.join(","),
             decision.asked,
             decision.revision,
             done.account.as_ref().map_or("-", |a| a.as_str()),
--- a/crates/daemon/src/hosted/frontend.rs
+++ b/crates/daemon/src/hosted/frontend.rs
@@ -186,6 +186,7 @@
         tokens: asked.tokens,
         max_tokens: asked.max_tokens,
         prefixes: asked.prefixes,
+        parts: asked.parts,
         session: asked.session,
         is_resumption: asked.is_resumption,
     };
--- a/crates/emulator/src/routed.rs
+++ b/crates/emulator/src/routed.rs
@@ -35,6 +35,7 @@
         tokens: 100,
         max_tokens: 10,
         prefixes: Vec::new(),
+        parts: Vec::new(),
         session: None,
         is_resumption: false,
     }
