--- a/crates/emulator/src/crash/mod.rs
+++ b/crates/emulator/src/crash/mod.rs
@@ -15,6 +15,6 @@
 mod tally;
 mod world;
 
-pub use scenario::{Kind, Scenario};
+pub use scenario::{Kind, Place, Scenario};
 pub use tally::{Tally, PROPAGATION_LIMIT};
 pub use world::World;
--- a/crates/emulator/src/crash/scenario.rs
+++ b/crates/emulator/src/crash/scenario.rs
@@ -11,6 +11,16 @@
     pub upstreams: usize,
     /// Number of requests that crash upstreams; each is made five times per second.
     pub crashing: usize,
+    /// Parts of prompts that crash upstreams; each is in requests of which no two are alike.
+    pub crashing_parts: usize,
+    /// Requests per second with each of these parts.
+    pub part_rate: f64,
+    /// Where these parts stand among the shared parts of a prompt.
+    pub place: Place,
+    /// When these parts crash nothing any more, if set.
+    pub harmless_at: Option<Span>,
+    /// Whether the other requests share parts of their prompts.
+    pub shares_parts: bool,
     /// Crashes per second for other reasons.
     pub crashes: f64,
     /// When all upstreams crash at once, if set.
@@ -36,6 +46,11 @@
             entries: 3,
             upstreams: 18,
             crashing: 1,
+            crashing_parts: 0,
+            part_rate: 5.0,
+            place: Place::Second,
+            harmless_at: None,
+            shares_parts: false,
             crashes: 0.0,
             crash_all_at: None,
             background_rate: 100.0,
@@ -48,11 +63,26 @@
     }
 }
 
+/// Where a part stands in a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Place {
+    /// Before a part that other requests share.
+    First,
+    /// After the part that all requests share.
+    Second,
+    /// After two parts that other requests share.
+    Third,
+    /// At another place in each request.
+    Changing,
+}
+
 /// A kind of request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Kind {
     /// The request with this number among those that crash upstreams.
     Crashing(usize),
+    /// One of the requests with the part with this number among those that crash upstreams.
+    Part(usize),
     /// A request that is made once.
     Single(u64),
     /// The identical request that many callers make.
--- a/crates/emulator/src/crash/tally.rs
+++ b/crates/emulator/src/crash/tally.rs
@@ -19,10 +19,14 @@
     pub first: BTreeMap<Kind, Time>,
     /// When each crashing request crashed its third upstream.
     pub third: BTreeMap<Kind, Time>,
+    /// When each crashing part crashed its fifth upstream.
+    pub fifth: BTreeMap<Kind, Time>,
     /// Number of upstreams that each crashing request crashed.
     pub crashed: BTreeMap<Kind, usize>,
     /// When each crashing request was quarantined by the last entry to do so.
     pub quarantined: BTreeMap<Kind, Time>,
+    /// The requests of crashing kinds that were served once they were harmless, with the time.
+    pub admitted: Vec<(Kind, Time)>,
     /// The other requests: when each was made, its kind and whether it was served.
     pub requests: Vec<(Time, Kind, bool)>,
     /// Number of identical requests refused as quarantined although they crash nothing.
@@ -32,11 +36,22 @@
 }
 
 impl Tally {
-    /// Returns the largest number of times that a crashing request was sent later than
-    /// [`PROPAGATION_LIMIT`] after its third crash.
+    /// Returns the crash of a kind of request from which on all entries must know it within
+    /// [`PROPAGATION_LIMIT`]: the third of the same request, the fifth of different ones with the
+    /// same part.
+    fn decisive_crash(&self, kind: &Kind) -> Option<Time> {
+        let crashes = match kind {
+            Kind::Part(_) => &self.fifth,
+            _ => &self.third,
+        };
+        crashes.get(kind).copied()
+    }
+
+    /// Returns the largest number of times that requests of a crashing kind were sent later than
+    /// [`PROPAGATION_LIMIT`] after their decisive crash.
     pub fn late_sends(&self) -> usize {
         let late = |(kind, sends): (&Kind, &Vec<Time>)| {
-            let deadline = self.third.get(kind).map(|at| *at + PROPAGATION_LIMIT);
+            let deadline = self.decisive_crash(kind).map(|at| at + PROPAGATION_LIMIT);
             let late = deadline.map(|deadline| sends.iter().filter(|at| **at > deadline).count());
             late.unwrap_or(0)
         };
@@ -80,8 +95,12 @@
     /// the last quarantine.
     pub fn detection_window(&self) -> Range<Time> {
         let first = self.first.values().min().copied().unwrap_or_default();
-        let third = self.third.values().max().copied().unwrap_or_default();
-        first..third + PROPAGATION_LIMIT
+        let last = self
+            .first
+            .keys()
+            .filter_map(|kind| self.decisive_crash(kind))
+            .max();
+        first..last.unwrap_or_default() + PROPAGATION_LIMIT
     }
 
     /// Returns the share of the other requests made in a range of time that were served.
--- a/crates/emulator/src/crash/world.rs
+++ b/crates/emulator/src/crash/world.rs
@@ -20,6 +20,8 @@
 /// Time from the crash of an upstream until its lease in the store expires.
 const LEASE: Span = Span::from_millis(3_600);
 const TICK: Span = Span::from_millis(20);
+/// Time at which a scenario starts.
+const START: Time = Time(1_000_000);
 
 #[derive(Debug)]
 enum Event {
@@ -64,7 +66,7 @@
     /// Creates the entries and upstreams of a scenario; `seed` seeds its random numbers.
     pub fn new(scenario: Scenario, seed: u64) -> World {
         let mut world = World {
-            now: Time(1_000_000),
+            now: START,
             rng: ChaCha8Rng::seed_from_u64(seed),
             entries: Vec::new(),
             upstreams: BTreeMap::new(),
@@ -130,6 +132,13 @@
                 }
             }
         }
+        for number in 0..self.scenario.crashing_parts {
+            for at in self.draw_times(self.scenario.part_rate) {
+                if at.since(start) >= Span::from_millis(2_000) {
+                    self.at(at, Event::Issue(Kind::Part(number)));
+                }
+            }
+        }
         for (number, at) in self
             .draw_times(self.scenario.background_rate)
             .into_iter()
@@ -221,7 +230,8 @@
         self.next += 1;
         let request = RequestId::new(1, self.next);
         self.asked.insert(request, (entry, kind, self.now));
-        self.input(entry, calls::ask(request, kind));
+        let input = calls::ask(&self.scenario, request, kind, self.next);
+        self.input(entry, input);
     }
 
     fn add_upstream(&mut self) {
@@ -258,12 +268,13 @@
         if !upstream.is_some_and(|u| u.runs.contains(&(entry, run))) {
             return;
         }
-        if let Kind::Crashing(_) = kind {
+        if self.crashes_upstreams(kind) {
             let crashed = self.tally.crashed.entry(kind).or_default();
             *crashed += 1;
             match crashed {
                 1 => drop(self.tally.first.insert(kind, self.now)),
                 3 => drop(self.tally.third.insert(kind, self.now)),
+                5 => drop(self.tally.fifth.insert(kind, self.now)),
                 _ => {}
             }
             return self.crash(link);
@@ -274,6 +285,18 @@
         self.input(entry, Input::Reply(link, run, Reply::End));
     }
 
+    /// Returns whether a request of a kind crashes its upstream now.
+    fn crashes_upstreams(&self, kind: Kind) -> bool {
+        match kind {
+            Kind::Crashing(_) => true,
+            Kind::Part(_) => {
+                let harmless_at = self.scenario.harmless_at;
+                harmless_at.is_none_or(|at| self.now < START + at)
+            }
+            Kind::Single(_) | Kind::Identical => false,
+        }
+    }
+
     fn input(&mut self, entry: usize, input: Input) {
         for output in self.entries[entry].handle(self.now, input) {
             self.output(entry, output);
@@ -335,9 +358,10 @@
 
     /// Records when an entry first quarantined a crashing request.
     fn record_quarantined(&mut self, entry: usize, fingerprint: Fingerprint) {
-        let kinds = (0..self.scenario.crashing).map(Kind::Crashing);
-        let kind = kinds
-            .into_iter()
+        let requests = (0..self.scenario.crashing).map(Kind::Crashing);
+        let parts = (0..self.scenario.crashing_parts).map(Kind::Part);
+        let kind = requests
+            .chain(parts)
             .find(|k| calls::fingerprint(*k) == fingerprint);
         if let Some(kind) = kind.filter(|kind| self.quarantined_by.insert((*kind, entry))) {
             self.tally.quarantined.insert(kind, self.now);
@@ -359,7 +383,7 @@
         self.at(head, Event::Reply(entry, link, run, routed::head(200)));
         let mean = self.scenario.mean_duration.millis();
         let end = match kind {
-            Kind::Crashing(_) => {
+            Kind::Crashing(_) | Kind::Part(_) => {
                 self.tally.sends.entry(kind).or_default().push(self.now);
                 self.now + CRASH_DELAY
             }
@@ -379,11 +403,14 @@
         };
         let is_quarantined = matches!(part, Part::Fail(f) if f.reason == Reason::Quarantined);
         match kind {
-            Kind::Crashing(_) => {
+            Kind::Crashing(_) | Kind::Part(_) => {
                 assert!(
-                    !is_served,
+                    !is_served || !self.crashes_upstreams(kind),
                     "a request that crashes its upstream is never answered"
                 );
+                self.tally
+                    .admitted
+                    .extend(is_served.then_some((kind, self.now)));
             }
             _ => {
                 self.tally.requests.push((at, kind, is_served));
--- a/crates/emulator/tests/crash.rs
+++ b/crates/emulator/tests/crash.rs
@@ -2,7 +2,7 @@
 //! crash nothing, in simulated scenarios with many other requests.
 
 use sorreldeck::{Span, Time};
-use sorreldeck_emulator::crash::{Scenario, Tally, World};
+use sorreldeck_emulator::crash::{Scenario, Tally, World, PROPAGATION_LIMIT};
 use test_case::test_case;
 
 /// Seeds run for each case; the environment variable `SEEDS` overrides it.
@@ -79,6 +79,36 @@
     }
 }
 
+/// Returns a scenario with a part of prompts that crashes upstreams; the other requests share the
+/// other parts.
+fn parts() -> Scenario {
+    Scenario {
+        upstreams: 12,
+        crashing: 0,
+        crashing_parts: 1,
+        background_rate: 30.0,
+        shares_parts: true,
+        ..scenario()
+    }
+}
+
+/// Requests of which no two are alike share a part that crashes upstreams: the part is held back at
+/// all entries, and requests with the other parts are served as before.
+#[test_case(parts(); "the second part")]
+fn a_part_that_crashes_upstreams_is_quarantined(scenario: Scenario) {
+    for (seed, tally) in run(&scenario).iter().enumerate() {
+        let late = tally.late_sends();
+        assert!(late <= SENDS, "seed {seed}: sent {late} times");
+        let window = tally.detection_window();
+        let before = tally.served(Time(0)..window.start);
+        let after = tally.served(window.end + PROPAGATION_LIMIT..Time(u64::MAX));
+        assert!(
+            scenario.background_rate == 0.0 || after >= 0.95 * before,
+            "seed {seed}: served {after:.3} after, {before:.3} before"
+        );
+    }
+}
+
 /// Each case is a scenario in which no request crashes an upstream. Over 100 seeds a case,
 /// identical
 /// requests are refused with one seed of each of two cases: 13 of about 600 and 20 of about 1,500.
