--- a/crates/core/src/entry/flight.rs
+++ b/crates/core/src/entry/flight.rs
@@ -123,6 +123,17 @@
         }
     }
 
+    /// Returns the names under which the request may be held back: its own and those of the parts of
+    /// its prompt.
+    pub fn names(&self) -> impl Iterator<Item = Fingerprint> + '_ {
+        std::iter::once(self.fingerprint).chain(self.prompt_parts.iter().copied())
+    }
+
+    /// Returns whether the request may be held back under a name.
+    pub fn has(&self, name: Fingerprint) -> bool {
+        self.names().any(|own| own == name)
+    }
+
     /// Returns whether the current run is the first attempt.
     pub fn is_first(&self) -> bool {
         self.run.attempt == 0 && self.run.step == 0
--- a/crates/core/src/entry/guard.rs
+++ b/crates/core/src/entry/guard.rs
@@ -14,32 +14,36 @@
 const TRIAL_RETRY_AFTER: Span = Span::from_millis(1_000);
 
 impl Entry {
-    /// Checks before each attempt that a request is not quarantined: retries of a request that
-    /// crashes its upstream would take down the whole pool.
+    /// Checks before each attempt that neither a request nor a part of its prompt is quarantined:
+    /// retries of a request that crashes its upstream would take down the whole pool.
     pub(super) fn check_quarantine(&mut self, now: Time, flight: &Flight) -> Result<(), Failure> {
-        let after = match self.quarantine.admits(flight.fingerprint, now) {
-            Admission::Allowed => return Ok(()),
-            Admission::Trial if !self.is_running(flight.fingerprint) => return Ok(()),
-            Admission::Trial => TRIAL_RETRY_AFTER,
-            Admission::Held(left) => left,
-        };
-        Err(quarantine_failure(flight.fingerprint).retry_after(after))
+        for name in flight.names() {
+            let after = match self.quarantine.admits(name, now) {
+                Admission::Allowed => continue,
+                Admission::Trial if !self.is_running(name) => continue,
+                Admission::Trial => TRIAL_RETRY_AFTER,
+                Admission::Held(left) => left,
+            };
+            return Err(quarantine_failure(flight, name).retry_after(after));
+        }
+        Ok(())
     }
 
     /// Returns whether a request may be retried after its upstream crashed. A suspect is not
-    /// retried while another run of it is active: the outcome of that run shows whether the request
-    /// caused the crash, before further upstreams are lost.
+    /// retried while another run of it, or one with the same suspected part, is active: the outcome
+    /// of that run shows whether it causes the crashes, before further upstreams are lost.
     pub(super) fn may_retry_after_crash(&self, now: Time, request: RequestId) -> bool {
         let Some(flight) = self.flights.get(&request) else {
             return false;
         };
-        let fingerprint = flight.fingerprint;
-        !self.quarantine.is_suspect(fingerprint, now) || !self.is_running(fingerprint)
+        let suspects = self.quarantine.suspects(now);
+        let mut suspected = flight.names().filter(|name| suspects.contains(name));
+        !suspected.any(|name| self.is_running(name))
     }
 
-    /// Returns whether a run with this fingerprint is active.
-    fn is_running(&self, fingerprint: Fingerprint) -> bool {
-        let is_match = |f: &Flight| f.fingerprint == fingerprint && f.link.is_some();
+    /// Returns whether a run of this request, or with this part, is active.
+    fn is_running(&self, name: Fingerprint) -> bool {
+        let is_match = |f: &Flight| f.link.is_some() && f.has(name);
         self.flights.values().any(is_match)
     }
 
@@ -47,9 +51,10 @@
     /// those that run other suspects.
     pub(super) fn avoided(&self, now: Time, flight: &Flight) -> Vec<Link> {
         let mut avoided = flight.tried.clone();
-        if self.quarantine.is_suspect(flight.fingerprint, now) {
-            let suspects = |f: &&Flight| self.quarantine.is_suspect(f.fingerprint, now);
-            let others = self.flights.values().filter(suspects);
+        let suspects = self.quarantine.suspects(now);
+        let is_suspect = |f: &Flight| f.names().any(|name| suspects.contains(&name));
+        if !suspects.is_empty() && is_suspect(flight) {
+            let others = self.flights.values().filter(|f| is_suspect(f));
             avoided.extend(others.filter_map(|f| f.link));
         }
         avoided
@@ -66,6 +71,7 @@
         let start_id = peer.start_id();
         let observation = Observation {
             fingerprint: flight.fingerprint,
+            parts: &flight.prompt_parts,
             pool: &flight.pool,
             upstream: start_id,
             spread: spread(
@@ -96,6 +102,18 @@
             self.quarantine
                 .record_answer(flight.fingerprint, &flight.pool, now);
         }
+        // Another answer may come from an upstream that did not read the prompt.
+        if flight.status < 300 {
+            self.quarantine
+                .record_part_answers(&flight.prompt_parts, now);
+        }
+    }
+
+    /// Holds back the parts of prompts that explain the recent crashes of upstreams.
+    pub(super) fn judge_parts(&mut self, now: Time) {
+        let (flights, peers) = (&self.flights, &self.peers);
+        self.quarantine
+            .judge_parts(now, |part| spread(flights, peers, part, None));
     }
 
     /// Emits the changes of the quarantine and cancels the runs of requests that became
@@ -103,10 +121,10 @@
     pub(super) fn emit_quarantine(&mut self, now: Time, out: &mut Outputs) {
         for change in self.quarantine.take_changes() {
             match change {
-                Change::Held(fingerprint, hold, crashes) => {
+                Change::Held(fingerprint, hold, grounds) => {
                     let left = hold.until.since(now).millis();
                     log::warn!(
-                        "event=quarantined fingerprint={fingerprint} crashes={crashes} for_ms={left} before={}",
+                        "event=quarantined fingerprint={fingerprint} {grounds} for_ms={left} before={}",
                         hold.previous
                     );
                     self.cancel_quarantined(now, fingerprint, out);
@@ -125,37 +143,40 @@
         );
     }
 
-    /// Cancels the runs of a quarantined request that have not started to answer, before they crash
+    /// Cancels the runs of a quarantined request, or with a quarantined part, that have not started to answer, before they crash
     /// their upstreams. Runs that are answering continue: they would crash within about 100 ms, and
     /// a complete answer lifts the quarantine.
     fn cancel_quarantined(&mut self, now: Time, fingerprint: Fingerprint, out: &mut Outputs) {
         let is_answering = |f: &Flight| f.head_sent && f.link.is_some();
-        let is_match = |f: &Flight| f.fingerprint == fingerprint && !is_answering(f);
+        let is_match = |f: &Flight| f.has(fingerprint) && !is_answering(f);
         let runs = self.flights.iter().filter(|(_, f)| is_match(f));
         let mut runs: Vec<(RequestId, Option<Link>, Run)> =
             runs.map(|(request, f)| (*request, f.link, f.run)).collect();
         runs.sort_unstable();
         for (request, link, run) in runs {
             out.extend(link.map(|link| Output::Send(link, Frame::Cancel(run))));
-            if let Some(flight) = self.flights.get_mut(&request) {
-                flight.verdict = flight.current_verdict();
-            }
+            let Some(flight) = self.flights.get_mut(&request) else {
+                continue;
+            };
+            flight.verdict = flight.current_verdict();
+            let failure = quarantine_failure(flight, fingerprint);
             self.history.set_outcome(request, "broken off");
-            self.fail(now, request, quarantine_failure(fingerprint), out);
+            self.fail(now, request, failure, out);
         }
     }
 }
 
-/// Returns the fraction of a pool's upstreams, without the crashed one, that run a request. This is
+/// Returns the fraction of a pool's upstreams, without the crashed one, that run a request or one with
+/// a part. This is
 /// the probability that the request ran by chance on an upstream that crashed for another reason.
 /// One run is not counted, since the caller may have sent a crashing request twice.
 fn spread(
     flights: &HashMap<RequestId, Flight>,
     peers: &Peers,
-    fingerprint: Fingerprint,
+    name: Fingerprint,
     crashed: Option<&Link>,
 ) -> f64 {
-    let is_match = |f: &&Flight| f.fingerprint == fingerprint;
+    let is_match = |f: &&Flight| f.has(name);
     let links = flights.values().filter(is_match).filter_map(|f| f.link);
     let links: BTreeSet<Link> = links.filter(|link| Some(link) != crashed).collect();
     let pool = flights.values().find(is_match).map(|f| &f.pool);
@@ -163,7 +184,11 @@
     links.len().saturating_sub(1) as f64 / all.saturating_sub(1).max(1) as f64
 }
 
-fn quarantine_failure(fingerprint: Fingerprint) -> Failure {
-    let message = format!("upstreams crashed under request {fingerprint}, it is held back");
+fn quarantine_failure(flight: &Flight, name: Fingerprint) -> Failure {
+    let what = match name == flight.fingerprint {
+        true => "request",
+        false => "requests with part",
+    };
+    let message = format!("upstreams crashed under {what} {name}, held back");
     Failure::not_run(Reason::Quarantined, message)
 }
--- a/crates/core/src/entry/learn.rs
+++ b/crates/core/src/entry/learn.rs
@@ -133,6 +133,7 @@
     pub(super) fn tick(&mut self, now: Time, out: &mut Outputs) {
         self.handle_pending(now, out);
         self.check_routed(now, out);
+        self.judge_parts(now);
         self.refresh_speeds(now, out);
         if let Some(batch) = self.spool.due_orphans(now, self.draining) {
             out.push(Output::Write(batch));
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -359,7 +359,7 @@
             decider: Decider::default(),
             pricing: Pricing::default(),
             reuse: Reuse::default(),
-            quarantine: Quarantine::default(),
+            quarantine: Quarantine::new(settings.incarnation),
             entries: 1,
             last_tick: Time::default(),
             suspended: false,
--- a/crates/core/src/quarantine/hold.rs
+++ b/crates/core/src/quarantine/hold.rs
@@ -32,6 +32,13 @@
 }
 
 impl Hold {
+    /// Returns about when the hold began.
+    pub fn began_at(&self) -> Time {
+        let last = HOLD_TIMES.len() - 1;
+        let lasts = HOLD_TIMES[last.min(self.previous as usize)];
+        Time(self.until.0.saturating_sub(lasts.micros()))
+    }
+
     /// Returns until when this entry sends the request to no upstream.
     fn local_end(&self) -> Time {
         match self.is_own {
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -3,8 +3,9 @@
 //! Each attempt of a client has an identity of its own; that it repeats a request shows in its
 //! content, the [`Fingerprint`]. When an upstream goes down, all requests that were there are
 //! suspects. A request that was there each time and was never answered in between is held back for
-//! a while at all entries. Entries report to one another which requests were at which upstream, and
-//! which were answered.
+//! a while at all entries. So is a part of prompts that different requests share, if no request with
+//! it was answered. Entries report to one another which requests and parts were at which upstream,
+//! and which were answered.
 //!
 //! ```
 //! use sorreldeck::quarantine::{Admission, Fingerprint, Quarantine, Run};
@@ -16,7 +17,8 @@
 //! let mut now = Time(0);
 //! for upstream in 0..3 {
 //!     now = now + Span::from_millis(400);
-//!     quarantine.record_crash(&Run { fingerprint, pool: &pool, upstream, spread: 0.1 }, now);
+//!     let run = Run { fingerprint, parts: &[], pool: &pool, upstream, spread: 0.1 };
+//!     quarantine.record_crash(&run, now);
 //! }
 //! assert!(matches!(quarantine.admits(fingerprint, now), Admission::Held(_)));
 //!
@@ -25,21 +27,26 @@
 //! # Ok::<(), sorreldeck::Error>(())
 //! ```
 
+mod crash;
 mod fingerprint;
 mod hold;
 mod journal;
 mod outcomes;
+mod part;
 
 pub use fingerprint::Fingerprint;
 pub use hold::Hold;
 pub use journal::Journal;
 
-use crate::id::PoolId;
+use crate::id::{Incarnation, PoolId};
 use crate::unit::{Span, Time};
+use crash::{moments, Crash, Crashes};
 use hold::Holds;
-use outcomes::Outcomes;
+use outcomes::{Outcomes, RECENT};
+use part::{Answers, Evidence};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{HashMap, HashSet};
+use std::fmt;
 
 /// The number of crashes, with no answer in between, from which on a request is held back. One or
 /// two happen to requests that ran beside one that causes crashes.
@@ -49,29 +56,20 @@
 /// The highest probability that a request which causes no crashes was at each of them by
 /// coincidence.
 const MAX_COINCIDENCE: f64 = 0.001;
-/// Upstreams that crash within this time have one cause, and count once: if all crash at once,
-/// requests that many clients send must not be refused.
-const SAME_MOMENT: Span = Span::from_millis(50);
-/// The time within which reports of one upstream belong to one crash: entries notice a crash within
-/// some 150 ms of one another, and the upstream is away for seconds.
-const SAME_CRASH: Span = Span::from_millis(1_500);
-/// How long a crash that was attributed to one request still counts against the others that were
-/// there: the reports of several entries arrive in any order, and the cause may still be open.
-const ATTRIBUTION_DELAY: Span = Span::from_millis(1_000);
 /// How long the requests at a crashed upstream are kept.
 const RETENTION: Span = Span::from_millis(600_000);
-/// The most crashes that are kept, and the most requests of each: an upstream runs and queues 32 to
-/// 128. Together they take 256 KB if all are full.
-const MAX_CRASHES: usize = 128;
-const MAX_REQUESTS: usize = 256;
 /// The most updates that wait to be sent to other entries.
 const MAX_UPDATES: usize = 1_024;
+/// The most requests and parts in one update.
+const MAX_UPDATE: usize = 256;
 
 /// A run of a request at an upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct Run<'a> {
     /// The fingerprint of the request.
     pub fingerprint: Fingerprint,
+    /// The parts of its prompt that other requests may share.
+    pub parts: &'a [Fingerprint],
     /// The pool of the upstream.
     pub pool: &'a PoolId,
     /// The number by which entries identify the upstream.
@@ -105,12 +103,46 @@
         /// The fingerprints of the requests.
         #[serde(rename = "there")]
         requests: Vec<Fingerprint>,
+        /// The fingerprints of the parts of their prompts.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        parts: Vec<Fingerprint>,
+        /// The entry that saw it.
+        #[serde(default)]
+        by: Incarnation,
     },
-    /// A request that was a suspect was answered completely.
+    /// A request that was a suspect, or one with a part that was, was answered completely.
     Answered(Fingerprint),
 }
 
 impl Update {
+    /// Adds a later update of the same crash; returns whether that was possible.
+    fn absorb(&mut self, later: &Update) -> bool {
+        match (self, later) {
+            (
+                Update::Crashed {
+                    upstream,
+                    requests,
+                    parts,
+                    ..
+                },
+                Update::Crashed {
+                    upstream: same,
+                    requests: more,
+                    parts: more_parts,
+                    ..
+                },
+            ) if upstream == same && requests.len().max(parts.len()) < MAX_UPDATE => {
+                requests.extend(more);
+                let new = more_parts.iter().filter(|part| !parts.contains(part));
+                let new: Vec<Fingerprint> = new.copied().collect();
+                parts.extend(new);
+                true
+            }
+            (Update::Answered(one), Update::Answered(other)) => one == other,
+            _ => false,
+        }
+    }
+
     /// Returns the update as it is sent this much later.
     pub fn delayed(mut self, by: Span) -> Update {
         if let Update::Crashed { ago_ms, .. } = &mut self {
@@ -120,15 +152,50 @@
     }
 }
 
-/// A change in the state of a request.
+/// A change in the state of a request or part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
-    /// It is held back from now on, because it was there when this many upstreams crashed.
-    Held(Fingerprint, Hold, usize),
+    /// It is held back from now on, for these reasons.
+    Held(Fingerprint, Hold, Grounds),
     /// It is not held back any more, because it was answered.
     Freed(Fingerprint),
 }
 
+/// What the decision to hold something back rests on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Grounds {
+    /// The record of another entry.
+    Record,
+    /// A request was there when upstreams crashed at this many moments, or on trial.
+    Request(usize),
+    /// Requests with one part were there.
+    Part {
+        /// The moments at which upstreams crashed.
+        crashes: usize,
+        /// The answers to runs without the part since the last answer to one with it.
+        answers: usize,
+        /// The entries that reported the crashes.
+        entries: usize,
+    },
+}
+
+impl fmt::Display for Grounds {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Grounds::Record => write!(f, "what=record crashes=0"),
+            Grounds::Request(crashes) => write!(f, "what=request crashes={crashes}"),
+            Grounds::Part {
+                crashes,
+                answers,
+                entries,
+            } => write!(
+                f,
+                "what=part crashes={crashes} answers={answers} entries={entries}"
+            ),
+        }
+    }
+}
+
 /// A request at an upstream that went down.
 #[derive(Clone, Copy, Debug)]
 struct Sighting<'a> {
@@ -141,49 +208,28 @@
     at: Time,
 }
 
-/// An upstream that went down.
-#[derive(Clone, Debug)]
-struct Crash {
-    upstream: u64,
-    at: Time,
-    requests: BTreeSet<Fingerprint>,
-    /// The pool, and how many runs of this entry broke there, if any did.
-    own_runs: Option<(PoolId, u32)>,
-    /// When the crash was attributed to a request that is held back.
-    attributed_at: Option<Time>,
-}
-
-impl Crash {
-    fn new(upstream: u64, at: Time) -> Crash {
-        Crash {
-            upstream,
-            at,
-            requests: BTreeSet::new(),
-            own_runs: None,
-            attributed_at: None,
-        }
-    }
-
-    /// Returns whether the crash counts against the requests that were there.
-    fn counts(&self, now: Time) -> bool {
-        self.attributed_at
-            .is_none_or(|at| now.since(at) < ATTRIBUTION_DELAY)
-    }
-}
-
 /// The requests that crash upstreams, as far as one entry knows.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
-    /// The oldest first.
-    crashes: VecDeque<Crash>,
+    own: Incarnation,
+    crashes: Crashes,
     outcomes: Outcomes,
+    answers: Answers,
     holds: Holds,
     updates: Vec<Update>,
     changes: Vec<Change>,
 }
 
 impl Quarantine {
-    /// Returns whether a request may be sent to an upstream.
+    /// Creates the quarantine of the entry with this incarnation.
+    pub fn new(own: Incarnation) -> Quarantine {
+        Quarantine {
+            own,
+            ..Quarantine::default()
+        }
+    }
+
+    /// Returns whether a request, or one with a part, may be sent to an upstream.
     pub fn admits(&self, fingerprint: Fingerprint, now: Time) -> Admission {
         self.holds.admits(fingerprint, now)
     }
@@ -191,11 +237,16 @@
     /// Returns whether a request was at an upstream that crashed recently, with no other cause
     /// known. Suspects are sent to different upstreams, so that the next crash distinguishes them.
     pub fn is_suspect(&self, fingerprint: Fingerprint, now: Time) -> bool {
-        let is_recent = |c: &&Crash| now.since(c.at) < outcomes::RECENT;
         let at = |c: &Crash| c.requests.contains(&fingerprint) && c.counts(now);
-        // This is called for each active run when a run is sent again, so no older crash is
-        // visited.
-        self.crashes.iter().rev().take_while(is_recent).any(at)
+        self.crashes.recent(RECENT, now).any(at)
+    }
+
+    /// Returns the requests of which [`Quarantine::is_suspect`] holds, and the parts that were at
+    /// several recent crashes with no other cause known.
+    pub fn suspects(&self, now: Time) -> HashSet<Fingerprint> {
+        let open = self.crashes.recent(RECENT, now).filter(|c| c.counts(now));
+        let requests = open.flat_map(|crash| crash.requests.iter().copied());
+        requests.chain(self.evidence(now).suspects()).collect()
     }
 
     /// Returns how many requests are held back.
@@ -210,17 +261,35 @@
 
     /// Records that a run of this entry broke because its upstream is gone.
     pub fn record_crash(&mut self, run: &Run, now: Time) {
-        let crash = self.crash_at(run.upstream, now);
+        let answers = &self.answers;
+        let parts = run.parts.iter().copied();
+        let parts: Vec<Fingerprint> = parts.filter(|part| answers.reports(*part, now)).collect();
+        let crash = self.crashes.at(run.upstream, now);
         let own = crash.own_runs.get_or_insert_with(|| (run.pool.clone(), 0));
         own.1 += 1;
-        if self.outcomes.was_answered(run.fingerprint, now) {
+        for part in &parts {
+            crash.insert_part(*part, self.own);
+        }
+        let was_answered = self.outcomes.was_answered(run.fingerprint, now);
+        let requests = match was_answered {
+            true => Vec::new(),
+            false => vec![run.fingerprint],
+        };
+        if !requests.is_empty() || !parts.is_empty() {
+            self.queue_update(Update::Crashed {
+                upstream: run.upstream,
+                ago_ms: 0,
+                requests,
+                parts: parts.clone(),
+                by: self.own,
+            });
+        }
+        for part in parts {
+            self.end_trial(part, now, now);
+        }
+        if was_answered {
             return;
         }
-        self.queue_update(Update::Crashed {
-            upstream: run.upstream,
-            ago_ms: 0,
-            requests: vec![run.fingerprint],
-        });
         let sighting = Sighting {
             fingerprint: run.fingerprint,
             upstream: run.upstream,
@@ -240,6 +309,38 @@
         }
     }
 
+    /// Records a complete answer to a request of this entry with these parts.
+    pub fn record_part_answers(&mut self, parts: &[Fingerprint], now: Time) {
+        for part in parts {
+            self.answers.record(*part, now);
+            if self.clear(*part) {
+                self.queue_update(Update::Answered(*part));
+            }
+        }
+    }
+
+    /// Holds back the parts that explain the recent crashes; `spread` returns the fraction of the
+    /// upstreams that run a request with a part.
+    pub fn judge_parts(&mut self, now: Time, spread: impl Fn(Fingerprint) -> f64) {
+        while let Some(verdict) = self.evidence(now).verdict(&spread) {
+            let grounds = Grounds::Part {
+                crashes: verdict.crashes,
+                answers: verdict.answers,
+                entries: verdict.entries,
+            };
+            self.hold(verdict.part, grounds, now);
+        }
+    }
+
+    fn evidence(&self, now: Time) -> Evidence<'_> {
+        Evidence {
+            crashes: &self.crashes,
+            outcomes: &self.outcomes,
+            answers: &self.answers,
+            now,
+        }
+    }
+
     /// Processes an update of another entry; `spread` returns the fraction of its pool's upstreams
     /// that run a request.
     pub fn merge(&mut self, update: Update, now: Time, spread: impl Fn(Fingerprint) -> f64) {
@@ -248,9 +349,14 @@
                 upstream,
                 ago_ms,
                 requests,
+                parts,
+                by,
             } => {
                 let ago = Span::from_millis(ago_ms.min(RETENTION.millis()));
                 let at = Time(now.0.saturating_sub(ago.micros()));
+                for part in parts {
+                    self.add_part(part, upstream, by, at, now);
+                }
                 for fingerprint in requests {
                     if self.outcomes.was_answered(fingerprint, now) {
                         // The other entries know only the crashes and need to learn of the answer.
@@ -269,21 +375,24 @@
             }
             Update::Answered(fingerprint) => {
                 self.outcomes.record_any_answer(fingerprint, now);
+                self.answers.record(fingerprint, now);
                 self.clear(fingerprint);
             }
         }
     }
 
-    /// Applies the recorded hold of a request.
+    /// Applies the recorded hold of a request or part.
     pub fn restore_hold(&mut self, fingerprint: Fingerprint, hold: Hold, now: Time) {
-        if self.outcomes.was_answered(fingerprint, now) {
+        let was_answered = self.outcomes.was_answered(fingerprint, now);
+        if was_answered || self.answers.is_after(fingerprint, hold.began_at()) {
             // The hold was recorded before the recorder knew of the answer.
             self.changes.push(Change::Freed(fingerprint));
             return;
         }
         if self.holds.restore(fingerprint, hold, now) {
             self.attribute(fingerprint, now);
-            self.changes.push(Change::Held(fingerprint, hold, 0));
+            self.changes
+                .push(Change::Held(fingerprint, hold, Grounds::Record));
         }
     }
 
@@ -302,36 +411,44 @@
         std::mem::take(&mut self.changes)
     }
 
-    /// Returns the crash to which a report of an upstream at this time belongs; adds it if it is
-    /// new.
-    fn crash_at(&mut self, upstream: u64, now: Time) -> &mut Crash {
-        let apart = |c: &Crash| now.since(c.at).max(c.at.since(now));
-        let is_same = |c: &Crash| c.upstream == upstream && apart(c) < SAME_CRASH;
-        let place = self.crashes.iter().rposition(is_same);
-        let place = place.unwrap_or_else(|| {
-            let is_old = |c: &Crash| now.since(c.at) >= RETENTION;
-            while self.crashes.len() >= MAX_CRASHES || self.crashes.front().is_some_and(is_old) {
-                self.crashes.pop_front();
+    /// Records that a part was at an upstream that crashed, as another entry reported.
+    fn add_part(&mut self, part: Fingerprint, upstream: u64, by: Incarnation, at: Time, now: Time) {
+        if self.answers.is_after(part, at) {
+            // The other entries know only the crash and need to learn of the answer.
+            return self.queue_update(Update::Answered(part));
+        }
+        self.crashes.at(upstream, at).insert_part(part, by);
+        self.end_trial(part, at, now);
+    }
+
+    /// Attributes a crash to a part that is held back; one during its trial holds it back for longer.
+    fn end_trial(&mut self, part: Fingerprint, at: Time, now: Time) {
+        match self.admits(part, now) {
+            Admission::Held(_) => self.attribute(part, now),
+            Admission::Trial if self.holds.ended_by(part, at) => {
+                let grounds = Grounds::Part {
+                    crashes: 1,
+                    answers: 0,
+                    entries: 1,
+                };
+                self.hold(part, grounds, now);
             }
-            self.crashes.push_back(Crash::new(upstream, now));
-            self.crashes.len() - 1
-        });
-        &mut self.crashes[place]
+            Admission::Trial | Admission::Allowed => {}
+        }
     }
 
     /// Records that a request was at an upstream that crashed, and holds it back if that was so too
     /// often.
     fn add_suspect(&mut self, sighting: &Sighting, now: Time) {
         let fingerprint = sighting.fingerprint;
-        let crash = self.crash_at(sighting.upstream, sighting.at);
-        if crash.requests.len() < MAX_REQUESTS {
-            crash.requests.insert(fingerprint);
-        }
+        self.crashes
+            .at(sighting.upstream, sighting.at)
+            .insert(fingerprint);
         match self.admits(fingerprint, now) {
             Admission::Held(_) => return self.attribute(fingerprint, now),
             // A repeated report of a crash before the trial says nothing about the trial.
             Admission::Trial if self.holds.ended_by(fingerprint, sighting.at) => {
-                return self.hold(fingerprint, 1, now);
+                return self.hold(fingerprint, Grounds::Request(1), now);
             }
             Admission::Trial => return,
             Admission::Allowed => {}
@@ -345,17 +462,14 @@
             None => self.max_crash_probability(fingerprint, now),
         };
         if crashes >= required_crashes(probability, sighting.spread) {
-            self.hold(fingerprint, crashes, now);
+            self.hold(fingerprint, Grounds::Request(crashes), now);
         }
     }
 
     /// Returns at how many moments upstreams crashed with a request, with no other cause known.
     fn count_crashes(&self, fingerprint: Fingerprint, now: Time) -> usize {
         let at = |c: &&Crash| c.requests.contains(&fingerprint) && c.counts(now);
-        let mut times: Vec<Time> = self.crashes.iter().filter(at).map(|c| c.at).collect();
-        times.sort_unstable();
-        times.dedup_by(|later, kept| later.since(*kept) < SAME_MOMENT);
-        times.len()
+        moments(self.crashes.iter().filter(at))
     }
 
     /// Returns the highest crash probability of all pools, for a request that this entry never ran.
@@ -373,10 +487,11 @@
     /// by the crashes of the others.
     fn crash_probability(&self, fingerprint: Fingerprint, pool: &PoolId, now: Time) -> f64 {
         let elsewhere = |c: &&Crash| {
-            let is_recent = now.since(c.at) < outcomes::RECENT;
-            is_recent && c.attributed_at.is_none() && !c.requests.contains(&fingerprint)
+            let is_open = !c.by_part && c.attributed_at.is_none();
+            is_open && !c.requests.contains(&fingerprint)
         };
-        let elsewhere: Vec<&Crash> = self.crashes.iter().filter(elsewhere).collect();
+        let recent = self.crashes.recent(RECENT, now);
+        let elsewhere: Vec<&Crash> = recent.filter(elsewhere).collect();
         let mut occurrences: HashMap<Fingerprint, usize> = HashMap::new();
         for other in elsewhere.iter().flat_map(|c| &c.requests) {
             *occurrences.entry(*other).or_default() += 1;
@@ -392,25 +507,28 @@
         self.outcomes.crash_probability(pool, broken, now)
     }
 
-    fn hold(&mut self, fingerprint: Fingerprint, crashes: usize, now: Time) {
+    fn hold(&mut self, fingerprint: Fingerprint, grounds: Grounds, now: Time) {
         let hold = self.holds.hold(fingerprint, now);
         self.attribute(fingerprint, now);
-        self.changes.push(Change::Held(fingerprint, hold, crashes));
+        self.changes.push(Change::Held(fingerprint, hold, grounds));
     }
 
-    /// Attributes the crashes at which a request was to that request.
+    /// Attributes the crashes at which a request or part was to it.
     fn attribute(&mut self, fingerprint: Fingerprint, now: Time) {
-        let at = |c: &&mut Crash| c.requests.contains(&fingerprint);
-        for crash in self.crashes.iter_mut().filter(at) {
-            crash.attributed_at.get_or_insert(now);
+        for crash in self.crashes.iter_mut() {
+            crash.by_part |= crash.parts.contains_key(&fingerprint);
+            if crash.requests.contains(&fingerprint) {
+                crash.attributed_at.get_or_insert(now);
+            }
         }
     }
 
-    /// Removes what is held against a request; returns whether there was anything.
+    /// Removes what is held against a request or part; returns whether there was anything.
     fn clear(&mut self, fingerprint: Fingerprint) -> bool {
         let mut was_suspect = false;
-        for crash in &mut self.crashes {
+        for crash in self.crashes.iter_mut() {
             was_suspect |= crash.requests.remove(&fingerprint);
+            was_suspect |= crash.parts.remove(&fingerprint).is_some();
         }
         let was_held = self.holds.remove(fingerprint);
         if was_held {
@@ -420,21 +538,9 @@
     }
 
     fn queue_update(&mut self, update: Update) {
-        if let (
-            Update::Crashed {
-                upstream, requests, ..
-            },
-            Some(Update::Crashed {
-                upstream: last,
-                requests: known,
-                ..
-            }),
-        ) = (&update, self.updates.last_mut())
-        {
-            if last == upstream && known.len() < MAX_REQUESTS {
-                known.extend(requests);
-                return;
-            }
+        let last = self.updates.last_mut();
+        if last.is_some_and(|last| last.absorb(&update)) {
+            return;
         }
         if self.updates.len() < MAX_UPDATES {
             self.updates.push(update);
--- a/crates/core/src/quarantine/outcomes.rs
+++ b/crates/core/src/quarantine/outcomes.rs
@@ -57,12 +57,17 @@
         at.is_some_and(|at| now.since(*at) < RECENT)
     }
 
+    /// Returns how many runs of this entry were answered in a pool recently and not before a time.
+    pub fn answered_since(&self, pool: &PoolId, since: Time, now: Time) -> usize {
+        let counts = |at: &&Time| **at >= since && now.since(**at) < RECENT;
+        let times = self.pools.get(pool);
+        times.map_or(0, |times| times.iter().filter(counts).count())
+    }
+
     /// Returns the probability that a run in a pool ends with a crash of its upstream, if this many
     /// runs broke recently.
     pub fn crash_probability(&self, pool: &PoolId, broken: u32, now: Time) -> f64 {
-        let is_recent = |at: &&Time| now.since(**at) < RECENT;
-        let times = self.pools.get(pool);
-        let answered = times.map_or(0, |times| times.iter().filter(is_recent).count());
+        let answered = self.answered_since(pool, Time::default(), now);
         let broken = f64::from(broken);
         (broken + PRIOR_CRASH * PRIOR_RUNS) / (broken + answered as f64 + PRIOR_RUNS)
     }
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -9,7 +9,7 @@
 use sorreldeck::quarantine::{Admission, Change, Fingerprint, Hold, Quarantine, Run, Update};
 use sorreldeck::sidecar::{self, Sidecar};
 use sorreldeck::wire::{self, Frame, Load};
-use sorreldeck::{Failure, PoolId, Reason, RequestId, Span, Time, Verdict};
+use sorreldeck::{Failure, Incarnation, PoolId, Reason, RequestId, Span, Time, Verdict};
 use test_case::test_case;
 
 /// The longest time for which a request is held back, with the additional wait of other entries.
@@ -26,6 +26,7 @@
 fn crash(quarantine: &mut Quarantine, number: u64, upstream: u64, now: Time) {
     let run = Run {
         fingerprint: fingerprint(number),
+        parts: &[],
         pool: &pool(),
         upstream,
         spread: 0.0,
@@ -151,6 +152,8 @@
         upstream: 1,
         ago_ms: 10,
         requests: vec![fingerprint(7), fingerprint(8)],
+        parts: Vec::new(),
+        by: Incarnation(1),
     };
     quarantine.merge(update, ms(100), |_| 0.0);
     assert_eq!(
@@ -173,6 +176,8 @@
             upstream,
             ago_ms: 100,
             requests: vec![fingerprint(7)],
+            parts: Vec::new(),
+            by: Incarnation(1),
         };
         quarantine.merge(update, ms(at), |_| 0.0);
     }
@@ -190,6 +195,8 @@
             upstream,
             ago_ms: 100 * upstream,
             requests: vec![fingerprint(7)],
+            parts: Vec::new(),
+            by: Incarnation(1),
         };
         quarantine.merge(update, ms(100 * upstream + 5), |_| 0.0);
     }
@@ -206,6 +213,7 @@
     for upstream in 0..8 {
         let run = Run {
             fingerprint: fingerprint(7),
+            parts: &[],
             pool: &pool(),
             upstream,
             spread: 0.9,
@@ -250,6 +258,8 @@
         upstream: 3,
         ago_ms: ago.millis(),
         requests: vec![fingerprint(7)],
+        parts: Vec::new(),
+        by: Incarnation(1),
     };
     quarantine.merge(update(now.since(ms(600))), now, |_| 0.0);
     assert_eq!(quarantine.admits(fingerprint(7), now), Admission::Trial);
@@ -288,7 +298,7 @@
                 0 | 1 => crash(&mut quarantine, number, upstream, now),
                 2 => {
                     let requests = vec![fingerprint(number), fingerprint(number + 1)];
-                    quarantine.merge(Update::Crashed { upstream, ago_ms: wild, requests }, now, |_| 0.3);
+                    quarantine.merge(Update::Crashed { upstream, ago_ms: wild, requests, parts: Vec::new(), by: Incarnation(1) }, now, |_| 0.3);
                 }
                 3 => {
                     let hold = Hold { until: Time(wild / 2), previous: wild as u32, is_own: wild % 2 == 0 };
--- a/crates/daemon/tests/relay/main.rs
+++ b/crates/daemon/tests/relay/main.rs
@@ -381,6 +381,8 @@
             upstream: number,
             ago_ms: 0,
             requests: vec![Fingerprint::of(&[b"request"])],
+            parts: Vec::new(),
+            by: sorreldeck::Incarnation(1),
         };
         relay.share(&Output::QuarantineUpdate(word), now);
     });
--- a/crates/emulator/tests/crash.rs
+++ b/crates/emulator/tests/crash.rs
@@ -2,7 +2,7 @@
 //! crash nothing, in simulated scenarios with many other requests.
 
 use sorreldeck::{Span, Time};
-use sorreldeck_emulator::crash::{Scenario, Tally, World, PROPAGATION_LIMIT};
+use sorreldeck_emulator::crash::{Place, Scenario, Tally, World, PROPAGATION_LIMIT};
 use test_case::test_case;
 
 /// Seeds run for each case; the environment variable `SEEDS` overrides it.
@@ -95,6 +95,19 @@
 /// Requests of which no two are alike share a part that crashes upstreams: the part is held back at
 /// all entries, and requests with the other parts are served as before.
 #[test_case(parts(); "the second part")]
+#[test_case(Scenario { place: Place::First, ..parts() }; "the first part")]
+#[test_case(Scenario { place: Place::Third, ..parts() }; "the third part")]
+#[test_case(Scenario { place: Place::Changing, ..parts() }; "a part at another place each time")]
+#[test_case(Scenario { crashing_parts: 2, ..parts() }; "two parts at a time")]
+#[test_case(Scenario { part_rate: 0.2, duration: Span::from_millis(60_000), ..parts() }; "one request in five seconds")]
+#[test_case(Scenario { entries: 1, ..parts() }; "one entry")]
+#[test_case(Scenario { entries: 9, ..parts() }; "nine entries")]
+#[test_case(Scenario { entries: 60, upstreams: 60, background_rate: 300.0, duration: Span::from_millis(20_000), ..parts() }; "many entries")]
+#[test_case(Scenario { is_isolated: true, ..parts() }; "updates between entries are lost")]
+#[test_case(Scenario { restart: Some(Span::from_millis(2_600)), ..parts() }; "an entry restarts")]
+#[test_case(Scenario { background_rate: 0.0, ..parts() }; "no other requests")]
+#[test_case(Scenario { mean_duration: Span::from_millis(5_000), ..parts() }; "long runs")]
+#[test_case(Scenario { crashes: 0.5, ..parts() }; "upstreams also crash for other reasons")]
 fn a_part_that_crashes_upstreams_is_quarantined(scenario: Scenario) {
     for (seed, tally) in run(&scenario).iter().enumerate() {
         let late = tally.late_sends();
@@ -120,9 +133,17 @@
 #[test_case(Scenario { crash_all_at: Some(Span::from_millis(9_000)), identical: 0.9, ..scenario() }; "all at once")]
 #[test_case(Scenario { crash_all_at: Some(Span::from_millis(50)), identical: 1.0, ..scenario() }; "all at once, at the start")]
 #[test_case(Scenario { crashes: 2.0, entries: 20, identical: 0.2, ..scenario() }; "many entries")]
+#[test_case(Scenario { crashes: 2.0, ..parts() }; "shared parts")]
+#[test_case(Scenario { crashes: 5.0, ..parts() }; "shared parts, few upstreams are up")]
+#[test_case(Scenario { crashes: 1.0, mean_duration: Span::from_millis(4_000), background_rate: 5.0, ..parts() }; "shared parts, long runs")]
+#[test_case(Scenario { crash_all_at: Some(Span::from_millis(9_000)), crashes: 0.5, ..parts() }; "shared parts, all at once")]
+#[test_case(Scenario { crashes: 2.0, entries: 20, background_rate: 10.0, ..parts() }; "shared parts, many entries")]
+#[test_case(Scenario { crashes: 2.0, background_rate: 1.0, ..parts() }; "shared parts, few requests")]
+#[test_case(Scenario { crashes: 2.0, restart: Some(Span::from_millis(6_000)), ..parts() }; "shared parts, an entry restarts")]
 fn requests_that_crash_nothing_are_not_quarantined(scenario: Scenario) {
     let scenario = Scenario {
         crashing: 0,
+        crashing_parts: 0,
         ..scenario
     };
     for (seed, tally) in run(&scenario).iter().enumerate() {
