A part of prompts under which upstreams crash is held back, whatever else the request holds

Callers saw: back ends of one kind crash one after the other, 50 requests and more after it was known. Cause: what a run did to its upstream was held against the whole request (account, host, method, path, body). Requests that share only a part have no name in common, so each was new. Class: evidence filed under a name that covers less than the cause.

A part is held back when upstreams crashed at three moments or more with it, no run with it was answered since (at any entry), and runs without it were: one side of Fisher's exact test, stricter where upstreams crash without it or where it was answered before. Of several, the one that explains the most crashes goes first, and what it explains counts against nothing else. One request that was at all crashes explains them itself. A suspected part is not repeated by the entry; a held one is tried by one run.

--- a/crates/core/src/entry/guard.rs
+++ b/crates/core/src/entry/guard.rs
@@ -6,7 +6,7 @@
 
 use super::flight::Flight;
 use super::*;
-use crate::quarantine::{Admission, Change, Run as Observation, Update};
+use crate::quarantine::{Active, Admission, Change, Run as Observation, Update, SURVIVED};
 use std::collections::BTreeSet;
 
 /// The `Retry-After` of a request while a trial run of the same content is active. A run that
@@ -30,15 +30,19 @@
     }
 
     /// Returns whether a request may be retried after its upstream crashed. A suspect is not
-    /// retried while another run of it, or one with the same suspected part, is active: the outcome
-    /// of that run shows whether it causes the crashes, before further upstreams are lost.
+    /// retried while another run of it is active: the outcome of that run shows whether the request
+    /// caused the crash, before further upstreams are lost. With a suspected part it is not retried
+    /// at all, since other requests with the part will show that.
     pub(super) fn may_retry_after_crash(&self, now: Time, request: RequestId) -> bool {
         let Some(flight) = self.flights.get(&request) else {
             return false;
         };
-        let suspects = self.quarantine.suspects(now);
-        let mut suspected = flight.names().filter(|name| suspects.contains(name));
-        !suspected.any(|name| self.is_running(name))
+        let suspects = self.quarantine.suspected_parts(now);
+        if flight.prompt_parts.iter().any(|p| suspects.contains(p)) {
+            return false;
+        }
+        let fingerprint = flight.fingerprint;
+        !self.quarantine.is_suspect(fingerprint, now) || !self.is_running(fingerprint)
     }
 
     /// Returns whether a run of this request, or with this part, is active.
@@ -112,8 +116,10 @@
     /// Holds back the parts of prompts that explain the recent crashes of upstreams.
     pub(super) fn judge_parts(&mut self, now: Time) {
         let (flights, peers) = (&self.flights, &self.peers);
-        self.quarantine
-            .judge_parts(now, |part| spread(flights, peers, part, None));
+        self.quarantine.judge_parts(now, |part| Active {
+            spread: spread(flights, peers, part, None),
+            ..active(flights, part, now)
+        });
     }
 
     /// Emits the changes of the quarantine and cancels the runs of requests that became
@@ -184,6 +190,20 @@
     links.len().saturating_sub(1) as f64 / all.saturating_sub(1).max(1) as f64
 }
 
+/// Returns what the active runs tell about a part, without its spread.
+fn active(flights: &HashMap<RequestId, Flight>, part: Fingerprint, now: Time) -> Active {
+    let mut active = Active::default();
+    for flight in flights.values().filter(|f| f.link.is_some()) {
+        let answers_since = flight.first_byte_at.filter(|_| flight.head_sent);
+        let is_answering = answers_since.is_some_and(|at| now.since(at) >= SURVIVED);
+        match flight.has(part) {
+            true => active.answering += usize::from(is_answering),
+            false => active.others_answering += usize::from(is_answering),
+        }
+    }
+    active
+}
+
 fn quarantine_failure(flight: &Flight, name: Fingerprint) -> Failure {
     let what = match name == flight.fingerprint {
         true => "request",
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -43,6 +43,7 @@
 use crash::{moments, Crash, Crashes};
 use hold::Holds;
 use outcomes::{Outcomes, RECENT};
+pub use part::{Active, SURVIVED};
 use part::{Answers, Evidence};
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet};
@@ -133,9 +134,11 @@
                 },
             ) if upstream == same && requests.len().max(parts.len()) < MAX_UPDATE => {
                 requests.extend(more);
-                let new = more_parts.iter().filter(|part| !parts.contains(part));
-                let new: Vec<Fingerprint> = new.copied().collect();
-                parts.extend(new);
+                for part in more_parts {
+                    if !parts.contains(part) {
+                        parts.push(*part);
+                    }
+                }
                 true
             }
             (Update::Answered(one), Update::Answered(other)) => one == other,
@@ -241,14 +244,19 @@
         self.crashes.recent(RECENT, now).any(at)
     }
 
-    /// Returns the requests of which [`Quarantine::is_suspect`] holds, and the parts that were at
-    /// several recent crashes with no other cause known.
+    /// Returns the requests of which [`Quarantine::is_suspect`] holds, and the suspected parts.
     pub fn suspects(&self, now: Time) -> HashSet<Fingerprint> {
         let open = self.crashes.recent(RECENT, now).filter(|c| c.counts(now));
         let requests = open.flat_map(|crash| crash.requests.iter().copied());
         requests.chain(self.evidence(now).suspects()).collect()
     }
 
+    /// Returns the parts that were at several recent crashes with no other cause known, and in no
+    /// request that was answered recently.
+    pub fn suspected_parts(&self, now: Time) -> HashSet<Fingerprint> {
+        self.evidence(now).suspects().collect()
+    }
+
     /// Returns how many requests are held back.
     pub fn held_count(&self, now: Time) -> usize {
         self.holds.count(now)
@@ -319,10 +327,10 @@
         }
     }
 
-    /// Holds back the parts that explain the recent crashes; `spread` returns the fraction of the
-    /// upstreams that run a request with a part.
-    pub fn judge_parts(&mut self, now: Time, spread: impl Fn(Fingerprint) -> f64) {
-        while let Some(verdict) = self.evidence(now).verdict(&spread) {
+    /// Holds back the parts that explain the recent crashes; `active` returns what the active runs tell
+    /// about a part.
+    pub fn judge_parts(&mut self, now: Time, active: impl Fn(Fingerprint) -> Active) {
+        while let Some(verdict) = self.evidence(now).verdict(&active) {
             let grounds = Grounds::Part {
                 crashes: verdict.crashes,
                 answers: verdict.answers,
--- a/crates/core/src/quarantine/part.rs
+++ b/crates/core/src/quarantine/part.rs
@@ -13,23 +13,31 @@
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
 /// The number of crashes from which on a part is held back, and the number for one that was answered
-/// before its first crash.
+/// before.
 const MIN_CRASHES: usize = 3;
 const MIN_CRASHES_ANSWERED: usize = 5;
+/// The number for a part that was at all crashes and never answered, where no run without it was
+/// answered either: there are none, or nothing is up.
+const MIN_CRASHES_ALONE: usize = 6;
+/// How many crashes with a part that was answered before there must be for one without it.
+const MIN_SHARE_ANSWERED: usize = 3;
+/// The highest probability that a part which causes no crashes is in the runs that broke and in none
+/// that was answered; the one where upstreams crash without it as well, and the one for a part that
+/// was answered before.
+const MAX_CHANCE: f64 = 0.005;
+const MAX_CHANCE_AMONG_OTHERS: f64 = 0.0025;
+const MAX_CHANCE_ANSWERED: f64 = 0.00001;
 /// The number of crashes from which on a part that is not decided upon is a suspect.
 const MIN_SUSPECT: usize = 2;
 /// How long after a crash it is weighed: the reports of other entries, and their answers, arrive
 /// within some 150 ms.
 const SETTLING: Span = Span::from_millis(250);
+/// How long a run answers that probably does not crash its upstream.
+pub const SURVIVED: Span = Span::from_millis(1_000);
 /// How long a part that this entry answered is not reported when it is at a crash.
 const REPORT_PAUSE: Span = Span::from_millis(1_000);
 /// The most parts whose last answers are kept.
 const MAX_ANSWERS: usize = 4_096;
-/// The probability that a run ends with a crash if no runs are known, and the number of runs that
-/// this counts as.
-const PRIOR_CRASH: f64 = 0.2;
-const PRIOR_RUNS: f64 = 2.0;
-
 /// When parts of prompts were last in a request that was answered.
 #[derive(Clone, Debug, Default)]
 pub struct Answers {
@@ -75,6 +83,17 @@
     }
 }
 
+/// The active runs of this entry, as far as they tell about a part.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Active {
+    /// The fraction of the pool's upstreams that run a request with the part.
+    pub spread: f64,
+    /// The runs with the part that answer for [`SURVIVED`] or longer.
+    pub answering: usize,
+    /// The same for runs without it.
+    pub others_answering: usize,
+}
+
 /// What the decision to hold a part back rests on.
 #[derive(Clone, Debug)]
 pub struct Verdict {
@@ -98,10 +117,10 @@
 impl Evidence<'_> {
     /// Returns the part to hold back next, if there is one: of all parts that were at enough crashes,
     /// the one that explains the most, and of several such the one at the fewest upstreams now.
-    pub fn verdict(&self, spread: impl Fn(Fingerprint) -> f64) -> Option<Verdict> {
+    pub fn verdict(&self, active: impl Fn(Fingerprint) -> Active) -> Option<Verdict> {
         let verdicts = self.candidates().into_iter().filter_map(|part| {
-            let spread = spread(part);
-            Some((self.weigh(part, spread)?, spread))
+            let active = active(part);
+            Some((self.weigh(part, &active)?, active.spread))
         });
         let rank = |(verdict, spread): &(Verdict, f64)| (verdict.crashes, -*spread);
         let best = verdicts.max_by(|one, other| {
@@ -133,50 +152,70 @@
     }
 
     /// Returns the verdict on a part that was at enough crashes.
-    fn weigh(&self, part: Fingerprint, spread: f64) -> Option<Verdict> {
+    fn weigh(&self, part: Fingerprint, active: &Active) -> Option<Verdict> {
         let with: Vec<&Crash> = self
             .crashes
             .iter()
             .filter(|c| self.is_settled(c) && c.parts.contains_key(&part))
             .collect();
         let crashes = moments(with.iter().copied());
-        let least = match self.answers.last(part) {
-            Some(_) => MIN_CRASHES_ANSWERED,
-            None => MIN_CRASHES,
-        };
+        // Each run that goes on speaks for the part, unless upstreams crash late.
+        let least = MIN_CRASHES * (1 + active.answering);
         if crashes < least || is_one_request(&with) {
             return None;
         }
-        let since = self.answers.last(part).unwrap_or_default();
-        let pools = with.iter().filter_map(|c| c.own_runs.as_ref());
-        let pools: BTreeSet<&PoolId> = pools.map(|(pool, _)| pool).collect();
-        let losses = pools.iter().map(|pool| self.losses(part, pool, since));
-        let answers = losses.clone().map(|(_, answered)| answered).sum();
-        let loss = losses.map(|(broken, answered)| loss_probability(broken, answered));
-        let loss = loss.reduce(f64::max).unwrap_or(PRIOR_CRASH);
-        if crashes < required_crashes(loss, spread).max(least) {
+        let mut others = self.others(part, &with)?;
+        others.answered += active.others_answering;
+        let chance = others.chance(crashes);
+        let is_cause = match self.answers.last(part) {
+            None if others.crashes == 0 && crashes >= MIN_CRASHES_ALONE => true,
+            None if others.crashes == 0 => chance <= MAX_CHANCE,
+            None => chance <= MAX_CHANCE_AMONG_OTHERS,
+            Some(_) => {
+                let explains = crashes >= MIN_SHARE_ANSWERED * others.crashes;
+                crashes >= MIN_CRASHES_ANSWERED && explains && chance <= MAX_CHANCE_ANSWERED
+            }
+        };
+        if !is_cause || crashes < required_crashes(0.0, active.spread) {
             return None;
         }
         let entries: BTreeSet<&Incarnation> = with.iter().map(|c| &c.parts[&part]).collect();
         Some(Verdict {
             part,
             crashes,
-            answers,
+            answers: others.answered,
             entries: entries.len(),
         })
     }
 
-    /// Returns how many runs without a part broke in a pool since a time, with no cause known, and
-    /// how many were answered.
-    fn losses(&self, part: Fingerprint, pool: &PoolId, since: Time) -> (u32, usize) {
+    /// Returns what became of runs without a part since it was last answered, in the pools of its
+    /// crashes; an entry that had no run there knows too little of them.
+    fn others(&self, part: Fingerprint, with: &[&Crash]) -> Option<Others> {
+        let pools = with.iter().filter_map(|c| c.own_runs.as_ref());
+        let pools: BTreeSet<&PoolId> = pools.map(|(pool, _)| pool).collect();
+        let since = self.answers.last(part).unwrap_or_default();
+        let answered = |pool: &&PoolId| self.outcomes.answered_since(pool, since, self.now);
+        let answered = pools.iter().map(answered).min()?;
         let without = |c: &&Crash| {
             let is_open = !c.by_part && c.attributed_at.is_none();
             is_open && c.at >= since && !c.parts.contains_key(&part)
         };
         let recent = self.crashes.recent(RECENT, self.now).filter(without);
-        let own = recent.filter_map(|c| c.own_runs.as_ref());
-        let broken = own.filter(|(p, _)| p == pool).map(|(_, n)| n).sum();
-        (broken, self.outcomes.answered_since(pool, since, self.now))
+        let recent: Vec<&Crash> = recent.collect();
+        let mut counts: HashMap<Fingerprint, usize> = HashMap::new();
+        for other in recent.iter().flat_map(|c| c.parts.keys()) {
+            *counts.entry(*other).or_default() += 1;
+        }
+        // Several parts that crash upstreams would hide one another otherwise.
+        let has_cause = |c: &Crash| {
+            let mut others = c.parts.keys();
+            others.any(|p| counts[p] >= MIN_CRASHES && self.answers.last(*p).is_none())
+        };
+        let open = recent.iter().copied().filter(|c| !has_cause(c));
+        Some(Others {
+            crashes: moments(open),
+            answered,
+        })
     }
 }
 
@@ -190,7 +229,20 @@
     first.requests.iter().any(|request| everywhere(&request))
 }
 
-fn loss_probability(broken: u32, answered: usize) -> f64 {
-    let broken = f64::from(broken);
-    (broken + PRIOR_CRASH * PRIOR_RUNS) / (broken + answered as f64 + PRIOR_RUNS)
+/// What became of runs without a part.
+struct Others {
+    /// The moments at which upstreams crashed, with no cause known.
+    crashes: usize,
+    answered: usize,
+}
+
+impl Others {
+    /// Returns the probability that none of the answers was to a run with a part that was at this many
+    /// crashes, if runs with it are answered as often as others: one side of Fisher's exact test.
+    fn chance(&self, crashes: usize) -> f64 {
+        let broken = self.crashes as f64;
+        let answered = self.answered as f64;
+        let factor = |n: usize| (broken + n as f64) / (broken + answered + n as f64);
+        (1..=crashes).map(factor).product()
+    }
 }
--- a/crates/emulator/src/crash/tally.rs
+++ b/crates/emulator/src/crash/tally.rs
@@ -95,11 +95,13 @@
     /// the last quarantine.
     pub fn detection_window(&self) -> Range<Time> {
         let first = self.first.values().min().copied().unwrap_or_default();
-        let last = self
-            .first
-            .keys()
-            .filter_map(|kind| self.decisive_crash(kind))
-            .max();
+        // A part may be held back before its fifth crash, which then is that of a trial.
+        let last = |kind: &Kind| {
+            let third = *self.third.get(kind)?;
+            let decisive = self.decisive_crash(kind).unwrap_or(third);
+            Some(decisive.min(third + PROPAGATION_LIMIT))
+        };
+        let last = self.first.keys().filter_map(last).max();
         first..last.unwrap_or_default() + PROPAGATION_LIMIT
     }
 
