An answer that ended with its connection frees nothing before its upstream is seen to be there

An answer without length and chunks looks whole when its upstream crashes right after an event. Such an answer freed its request and the parts of its prompt at all entries, though the upstream was gone, so these were sent on. Its end is delivered at once as before; one look at the upstream then says whether it counts as an answer or as a crash.

--- a/crates/core/src/entry/guard.rs
+++ b/crates/core/src/entry/guard.rs
@@ -66,9 +66,23 @@
 
     /// Records that the upstream of a run crashed.
     pub(super) fn record_crash(&mut self, now: Time, request: RequestId) {
-        let Some(flight) = self.flights.get(&request) else {
-            return;
-        };
+        if let Some(flight) = self.flights.remove(&request) {
+            self.record_crash_of(now, &flight);
+            self.flights.insert(request, flight);
+        }
+    }
+
+    /// Handles whether the upstream was gone when an answer ended with its connection: such an answer
+    /// looks complete also if the upstream crashed after an event.
+    pub(super) fn on_checked(&mut self, now: Time, run: Run, is_gone: bool) {
+        match self.unchecked.remove(&run) {
+            Some(flight) if is_gone => self.record_crash_of(now, &flight),
+            Some(flight) => self.record_answered(now, &flight),
+            None => {}
+        }
+    }
+
+    fn record_crash_of(&mut self, now: Time, flight: &Flight) {
         let Some(peer) = flight.tried.last().and_then(|link| self.peers.get(*link)) else {
             return;
         };
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -296,6 +296,9 @@
     rng: ChaCha8Rng,
     peers: Peers,
     flights: HashMap<RequestId, Flight>,
+    /// Requests whose answers ended with their connections, until it is known whether their
+    /// upstreams are gone.
+    unchecked: BTreeMap<Run, Flight>,
     /// Requests that wait for the first configuration and the first upstream.
     pending: Vec<Pending>,
     running: BTreeMap<VersionId, u64>,
@@ -345,6 +348,7 @@
             tree: Arc::default(),
             peers,
             flights: HashMap::new(),
+            unchecked: BTreeMap::new(),
             pending: Vec::new(),
             running: BTreeMap::new(),
             limits: Limits::default(),
--- a/crates/core/src/entry/routed/mod.rs
+++ b/crates/core/src/entry/routed/mod.rs
@@ -186,6 +186,13 @@
     Continued,
     /// The end of a complete answer.
     End,
+    /// The same, by the end of its connection: whether its upstream is gone is told next.
+    Closed,
+    /// Whether the upstream was gone when the answer ended with its connection.
+    Checked {
+        /// Whether it refuses connections.
+        is_gone: bool,
+    },
     /// The run failed, before or in the middle of the answer.
     Fail(Failure),
 }
--- a/crates/core/src/entry/routed/reply.rs
+++ b/crates/core/src/entry/routed/reply.rs
@@ -5,6 +5,10 @@
 use crate::release::SESSION_TTL;
 use crate::tree::Repeat;
 
+/// The most answers of which it is not known whether their upstreams are gone: a check takes at most
+/// some 200 ms.
+const MAX_UNCHECKED: usize = 1_024;
+
 /// The action on the head of an answer.
 enum HeadAction {
     /// Send it to the caller.
@@ -41,7 +45,7 @@
         out: &mut Outputs,
     ) {
         match reply {
-            Reply::Paused | Reply::Continued => {}
+            Reply::Paused | Reply::Continued | Reply::Checked { .. } => {}
             _ => self.peers.heard_from(link, now),
         }
         match reply {
@@ -57,7 +61,20 @@
             Reply::Data { data, last_event } => self.on_routed_data(run, data, last_event, out),
             Reply::Paused => self.set_reading(run, Reading::Paused),
             Reply::Continued => self.set_reading(run, Reading::Continued(now)),
-            Reply::End => self.on_routed_end(now, link, run, out),
+            Reply::End => {
+                if let Some(flight) = self.end_routed(now, link, run, out) {
+                    self.record_answered(now, &flight);
+                }
+            }
+            Reply::Closed => {
+                if let Some(flight) = self.end_routed(now, link, run, out) {
+                    self.unchecked.insert(run, flight);
+                    if self.unchecked.len() > MAX_UNCHECKED {
+                        self.unchecked.pop_first();
+                    }
+                }
+            }
+            Reply::Checked { is_gone } => self.on_checked(now, run, is_gone),
             Reply::Fail(failure) => self.on_routed_failure(now, link, run, failure, out),
         }
     }
@@ -374,24 +391,21 @@
         out.push(Output::Answer(run.request, Part::Data(data)));
     }
 
-    fn on_routed_end(&mut self, now: Time, link: Link, run: Run, out: &mut Outputs) {
-        if self.flight(run).is_none() {
-            return;
-        }
+    /// Delivers the end of an answer; returns the request if the run was its current one.
+    fn end_routed(&mut self, now: Time, link: Link, run: Run, out: &mut Outputs) -> Option<Flight> {
+        self.flight(run)?;
         self.finish_run(run.request);
         self.record_event_interval(now, run.request);
         self.record_make_time(now, run.request, link);
-        let Some(flight) = self.flights.remove(&run.request) else {
-            return;
-        };
+        let flight = self.flights.remove(&run.request)?;
         if flight.status < 500 {
             self.peers.succeeded(link);
         }
         self.record_rest(now, &flight);
-        self.record_answered(now, &flight);
         self.set_session_affinity(now, &flight, SESSION_TTL);
         out.push(Output::Answer(run.request, Part::End));
         out.push(Output::RequestEnded(answer::summarize(&flight, now, None)));
+        Some(flight)
     }
 
     fn on_routed_failure(
--- a/crates/daemon/src/hosted/client.rs
+++ b/crates/daemon/src/hosted/client.rs
@@ -20,6 +20,7 @@
 use sorreldeck::wire::{Header, Metadata, Run, Start};
 use sorreldeck::{Failure, Reason, Span, Time, Verdict};
 use sorreldeck_net::h1::{self, Channel};
+use sorreldeck_net::reach;
 use sorreldeck_platform::call;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -117,6 +118,25 @@
     NotRun(u16, Response<Incoming>),
 }
 
+/// How the end of a body shows.
+enum Framing {
+    /// By its length or by chunks.
+    Marked,
+    /// By the end of its connection.
+    Connection,
+}
+
+impl Framing {
+    fn of(response: &Response<Incoming>) -> Framing {
+        let body = response.body();
+        let is_chunked = response.headers().contains_key("transfer-encoding");
+        match body.size_hint().exact().is_some() || is_chunked {
+            true => Framing::Marked,
+            false => Framing::Connection,
+        }
+    }
+}
+
 fn may_have_run(message: impl Into<String>) -> Failure {
     Failure::new(Reason::UpstreamFailed, Verdict::MayHaveRun, message)
 }
@@ -124,13 +144,22 @@
 impl RunTask {
     async fn work(self, address: Option<SocketAddr>, start: Start) {
         let reply = match (self.exchange(address, start).await, address) {
-            (Ok(()), _) => Reply::End,
+            (Ok(Framing::Marked), _) | (Ok(Framing::Connection), None) => Reply::End,
+            (Ok(Framing::Connection), Some(address)) => return self.end_closed(address).await,
             (Err(failure), Some(address)) => Reply::Fail(loss::classify(failure, address).await),
             (Err(failure), None) => Reply::Fail(failure),
         };
         self.send_reply(reply).await;
     }
 
+    /// Ends a response that ended with its connection, which does not tell whether its upstream
+    /// crashed.
+    async fn end_closed(self, address: SocketAddr) {
+        self.send_reply(Reply::Closed).await;
+        let is_gone = reach::is_refused(address).await;
+        self.send_reply(Reply::Checked { is_gone }).await;
+    }
+
     async fn send_reply(&self, reply: Reply) {
         // Sending fails only while the process ends, since the event loop runs until then.
         let _ = self
@@ -139,7 +168,11 @@
             .await;
     }
 
-    async fn exchange(&self, address: Option<SocketAddr>, start: Start) -> Result<(), Failure> {
+    async fn exchange(
+        &self,
+        address: Option<SocketAddr>,
+        start: Start,
+    ) -> Result<Framing, Failure> {
         let upstream_left = || Failure::not_run(Reason::Leaving, "the upstream has just left");
         let address = address.ok_or_else(upstream_left)?;
         let metadata = self.metadata.as_ref().ok_or_else(upstream_left)?;
@@ -152,7 +185,11 @@
             false => may_have_run(e.message),
         })?;
         match self.read_head(response).await? {
-            Answer::Ran(response) => self.forward_body(response, address, channel).await,
+            Answer::Ran(response) => {
+                let framing = Framing::of(&response);
+                self.forward_body(response, address, channel).await?;
+                Ok(framing)
+            }
             Answer::NotRun(status, response) => {
                 if drain(response).await {
                     self.return_channel(address, Some(channel));
--- a/crates/daemon/src/hosted/event_loop.rs
+++ b/crates/daemon/src/hosted/event_loop.rs
@@ -322,7 +322,7 @@
                 self.handle(Input::Disconnected(request));
             }
             Message::Reply(link, run, reply) => {
-                if matches!(reply, Reply::End | Reply::Fail(_)) {
+                if matches!(reply, Reply::End | Reply::Fail(_) | Reply::Checked { .. }) {
                     self.runs.remove(&run);
                 }
                 if matches!(reply, Reply::Paused) {
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -3,6 +3,7 @@
 mod leaving_upstream_not_heard_of;
 mod lost_upstream;
 mod many_rows;
+mod prompt_part_that_crashes_upstreams;
 mod request_that_crashes_upstreams;
 mod restored_store;
 mod rows_of_other_writers;
--- a/crates/daemon/tests/hosted/request_that_crashes_upstreams.rs
+++ b/crates/daemon/tests/hosted/request_that_crashes_upstreams.rs
@@ -15,7 +15,7 @@
 use test_case::test_case;
 
 /// Time within which all entries must know of a crash that one of them has seen.
-const CONTACT: Duration = Duration::from_millis(3_000);
+pub const CONTACT: Duration = Duration::from_millis(3_000);
 /// How often all entries together may send the request after three crashes are known.
 const SENDS: usize = 3;
 /// Share of the other requests that must be served after that. Without a quarantine of the request it
@@ -34,7 +34,7 @@
 
 /// Upstreams of one service; those that crash are replaced.
 #[derive(Clone)]
-struct Fleet {
+pub struct Fleet {
     store: Store,
     service: &'static str,
     upstreams: Arc<Mutex<Vec<Upstream>>>,
@@ -42,7 +42,7 @@
 }
 
 impl Fleet {
-    async fn start(store: &Store, service: &'static str) -> Fleet {
+    pub async fn start(store: &Store, service: &'static str) -> Fleet {
         let fleet = Fleet {
             store: store.clone(),
             service,
@@ -75,48 +75,55 @@
         Box::pin(self.add())
     }
 
-    /// Returns the time of the third crash.
-    fn third_crash(&self) -> Option<Instant> {
-        self.crashes.lock().unwrap().get(2).copied()
+    /// Returns the time of the crash with this index.
+    pub fn crash(&self, index: usize) -> Option<Instant> {
+        self.crashes.lock().unwrap().get(index).copied()
     }
 
     /// Returns the times at which upstreams got calls with a path.
     fn sends(&self, path: &str) -> Vec<Instant> {
+        self.sends_matching(&format!(" {path} "))
+    }
+
+    /// Returns the times at which upstreams got calls whose first line contains a text.
+    pub fn sends_matching(&self, text: &str) -> Vec<Instant> {
         let upstreams = self.upstreams.lock().unwrap().clone();
         let seen = upstreams.iter().flat_map(Upstream::seen);
-        let matches = |head: &str| head.split(' ').nth(1) == Some(path);
+        let matches = |head: &str| head.lines().next().is_some_and(|l| l.contains(text));
         seen.filter(|s| matches(&s.head)).map(|s| s.at).collect()
     }
 }
 
 /// The answer to a call, with the time of the call.
 #[derive(Clone, Debug)]
-struct Call {
-    asked: Instant,
-    took: Duration,
-    answer: String,
+pub struct Call {
+    pub asked: Instant,
+    pub took: Duration,
+    pub answer: String,
 }
 
 impl Call {
-    fn is_good(&self) -> bool {
+    pub fn is_good(&self) -> bool {
         let is_whole = self.answer.ends_with("steady") || self.answer.ends_with("0\r\n\r\n");
         status(&self.answer) == 200 && is_whole
     }
 }
 
-/// Calls the entries in turn until a time; returns the answers.
-async fn call_until(
+/// Calls the entries in turn until a time; returns the answers. `call` returns the path and more
+/// header lines of a call.
+pub async fn call_until(
     entries: Vec<SocketAddr>,
     until: Instant,
     every: Duration,
-    path: impl Fn(usize) -> String,
+    call: impl Fn(usize) -> (String, String),
 ) -> Vec<Call> {
     let mut calls = Vec::new();
     for (number, entry) in entries.iter().cycle().enumerate() {
         if Instant::now() >= until {
             break;
         }
-        let (entry, text) = (*entry, request(&path(number), ""));
+        let (path, headers) = call(number);
+        let (entry, text) = (*entry, request(&path, &headers));
         calls.push(task::spawn(async move {
             let asked = Instant::now();
             let answer = ask(entry, &text).await;
@@ -137,7 +144,7 @@
 }
 
 /// Starts an entry in each of the data halls and waits until all are ready and linked.
-async fn entries(store: &Store, halls: [&str; 3]) -> Vec<Running> {
+pub async fn entries(store: &Store, halls: [&str; 3]) -> Vec<Running> {
     let mut entries = Vec::new();
     for (number, hall) in halls.iter().enumerate() {
         let entry = start_entry_in(store, &format!("front-{number}"), hall, &[]).await;
@@ -174,11 +181,14 @@
         let crashing = format!("/{route}/{ends}");
         let path = crashing.clone();
         let others = task::spawn(call_until(callers.clone(), until, OTHERS_EVERY, move |n| {
-            format!("/{route}/{other}?n={n}")
+            (format!("/{route}/{other}?n={n}"), String::new())
         }));
-        let refused = call_until(callers, until, EVERY, move |_| path.clone()).await;
+        let refused = call_until(callers, until, EVERY, move |_| {
+            (path.clone(), String::new())
+        })
+        .await;
         let others = others.await;
-        let third = fleet.third_crash().expect("it crashes three upstreams");
+        let third = fleet.crash(2).expect("it crashes three upstreams");
         let known = third + CONTACT;
         let late: Vec<Instant> = fleet.sends(&crashing);
         let late = late.into_iter().filter(|at| *at > known).count();
@@ -210,7 +220,10 @@
         let entries = entries(&store, ["a", "b", "c"]).await;
         let callers: Vec<SocketAddr> = entries.iter().map(|e| e.callers).collect();
         let until = Instant::now() + Duration::from_millis(1_500);
-        call_until(callers, until, EVERY, |_| "/once/crash".into()).await;
+        call_until(callers, until, EVERY, |_| {
+            ("/once/crash".into(), String::new())
+        })
+        .await;
         // A record waits up to 0.8 s before it is written.
         task::sleep(Duration::from_millis(1_000)).await;
         let sends = fleet.sends("/once/crash").len();
@@ -244,7 +257,7 @@
         let until = Instant::now() + Duration::from_millis(5_000);
         let path = format!("/{route}/{action}");
         let calls = task::spawn(call_until(callers, until, OTHERS_EVERY, move |_| {
-            path.clone()
+            (path.clone(), String::new())
         }));
         for _ in 0..12 {
             task::sleep(Duration::from_millis(350)).await;
--- a/crates/daemon/tests/hosted/runner.rs
+++ b/crates/daemon/tests/hosted/runner.rs
@@ -212,6 +212,17 @@
                 }
                 return false;
             }
+            // The whole answer but for its last event, and the end of the connection as the only mark.
+            "closing-stream" | "crash-closing-stream" => {
+                let head = stream_head.replace("transfer-encoding: chunked\r\n", "");
+                let text = format!("{head}confidence: 90\r\n\r\nid: 1\ndata: a\n\n");
+                let is_written = stream.write_all(text.as_bytes()).await.is_ok();
+                if is_written && action == "crash-closing-stream" {
+                    task::sleep(CRASHES_AFTER).await;
+                    self.crash();
+                }
+                return false;
+            }
             "steady" => {
                 task::sleep(STEADY).await;
                 (good("steady"), true)
