--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -1,8 +1,10 @@
 //! A hosted entry with stand-ins of the platform's store and of upstreams, over real sockets.
 
+mod answers_ended_by_their_connection;
 mod leaving_upstream_not_heard_of;
 mod lost_upstream;
 mod many_rows;
+mod most_connections_at_one_entry;
 mod prompt_part_that_crashes_upstreams;
 mod request_that_crashes_upstreams;
 mod restored_store;
--- a/crates/daemon/tests/hosted/runner.rs
+++ b/crates/daemon/tests/hosted/runner.rs
@@ -223,6 +223,16 @@
                 }
                 return false;
             }
+            "broken-closing-stream" if header(head, "last-event-id").is_none() => {
+                let head = stream_head.replace("transfer-encoding: chunked\r\n", "");
+                let events = "id: 1\ndata: a\n\nid: 2\nda";
+                (format!("{head}confidence: 90\r\n\r\n{events}"), false)
+            }
+            "broken-closing-stream" => {
+                let head = stream_head.replace("transfer-encoding: chunked\r\n", "");
+                let events = "id: 2\ndata: b\n\n";
+                (format!("{head}confidence: 90\r\n\r\n{events}"), false)
+            }
             "steady" => {
                 task::sleep(STEADY).await;
                 (good("steady"), true)
