--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -119,6 +119,17 @@
             let answer = Client::new(options)?.get("/admin/v1/status").await?;
             show::status(&answer, format);
         }
+        Command::Held => {
+            let answer = Client::new(options)?.get("/admin/v1/quarantine").await?;
+            show::held(&answer, format);
+        }
+        Command::Lift { name } => {
+            let path = format!("/admin/v1/quarantine/{name}/lift");
+            let answer = Client::new(options)?
+                .post(&path, &serde_json::Value::Null)
+                .await?;
+            show::lifted(&answer, format);
+        }
         Command::Bill { day } => {
             let path = match day {
                 Some(day) => format!("/admin/v1/bill?day={day}"),
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -168,6 +168,16 @@
     /// Show instances, upstreams and roll-outs as the entry sees them
     #[bpaf(command)]
     Status,
+    /// Show the requests and parts of prompts that the entry holds back, since upstreams crash under them
+    #[bpaf(command)]
+    Held,
+    /// Let a request or part of prompts that is held back be sent again at all entries
+    #[bpaf(command)]
+    Lift {
+        /// Its fingerprint, as `held` and the log show it
+        #[bpaf(positional("FINGERPRINT"))]
+        name: String,
+    },
     /// Show totals by client account, version and day
     #[bpaf(command)]
     Bill {
--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -41,6 +41,24 @@
     }
 }
 
+/// Writes what is held back.
+pub fn held(answer: &Value, format: Format) {
+    if as_json(answer, format) {
+        return;
+    }
+    let fields = ["fingerprint", "left_ms", "before", "grounds"];
+    let line = |held: &Value| fields.map(|field| text(&held[field])).to_vec();
+    let lines: Vec<Vec<String>> = rows(&answer["held"]).iter().map(line).collect();
+    table(&fields, &lines);
+}
+
+/// Writes what was lifted.
+pub fn lifted(answer: &Value, format: Format) {
+    if !as_json(answer, format) {
+        println!("{} is sent again", text(&answer["lifted"]));
+    }
+}
+
 /// Writes what became of a change.
 pub fn change(answer: &Value, dry_run: bool, format: Format) {
     if as_json(answer, format) {
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -289,3 +289,23 @@
         .unwrap();
     assert_eq!(output.status.code(), Some(6), "{}", text(&output));
 }
+
+/// What is held back is shown to operators of the whole tree, and only what is held back can be lifted.
+#[test]
+fn what_is_held_back_is_shown_and_lifted() {
+    task::block_on(async {
+        let sample = start().await;
+        let none = run(&sample, &["held"]).await;
+        assert!(none.status.success(), "{}", text(&none));
+        assert!(text(&none).contains("grounds"), "{}", text(&none));
+        let unknown = run(&sample, &["lift", "00000000000000ff"]).await;
+        assert_eq!(unknown.status.code(), Some(1), "{}", text(&unknown));
+        assert!(
+            text(&unknown).contains("not held back"),
+            "{}",
+            text(&unknown)
+        );
+        let invalid = run(&sample, &["lift", "no-fingerprint"]).await;
+        assert_eq!(invalid.status.code(), Some(4), "{}", text(&invalid));
+    });
+}
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -171,6 +171,8 @@
     Quarantined(Fingerprint, quarantine::Hold),
     /// The record that quarantined a request was removed.
     QuarantineRemoved(Fingerprint),
+    /// An operator lifts the quarantine of a request or part.
+    LiftQuarantine(Fingerprint),
     /// The entries that take requests and share the limits; this entry may be missing from the
     /// list.
     Entries(Vec<InstanceId>),
@@ -411,6 +413,9 @@
                 self.quarantine.restore_hold(fingerprint, hold, now)
             }
             Input::QuarantineRemoved(fingerprint) => self.quarantine.remove_hold(fingerprint),
+            Input::LiftQuarantine(fingerprint) => {
+                self.quarantine.lift(fingerprint, now);
+            }
             Input::Entries(entries) => self.set_entries(&entries, now),
             Input::Evacuate(halls) => self.evacuate(now, halls),
             Input::Cold(link, left) => self.peers.mark_cold(link, left, now),
@@ -481,6 +486,11 @@
         self.quarantine.held_count(now)
     }
 
+    /// Returns what is quarantined or on trial.
+    pub fn quarantine(&self, now: Time) -> Vec<quarantine::Held> {
+        self.quarantine.held(now)
+    }
+
     /// Returns the number of requests in flight.
     pub fn in_flight(&self) -> usize {
         self.flights.len() + self.pending.len()
--- a/crates/core/src/quarantine/hold.rs
+++ b/crates/core/src/quarantine/hold.rs
@@ -1,6 +1,6 @@
 //! How long requests are held back.
 
-use super::{Admission, Fingerprint};
+use super::{Admission, Fingerprint, Grounds};
 use crate::unit::{Span, Time};
 use std::collections::BTreeMap;
 
@@ -48,16 +48,31 @@
     }
 }
 
-/// The requests that are held back or on trial.
+/// Something that is held back or on trial.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Held {
+    /// The fingerprint of the request or part.
+    pub fingerprint: Fingerprint,
+    /// For how long this entry sends it to no upstream; zero while it is on trial.
+    pub left: Span,
+    /// How often it was held back before.
+    pub previous: u32,
+    /// What that rests on.
+    pub grounds: Grounds,
+}
+
+/// The requests and parts that are held back or on trial.
 #[derive(Clone, Debug, Default)]
-pub struct Holds(BTreeMap<Fingerprint, Hold>);
+pub struct Holds(BTreeMap<Fingerprint, (Hold, Grounds)>);
 
 impl Holds {
     /// Returns whether a request may be sent to an upstream.
     pub fn admits(&self, fingerprint: Fingerprint, now: Time) -> Admission {
         match self.0.get(&fingerprint) {
             None => Admission::Allowed,
-            Some(hold) if now < hold.local_end() => Admission::Held(hold.local_end().since(now)),
+            Some((hold, _)) if now < hold.local_end() => {
+                Admission::Held(hold.local_end().since(now))
+            }
             Some(_) => Admission::Trial,
         }
     }
@@ -66,20 +81,31 @@
     pub fn ended_by(&self, fingerprint: Fingerprint, at: Time) -> bool {
         self.0
             .get(&fingerprint)
-            .is_some_and(|hold| at >= hold.until)
+            .is_some_and(|(hold, _)| at >= hold.until)
+    }
+
+    /// Returns all that is held back or on trial.
+    pub fn list(&self, now: Time) -> Vec<Held> {
+        let held = |(fingerprint, (hold, grounds)): (&Fingerprint, &(Hold, Grounds))| Held {
+            fingerprint: *fingerprint,
+            left: hold.local_end().since(now),
+            previous: hold.previous,
+            grounds: *grounds,
+        };
+        self.0.iter().map(held).collect()
     }
 
     /// Returns how many requests are held back.
     pub fn count(&self, now: Time) -> usize {
         self.0
             .values()
-            .filter(|hold| now < hold.local_end())
+            .filter(|(hold, _)| now < hold.local_end())
             .count()
     }
 
     /// Holds a request back from now on.
-    pub fn hold(&mut self, fingerprint: Fingerprint, now: Time) -> Hold {
-        let known = self.0.get(&fingerprint);
+    pub fn hold(&mut self, fingerprint: Fingerprint, grounds: Grounds, now: Time) -> Hold {
+        let known = self.0.get(&fingerprint).map(|(hold, _)| *hold);
         let before = known.map_or(0, |hold| hold.previous + 1);
         let last = HOLD_TIMES.len() - 1;
         let hold = Hold {
@@ -87,14 +113,14 @@
             previous: before,
             is_own: known.is_some_and(|hold| hold.is_own),
         };
-        self.insert(fingerprint, hold, now);
+        self.insert(fingerprint, hold, grounds, now);
         hold
     }
 
     /// Applies a recorded hold; returns whether it holds the request back anew.
     pub fn restore(&mut self, fingerprint: Fingerprint, hold: Hold, now: Time) -> bool {
-        let known = self.0.get(&fingerprint);
-        if known.is_some_and(|known| known.previous > hold.previous) {
+        let known = self.0.get(&fingerprint).copied();
+        if known.is_some_and(|(known, _)| known.previous > hold.previous) {
             // The later hold of this entry is still to be recorded.
             return false;
         }
@@ -102,7 +128,8 @@
         // A clock that is far off must not make a hold longer than the longest.
         let until = hold.until.min(now + MAX_HOLD);
         let hold = Hold { until, ..hold };
-        self.insert(fingerprint, hold, now);
+        let grounds = known.map_or(Grounds::Record, |(_, grounds)| grounds);
+        self.insert(fingerprint, hold, grounds, now);
         is_new && now < hold.local_end()
     }
 
@@ -111,12 +138,13 @@
         self.0.remove(&fingerprint).is_some()
     }
 
-    fn insert(&mut self, fingerprint: Fingerprint, hold: Hold, now: Time) {
-        self.0.insert(fingerprint, hold);
+    fn insert(&mut self, fingerprint: Fingerprint, hold: Hold, grounds: Grounds, now: Time) {
+        self.0.insert(fingerprint, (hold, grounds));
         // Requests that were not repeated for this long are forgotten.
-        self.0.retain(|_, hold| now.since(hold.until) < MAX_HOLD);
+        self.0
+            .retain(|_, (hold, _)| now.since(hold.until) < MAX_HOLD);
         if self.0.len() > MAX_HOLDS {
-            let first = self.0.iter().min_by_key(|(_, hold)| hold.until);
+            let first = self.0.iter().min_by_key(|(_, (hold, _))| hold.until);
             if let Some(first) = first.map(|(fingerprint, _)| *fingerprint) {
                 self.0.remove(&first);
             }
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -35,7 +35,7 @@
 mod part;
 
 pub use fingerprint::Fingerprint;
-pub use hold::Hold;
+pub use hold::{Held, Hold};
 pub use journal::Journal;
 
 use crate::id::{Incarnation, PoolId};
@@ -257,6 +257,24 @@
         self.evidence(now).suspects().collect()
     }
 
+    /// Returns what is held back or on trial.
+    pub fn held(&self, now: Time) -> Vec<Held> {
+        self.holds.list(now)
+    }
+
+    /// Lets a request or part be sent again at all entries, as an answer to it would; returns whether it
+    /// was held back or on trial.
+    pub fn lift(&mut self, fingerprint: Fingerprint, now: Time) -> bool {
+        let is_known = self.held(now).iter().any(|h| h.fingerprint == fingerprint);
+        if is_known {
+            self.outcomes.record_any_answer(fingerprint, now);
+            self.answers.record(fingerprint, now);
+            self.clear(fingerprint);
+            self.queue_update(Update::Answered(fingerprint));
+        }
+        is_known
+    }
+
     /// Returns how many requests are held back.
     pub fn held_count(&self, now: Time) -> usize {
         self.holds.count(now)
@@ -516,7 +534,7 @@
     }
 
     fn hold(&mut self, fingerprint: Fingerprint, grounds: Grounds, now: Time) {
-        let hold = self.holds.hold(fingerprint, now);
+        let hold = self.holds.hold(fingerprint, grounds, now);
         self.attribute(fingerprint, now);
         self.changes.push(Change::Held(fingerprint, hold, grounds));
     }
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -143,6 +143,27 @@
     assert_eq!(other.admits(fingerprint(7), ms(900)), Admission::Allowed);
 }
 
+/// An operator lifts what is held back here; the other entries hear of it as of an answer.
+#[test]
+fn a_lifted_request_is_sent_again_at_all_entries() {
+    let mut quarantine = held();
+    assert_eq!(quarantine.held(ms(700)).len(), 1);
+    quarantine.take_updates();
+    quarantine.take_changes();
+    assert!(!quarantine.lift(fingerprint(8), ms(700)));
+    assert!(quarantine.lift(fingerprint(7), ms(700)));
+    assert_eq!(
+        quarantine.admits(fingerprint(7), ms(700)),
+        Admission::Allowed
+    );
+    assert!(quarantine.held(ms(700)).is_empty());
+    assert_eq!(quarantine.take_changes(), [Change::Freed(fingerprint(7))]);
+    assert_eq!(
+        quarantine.take_updates(),
+        [Update::Answered(fingerprint(7))]
+    );
+}
+
 /// An entry that answered a request recently reports this when others suspect the request.
 #[test]
 fn a_recent_answer_is_reported_if_others_suspect_the_request() {
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -20,6 +20,7 @@
 mod bill;
 mod explain;
 mod halls;
+mod quarantine;
 
 /// Adds the routes for operators.
 pub fn routes(app: &mut tide::Server<Shared>) {
@@ -33,6 +34,9 @@
     app.at("/admin/v1/rollouts/:name/:intent").post(set_intent);
     app.at("/admin/v1/status").get(status);
     app.at("/admin/v1/halls/:hall").get(halls::evacuation);
+    app.at("/admin/v1/quarantine").get(quarantine::list);
+    app.at("/admin/v1/quarantine/:name/lift")
+        .post(quarantine::lift);
     app.at("/admin/v1/bill").get(bill::bill);
     app.at("/admin/v1/explain").post(explain::explain);
     app.at("/admin/v1/explain/:request")
