Parts are judged ten times a second at most, and only those at three crashes

Found by reading: every tick weighed every part of every crash of the last ten minutes against all crashes; with 128 crashes of 50 parts that is some 6,000 parts, each looked up 128 times, fifty times a second. Now one pass counts the parts, and nothing is judged where no upstream crashed within 10 s.

--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -57,6 +57,8 @@
 /// The highest probability that a request which causes no crashes was at each of them by
 /// coincidence.
 const MAX_COINCIDENCE: f64 = 0.001;
+/// The time between two judgements of parts while upstreams crash.
+const JUDGEMENT_INTERVAL: Span = Span::from_millis(100);
 /// How long the requests at a crashed upstream are kept.
 const RETENTION: Span = Span::from_millis(600_000);
 /// The most updates that wait to be sent to other entries.
@@ -219,6 +221,8 @@
     outcomes: Outcomes,
     answers: Answers,
     holds: Holds,
+    /// When parts were last judged.
+    judged_at: Time,
     updates: Vec<Update>,
     changes: Vec<Change>,
 }
@@ -348,6 +352,11 @@
     /// Holds back the parts that explain the recent crashes; `active` returns what the active runs tell
     /// about a part.
     pub fn judge_parts(&mut self, now: Time, active: impl Fn(Fingerprint) -> Active) {
+        let is_calm = self.crashes.recent(RECENT, now).next().is_none();
+        if is_calm || now.since(self.judged_at) < JUDGEMENT_INTERVAL {
+            return;
+        }
+        self.judged_at = now;
         while let Some(verdict) = self.evidence(now).verdict(&active) {
             let grounds = Grounds::Part {
                 crashes: verdict.crashes,
--- a/crates/core/src/quarantine/part.rs
+++ b/crates/core/src/quarantine/part.rs
@@ -38,6 +38,7 @@
 const REPORT_PAUSE: Span = Span::from_millis(1_000);
 /// The most parts whose last answers are kept.
 const MAX_ANSWERS: usize = 4_096;
+
 /// When parts of prompts were last in a request that was answered.
 #[derive(Clone, Debug, Default)]
 pub struct Answers {
@@ -144,7 +145,12 @@
 
     fn candidates(&self) -> BTreeSet<Fingerprint> {
         let open = self.crashes.iter().filter(|c| self.is_settled(c));
-        open.flat_map(|crash| crash.parts.keys().copied()).collect()
+        let mut counts: HashMap<Fingerprint, usize> = HashMap::new();
+        for part in open.flat_map(|crash| crash.parts.keys()) {
+            *counts.entry(*part).or_default() += 1;
+        }
+        counts.retain(|_, n| *n >= MIN_CRASHES);
+        counts.into_keys().collect()
     }
 
     fn is_settled(&self, crash: &Crash) -> bool {
