A late report of an old crash does not hide later ones

Callers would see a crashing part sent on after such a report: recent crashes were read from the end of a list in the order in which they became known, up to the first old one. So one report of a crash over 10 s ago stopped the judgement of all newer ones, and the chance of a crash, which had looked at all before, missed them as well. Found by reading the change again; the test failed before (no entry held the part).

--- a/crates/core/src/quarantine/crash.rs
+++ b/crates/core/src/quarantine/crash.rs
@@ -92,21 +92,21 @@
         &mut self.0[place]
     }
 
-    /// Returns the crashes, the oldest first.
-    pub fn iter(&self) -> impl DoubleEndedIterator<Item = &Crash> {
+    /// Returns the crashes.
+    pub fn iter(&self) -> impl Iterator<Item = &Crash> {
         self.0.iter()
     }
 
-    /// Returns the crashes, the oldest first.
+    /// Returns the crashes.
     pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Crash> {
         self.0.iter_mut()
     }
 
-    /// Returns the crashes within this time, the newest first.
+    /// Returns the crashes within this time.
     pub fn recent(&self, within: Span, now: Time) -> impl Iterator<Item = &Crash> {
-        // No older crash is visited: this is called whenever a run is sent.
+        // A report may be later than that of a newer crash.
         let is_recent = move |c: &&Crash| now.since(c.at) < within;
-        self.0.iter().rev().take_while(is_recent)
+        self.0.iter().filter(is_recent)
     }
 }
 
--- a/crates/core/tests/prompt_parts.rs
+++ b/crates/core/tests/prompt_parts.rs
@@ -49,7 +49,7 @@
     fn new() -> World {
         let entry = |n| Quarantine::new(Incarnation(n as u64 + 1));
         let mut world = World {
-            now: Time(1_000_000),
+            now: Time(100_000_000),
             entries: (0..ENTRIES).map(entry).collect(),
             arriving: Vec::new(),
             late: [false; ENTRIES],
@@ -236,6 +236,30 @@
     assert!(!world.is_held(0, "first"));
 }
 
+#[test]
+fn a_late_report_of_an_old_crash_does_not_hide_later_ones() {
+    let mut world = World::new();
+    for entry in [0, 1, 2, 0] {
+        world.crash(entry);
+        world.pass(Span::from_millis(80));
+    }
+    let old = Update::Crashed {
+        upstream: 7,
+        ago_ms: 60_000,
+        requests: vec![part("other")],
+        parts: Vec::new(),
+        by: Incarnation(9),
+    };
+    for entry in 0..ENTRIES {
+        let now = world.now;
+        world.entries[entry].merge(old.clone(), now, |_| 0.0);
+    }
+    world.pass(CONTACT);
+    for entry in 0..ENTRIES {
+        assert!(world.is_held(entry, "crashing"), "entry {entry}");
+    }
+}
+
 /// Builds that know no parts read reports with parts, and their reports are read.
 #[test]
 fn reports_are_read_by_older_builds_and_theirs_by_this_one() {
