Quarantine: what the parts wrote again serves both

Behaviour is the same. Answers by fingerprint were kept by two structures of the same form, for requests and for parts: one now (a request's is kept up to the same number, not ten seconds). One count of fingerprints for four loops, one duration of a hold for two, one step where a part was at a crash, told or seen here, one for an answer and for a lift. Suspects are asked once a retry. The parts of a request are no longer copied twice.

--- a/crates/core/src/entry/guard.rs
+++ b/crates/core/src/entry/guard.rs
@@ -37,12 +37,12 @@
         let Some(flight) = self.flights.get(&request) else {
             return false;
         };
-        let suspects = self.quarantine.suspected_parts(now);
+        let suspects = self.quarantine.suspects(now);
         if flight.prompt_parts.iter().any(|p| suspects.contains(p)) {
             return false;
         }
         let fingerprint = flight.fingerprint;
-        !self.quarantine.is_suspect(fingerprint, now) || !self.is_running(fingerprint)
+        !suspects.contains(&fingerprint) || !self.is_running(fingerprint)
     }
 
     /// Returns whether a run of this request, or with this part, is active.
@@ -130,10 +130,8 @@
     /// Holds back the parts of prompts that explain the recent crashes of upstreams.
     pub(super) fn judge_parts(&mut self, now: Time) {
         let (flights, peers) = (&self.flights, &self.peers);
-        self.quarantine.judge_parts(now, |part| Active {
-            spread: spread(flights, peers, part, None),
-            ..active(flights, part, now)
-        });
+        self.quarantine
+            .judge_parts(now, |part| active(flights, peers, part, now));
     }
 
     /// Emits the changes of the quarantine and cancels the runs of requests that became
@@ -163,9 +161,9 @@
         );
     }
 
-    /// Cancels the runs of a quarantined request, or with a quarantined part, that have not started to answer, before they crash
-    /// their upstreams. Runs that are answering continue: they would crash within about 100 ms, and
-    /// a complete answer lifts the quarantine.
+    /// Cancels the runs of a quarantined request, or with a quarantined part, that have not started
+    /// to answer, before they crash their upstreams. Runs that are answering continue: they would
+    /// crash within about 100 ms, and a complete answer lifts the quarantine.
     fn cancel_quarantined(&mut self, now: Time, fingerprint: Fingerprint, out: &mut Outputs) {
         let is_answering = |f: &Flight| f.head_sent && f.link.is_some();
         let is_match = |f: &Flight| f.has(fingerprint) && !is_answering(f);
@@ -186,10 +184,9 @@
     }
 }
 
-/// Returns the fraction of a pool's upstreams, without the crashed one, that run a request or one with
-/// a part. This is
-/// the probability that the request ran by chance on an upstream that crashed for another reason.
-/// One run is not counted, since the caller may have sent a crashing request twice.
+/// Returns the fraction of a pool's upstreams, without the crashed one, that run a request or one
+/// with a part. This is the probability that it was there by chance when an upstream crashed for
+/// another reason. One run is not counted, since the caller may have sent a crashing request twice.
 fn spread(
     flights: &HashMap<RequestId, Flight>,
     peers: &Peers,
@@ -204,9 +201,17 @@
     links.len().saturating_sub(1) as f64 / all.saturating_sub(1).max(1) as f64
 }
 
-/// Returns what the active runs tell about a part, without its spread.
-fn active(flights: &HashMap<RequestId, Flight>, part: Fingerprint, now: Time) -> Active {
-    let mut active = Active::default();
+/// Returns what the active runs tell about a part.
+fn active(
+    flights: &HashMap<RequestId, Flight>,
+    peers: &Peers,
+    part: Fingerprint,
+    now: Time,
+) -> Active {
+    let mut active = Active {
+        spread: spread(flights, peers, part, None),
+        ..Active::default()
+    };
     for flight in flights.values().filter(|f| f.link.is_some()) {
         let answers_since = flight.first_byte_at.filter(|_| flight.head_sent);
         let is_answering = answers_since.is_some_and(|at| now.since(at) >= SURVIVED);
--- a/crates/core/src/entry/request.rs
+++ b/crates/core/src/entry/request.rs
@@ -74,19 +74,23 @@
 
     /// Returns the fingerprints of the parts of the prompt that other requests may share, each once.
     pub fn prompt_parts(&self) -> Vec<Fingerprint> {
-        let all = match self {
-            Payload::Chat(chat) => chat.parts(),
+        match self {
+            Payload::Chat(chat) => distinct(chat.parts()),
             Payload::Plain(_) => Vec::new(),
-            Payload::Routed(routed) => routed.parts.clone(),
-        };
-        let mut parts = Vec::with_capacity(all.len().min(MAX_PARTS));
-        for part in all.into_iter().take(MAX_PARTS) {
-            if !parts.contains(&part) {
-                parts.push(part);
-            }
+            Payload::Routed(routed) => distinct(routed.parts.iter().copied()),
+        }
+    }
+}
+
+/// Returns the first parts, each once.
+fn distinct(parts: impl Iterator<Item = Fingerprint>) -> Vec<Fingerprint> {
+    let mut distinct = Vec::new();
+    for part in parts.take(MAX_PARTS) {
+        if !distinct.contains(&part) {
+            distinct.push(part);
         }
-        parts
     }
+    distinct
 }
 
 fn call_fingerprint(account: &[u8], host: &str, call: &Call) -> Fingerprint {
@@ -161,12 +165,12 @@
     }
 
     /// Returns the fingerprints of the messages before the last, which other requests may share.
-    fn parts(&self) -> Vec<Fingerprint> {
+    fn parts(&self) -> impl Iterator<Item = Fingerprint> + '_ {
         let messages = self.body.get("messages").and_then(Value::as_array);
         let messages = messages.map_or(&[][..], Vec::as_slice);
         let shared = messages.len().saturating_sub(1);
         let part = |message: &Value| Fingerprint::of_part(message.to_string().as_bytes());
-        messages[..shared].iter().map(part).collect()
+        messages[..shared].iter().map(part)
     }
 
     /// Returns the call to send to an engine; `logprobs` requests log probabilities, from which the
--- a/crates/core/src/quarantine/crash.rs
+++ b/crates/core/src/quarantine/crash.rs
@@ -3,7 +3,7 @@
 use super::{Fingerprint, RETENTION};
 use crate::id::{Incarnation, PoolId};
 use crate::unit::{Span, Time};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 /// Upstreams that crash within this time have one cause, and count once: if all crash at once,
 /// requests that many clients send must not be refused.
@@ -49,6 +49,11 @@
         }
     }
 
+    /// Returns whether the crash was attributed to nothing.
+    pub fn is_open(&self) -> bool {
+        !self.by_part && self.attributed_at.is_none()
+    }
+
     /// Returns whether the crash counts against the requests that were there.
     pub fn counts(&self, now: Time) -> bool {
         let is_open = |at| now.since(at) < ATTRIBUTION_DELAY;
@@ -110,6 +115,15 @@
     }
 }
 
+/// Returns how often each fingerprint occurs.
+pub fn occurrences<'a>(all: impl Iterator<Item = &'a Fingerprint>) -> HashMap<Fingerprint, usize> {
+    let mut counts = HashMap::new();
+    for one in all {
+        *counts.entry(*one).or_default() += 1;
+    }
+    counts
+}
+
 /// Returns at how many moments crashes happened.
 pub fn moments<'a>(crashes: impl Iterator<Item = &'a Crash>) -> usize {
     let mut times: Vec<Time> = crashes.map(|crash| crash.at).collect();
--- a/crates/core/src/quarantine/hold.rs
+++ b/crates/core/src/quarantine/hold.rs
@@ -34,9 +34,11 @@
 impl Hold {
     /// Returns about when the hold began.
     pub fn began_at(&self) -> Time {
-        let last = HOLD_TIMES.len() - 1;
-        let lasts = HOLD_TIMES[last.min(self.previous as usize)];
-        Time(self.until.0.saturating_sub(lasts.micros()))
+        Time(
+            self.until
+                .0
+                .saturating_sub(hold_time(self.previous).micros()),
+        )
     }
 
     /// Returns until when this entry sends the request to no upstream.
@@ -107,9 +109,8 @@
     pub fn hold(&mut self, fingerprint: Fingerprint, grounds: Grounds, now: Time) -> Hold {
         let known = self.0.get(&fingerprint).map(|(hold, _)| *hold);
         let before = known.map_or(0, |hold| hold.previous + 1);
-        let last = HOLD_TIMES.len() - 1;
         let hold = Hold {
-            until: now + HOLD_TIMES[last.min(before as usize)],
+            until: now + hold_time(before),
             previous: before,
             is_own: known.is_some_and(|hold| hold.is_own),
         };
@@ -151,3 +152,9 @@
         }
     }
 }
+
+/// Returns how long something is held back that was held back this often before.
+fn hold_time(previous: u32) -> Span {
+    let last = HOLD_TIMES.len() - 1;
+    HOLD_TIMES[last.min(previous as usize)]
+}
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -27,6 +27,7 @@
 //! # Ok::<(), sorreldeck::Error>(())
 //! ```
 
+mod answers;
 mod crash;
 mod fingerprint;
 mod hold;
@@ -37,16 +38,17 @@
 pub use fingerprint::Fingerprint;
 pub use hold::{Held, Hold};
 pub use journal::Journal;
+pub use part::{Active, SURVIVED};
 
 use crate::id::{Incarnation, PoolId};
 use crate::unit::{Span, Time};
-use crash::{moments, Crash, Crashes};
+use answers::Answers;
+use crash::{moments, occurrences, Crash, Crashes};
 use hold::Holds;
 use outcomes::{Outcomes, RECENT};
-pub use part::{Active, SURVIVED};
-use part::{Answers, Evidence};
+use part::{Evidence, REPORT_PAUSE};
 use serde::{Deserialize, Serialize};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::fmt;
 
 /// The number of crashes, with no answer in between, from which on a request is held back. One or
@@ -219,6 +221,7 @@
     own: Incarnation,
     crashes: Crashes,
     outcomes: Outcomes,
+    /// When parts of prompts were last in a request that was answered.
     answers: Answers,
     holds: Holds,
     /// When parts were last judged.
@@ -248,19 +251,14 @@
         self.crashes.recent(RECENT, now).any(at)
     }
 
-    /// Returns the requests of which [`Quarantine::is_suspect`] holds, and the suspected parts.
+    /// Returns the requests of which [`Quarantine::is_suspect`] holds, and the parts that were at
+    /// several recent crashes with no other cause known and in no request that was answered recently.
     pub fn suspects(&self, now: Time) -> HashSet<Fingerprint> {
         let open = self.crashes.recent(RECENT, now).filter(|c| c.counts(now));
         let requests = open.flat_map(|crash| crash.requests.iter().copied());
         requests.chain(self.evidence(now).suspects()).collect()
     }
 
-    /// Returns the parts that were at several recent crashes with no other cause known, and in no
-    /// request that was answered recently.
-    pub fn suspected_parts(&self, now: Time) -> HashSet<Fingerprint> {
-        self.evidence(now).suspects().collect()
-    }
-
     /// Returns what is held back or on trial.
     pub fn held(&self, now: Time) -> Vec<Held> {
         self.holds.list(now)
@@ -269,11 +267,9 @@
     /// Lets a request or part be sent again at all entries, as an answer to it would; returns whether it
     /// was held back or on trial.
     pub fn lift(&mut self, fingerprint: Fingerprint, now: Time) -> bool {
-        let is_known = self.held(now).iter().any(|h| h.fingerprint == fingerprint);
+        let is_known = self.admits(fingerprint, now) != Admission::Allowed;
         if is_known {
-            self.outcomes.record_any_answer(fingerprint, now);
-            self.answers.record(fingerprint, now);
-            self.clear(fingerprint);
+            self.apply_answer(fingerprint, now);
             self.queue_update(Update::Answered(fingerprint));
         }
         is_known
@@ -291,14 +287,13 @@
 
     /// Records that a run of this entry broke because its upstream is gone.
     pub fn record_crash(&mut self, run: &Run, now: Time) {
-        let answers = &self.answers;
-        let parts = run.parts.iter().copied();
-        let parts: Vec<Fingerprint> = parts.filter(|part| answers.reports(*part, now)).collect();
         let crash = self.crashes.at(run.upstream, now);
         let own = crash.own_runs.get_or_insert_with(|| (run.pool.clone(), 0));
         own.1 += 1;
+        let parts = run.parts.iter().copied();
+        let parts: Vec<Fingerprint> = parts.filter(|part| self.reports(*part, now)).collect();
         for part in &parts {
-            crash.insert_part(*part, self.own);
+            self.insert_part(*part, run.upstream, self.own, now, now);
         }
         let was_answered = self.outcomes.was_answered(run.fingerprint, now);
         let requests = match was_answered {
@@ -310,13 +305,10 @@
                 upstream: run.upstream,
                 ago_ms: 0,
                 requests,
-                parts: parts.clone(),
+                parts,
                 by: self.own,
             });
         }
-        for part in parts {
-            self.end_trial(part, now, now);
-        }
         if was_answered {
             return;
         }
@@ -408,14 +400,17 @@
                     self.add_suspect(&sighting, now);
                 }
             }
-            Update::Answered(fingerprint) => {
-                self.outcomes.record_any_answer(fingerprint, now);
-                self.answers.record(fingerprint, now);
-                self.clear(fingerprint);
-            }
+            Update::Answered(fingerprint) => self.apply_answer(fingerprint, now),
         }
     }
 
+    /// Applies an answer to a request, or to one with a part, whichever the fingerprint names.
+    fn apply_answer(&mut self, fingerprint: Fingerprint, now: Time) {
+        self.outcomes.record_any_answer(fingerprint, now);
+        self.answers.record(fingerprint, now);
+        self.clear(fingerprint);
+    }
+
     /// Applies the recorded hold of a request or part.
     pub fn restore_hold(&mut self, fingerprint: Fingerprint, hold: Hold, now: Time) {
         let was_answered = self.outcomes.was_answered(fingerprint, now);
@@ -452,12 +447,26 @@
             // The other entries know only the crash and need to learn of the answer.
             return self.queue_update(Update::Answered(part));
         }
-        self.crashes.at(upstream, at).insert_part(part, by);
-        self.end_trial(part, at, now);
+        self.insert_part(part, upstream, by, at, now);
+    }
+
+    /// Returns whether this entry reports that a part was at an upstream that crashed.
+    fn reports(&self, part: Fingerprint, now: Time) -> bool {
+        let last = self.answers.last(part);
+        last.is_none_or(|last| now.since(last) >= REPORT_PAUSE)
     }
 
-    /// Attributes a crash to a part that is held back; one during its trial holds it back for longer.
-    fn end_trial(&mut self, part: Fingerprint, at: Time, now: Time) {
+    /// Records that a part was at an upstream that crashed. The crash is attributed to the part if
+    /// it is held back; one during its trial holds it back for longer.
+    fn insert_part(
+        &mut self,
+        part: Fingerprint,
+        upstream: u64,
+        by: Incarnation,
+        at: Time,
+        now: Time,
+    ) {
+        self.crashes.at(upstream, at).insert_part(part, by);
         match self.admits(part, now) {
             Admission::Held(_) => self.attribute(part, now),
             Admission::Trial if self.holds.ended_by(part, at) => {
@@ -521,16 +530,10 @@
     /// be their cause. Several requests that crash upstreams would hide one another otherwise, each
     /// by the crashes of the others.
     fn crash_probability(&self, fingerprint: Fingerprint, pool: &PoolId, now: Time) -> f64 {
-        let elsewhere = |c: &&Crash| {
-            let is_open = !c.by_part && c.attributed_at.is_none();
-            is_open && !c.requests.contains(&fingerprint)
-        };
+        let elsewhere = |c: &&Crash| c.is_open() && !c.requests.contains(&fingerprint);
         let recent = self.crashes.recent(RECENT, now);
         let elsewhere: Vec<&Crash> = recent.filter(elsewhere).collect();
-        let mut occurrences: HashMap<Fingerprint, usize> = HashMap::new();
-        for other in elsewhere.iter().flat_map(|c| &c.requests) {
-            *occurrences.entry(*other).or_default() += 1;
-        }
+        let occurrences = occurrences(elsewhere.iter().flat_map(|c| &c.requests));
         let is_open = |c: &&&Crash| {
             !c.requests
                 .iter()
--- a/crates/core/src/quarantine/outcomes.rs
+++ b/crates/core/src/quarantine/outcomes.rs
@@ -1,5 +1,6 @@
 //! Recent outcomes of runs, from which the probability of a crash by coincidence is estimated.
 
+use super::answers::{Answers, MAX_ANSWERS};
 use super::Fingerprint;
 use crate::id::PoolId;
 use crate::unit::{Span, Time};
@@ -8,8 +9,6 @@
 /// How long an answer clears its request, and runs count in the crash probability: several times as
 /// long as upstreams that all crash at once take to be back.
 pub const RECENT: Span = Span::from_millis(10_000);
-/// The most answers that are kept, by request and by pool: ten seconds at 400 a second.
-const MAX_ANSWERS: usize = 4_096;
 /// The probability that a run ends with a crash of its upstream if no runs are known, and the
 /// number of runs that this counts as.
 const PRIOR_CRASH: f64 = 0.05;
@@ -18,9 +17,7 @@
 /// Runs that were answered recently.
 #[derive(Clone, Debug, Default)]
 pub struct Outcomes {
-    requests: HashMap<Fingerprint, Time>,
-    /// The oldest first; a request may occur more than once.
-    order: VecDeque<(Time, Fingerprint)>,
+    requests: Answers,
     pools: HashMap<PoolId, VecDeque<Time>>,
 }
 
@@ -38,23 +35,12 @@
 
     /// Records a complete answer to a run of any entry.
     pub fn record_any_answer(&mut self, fingerprint: Fingerprint, now: Time) {
-        self.requests.insert(fingerprint, now);
-        self.order.push_back((now, fingerprint));
-        while let Some((at, oldest)) = self.order.front().copied() {
-            if self.order.len() <= MAX_ANSWERS && now.since(at) < RECENT {
-                break;
-            }
-            self.order.pop_front();
-            if self.requests.get(&oldest) == Some(&at) {
-                self.requests.remove(&oldest);
-            }
-        }
+        self.requests.record(fingerprint, now);
     }
 
     /// Returns whether a request was answered recently.
     pub fn was_answered(&self, fingerprint: Fingerprint, now: Time) -> bool {
-        let at = self.requests.get(&fingerprint);
-        at.is_some_and(|at| now.since(*at) < RECENT)
+        self.requests.is_recent(fingerprint, now)
     }
 
     /// Returns how many runs of this entry were answered in a pool recently and not before a time.
--- a/crates/core/src/quarantine/part.rs
+++ b/crates/core/src/quarantine/part.rs
@@ -5,12 +5,13 @@
 //! answered since its first crash, while runs without it were, and that it explains the most
 //! crashes.
 
-use super::crash::{moments, Crash, Crashes};
+use super::answers::Answers;
+use super::crash::{moments, occurrences, Crash, Crashes};
 use super::outcomes::{Outcomes, RECENT};
 use super::{required_crashes, Fingerprint};
 use crate::id::{Incarnation, PoolId};
 use crate::unit::{Span, Time};
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::BTreeSet;
 
 /// The number of crashes from which on a part is held back, and the number for one that was answered
 /// before.
@@ -34,56 +35,9 @@
 const SETTLING: Span = Span::from_millis(250);
 /// How long a run answers that probably does not crash its upstream.
 pub const SURVIVED: Span = Span::from_millis(1_000);
-/// How long a part that this entry answered is not reported when it is at a crash.
-const REPORT_PAUSE: Span = Span::from_millis(1_000);
-/// The most parts whose last answers are kept.
-const MAX_ANSWERS: usize = 4_096;
-
-/// When parts of prompts were last in a request that was answered.
-#[derive(Clone, Debug, Default)]
-pub struct Answers {
-    times: HashMap<Fingerprint, Time>,
-    /// The oldest first; a part may occur more than once.
-    order: VecDeque<(Time, Fingerprint)>,
-}
-
-impl Answers {
-    /// Records a complete answer to a request with a part.
-    pub fn record(&mut self, part: Fingerprint, now: Time) {
-        self.times.insert(part, now);
-        self.order.push_back((now, part));
-        while self.order.len() > MAX_ANSWERS {
-            let Some((at, oldest)) = self.order.pop_front() else {
-                break;
-            };
-            if self.times.get(&oldest) == Some(&at) {
-                self.times.remove(&oldest);
-            }
-        }
-    }
-
-    /// Returns when a part was last answered, if that is known.
-    pub fn last(&self, part: Fingerprint) -> Option<Time> {
-        self.times.get(&part).copied()
-    }
-
-    /// Returns whether a part was answered after a time.
-    pub fn is_after(&self, part: Fingerprint, at: Time) -> bool {
-        self.last(part).is_some_and(|last| last > at)
-    }
-
-    /// Returns whether this entry reports that a part was at an upstream that crashed. A part in
-    /// many requests is at most crashes and is answered again within a moment.
-    pub fn reports(&self, part: Fingerprint, now: Time) -> bool {
-        self.last(part)
-            .is_none_or(|last| now.since(last) >= REPORT_PAUSE)
-    }
-
-    fn was_answered(&self, part: Fingerprint, now: Time) -> bool {
-        self.last(part).is_some_and(|last| now.since(last) < RECENT)
-    }
-}
-
+/// How long a part that this entry answered is not reported when it is at a crash: a part in many
+/// requests is at most crashes and is answered again within a moment.
+pub const REPORT_PAUSE: Span = Span::from_millis(1_000);
 /// The active runs of this entry, as far as they tell about a part.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Active {
@@ -134,21 +88,15 @@
     /// Returns the parts at recent crashes without a known cause.
     pub fn suspects(&self) -> impl Iterator<Item = Fingerprint> + '_ {
         let open = self.crashes.recent(RECENT, self.now).filter(|c| !c.by_part);
-        let mut counts: HashMap<Fingerprint, usize> = HashMap::new();
-        for part in open.flat_map(|crash| crash.parts.keys()) {
-            *counts.entry(*part).or_default() += 1;
-        }
+        let counts = occurrences(open.flat_map(|crash| crash.parts.keys()));
         let repeated = counts.into_iter().filter(|(_, n)| *n >= MIN_SUSPECT);
         let repeated = repeated.map(|(part, _)| part);
-        repeated.filter(|part| !self.answers.was_answered(*part, self.now))
+        repeated.filter(|part| !self.answers.is_recent(*part, self.now))
     }
 
     fn candidates(&self) -> BTreeSet<Fingerprint> {
         let open = self.crashes.iter().filter(|c| self.is_settled(c));
-        let mut counts: HashMap<Fingerprint, usize> = HashMap::new();
-        for part in open.flat_map(|crash| crash.parts.keys()) {
-            *counts.entry(*part).or_default() += 1;
-        }
+        let mut counts = occurrences(open.flat_map(|crash| crash.parts.keys()));
         counts.retain(|_, n| *n >= MIN_CRASHES);
         counts.into_keys().collect()
     }
@@ -202,16 +150,10 @@
         let since = self.answers.last(part).unwrap_or_default();
         let answered = |pool: &&PoolId| self.outcomes.answered_since(pool, since, self.now);
         let answered = pools.iter().map(answered).min()?;
-        let without = |c: &&Crash| {
-            let is_open = !c.by_part && c.attributed_at.is_none();
-            is_open && c.at >= since && !c.parts.contains_key(&part)
-        };
+        let without = |c: &&Crash| c.is_open() && c.at >= since && !c.parts.contains_key(&part);
         let recent = self.crashes.recent(RECENT, self.now).filter(without);
         let recent: Vec<&Crash> = recent.collect();
-        let mut counts: HashMap<Fingerprint, usize> = HashMap::new();
-        for other in recent.iter().flat_map(|c| c.parts.keys()) {
-            *counts.entry(*other).or_default() += 1;
-        }
+        let counts = occurrences(recent.iter().flat_map(|c| c.parts.keys()));
         // Several parts that crash upstreams would hide one another otherwise.
         let has_cause = |c: &Crash| {
             let mut others = c.parts.keys();
