--- a/crates/daemon/tests/hosted/runner.rs
+++ b/crates/daemon/tests/hosted/runner.rs
@@ -145,6 +145,8 @@
             "HTTP/1.1 200 OK\r\nrequest-id: {label}\r\nresponse-signature: s.{}\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n",
             self.id
         );
+        let closing_head = stream_head.replace("transfer-encoding: chunked\r\n", "");
+        let closing_head = format!("{closing_head}confidence: 90\r\n\r\n");
         let (text, goes_on) = match action {
             "foreign" => (good("other").replace(&label, "0badc0de"), true),
             "unsigned" => (good("body").replace("response-signature", "x-other"), true),
@@ -212,10 +214,9 @@
                 }
                 return false;
             }
-            // The whole answer but for its last event, and the end of the connection as the only mark.
+            // A whole event, and the end of the connection as the only mark.
             "closing-stream" | "crash-closing-stream" => {
-                let head = stream_head.replace("transfer-encoding: chunked\r\n", "");
-                let text = format!("{head}confidence: 90\r\n\r\nid: 1\ndata: a\n\n");
+                let text = format!("{closing_head}id: 1\ndata: a\n\n");
                 let is_written = stream.write_all(text.as_bytes()).await.is_ok();
                 if is_written && action == "crash-closing-stream" {
                     task::sleep(CRASHES_AFTER).await;
@@ -224,14 +225,12 @@
                 return false;
             }
             "broken-closing-stream" if header(head, "last-event-id").is_none() => {
-                let head = stream_head.replace("transfer-encoding: chunked\r\n", "");
                 let events = "id: 1\ndata: a\n\nid: 2\nda";
-                (format!("{head}confidence: 90\r\n\r\n{events}"), false)
+                (format!("{closing_head}{events}"), false)
             }
             "broken-closing-stream" => {
-                let head = stream_head.replace("transfer-encoding: chunked\r\n", "");
                 let events = "id: 2\ndata: b\n\n";
-                (format!("{head}confidence: 90\r\n\r\n{events}"), false)
+                (format!("{closing_head}{events}"), false)
             }
             "steady" => {
                 task::sleep(STEADY).await;
--- a/crates/emulator/src/crash/mod.rs
+++ b/crates/emulator/src/crash/mod.rs
@@ -17,4 +17,4 @@
 
 pub use scenario::{Kind, Place, Scenario};
 pub use tally::{Tally, PROPAGATION_LIMIT};
-pub use world::World;
+pub use world::{World, START};
--- a/crates/emulator/src/crash/world.rs
+++ b/crates/emulator/src/crash/world.rs
@@ -20,8 +20,12 @@
 /// Time from the crash of an upstream until its lease in the store expires.
 const LEASE: Span = Span::from_millis(3_600);
 const TICK: Span = Span::from_millis(20);
+/// Time from the start in which only the other requests are made.
+const BACKGROUND_ONLY: Span = Span::from_millis(2_000);
+/// How often each request that crashes upstreams is made per second.
+const REQUEST_RATE: f64 = 5.0;
 /// Time at which a scenario starts.
-const START: Time = Time(1_000_000);
+pub const START: Time = Time(1_000_000);
 
 #[derive(Debug)]
 enum Event {
@@ -124,18 +128,10 @@
         if let Some(at) = self.scenario.restart {
             self.at(start + at, Event::Restart);
         }
-        for number in 0..self.scenario.crashing {
-            // For the first two seconds only the other requests are made.
-            for at in self.draw_times(5.0) {
-                if at.since(start) >= Span::from_millis(2_000) {
-                    self.at(at, Event::Issue(Kind::Crashing(number)));
-                }
-            }
-        }
-        for number in 0..self.scenario.crashing_parts {
-            for at in self.draw_times(self.scenario.part_rate) {
-                if at.since(start) >= Span::from_millis(2_000) {
-                    self.at(at, Event::Issue(Kind::Part(number)));
+        for (kind, rate) in self.crashing_kinds() {
+            for at in self.draw_times(rate) {
+                if at.since(start) >= BACKGROUND_ONLY {
+                    self.at(at, Event::Issue(kind));
                 }
             }
         }
@@ -160,6 +156,14 @@
         self.tally
     }
 
+    /// Returns the kinds of requests that crash upstreams, with their rates per second.
+    fn crashing_kinds(&self) -> Vec<(Kind, f64)> {
+        let requests = (0..self.scenario.crashing).map(|n| (Kind::Crashing(n), REQUEST_RATE));
+        let part_rate = self.scenario.part_rate;
+        let parts = (0..self.scenario.crashing_parts).map(|n| (Kind::Part(n), part_rate));
+        requests.chain(parts).collect()
+    }
+
     /// Draws the times of events with this rate per second.
     fn draw_times(&mut self, rate: f64) -> Vec<Time> {
         let count = (rate * self.scenario.duration.secs_f64()) as usize;
@@ -358,11 +362,9 @@
 
     /// Records when an entry first quarantined a crashing request.
     fn record_quarantined(&mut self, entry: usize, fingerprint: Fingerprint) {
-        let requests = (0..self.scenario.crashing).map(Kind::Crashing);
-        let parts = (0..self.scenario.crashing_parts).map(Kind::Part);
-        let kind = requests
-            .chain(parts)
-            .find(|k| calls::fingerprint(*k) == fingerprint);
+        let kinds = self.crashing_kinds().into_iter().map(|(kind, _)| kind);
+        let mut kinds = kinds.filter(|kind| calls::fingerprint(*kind) == fingerprint);
+        let kind = kinds.next();
         if let Some(kind) = kind.filter(|kind| self.quarantined_by.insert((*kind, entry))) {
             self.tally.quarantined.insert(kind, self.now);
         }
--- a/crates/emulator/tests/crash.rs
+++ b/crates/emulator/tests/crash.rs
@@ -2,7 +2,7 @@
 //! crash nothing, in simulated scenarios with many other requests.
 
 use sorreldeck::{Span, Time};
-use sorreldeck_emulator::crash::{Place, Scenario, Tally, World, PROPAGATION_LIMIT};
+use sorreldeck_emulator::crash::{Place, Scenario, Tally, World, PROPAGATION_LIMIT, START};
 use test_case::test_case;
 
 /// Seeds run for each case; the environment variable `SEEDS` overrides it.
@@ -120,6 +120,28 @@
     }
 }
 
+/// A part that crashes nothing any more is tried by one run, and sent by all entries after that.
+#[test]
+fn a_part_that_is_harmless_again_is_let_in_after_one_trial() {
+    let harmless_at = Span::from_millis(8_000);
+    let scenario = Scenario {
+        harmless_at: Some(harmless_at),
+        ..parts()
+    };
+    let harmless_at = START + harmless_at;
+    for (seed, tally) in run(&scenario).iter().enumerate() {
+        let (kind, first) = *tally.admitted.first().expect("it is let in");
+        let trials = tally.sends[&kind].iter();
+        let trials = trials.filter(|at| **at > harmless_at && **at < first);
+        assert_eq!(trials.count(), 1, "seed {seed}");
+        let after = tally.sends[&kind].iter().filter(|at| **at > first);
+        let served = tally.admitted.len() - 1;
+        // The last ones may still run when the scenario ends.
+        assert!(after.count() <= served + 2, "seed {seed}: {served}");
+        assert!(served >= 20, "seed {seed}: {served}");
+    }
+}
+
 /// Each case is a scenario in which no request crashes an upstream.
 #[test_case(Scenario { crashes: 2.0, ..scenario() }; "two upstreams a second")]
 #[test_case(Scenario { crashes: 2.0, identical: 0.9, ..scenario() }; "mostly identical requests")]
