--- a/crates/daemon/tests/hosted/runner.rs
+++ b/crates/daemon/tests/hosted/runner.rs
@@ -19,6 +19,10 @@
 pub const EVENTS: usize = 4096;
 pub const EVENT_BYTES: usize = 16 * 1024;
 
+/// Number of events of a paced stream and the time between two of them.
+const PACED_EVENTS: usize = 12;
+const PACE: Duration = Duration::from_millis(40);
+
 /// A request that an upstream got, and when.
 #[derive(Clone, Debug)]
 pub struct Seen {
@@ -242,6 +246,11 @@
                 let text = format!("{stream_head}confidence: 90\r\n\r\n{events}0\r\n\r\n");
                 (text, true)
             }
+            "paced-stream" => {
+                let head = format!("{stream_head}confidence: 90\r\n\r\n");
+                return stream.write_all(head.as_bytes()).await.is_ok()
+                    && self.send_paced_stream(stream).await;
+            }
             "slow-stream" => {
                 let text = format!(
                     "{stream_head}confidence: 90\r\n\r\n{}",
@@ -291,6 +300,18 @@
         stream.write_all(b"0\r\n\r\n").await.is_ok()
     }
 
+    /// Sends a few events one after the other; returns whether the caller got all.
+    async fn send_paced_stream(&self, stream: &mut TcpStream) -> bool {
+        for number in 1..=PACED_EVENTS {
+            let event = format!("id: {number}\ndata: {:a<80}\n\n", "");
+            if stream.write_all(chunk(&event).as_bytes()).await.is_err() {
+                return false;
+            }
+            task::sleep(PACE).await;
+        }
+        stream.write_all(b"0\r\n\r\n").await.is_ok()
+    }
+
     /// Waits until the caller closes the connection.
     async fn wait_for_end(&self, stream: &mut TcpStream) {
         let mut buf = [0; 64];
--- /dev/null
+++ b/crates/daemon/tests/throttled/entry.rs
@@ -0,0 +1,134 @@
+//! An entry as a process that runs for a part of each period only.
+
+use crate::store::Store;
+use serde_json::json;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// The period of which a process runs a part.
+const PERIOD: Duration = Duration::from_millis(50);
+
+/// What an entry may use.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// The share of a core.
+    pub share: f64,
+    /// The memory in MB.
+    pub memory: u32,
+    /// The bandwidth in Mbit/s.
+    pub mbps: f64,
+}
+
+/// A running entry; it is killed when dropped.
+pub struct Entry {
+    pub callers: SocketAddr,
+    pub ready: SocketAddr,
+    child: Child,
+    held: Arc<AtomicBool>,
+    throttle: Option<thread::JoinHandle<()>>,
+    settings: PathBuf,
+    pub log: PathBuf,
+}
+
+impl Entry {
+    /// Starts an entry; it runs unhindered until [`Entry::throttle`] is called.
+    pub fn start(store: &Store, name: &str, limits: Limits) -> Entry {
+        let [callers, ready, control] = [free_address(), free_address(), free_address()];
+        let text = json!({
+            "node": name, "zone": "a", "ip": "127.0.0.1",
+            "listen": {"front": callers, "ready": ready, "control": control},
+            "seeds": [], "provider": {"address": store.address.to_string()},
+            "limits": {"memory-mb": limits.memory, "cpu-share": limits.share, "cores": 1,
+                "link-mbps": limits.mbps}
+        });
+        let unique = format!("sorreldeck-{}-{}", std::process::id(), callers.port());
+        let settings = std::env::temp_dir().join(format!("{unique}.json"));
+        let log = std::env::temp_dir().join(format!("{unique}.log"));
+        std::fs::write(&settings, text.to_string()).unwrap();
+        let keys = format!("1:{}", "42".repeat(32));
+        let child = Command::new(env!("CARGO_BIN_EXE_sorreldeckd"))
+            .arg("hosted")
+            .env("SORRELDECK_NODE_FILE", &settings)
+            .env("SORRELDECK_LINK_KEYS", &keys)
+            .env("SORRELDECK_SESSION_KEYS", &keys)
+            .stdout(std::fs::File::create(&log).unwrap())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        Entry {
+            callers,
+            ready,
+            child,
+            held: Arc::default(),
+            throttle: None,
+            settings,
+            log,
+        }
+    }
+
+    /// Lets the process run for a share of each period only, from now on.
+    pub fn throttle(&mut self, share: f64) {
+        let pid = self.child.id() as i32;
+        let held = self.held.clone();
+        held.store(true, Ordering::Relaxed);
+        let runs = PERIOD.mul_f64(share);
+        // Processes that all stop and run in step would share one core.
+        let offset = PERIOD.mul_f64(f64::from(self.callers.port() % 16) / 16.0);
+        self.throttle = Some(thread::spawn(move || {
+            thread::sleep(offset);
+            let mut next = Instant::now();
+            while held.load(Ordering::Relaxed) {
+                signal(pid, libc::SIGCONT);
+                thread::sleep(runs);
+                signal(pid, libc::SIGSTOP);
+                next += PERIOD;
+                thread::sleep(next.saturating_duration_since(Instant::now()));
+            }
+            signal(pid, libc::SIGCONT);
+        }));
+    }
+
+    /// Returns whether the process still runs.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Returns the lines of the log that contain a text.
+    pub fn lines(&self, text: &str) -> Vec<String> {
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        let lines = log.lines().filter(|line| line.contains(text));
+        lines.map(str::to_owned).collect()
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.held.store(false, Ordering::Relaxed);
+        if let Some(throttle) = self.throttle.take() {
+            // A thread that panicked has nothing left to undo.
+            let _ = throttle.join();
+        }
+        // Fails only if the process has ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        if !thread::panicking() {
+            let _ = std::fs::remove_file(&self.log);
+        }
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+fn signal(pid: i32, signal: i32) {
+    // SAFETY: the process was started by this test and has not been waited for.
+    unsafe { libc::kill(pid, signal) };
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
--- /dev/null
+++ b/crates/daemon/tests/throttled/most_connections_at_one_slow_entry.rs
@@ -0,0 +1,112 @@
+//! Guards requests that a slow entry has read while it gets most new connections of all.
+
+use super::*;
+use crate::client::Call;
+use crate::entry::Limits;
+use test_case::test_case;
+
+const ENTRIES: usize = 12;
+const BEFORE: Duration = Duration::from_millis(4_000);
+/// How long most connections go to one entry, and from when on it is judged.
+const LASTS: Duration = Duration::from_millis(9_000);
+const JUDGED_AFTER: Duration = Duration::from_millis(4_000);
+/// How often first tries that were read are served, against before.
+const SERVED_FIRST: f64 = 0.95;
+/// How many of all requests are served, in how many tries on average.
+const SERVED: f64 = 0.97;
+const TRIES: f64 = 2.0;
+/// How much longer the slowest in twenty may take.
+const LONGER: Duration = Duration::from_millis(500);
+
+struct Seen {
+    first: f64,
+    served: f64,
+    tries: f64,
+    p95: Duration,
+    calls: usize,
+}
+
+impl Seen {
+    fn of<'a>(calls: impl Iterator<Item = &'a Call>) -> Seen {
+        let calls: Vec<&Call> = calls.collect();
+        let read: Vec<bool> = calls.iter().filter_map(|c| c.first_read()).collect();
+        let good = read.iter().filter(|good| **good).count();
+        let served = calls.iter().filter(|c| c.is_served()).count();
+        let tries: usize = calls.iter().map(|c| c.tries.len()).sum();
+        let mut took: Vec<Duration> = calls.iter().map(|c| c.took).collect();
+        took.sort();
+        let count = calls.len().max(1) as f64;
+        Seen {
+            first: good as f64 / read.len().max(1) as f64,
+            served: served as f64 / count,
+            tries: tries as f64 / count,
+            p95: took.get(took.len() * 95 / 100).copied().unwrap_or_default(),
+            calls: calls.len(),
+        }
+    }
+}
+
+impl std::fmt::Display for Seen {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(
+            f,
+            "{:.3} of the first tries read, {:.3} of all in {:.2} tries, p95 {} ms, {} calls",
+            self.first,
+            self.served,
+            self.tries,
+            self.p95.as_millis(),
+            self.calls
+        )
+    }
+}
+
+#[test_case(0.04, 120.0; "much more than one entry can do")]
+#[test_case(0.02, 120.0; "several times what one entry can do")]
+#[test_case(0.04, 50.0; "what one entry can do")]
+fn first_tries_that_are_read_are_served(share: f64, per_s: f64) {
+    task::block_on(async {
+        let store = start_store().await;
+        let limits = Limits {
+            share,
+            memory: 100,
+            mbps: 100.0,
+        };
+        let mut entries: Vec<Entry> = (0..ENTRIES)
+            .map(|n| Entry::start(&store, &format!("front-{n}"), limits))
+            .collect();
+        for entry in &mut entries {
+            let began = Instant::now();
+            while !balancer::is_ready(entry.ready).await {
+                assert!(began.elapsed() < Duration::from_secs(20), "not ready");
+                task::sleep(Duration::from_millis(50)).await;
+            }
+            entry.throttle(share);
+        }
+        let balancer = Balancer::start(&entries);
+        let client = Client::new(&balancer);
+        let calls = client.send_until(Instant::now() + BEFORE, per_s).await;
+        let before = Seen::of(calls.iter());
+        println!("before: {before}");
+        let mut seen = Vec::new();
+        for favourite in [0, 5] {
+            balancer.favour(favourite);
+            let began = Instant::now();
+            let calls = client.send_until(began + LASTS, per_s).await;
+            let late = calls.iter().filter(|c| c.asked > began + JUDGED_AFTER);
+            let then = Seen::of(late);
+            println!("most at one: {then}");
+            seen.push(then);
+            balancer.spread();
+            task::sleep(Duration::from_millis(2_000)).await;
+        }
+        for entry in &mut entries {
+            assert!(entry.is_running(), "an entry has ended by itself");
+        }
+        for then in seen {
+            assert!(then.first >= SERVED_FIRST * before.first, "{then}");
+            assert!(then.served >= SERVED, "{then}");
+            assert!(then.tries <= TRIES, "{then}");
+            assert!(then.p95 <= before.p95 + LONGER, "{then}; before: {before}");
+        }
+    });
+}
