An entry closes connections unread when it owes all that it can do, and says that it is not ready

Callers saw that of the first tries which a slow entry had read, a third to a half were served while it got most new connections, none told it was full. Cause: the frontend accepts and reads all that comes; beyond capacity every request waits for all others, so all are late at once, and readiness says only that the entry exists.

core/src/overload decides for each new connection by what is owed: the processor (work let in against what the share can do, by the processor time that a unit of work has cost; or, where the share is not known, what was done while all tasks waited), the link, memory, descriptors. What does not fit is closed before it is registered with the reactor, unread, so its caller tries another entry at once. An entry that turned away a quarter or more for 0.7 s says that it is not ready for 3 s or more.

--- a/crates/core/src/overload/meter.rs
+++ b/crates/core/src/overload/meter.rs
@@ -79,7 +79,8 @@
     }
 
     /// Forgets what is owed.
-    pub fn clear(&mut self) {
+    pub fn clear(&mut self, now: Time) {
         self.level = 0.0;
+        self.drained_at = now;
     }
 }
--- a/crates/core/src/overload/mod.rs
+++ b/crates/core/src/overload/mod.rs
@@ -27,6 +27,7 @@
 mod meter;
 mod processor;
 mod readiness;
+mod usage;
 mod wait;
 
 pub use meter::{Average, Meter};
@@ -48,6 +49,8 @@
 /// What the instance has.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Limits {
+    /// The share of processors in cores; 0 if unknown.
+    pub cores: f64,
     /// The memory of the process; 0 if unknown.
     pub memory: Size,
     /// The bandwidth of the network link in Mbit/s; 0 if unknown.
@@ -181,7 +184,7 @@
             all => (all as f64 * DESCRIPTORS) as usize / DESCRIPTORS_EACH,
         };
         Monitor {
-            processor: Processor::new(now),
+            processor: Processor::new(limits.cores, now),
             link: Link::new(limits.mbps, now),
             memory: Memory::new(limits.memory),
             max_connections,
@@ -197,6 +200,7 @@
     pub fn decide(&mut self, now: Time) -> Decision {
         let Some(full) = self.full(now) else {
             self.open();
+            self.readiness.accept();
             return Decision::Accept;
         };
         self.readiness.turn_away(now);
@@ -213,7 +217,7 @@
     }
 
     /// Records that a connection was accepted, and charges its first request.
-    pub fn open(&mut self) {
+    fn open(&mut self) {
         self.connections += 1;
         self.processor.charge();
         self.link.charge();
@@ -271,6 +275,11 @@
         self.memory.set(in_use);
     }
 
+    /// Records all processor time that the process has used until now.
+    pub fn use_processor(&mut self, used: Span, now: Time) {
+        self.processor.use_time(used, now);
+    }
+
     /// Returns the waits of tasks for the processor.
     pub fn waits(&mut self) -> &mut Waits {
         &mut self.processor.waits
--- a/crates/core/src/overload/processor.rs
+++ b/crates/core/src/overload/processor.rs
@@ -1,6 +1,7 @@
 //! The processor: how much work it can do in a second, and how much of that is owed.
 
 use super::meter::{Average, Meter};
+use super::usage::Usage;
 use super::wait::Waits;
 use super::Work;
 use crate::unit::{Span, Time};
@@ -9,6 +10,8 @@
 const HEADROOM: f64 = 0.9;
 /// Time for which the processor may owe work beyond its pace: requests come at random.
 const DEPTH: Span = Span::from_millis(250);
+/// The requests whose work it may owe in any case: on a slow instance one takes long.
+const MIN_REQUESTS: f64 = 10.0;
 /// The longest time over which capacity is measured, and the shortest.
 const LONGEST: Span = Span::from_millis(1_000);
 const SHORTEST: Span = Span::from_millis(200);
@@ -34,6 +37,7 @@
     marks: Vec<(Time, f64)>,
     /// The work that is let in a second, once the processor was behind.
     pace: Option<f64>,
+    usage: Usage,
     behind_at: Time,
     stepped_at: Time,
     average: Average,
@@ -41,12 +45,13 @@
 }
 
 impl Processor {
-    pub fn new(now: Time) -> Processor {
+    pub fn new(cores: f64, now: Time) -> Processor {
         Processor {
             waits: Waits::default(),
             done: 0.0,
             marks: Vec::new(),
             pace: None,
+            usage: Usage::new(cores, now),
             behind_at: now,
             stepped_at: now,
             average: Average::new(ASSUMED),
@@ -66,16 +71,14 @@
 
     /// Charges the work of a request that was let in.
     pub fn charge(&mut self) {
-        if self.pace.is_some() {
-            self.meter.charge(self.average.get());
-        }
+        self.meter.charge(self.average.get());
     }
 
     /// Returns how long the processor needs for what it owes beyond its pace, or how long tasks
     /// wait, if that is longer.
     pub fn owed(&self, now: Time) -> Span {
         let owed = self
-            .pace
+            .pace()
             .map_or(Span::default(), |pace| self.meter.owed(pace));
         owed.max(self.waits.last(now))
     }
@@ -86,11 +89,28 @@
         if self.waits.behind_since(now).is_some() {
             return true;
         }
-        let Some(pace) = self.pace else {
+        let Some(pace) = self.pace() else {
+            self.meter.clear(now);
             return false;
         };
         self.meter.drain(pace, now);
-        self.meter.owed(pace) > DEPTH
+        let is_proven = self.pace.is_some() || self.usage.is_busy();
+        let requests = Span::from_secs_f64(MIN_REQUESTS * self.average.get() / pace);
+        self.meter.owed(pace) > DEPTH.max(requests) && is_proven
+    }
+
+    /// Returns the work that may be let in a second, if it is limited.
+    fn pace(&self) -> Option<f64> {
+        let by_share = self.usage.capacity(HEADROOM);
+        match (self.pace, by_share) {
+            (Some(seen), Some(by_share)) => Some(seen.min(by_share)),
+            (seen, by_share) => seen.or(by_share),
+        }
+    }
+
+    /// Records all processor time used until now.
+    pub fn use_time(&mut self, used: Span, now: Time) {
+        self.usage.record(used, self.done, now);
     }
 
     /// Updates the pace.
@@ -136,8 +156,5 @@
         self.meter.drain(pace, now);
         let is_near = self.meter.owed(pace) > Span::default();
         self.pace = (is_near || quiet < FORGET_AFTER).then_some(pace);
-        if self.pace.is_none() {
-            self.meter.clear();
-        }
     }
 }
--- a/crates/core/src/overload/readiness.rs
+++ b/crates/core/src/overload/readiness.rs
@@ -5,6 +5,9 @@
 /// How long an entry must have been full: a load balancer that asks once a second would not notice
 /// a shorter time, and callers that are turned away find another entry at once.
 const FULL_FOR: Span = Span::from_millis(700);
+/// The part of the connections of that time that must have been turned away: an entry that is only
+/// a little over its capacity helps more while it is in.
+const TURNED_AWAY: f64 = 0.25;
 /// How long an entry stays out at least: a load balancer needs two questions to notice.
 const MIN_OUT: Span = Span::from_millis(3_000);
 /// By how much longer the stay may be, so that entries that went together do not return together.
@@ -19,6 +22,9 @@
 pub(super) struct Readiness {
     /// When the first connection of a series was turned away, and the last one.
     full: Option<(Time, Time)>,
+    /// The connections of the series that were accepted, and those that were turned away.
+    accepted: u32,
+    turned_away: u32,
     /// Until when the entry stays out at least.
     out_until: Option<Time>,
     /// A number in `[0, 1)` that differs between entries.
@@ -29,18 +35,26 @@
     pub fn new(phase: f64) -> Readiness {
         Readiness {
             full: None,
+            accepted: 0,
+            turned_away: 0,
             out_until: None,
             phase,
         }
     }
 
+    /// Records that a connection was accepted.
+    pub fn accept(&mut self) {
+        self.accepted = self.accepted.saturating_add(1);
+    }
+
     /// Records that a connection was turned away.
     pub fn turn_away(&mut self, now: Time) {
-        let since = match self.full {
-            Some((since, last)) if now.since(last) < FULL_ENDS => since,
-            _ => now,
-        };
-        self.full = Some((since, now));
+        let since = self.full_since(now);
+        if since.is_none() {
+            (self.accepted, self.turned_away) = (0, 0);
+        }
+        self.turned_away = self.turned_away.saturating_add(1);
+        self.full = Some((since.unwrap_or(now), now));
     }
 
     /// Returns since when the entry turns connections away, if it does.
@@ -54,7 +68,9 @@
         let is_long_full = self
             .full_since(now)
             .is_some_and(|since| now.since(since) >= FULL_FOR);
-        if is_long_full && self.out_until.is_none() {
+        let offered = f64::from(self.accepted) + f64::from(self.turned_away);
+        let is_far_over = f64::from(self.turned_away) >= offered * TURNED_AWAY;
+        if is_long_full && is_far_over && self.out_until.is_none() {
             let spread = Span::from_secs_f64(SPREAD.secs_f64() * self.phase);
             self.out_until = Some(now + MIN_OUT + spread);
         }
--- /dev/null
+++ b/crates/core/src/overload/usage.rs
@@ -0,0 +1,106 @@
+//! What a unit of work costs, and so how much of it the share of a processor can do.
+
+use crate::unit::{Span, Time};
+use std::collections::VecDeque;
+
+/// The time over which usage is summed.
+const WINDOW: Span = Span::from_millis(250);
+/// The windows that are kept, and those without which the cost of work is unknown.
+const MAX_WINDOWS: usize = 64;
+const MIN_WINDOWS: usize = 8;
+/// The work a second, as a part of the most of all windows, from which on a window tells the cost
+/// of work: all that the process does besides counts as well.
+const MIN_RATE: f64 = 0.5;
+/// The quantile of the costs that counts: what is done for the first time costs more.
+const QUANTILE: f64 = 0.25;
+/// The usage, as a part of the share, below which the processor is not full whatever is owed.
+const MIN_USAGE: f64 = 0.8;
+/// What a share that was exceeded keeps of the excess with each window.
+const KEEP_EXCESS: f64 = 0.8;
+
+/// The usage of the processor by work.
+#[derive(Clone, Debug)]
+pub(super) struct Usage {
+    /// The share in cores; 0 if unknown.
+    cores: f64,
+    /// The cores that were used beyond the share.
+    excess: f64,
+    began: Time,
+    used: Span,
+    work: f64,
+    /// The usage of the last window, in cores.
+    last: f64,
+    windows: VecDeque<Window>,
+    /// The processor time of a unit of work in seconds, if it is known.
+    cost: Option<f64>,
+}
+
+/// The work a second in some time, and the processor time of a unit.
+#[derive(Clone, Copy, Debug)]
+struct Window {
+    rate: f64,
+    cost: f64,
+}
+
+impl Usage {
+    pub fn new(cores: f64, now: Time) -> Usage {
+        Usage {
+            cores,
+            excess: 0.0,
+            began: now,
+            used: Span::default(),
+            work: 0.0,
+            last: 0.0,
+            windows: VecDeque::new(),
+            cost: None,
+        }
+    }
+
+    /// Records all processor time that was used and all work that was done until now.
+    pub fn record(&mut self, used: Span, work: f64, now: Time) {
+        let passed = now.since(self.began);
+        if passed < WINDOW {
+            return;
+        }
+        let seconds = passed.secs_f64();
+        let rate = (work - self.work) / seconds;
+        self.last = (used - self.used).secs_f64() / seconds;
+        self.excess = (self.last - self.cores).max(self.excess * KEEP_EXCESS);
+        (self.began, self.used, self.work) = (now, used, work);
+        if rate > 0.0 {
+            let cost = self.last / rate;
+            self.windows.push_back(Window { rate, cost });
+            self.cost = self.usual_cost();
+        }
+        if self.windows.len() > MAX_WINDOWS {
+            self.windows.pop_front();
+        }
+    }
+
+    fn usual_cost(&self) -> Option<f64> {
+        if self.windows.len() < MIN_WINDOWS {
+            return None;
+        }
+        let most = self.windows.iter().map(|w| w.rate).fold(0.0, f64::max);
+        let telling = self.windows.iter().filter(|w| w.rate >= most * MIN_RATE);
+        let mut costs: Vec<f64> = telling.map(|w| w.cost).collect();
+        costs.sort_by(f64::total_cmp);
+        let index = (costs.len() as f64 * QUANTILE) as usize;
+        costs.get(index).copied().filter(|cost| *cost > 0.0)
+    }
+
+    /// Returns the work that a part of the share can do in a second, if that is known.
+    pub fn capacity(&self, part: f64) -> Option<f64> {
+        let cost = self.cost.filter(|_| self.cores > 0.0)?;
+        Some(self.share() * part / cost)
+    }
+
+    /// Returns whether much of the share was used lately.
+    pub fn is_busy(&self) -> bool {
+        self.last >= self.share() * MIN_USAGE
+    }
+
+    fn share(&self) -> f64 {
+        self.cores + self.excess
+    }
+}
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -60,6 +60,11 @@
     }
 }
 
+/// Returns the processor time that this process has used.
+pub fn processor_time() -> Span {
+    Span::from_micros(micros(ClockId::ProcessCPUTime))
+}
+
 fn micros(id: ClockId) -> u64 {
     let time = clock_gettime(id);
     time.tv_sec as u64 * 1_000_000 + time.tv_nsec as u64 / 1_000
--- a/crates/daemon/src/hosted/event_loop.rs
+++ b/crates/daemon/src/hosted/event_loop.rs
@@ -236,7 +236,7 @@
         let last_sync = self.relay.follow().last_sync();
         let expired = self.mirror.tick(now, last_sync);
         self.apply_updates(expired, "lapsed");
-        let ready = self.entry.is_ready() && !stopping;
+        let ready = self.entry.is_ready() && self.shared.load.is_ready() && !stopping;
         if self.shared.set_ready(ready) != ready {
             info!("event=ready ready={ready}");
         }
--- a/crates/daemon/src/hosted/event_loop/status.rs
+++ b/crates/daemon/src/hosted/event_loop/status.rs
@@ -1,6 +1,7 @@
 //! The log line with the sizes of this entry's state, and its metrics.
 
 use super::EventLoop;
+use crate::clock;
 use crate::hosted::{load, shared};
 use log::info;
 use sorreldeck::{Span, Time};
@@ -22,13 +23,14 @@
             .sum();
         let (memory, peak) = shared::memory();
         info!(
-            "event=state memory_kb={memory} peak_kb={peak} links={} takers={} rows={rows} upstreams={} explained={} counts={} closed_unread={} {}",
+            "event=state memory_kb={memory} peak_kb={peak} links={} takers={} rows={rows} upstreams={} explained={} counts={} closed_unread={} used_ms={} {}",
             self.peering.links(),
             self.relay.subscribers(),
             self.upstreams.len(),
             self.entry.history().len(),
             self.relay.usage().map_or(0, |c| c.tally().retained()),
             self.shared.load.closed(),
+            clock::processor_time().millis(),
             load::describe(&self.shared.load.owed()),
         );
     }
--- a/crates/daemon/src/hosted/frontend.rs
+++ b/crates/daemon/src/hosted/frontend.rs
@@ -54,9 +54,11 @@
         }
         match listener.read_with(|listener| listener.accept()).await {
             Ok((stream, _)) => {
-                let accepted = shared.load.open();
-                let stream = TcpStream::from(stream);
-                task::spawn(connection(stream, accepted, shared.clone(), door.clone()));
+                // A connection that is not accepted is closed by dropping its stream unread.
+                if let Some(accepted) = shared.load.accept() {
+                    let stream = TcpStream::from(stream);
+                    task::spawn(connection(stream, accepted, shared.clone(), door.clone()));
+                }
             }
             // For example, no file descriptors are left; connections that close will free some.
             Err(e) => {
--- a/crates/daemon/src/hosted/load.rs
+++ b/crates/daemon/src/hosted/load.rs
@@ -1,11 +1,11 @@
 //! What an entry owes, as the tasks around its event loop record it.
 
 use super::shared::memory;
-use crate::clock::Clock;
+use crate::clock::{processor_time, Clock};
 use crate::heap;
 use async_std::task;
 use log::info;
-use sorreldeck::overload::{Change, Limits, Monitor, Owed};
+use sorreldeck::overload::{Change, Decision, Limits, Monitor, Owed};
 use sorreldeck::{Size, Span, Time};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -53,10 +53,13 @@
         self.0.monitor.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    /// Records a new connection.
-    pub fn open(&self) -> Connection {
-        self.monitor().open();
-        Connection(self.clone())
+    /// Decides on a new connection; returns it if it is accepted.
+    pub fn accept(&self) -> Option<Connection> {
+        let now = self.0.clock.now();
+        match self.monitor().decide(now) {
+            Decision::Accept => Some(Connection(self.clone())),
+            Decision::Close(_) => None,
+        }
     }
 
     /// Records that a request was read; `is_first` says whether it is the first of its connection.
@@ -82,7 +85,11 @@
         let now = self.0.clock.now();
         self.probe(now);
         self.read_memory(now);
-        let change = self.monitor().step(now);
+        let change = {
+            let mut monitor = self.monitor();
+            monitor.use_processor(processor_time(), now);
+            monitor.step(now)
+        };
         if let Some(change) = change {
             log_change(&change);
         }
@@ -116,6 +123,11 @@
         self.monitor().set_memory(Size::from_bytes(in_use));
     }
 
+    /// Returns whether a load balancer should send new connections.
+    pub fn is_ready(&self) -> bool {
+        self.monitor().is_ready()
+    }
+
     /// Returns what is owed.
     pub fn owed(&self) -> Owed {
         let now = self.0.clock.now();
--- a/crates/daemon/src/hosted/shared.rs
+++ b/crates/daemon/src/hosted/shared.rs
@@ -46,6 +46,7 @@
             configured => configured,
         };
         let limits = overload::Limits {
+            cores: settings.cores,
             memory: Size::from_bytes(memory),
             mbps: settings.link_mbps,
             descriptors: settings.descriptors,
