--- a/crates/core/src/overload/link.rs
+++ b/crates/core/src/overload/link.rs
@@ -34,6 +34,10 @@
         self.average.spend(size.bytes() as f64);
     }
 
+    pub fn begin(&mut self) {
+        self.average.begin();
+    }
+
     pub fn end(&mut self) {
         self.average.end();
     }
--- a/crates/core/src/overload/meter.rs
+++ b/crates/core/src/overload/meter.rs
@@ -5,22 +5,22 @@
 /// The requests over which the average cost is taken.
 const MEMORY: f64 = 100.0;
 
-/// The average cost of a request.
-///
-/// Costs of requests that are still answered count in part, so the average is of what was spent
-/// while so many requests ended.
+/// The requests like which an assumed cost counts.
+const ASSUMED: f64 = 10.0;
+
+/// The average cost of a request; one that is still answered counts half.
 #[derive(Clone, Copy, Debug)]
 pub struct Average {
     spent: f64,
-    ended: f64,
+    requests: f64,
 }
 
 impl Average {
-    /// Creates the average from an assumed cost, which counts like one request.
+    /// Creates the average from an assumed cost, which counts like some requests.
     pub fn new(assumed: f64) -> Average {
         Average {
-            spent: assumed,
-            ended: 1.0,
+            spent: assumed * ASSUMED,
+            requests: ASSUMED,
         }
     }
 
@@ -29,19 +29,28 @@
         self.spent += cost;
     }
 
+    /// Records the begin of a request.
+    pub fn begin(&mut self) {
+        self.count_half();
+    }
+
     /// Records the end of a request.
     pub fn end(&mut self) {
-        self.ended += 1.0;
-        if self.ended > MEMORY {
-            let keep = MEMORY / self.ended;
+        self.count_half();
+    }
+
+    fn count_half(&mut self) {
+        self.requests += 0.5;
+        if self.requests > MEMORY {
+            let keep = MEMORY / self.requests;
             self.spent *= keep;
-            self.ended *= keep;
+            self.requests *= keep;
         }
     }
 
     /// Returns the average cost.
     pub fn get(&self) -> f64 {
-        self.spent / self.ended
+        self.spent / self.requests
     }
 }
 
--- a/crates/core/src/overload/mod.rs
+++ b/crates/core/src/overload/mod.rs
@@ -116,7 +116,7 @@
         match self {
             Work::Request => 10.0,
             Work::Part => 1.0,
-            Work::Close => 0.5,
+            Work::Close => 0.4,
         }
     }
 }
@@ -246,7 +246,8 @@
     /// Records that a request was read; the first one of a connection was charged with it.
     pub fn begin(&mut self, is_first: bool) {
         self.requests += 1;
-        self.processor.work(Work::Request);
+        self.processor.begin();
+        self.link.begin();
         if !is_first {
             self.processor.charge();
             self.link.charge();
--- a/crates/core/src/overload/processor.rs
+++ b/crates/core/src/overload/processor.rs
@@ -65,6 +65,11 @@
         self.average.spend(units);
     }
 
+    pub fn begin(&mut self) {
+        self.work(Work::Request);
+        self.average.begin();
+    }
+
     pub fn end(&mut self) {
         self.average.end();
     }
--- a/crates/core/src/overload/readiness.rs
+++ b/crates/core/src/overload/readiness.rs
@@ -10,6 +10,11 @@
 const TURNED_AWAY: f64 = 0.25;
 /// How long an entry stays out at least: a load balancer needs two questions to notice.
 const MIN_OUT: Span = Span::from_millis(3_000);
+/// How much longer it stays out each time that it is full again soon after its return, and at most.
+const GROWTH: u32 = 2;
+const MAX_STAYS: u32 = 4;
+/// How soon after its return that is.
+const SOON: Span = Span::from_millis(5_000);
 /// By how much longer the stay may be, so that entries that went together do not return together.
 const SPREAD: Span = Span::from_millis(1_500);
 /// How long an entry that is out must have had room before it returns.
@@ -27,6 +32,10 @@
     turned_away: u32,
     /// Until when the entry stays out at least.
     out_until: Option<Time>,
+    /// When the entry returned last.
+    returned_at: Option<Time>,
+    /// The length of the next stay, in the shortest stays.
+    stays: u32,
     /// A number in `[0, 1)` that differs between entries.
     phase: f64,
 }
@@ -38,6 +47,8 @@
             accepted: 0,
             turned_away: 0,
             out_until: None,
+            returned_at: None,
+            stays: 1,
             phase,
         }
     }
@@ -71,17 +82,28 @@
         let offered = f64::from(self.accepted) + f64::from(self.turned_away);
         let is_far_over = f64::from(self.turned_away) >= offered * TURNED_AWAY;
         if is_long_full && is_far_over && self.out_until.is_none() {
-            let spread = Span::from_secs_f64(SPREAD.secs_f64() * self.phase);
-            self.out_until = Some(now + MIN_OUT + spread);
+            self.go_out(now);
         }
         let has_room = self
             .full
             .is_none_or(|(_, last)| now.since(last) >= ROOM_FOR);
         if has_room && self.out_until.is_some_and(|until| now >= until) {
             self.out_until = None;
+            self.returned_at = Some(now);
         }
     }
 
+    fn go_out(&mut self, now: Time) {
+        let is_soon = self.returned_at.is_some_and(|at| now.since(at) < SOON);
+        self.stays = match is_soon {
+            true => (self.stays * GROWTH).min(MAX_STAYS),
+            false => 1,
+        };
+        let stay = MIN_OUT.secs_f64() * f64::from(self.stays);
+        let spread = SPREAD.secs_f64() * self.phase;
+        self.out_until = Some(now + Span::from_secs_f64(stay + spread));
+    }
+
     /// Returns whether the entry is ready.
     pub fn is_ready(&self) -> bool {
         self.out_until.is_none()
--- /dev/null
+++ b/crates/core/tests/overload.rs
@@ -0,0 +1,236 @@
+//! Entries of unequal strength while one of them gets most new connections.
+
+use sorreldeck::overload::{Decision, Limits, Monitor, Resource};
+use sorreldeck::{Size, Span, Time};
+use sorreldeck_emulator::overload::{Admission, Crowd, Instance, Scenario, Tally, World};
+use test_case::test_case;
+
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=6;
+/// How often first tries that were read are served, against before.
+const FIRST_TRIES: f64 = 0.95;
+/// How many of all requests are served, and in how many tries on average.
+const SERVED: f64 = 0.97;
+const TRIES: f64 = 2.0;
+/// How much longer the slowest in twenty may take.
+const LONGER: Span = Span::from_millis(500);
+const PEAK_MEMORY: f64 = 0.8;
+
+fn thin() -> Instance {
+    Instance::new(0.04, 100.0, 100)
+}
+
+fn strong() -> Instance {
+    Instance::new(0.2, 100.0, 512)
+}
+
+fn mixed() -> Vec<Instance> {
+    let mut instances = vec![thin(); 9];
+    instances.extend([strong(); 3]);
+    instances
+}
+
+fn crowd(at: u64, entry: usize, per_s: f64) -> Crowd {
+    Crowd {
+        at: Span::from_millis(at),
+        lasts: Span::from_millis(10_000),
+        entry,
+        per_s,
+    }
+}
+
+/// Two crowds, one after the other, at two entries.
+fn crowds(per_s: f64) -> Vec<Crowd> {
+    vec![crowd(6_000, 0, per_s), crowd(19_000, 10, per_s)]
+}
+
+fn play(scenario: Scenario, seed: u64) -> Tally {
+    World::new(scenario, seed).run()
+}
+
+fn check(tally: &Tally, seed: u64) {
+    let (before, then) = (tally.before(), tally.crowded());
+    let seen = format!(
+        "seed {seed}: {:.3} of first tries, {:.3} of all in {:.2} tries, p95 {}; before {:.3}, p95 {}; \
+         {} closed, {} in calm; {} ended, memory {:.2}",
+        then.first_tries(),
+        then.served(),
+        then.tries(),
+        then.p95(),
+        before.first_tries(),
+        before.p95(),
+        tally.closed.len(),
+        tally.closed_in_calm(),
+        tally.ended_by_memory,
+        tally.peak_memory,
+    );
+    println!("{seen}");
+    assert!(then.len() > 100, "{seen}");
+    assert!(
+        then.first_tries() >= FIRST_TRIES * before.first_tries(),
+        "{seen}"
+    );
+    assert!(then.served() >= SERVED, "{seen}");
+    assert!(then.tries() <= TRIES, "{seen}");
+    assert!(then.p95() <= before.p95() + LONGER, "{seen}");
+    assert_eq!(tally.ended_by_memory, 0, "{seen}");
+    assert!(tally.peak_memory < PEAK_MEMORY, "{seen}");
+    assert_eq!(tally.closed_in_calm(), 0, "{seen}");
+}
+
+/// Each row: the instances and the requests a second before and during the crowds.
+#[test_case(vec![thin(); 12], 120.0, 120.0; "twice what a thin entry can do")]
+#[test_case(mixed(), 150.0, 240.0; "four times what a thin entry can do")]
+#[test_case(vec![Instance::new(0.02, 100.0, 100); 12], 60.0, 100.0; "entries half as strong")]
+#[test_case(vec![Instance { told_cores: 0.2, ..thin() }; 12], 120.0, 120.0; "entries that are told a larger share")]
+#[test_case(vec![Instance::new(0.5, 4.0, 100); 12], 300.0, 300.0; "the link is short")]
+#[test_case(vec![Instance::new(0.5, 100.0, 30); 12], 800.0, 1_600.0; "the memory is short")]
+fn an_entry_with_most_connections_serves_what_it_reads(
+    instances: Vec<Instance>,
+    before: f64,
+    then: f64,
+) {
+    for seed in SEEDS {
+        let scenario = Scenario {
+            instances: instances.clone(),
+            per_s: before,
+            crowds: crowds(then),
+            ..Scenario::default()
+        };
+        let tally = play(scenario, seed);
+        check(&tally, seed);
+        assert!(!tally.closed.is_empty(), "nothing was closed unread");
+    }
+}
+
+#[test_case(vec![thin(); 12], 120.0, 40.0; "what a thin entry can do")]
+#[test_case(vec![strong(); 12], 600.0, 180.0; "what a strong entry can do")]
+#[test_case(mixed(), 250.0, 250.0 / 9.0; "all entries alike")]
+fn an_entry_below_its_capacity_closes_nothing_unread(
+    instances: Vec<Instance>,
+    before: f64,
+    then: f64,
+) {
+    for seed in SEEDS {
+        let scenario = Scenario {
+            instances: instances.clone(),
+            per_s: before,
+            crowds: crowds(then),
+            ..Scenario::default()
+        };
+        let tally = play(scenario, seed);
+        check(&tally, seed);
+        assert_eq!(tally.closed.len(), 0, "seed {seed}");
+    }
+}
+
+/// The load of all entries together, as a multiple of what they can do.
+fn goodput(load: f64, seed: u64) -> f64 {
+    let scenario = Scenario {
+        instances: vec![thin(); 6],
+        per_s: 330.0 * load,
+        crowds: Vec::new(),
+        duration: Span::from_millis(15_000),
+        ..Scenario::default()
+    };
+    let seconds = scenario.duration.secs_f64();
+    let tally = play(scenario, seed);
+    let served = tally.calls.iter().filter(|call| call.took.is_some());
+    served.count() as f64 / seconds
+}
+
+#[test]
+fn entries_that_are_all_full_serve_as_much_as_at_their_best() {
+    for seed in SEEDS {
+        let best = [0.7, 0.85, 1.0].map(|load| goodput(load, seed));
+        let best = best.into_iter().fold(0.0, f64::max);
+        let at_three = goodput(3.0, seed);
+        assert!(
+            at_three >= 0.9 * best,
+            "seed {seed}: {at_three:.0} of {best:.0} a second"
+        );
+    }
+}
+
+/// Every order of a crowd, a crowd at another entry, a restart and a pause.
+#[test]
+fn crowds_restarts_and_pauses_in_every_order() {
+    const STEP: u64 = 5_000;
+    let mut orders = Vec::new();
+    for first in 0..4 {
+        for second in (0..4).filter(|n| *n != first) {
+            for third in (0..4).filter(|n| ![first, second].contains(n)) {
+                let fourth = 6 - first - second - third;
+                orders.push([first, second, third, fourth]);
+            }
+        }
+    }
+    for (number, order) in orders.iter().enumerate() {
+        let at = |event: usize| {
+            let place = order.iter().position(|e| *e == event).expect("all are in");
+            4_000 + STEP * place as u64
+        };
+        let scenario = Scenario {
+            instances: mixed(),
+            per_s: 120.0,
+            crowds: vec![crowd(at(0), 0, 150.0), crowd(at(1), 1, 150.0)],
+            restart: Some((Span::from_millis(at(2)), 0)),
+            pause: Some((Span::from_millis(at(3)), Span::from_millis(600), 1)),
+            duration: Span::from_millis(40_000),
+            ..Scenario::default()
+        };
+        let tally = play(scenario, number as u64);
+        let then = tally.crowded();
+        let seen = format!(
+            "{order:?}: {:.3} of first tries, {:.3} of all in {:.2} tries, {} closed in calm",
+            then.first_tries(),
+            then.served(),
+            then.tries(),
+            tally.closed_in_calm()
+        );
+        println!("{seen}");
+        assert!(then.first_tries() >= FIRST_TRIES, "{seen}");
+        assert!(then.served() >= SERVED, "{seen}");
+        assert!(then.tries() <= TRIES, "{seen}");
+        assert_eq!(tally.ended_by_memory, 0, "{seen}");
+    }
+}
+
+#[test]
+fn entries_that_take_all_connections_answer_late() {
+    let scenario = Scenario {
+        admission: Admission::All,
+        ..Scenario::default()
+    };
+    let tally = play(scenario, 1);
+    let (before, then) = (tally.before().p95(), tally.crowded().p95());
+    assert!(then > before + LONGER, "p95 {then}, {before} before");
+}
+
+#[test]
+fn descriptors_bound_the_open_connections() {
+    let limits = Limits {
+        descriptors: 100,
+        ..Limits::default()
+    };
+    let mut monitor = Monitor::new(limits, 0.0, Time(0));
+    let accepted = (0..100).filter(|n| monitor.decide(Time(*n)) == Decision::Accept);
+    assert_eq!(accepted.count(), 40);
+    let full = Decision::Close(Resource::Descriptors);
+    assert_eq!(monitor.decide(Time(200)), full);
+    monitor.close();
+    assert_eq!(monitor.decide(Time(300)), Decision::Accept);
+}
+
+/// A process that uses much memory without connections must not stay closed for good.
+#[test]
+fn memory_that_connections_do_not_use_closes_none() {
+    let limits = Limits {
+        memory: Size::from_bytes(100_000_000),
+        ..Limits::default()
+    };
+    let mut monitor = Monitor::new(limits, 0.0, Time(0));
+    monitor.set_memory(Size::from_bytes(95_000_000));
+    for n in 0..16 {
+        assert_eq!(monitor.decide(Time(n)), Decision::Accept);
+    }
+}
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod crash;
 pub mod engine;
 pub mod notice;
+pub mod overload;
 pub mod plain;
 pub mod quality;
 pub mod routed;
