sorreldeck-bench skew: what is served over the load at one entry, with a plot

Goodput, first tries, tries and 95th percentile over 0.5 to 4 times what the entry can do, for three ways: by what is owed, the same without saying that an entry is not ready, and taking all.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -16,6 +16,7 @@
 mod restore;
 mod rollout;
 mod scale;
+mod skew;
 mod spread;
 mod stand;
 mod stats;
@@ -60,6 +61,9 @@
     /// Measure how what entries do for control grows with their number
     #[bpaf(command)]
     Scale(#[bpaf(external(scale::options))] scale::Options),
+    /// Send most new connections to one entry, at rising load
+    #[bpaf(command)]
+    Skew(#[bpaf(external(skew::options))] skew::Options),
     /// Hit real processes with faults under load and check the promises
     #[bpaf(command)]
     Faults(#[bpaf(external(faults::options))] faults::Options),
@@ -88,6 +92,7 @@
         Options::Notice(options) => notice::run(&options)?,
         Options::Restore(options) => restore::run(&options)?,
         Options::Scale(options) => scale::run(&options)?,
+        Options::Skew(options) => skew::run(&options)?,
         Options::Faults(options) => run(faults::run(options))?,
         Options::StandIns(options) => run(stand::run(options))?,
         Options::Daemon(options) => {
--- a/crates/emulator/src/overload/instance.rs
+++ b/crates/emulator/src/overload/instance.rs
@@ -143,3 +143,12 @@
     };
     Monitor::new(limits, phase, now)
 }
+
+impl scenario::Instance {
+    /// Returns the requests of streams with so many events that the processor can serve in a second.
+    pub fn capacity(&self, events: u32) -> f64 {
+        let request = CLOSE + READ + DECIDE + SEND;
+        let cost = request.secs_f64() + f64::from(events) * EVENT.secs_f64();
+        self.cores / cost
+    }
+}
--- a/crates/emulator/src/overload/world.rs
+++ b/crates/emulator/src/overload/world.rs
@@ -160,8 +160,8 @@
             let begin = START + at;
             self.now >= begin && self.now < begin + lasts
         };
-        let now = crowds.filter(|c| is_on(c.at, c.lasts)).map(|c| c.per_s);
-        now.last().unwrap_or(self.scenario.per_s)
+        let mut now = crowds.filter(|c| is_on(c.at, c.lasts)).map(|c| c.per_s);
+        now.next_back().unwrap_or(self.scenario.per_s)
     }
 
     fn ask(&mut self) {
