--- a/crates/core/src/overload/meter.rs
+++ b/crates/core/src/overload/meter.rs
@@ -10,7 +10,7 @@
 
 /// The average cost of a request; one that is still answered counts half.
 #[derive(Clone, Copy, Debug)]
-pub struct Average {
+pub(super) struct Average {
     spent: f64,
     requests: f64,
 }
@@ -56,7 +56,7 @@
 
 /// What has been let in and is not worked off at the rate of the resource.
 #[derive(Clone, Copy, Debug)]
-pub struct Meter {
+pub(super) struct Meter {
     level: f64,
     drained_at: Time,
 }
--- a/crates/core/src/overload/mod.rs
+++ b/crates/core/src/overload/mod.rs
@@ -30,7 +30,6 @@
 mod usage;
 mod wait;
 
-pub use meter::{Average, Meter};
 pub use wait::Waits;
 
 use crate::unit::{Size, Span, Time};
@@ -99,7 +98,7 @@
     Close(Resource),
 }
 
-/// Work of the processor.
+/// Work of the processor, which is counted in units of passing on one part of an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Work {
     /// A connection was accepted and its request was read, decided on and sent.
@@ -111,8 +110,7 @@
 }
 
 impl Work {
-    /// Returns the work in units of that of one part of an answer.
-    pub fn units(self) -> f64 {
+    fn units(self) -> f64 {
         match self {
             Work::Request => 7.0,
             Work::Part => 1.0,
--- a/crates/core/src/overload/processor.rs
+++ b/crates/core/src/overload/processor.rs
@@ -24,7 +24,7 @@
 const SLOW_FOR: Span = Span::from_millis(2_500);
 /// How long after the processor was behind a pace is kept that nothing comes near.
 const FORGET_AFTER: Span = Span::from_millis(10_000);
-/// The work of a request and of an event before any was seen.
+/// The work of a request with its answer before any was seen.
 const ASSUMED: f64 = 15.0;
 
 /// What the processor can do and owes, in units of work.
--- a/crates/core/src/overload/usage.rs
+++ b/crates/core/src/overload/usage.rs
@@ -11,7 +11,7 @@
 /// The work a second, as a part of the most of all windows, from which on a window tells the cost
 /// of work: all that the process does besides counts as well.
 const MIN_RATE: f64 = 0.5;
-/// The quantile of the costs that counts: what is done for the first time costs more.
+/// The quantile of the costs that counts.
 const QUANTILE: f64 = 0.5;
 /// The usage, as a part of the share, below which the processor is not full whatever is owed.
 const MIN_USAGE: f64 = 0.8;
