A share of which an idle entry takes half is used all the same

Callers saw some connections closed before any crowd at 0.02 of a core: the processor's clock counted as one that shows usage only once usage was below half of the share, and an idle entry takes 10 ms a second of the 20. So the share was never used there and the wait for the processor decided alone.

A clock that runs on without work shows a whole core. It counts as usable after four windows in a row below 0.95 of a core, and not where it shows more while the share is less; a pause of the process makes one such window only.

--- a/crates/core/src/overload/usage.rs
+++ b/crates/core/src/overload/usage.rs
@@ -17,9 +17,10 @@
 const MIN_USAGE: f64 = 0.8;
 /// What a share that was exceeded keeps of the excess with each window.
 const KEEP_EXCESS: f64 = 0.8;
-/// The usage, as a part of the share, below which a process must have been once: a clock that runs
-/// on without work does not show its usage.
-const IDLE_USAGE: f64 = 0.5;
+/// The usage in cores from which on a clock looks as if it ran on without work, and the windows in
+/// a row below it after which it shows usage.
+const WALL_CLOCK: f64 = 0.95;
+const MIN_SHOWN: usize = 4;
 
 /// The usage of the processor by work.
 #[derive(Clone, Debug)]
@@ -28,7 +29,8 @@
     cores: f64,
     /// The cores that were used beyond the share.
     excess: f64,
-    was_idle: bool,
+    /// The windows in a row in which the clock showed usage, up to as many as it takes.
+    shown: usize,
     began: Time,
     used: Span,
     work: f64,
@@ -51,7 +53,7 @@
         Usage {
             cores,
             excess: 0.0,
-            was_idle: false,
+            shown: 0,
             began: now,
             used: Span::default(),
             work: 0.0,
@@ -71,7 +73,7 @@
         let rate = (work - self.work) / seconds;
         self.last = (used - self.used).secs_f64() / seconds;
         self.excess = (self.last - self.cores).max(self.excess * KEEP_EXCESS);
-        self.was_idle |= self.last < self.cores * IDLE_USAGE;
+        self.shown = self.count_shown();
         (self.began, self.used, self.work) = (now, used, work);
         if rate > 0.0 {
             let cost = self.last / rate;
@@ -83,6 +85,19 @@
         }
     }
 
+    fn count_shown(&self) -> usize {
+        match self.last < WALL_CLOCK {
+            true => (self.shown + 1).min(MIN_SHOWN),
+            false if self.cores >= WALL_CLOCK => self.shown,
+            false => 0,
+        }
+    }
+
+    /// Returns whether the clock shows usage.
+    fn shows_usage(&self) -> bool {
+        self.shown == MIN_SHOWN
+    }
+
     fn usual_cost(&self) -> Option<f64> {
         if self.windows.len() < MIN_WINDOWS {
             return None;
@@ -97,7 +112,7 @@
 
     /// Returns the work that a part of the share can do in a second, if that is known.
     pub fn capacity(&self, part: f64) -> Option<f64> {
-        let cost = self.cost.filter(|_| self.was_idle)?;
+        let cost = self.cost.filter(|_| self.shows_usage())?;
         Some(self.share() * part / cost)
     }
 
