A link that is behind is seen by how long connections to upstreams take to open

On a link of 10 Mbit/s the bound never bound before the link was full: at a counted 1,004 of 1,250 kB/s requests waited 1.2 to 1.4 s for their first byte, and nothing that is counted shows it (packets, what other entries send, what comes in).

The times that connections take to open are compared with the shortest of the same upstream. Where all of them take 75 ms longer for 250 ms, while half of the bandwidth or more is used, the link is behind: no connection is taken, the pace is what was seen to be sent, and connections get 1.8 s to open. The pace of the processor moved to pace.rs and serves both.

--- a/crates/core/src/overload/link.rs
+++ b/crates/core/src/overload/link.rs
@@ -1,7 +1,10 @@
 //! The network link: the bytes that requests let in will send.
 
 use super::meter::{Average, Meter};
+use super::pace::Pace;
+use super::wait::Opens;
 use crate::unit::{Size, Span, Time};
+use std::net::SocketAddr;
 
 /// The part of the bandwidth that is let in; the rest is for headers of packets, other entries and
 /// the store.
@@ -11,30 +14,55 @@
 /// The bytes of a request before any was seen.
 const ASSUMED: f64 = 8_000.0;
 const BITS: f64 = 8.0;
+/// The bytes that were sent lately, as a part of the bandwidth, below which connections that open
+/// slowly have another cause than the link.
+const MIN_SENT: f64 = 0.5;
+const SENT_OVER: Span = Span::from_millis(500);
+/// How long a connection to an upstream may take to open: halls are a millisecond or so apart, and
+/// a full queue of connections drops the first packet for a second. A link that is behind holds all
+/// connections up, and what is given up is sent anew.
+const CONNECT_TIMEOUT: Span = Span::from_millis(600);
+const CONNECT_TIMEOUT_BEHIND: Span = Span::from_millis(1_800);
 
 /// The bandwidth of a link and what it owes.
 #[derive(Clone, Debug)]
 pub(super) struct Link {
-    /// The bytes that are let in a second; `None` if the bandwidth is unknown.
-    pace: Option<f64>,
+    /// The bytes a second; `None` if the bandwidth is unknown.
+    bandwidth: Option<f64>,
+    pace: Pace,
+    opens: Opens,
     average: Average,
     meter: Meter,
-    sent: u64,
 }
 
 impl Link {
     pub fn new(mbps: f64, now: Time) -> Link {
         Link {
-            pace: (mbps > 0.0).then_some(mbps * 1e6 / BITS * HEADROOM),
+            bandwidth: (mbps > 0.0).then_some(mbps * 1e6 / BITS),
+            pace: Pace::new(now),
+            opens: Opens::default(),
             average: Average::new(ASSUMED),
             meter: Meter::new(now),
-            sent: 0,
         }
     }
 
     pub fn send(&mut self, size: Size) {
-        self.sent += size.bytes();
-        self.average.spend(size.bytes() as f64);
+        let bytes = size.bytes() as f64;
+        self.pace.work(bytes);
+        self.average.spend(bytes);
+    }
+
+    /// Returns how long a connection to an upstream may take to open.
+    pub fn connect_timeout(&self, now: Time) -> Span {
+        match self.behind_since(now) {
+            Some(_) => CONNECT_TIMEOUT_BEHIND,
+            None => CONNECT_TIMEOUT,
+        }
+    }
+
+    /// Records that a connection to an upstream took this long to open, or did not open until then.
+    pub fn open(&mut self, upstream: SocketAddr, took: Span, now: Time) {
+        self.opens.record(upstream, took, now);
     }
 
     pub fn begin(&mut self) {
@@ -50,25 +78,53 @@
         self.meter.charge(self.average.get());
     }
 
+    /// Updates the pace.
+    pub fn step(&mut self, now: Time) {
+        let Some(passed) = self.pace.mark(now) else {
+            return;
+        };
+        let behind = self.behind_since(now);
+        self.pace.step(behind, &mut self.meter, passed, now);
+    }
+
     /// Returns whether the link cannot take another request.
     pub fn is_full(&mut self, now: Time) -> bool {
-        let Some(pace) = self.pace else {
+        self.step(now);
+        if self.behind_since(now).is_some() {
+            return true;
+        }
+        let Some(limit) = self.limit() else {
             return false;
         };
-        self.meter.drain(pace, now);
-        self.meter.owed(pace) > DEPTH
+        self.meter.drain(limit, now);
+        self.meter.owed(limit) > DEPTH
+    }
+
+    /// Returns since when the link is behind, if it is.
+    fn behind_since(&self, now: Time) -> Option<Time> {
+        let sent = self.pace.rate(SENT_OVER, now);
+        let is_used = self
+            .bandwidth
+            .is_some_and(|bandwidth| sent >= bandwidth * MIN_SENT);
+        self.opens.behind_since(now).filter(|_| is_used)
+    }
+
+    /// Returns the bytes that are let in a second, if they are limited.
+    fn limit(&self) -> Option<f64> {
+        let told = self.bandwidth? * HEADROOM;
+        Some(self.pace.limit().map_or(told, |seen| seen.min(told)))
     }
 
     pub fn owed(&self, now: Time) -> Span {
-        let Some(pace) = self.pace else {
+        let Some(limit) = self.limit() else {
             return Span::default();
         };
         let mut meter = self.meter;
-        meter.drain(pace, now);
-        meter.owed(pace)
+        meter.drain(limit, now);
+        meter.owed(limit)
     }
 
     pub fn sent(&self) -> Size {
-        Size::from_bytes(self.sent)
+        Size::from_bytes(self.pace.done() as u64)
     }
 }
--- a/crates/core/src/overload/mod.rs
+++ b/crates/core/src/overload/mod.rs
@@ -25,6 +25,7 @@
 mod link;
 mod memory;
 mod meter;
+mod pace;
 mod processor;
 mod readiness;
 mod usage;
@@ -38,6 +39,7 @@
 use processor::Processor;
 use readiness::Readiness;
 use std::fmt;
+use std::net::SocketAddr;
 
 /// The part of the descriptors that connections may take; each request also takes one to an
 /// upstream.
@@ -264,6 +266,19 @@
         self.link.send(size);
     }
 
+    /// Returns how long a connection to an upstream may take to open.
+    pub fn connect_timeout(&self, now: Time) -> Span {
+        self.link.connect_timeout(now)
+    }
+
+    /// Records that a connection to an upstream took this long to open, or did not open until then.
+    pub fn connect(&mut self, upstream: SocketAddr, took: Span, now: Time) {
+        // The task that noticed it may have waited for the processor.
+        if !self.processor.waits.is_long(now) {
+            self.link.open(upstream, took, now);
+        }
+    }
+
     /// Records that the answer to a request has ended.
     pub fn end(&mut self) {
         self.requests = self.requests.saturating_sub(1);
@@ -289,6 +304,7 @@
     /// Updates the state; returns whether a time in which connections are closed began or ended.
     pub fn step(&mut self, now: Time) -> Option<Change> {
         self.processor.step(now);
+        self.link.step(now);
         self.readiness.step(now);
         let is_full = self.readiness.full_since(now).is_some();
         let owed = self.owed(now);
--- a/crates/core/src/overload/processor.rs
+++ b/crates/core/src/overload/processor.rs
@@ -1,29 +1,18 @@
 //! The processor: how much work it can do in a second, and how much of that is owed.
 
 use super::meter::{Average, Meter};
+use super::pace::Pace;
 use super::usage::Usage;
 use super::wait::Waits;
 use super::Work;
 use crate::unit::{Span, Time};
 
-/// The part of the measured capacity that is let in, so that a queue gets shorter.
+/// The part of the share that is let in.
 const HEADROOM: f64 = 0.9;
 /// Time for which the processor may owe work beyond its pace: requests come at random.
 const DEPTH: Span = Span::from_millis(250);
 /// The requests whose work it may owe in any case: on a slow instance one takes long.
 const MIN_REQUESTS: f64 = 10.0;
-/// The longest time over which capacity is measured, and the shortest.
-const LONGEST: Span = Span::from_millis(1_000);
-const SHORTEST: Span = Span::from_millis(150);
-/// The time between two updates of the pace.
-const STEP: Span = Span::from_millis(20);
-/// By how much the pace grows in a second: little soon after the processor was behind, and more
-/// later, since it may have been slow for another reason.
-const GROWTH: f64 = 0.05;
-const FAST_GROWTH: f64 = 0.5;
-const SLOW_FOR: Span = Span::from_millis(2_500);
-/// How long after the processor was behind a pace is kept that nothing comes near.
-const FORGET_AFTER: Span = Span::from_millis(10_000);
 /// The time over which the rate of work is taken, and the time in which the most that was seen
 /// counts half.
 const RATE_OVER: Span = Span::from_millis(250);
@@ -40,17 +29,10 @@
 #[derive(Clone, Debug)]
 pub(super) struct Processor {
     pub waits: Waits,
-    /// All work done so far.
-    done: f64,
-    /// The times of measurement and the work done by then.
-    marks: Vec<(Time, f64)>,
+    pace: Pace,
     /// The most work a second that was seen, as it counts by now.
     most: f64,
-    /// The work that is let in a second, once the processor was behind.
-    pace: Option<f64>,
     usage: Usage,
-    behind_at: Time,
-    stepped_at: Time,
     average: Average,
     meter: Meter,
 }
@@ -59,13 +41,9 @@
     pub fn new(cores: f64, now: Time) -> Processor {
         Processor {
             waits: Waits::default(),
-            done: 0.0,
-            marks: Vec::new(),
+            pace: Pace::new(now),
             most: 0.0,
-            pace: None,
             usage: Usage::new(cores, now),
-            behind_at: now,
-            stepped_at: now,
             average: Average::new(ASSUMED),
             meter: Meter::new(now),
         }
@@ -73,7 +51,7 @@
 
     pub fn work(&mut self, work: Work) {
         let units = work.units();
-        self.done += units;
+        self.pace.work(units);
         self.average.spend(units);
     }
 
@@ -95,8 +73,8 @@
     /// wait, if that is longer.
     pub fn owed(&self, now: Time) -> Span {
         let owed = self
-            .pace()
-            .map_or(Span::default(), |pace| self.meter.owed(pace));
+            .limit()
+            .map_or(Span::default(), |limit| self.meter.owed(limit));
         owed.max(self.waits.last(now))
     }
 
@@ -106,20 +84,20 @@
         if self.behind_since(now).is_some() {
             return true;
         }
-        let Some(pace) = self.pace() else {
+        let Some(limit) = self.limit() else {
             self.meter.clear(now);
             return false;
         };
-        self.meter.drain(pace, now);
-        let is_proven = self.pace.is_some() || self.usage.is_busy();
-        let requests = Span::from_secs_f64(MIN_REQUESTS * self.average.get() / pace);
-        self.meter.owed(pace) > DEPTH.max(requests) && is_proven
+        self.meter.drain(limit, now);
+        let is_proven = self.pace.limit().is_some() || self.usage.is_busy();
+        let requests = Span::from_secs_f64(MIN_REQUESTS * self.average.get() / limit);
+        self.meter.owed(limit) > DEPTH.max(requests) && is_proven
     }
 
     /// Returns the work that may be let in a second, if it is limited.
-    fn pace(&self) -> Option<f64> {
+    fn limit(&self) -> Option<f64> {
         let by_share = self.usage.capacity(HEADROOM);
-        match (self.pace, by_share) {
+        match (self.pace.limit(), by_share) {
             (Some(seen), Some(by_share)) => Some(seen.min(by_share)),
             (seen, by_share) => seen.or(by_share),
         }
@@ -127,37 +105,23 @@
 
     /// Records all processor time used until now.
     pub fn use_time(&mut self, used: Span, now: Time) {
-        self.usage.record(used, self.done, now);
+        self.usage.record(used, self.pace.done(), now);
     }
 
     /// Updates the pace.
     pub fn step(&mut self, now: Time) {
-        let passed = now.since(self.stepped_at);
-        if passed < STEP {
+        let Some(passed) = self.pace.mark(now) else {
             return;
-        }
-        self.stepped_at = now;
-        self.mark(passed, now);
-        match self.behind_since(now) {
-            Some(since) => self.measure(since, now),
-            None => self.grow(passed, now),
-        }
-    }
-
-    fn mark(&mut self, passed: Span, now: Time) {
-        self.marks.push((now, self.done));
-        self.marks.retain(|(at, _)| now.since(*at) <= LONGEST);
+        };
         let faded = 0.5_f64.powf(passed.secs_f64() / HALF_LIFE.secs_f64());
         self.most = (self.most * faded).max(self.rate(now));
+        let behind = self.behind_since(now);
+        self.pace.step(behind, &mut self.meter, passed, now);
     }
 
     /// Returns the work a second that was done lately.
     fn rate(&self, now: Time) -> f64 {
-        let mut recent = self.marks.iter().rev();
-        let Some((at, done)) = recent.find(|(at, _)| now.since(*at) >= RATE_OVER) else {
-            return 0.0;
-        };
-        (self.done - done) / now.since(*at).secs_f64()
+        self.pace.rate(RATE_OVER, now)
     }
 
     /// Returns since when the processor is behind, if it is.
@@ -167,30 +131,4 @@
         let is_early = is_near_most && !self.usage.is_proven();
         (is_early || now.since(since) >= LONG_BEHIND).then_some(since)
     }
-
-    /// Sets the pace to what was done since the processor is behind.
-    fn measure(&mut self, since: Time, now: Time) {
-        self.behind_at = now;
-        let first = self.marks.iter().find(|(at, _)| *at >= since);
-        let Some((at, done)) = first.filter(|(at, _)| now.since(*at) >= SHORTEST) else {
-            return;
-        };
-        let capacity = (self.done - done) / now.since(*at).secs_f64();
-        self.pace = Some((capacity * HEADROOM).max(1.0));
-    }
-
-    fn grow(&mut self, passed: Span, now: Time) {
-        let Some(pace) = self.pace else {
-            return;
-        };
-        let quiet = now.since(self.behind_at);
-        let growth = match quiet < SLOW_FOR {
-            true => GROWTH,
-            false => FAST_GROWTH,
-        };
-        let pace = pace * (1.0 + growth * passed.secs_f64());
-        self.meter.drain(pace, now);
-        let is_near = self.meter.owed(pace) > Span::default();
-        self.pace = (is_near || quiet < FORGET_AFTER).then_some(pace);
-    }
 }
--- a/crates/daemon/src/hosted/client.rs
+++ b/crates/daemon/src/hosted/client.rs
@@ -24,6 +24,7 @@
 use sorreldeck_net::reach;
 use sorreldeck_platform::call;
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -231,9 +232,17 @@
                 }
             }
         }
-        Channel::open(address)
-            .await
-            .map_err(|e| Failure::not_run(Reason::LinkLost, format!("no connection: {e}")))
+        let began = self.clock.now();
+        let time = self.load.connect_timeout();
+        let channel = Channel::open(address, time.into()).await;
+        let is_known = match &channel {
+            Ok(_) => true,
+            Err(e) => e.kind() == ErrorKind::TimedOut,
+        };
+        if is_known {
+            self.load.connect(address, self.clock.now().since(began));
+        }
+        channel.map_err(|e| Failure::not_run(Reason::LinkLost, format!("no connection: {e}")))
     }
 
     fn pooled_channel(&self, address: SocketAddr) -> Option<Channel> {
--- a/crates/daemon/src/hosted/load.rs
+++ b/crates/daemon/src/hosted/load.rs
@@ -8,6 +8,7 @@
 use log::info;
 use sorreldeck::overload::{Change, Decision, Limits, Monitor, Owed};
 use sorreldeck::{Size, Span, Time};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -84,6 +85,18 @@
         self.monitor().send(Size::from_bytes(bytes as u64));
     }
 
+    /// Returns how long a connection to an upstream may take to open.
+    pub fn connect_timeout(&self) -> Span {
+        let now = self.0.clock.now();
+        self.monitor().connect_timeout(now)
+    }
+
+    /// Records that a connection to an upstream took this long to open, or did not open until then.
+    pub fn connect(&self, upstream: SocketAddr, took: Span) {
+        let now = self.0.clock.now();
+        self.monitor().connect(upstream, took, now);
+    }
+
     /// Updates the state and logs where connections begin or cease to be closed unread.
     pub fn step(&self) {
         let now = self.0.clock.now();
--- a/crates/emulator/src/overload/instance.rs
+++ b/crates/emulator/src/overload/instance.rs
@@ -117,6 +117,11 @@
         self.link_free_at
     }
 
+    /// Returns how long bytes that are sent now wait for those before them.
+    pub fn link_wait(&self, now: Time) -> Span {
+        self.link_free_at.max(now).since(now)
+    }
+
     /// Returns the memory in use in bytes.
     pub fn memory(&self) -> u64 {
         IDLE_MEMORY + self.connections * CONNECTION_MEMORY + self.bodies
@@ -138,7 +143,7 @@
     let limits = Limits {
         cores: spec.told_cores,
         memory: Size::from_bytes(spec.memory * MB),
-        mbps: spec.mbps,
+        mbps: spec.told_mbps,
         descriptors: 0,
     };
     Monitor::new(limits, phase, now)
--- a/crates/emulator/src/overload/scenario.rs
+++ b/crates/emulator/src/overload/scenario.rs
@@ -11,17 +11,20 @@
     pub told_cores: f64,
     /// The bandwidth in Mbit/s.
     pub mbps: f64,
+    /// The bandwidth that the entry is told.
+    pub told_mbps: f64,
     /// The memory in MB.
     pub memory: u64,
 }
 
 impl Instance {
-    /// Creates the resources of an instance whose entry is told its share.
+    /// Creates the resources of an instance whose entry is told its share and bandwidth.
     pub fn new(cores: f64, mbps: f64, memory: u64) -> Instance {
         Instance {
             cores,
             told_cores: cores,
             mbps,
+            told_mbps: mbps,
             memory,
         }
     }
--- a/crates/emulator/src/overload/world.rs
+++ b/crates/emulator/src/overload/world.rs
@@ -10,6 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use sorreldeck::overload::Decision;
 use sorreldeck::{Size, Span, Time};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 const START: Time = Time(1_000_000);
 const TICK: Span = Span::from_millis(20);
@@ -20,6 +21,8 @@
 /// The bytes of a head, and those of an event.
 const HEAD_BYTES: u64 = 500;
 const EVENT_BYTES: u64 = 120;
+/// All upstreams are alike.
+const UPSTREAM: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
 /// How long a restarted entry is away.
 const AWAY: Span = Span::from_millis(1_500);
 
@@ -29,6 +32,8 @@
     Arrive(usize),
     Queue(usize, u32, Task),
     Done(usize, u32, Task),
+    /// A connection to an upstream has opened.
+    Opened(usize, u32, Span),
     Deliver(usize),
     GiveUpUnread(usize),
     GiveUp(usize),
@@ -130,6 +135,7 @@
             Event::Arrive(number) => self.arrive(number),
             Event::Queue(entry, life, task) => self.push(entry, life, task),
             Event::Done(entry, life, task) => self.finish(entry, life, task),
+            Event::Opened(entry, life, took) => self.opened(entry, life, took),
             Event::Deliver(number) => self.deliver(number),
             Event::GiveUpUnread(number) if self.tries[number].stage == Stage::Unread => {
                 self.leave(number);
@@ -352,6 +358,9 @@
         let body = self.requests[self.tries[number].request].body;
         let instance = &mut self.instances[entry];
         let life = instance.life;
+        let opens = instance.link_wait(self.now) + NETWORK + NETWORK;
+        self.schedule
+            .push(self.now + opens, Event::Opened(entry, life, opens));
         instance.monitor.send(Size::from_bytes(body + HEAD_BYTES));
         let sent = instance.send(body + HEAD_BYTES, self.now);
         for event in 1..=self.scenario.events {
@@ -362,6 +371,13 @@
         }
     }
 
+    fn opened(&mut self, entry: usize, life: u32, took: Span) {
+        let instance = &mut self.instances[entry];
+        if instance.life == life {
+            instance.monitor.connect(UPSTREAM, took, self.now);
+        }
+    }
+
     fn pass_on(&mut self, entry: usize, number: usize) {
         if self.tries[number].stage != Stage::Read {
             return;
--- a/crates/net/src/h1.rs
+++ b/crates/net/src/h1.rs
@@ -7,8 +7,10 @@
 //! ```no_run
 //! # async_std::task::block_on(async {
 //! use sorreldeck_net::h1::Channel;
+//! use std::time::Duration;
 //!
-//! let channel = Channel::open("127.0.0.1:8080".parse().unwrap()).await?;
+//! let time = Duration::from_millis(600);
+//! let channel = Channel::open("127.0.0.1:8080".parse().unwrap(), time).await?;
 //! assert!(channel.is_open());
 //! # Ok::<(), std::io::Error>(())
 //! # }).unwrap();
@@ -36,9 +38,6 @@
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
-/// How long a connection may take to open: halls are a millisecond or so apart,
-/// and a full queue of connections drops the first packet for a second.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// How often a connection is looked at for having been idle too long.
 const LOOK_EVERY: Duration = Duration::from_millis(1000);
 
@@ -379,8 +378,8 @@
     /// # Errors
     ///
     /// Fails when there is no connection in time.
-    pub async fn open(address: SocketAddr) -> io::Result<Channel> {
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    pub async fn open(address: SocketAddr, time: Duration) -> io::Result<Channel> {
+        let stream = timeout(time, TcpStream::connect(address)).await;
         let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
         let handshake = client::Builder::new()
