A processor is seen to be busy within 100 ms

Where the share is known, the bound counts only while the share is used, which was looked at over 250 ms.

--- a/crates/core/src/overload/usage.rs
+++ b/crates/core/src/overload/usage.rs
@@ -6,6 +6,8 @@
 
 /// The time over which usage is summed.
 const WINDOW: Span = Span::from_millis(250);
+/// The time over which usage tells whether the processor is busy.
+const BUSY_OVER: Span = Span::from_millis(100);
 /// The windows that are kept, and those without which the cost of work is unknown.
 const MAX_WINDOWS: usize = 64;
 const MIN_WINDOWS: usize = 8;
@@ -40,6 +42,9 @@
     work: f64,
     /// The usage of the last window, in cores.
     last: f64,
+    /// The usage of a shorter time, in cores, and when the next such time began with which usage.
+    lately: f64,
+    lately_began: (Time, Span),
     windows: VecDeque<Window>,
     /// The processor time of a unit of work in seconds, if it is known.
     cost: Option<f64>,
@@ -63,6 +68,8 @@
             used: Span::default(),
             work: 0.0,
             last: 0.0,
+            lately: 0.0,
+            lately_began: (now, Span::default()),
             windows: VecDeque::new(),
             cost: None,
         }
@@ -70,6 +77,7 @@
 
     /// Records all processor time that was used and all work that was done until now.
     pub fn record(&mut self, used: Span, work: f64, now: Time) {
+        self.record_lately(used, now);
         let passed = now.since(self.began);
         if passed < WINDOW {
             return;
@@ -91,6 +99,15 @@
         }
     }
 
+    fn record_lately(&mut self, used: Span, now: Time) {
+        let (began, before) = self.lately_began;
+        let passed = now.since(began);
+        if passed >= BUSY_OVER {
+            self.lately = (used - before).secs_f64() / passed.secs_f64();
+            self.lately_began = (now, used);
+        }
+    }
+
     fn count_shown(&self) -> usize {
         match self.last < WALL_CLOCK {
             true => (self.shown + 1).min(MIN_SHOWN),
@@ -129,7 +146,7 @@
 
     /// Returns whether much of the share was used lately.
     pub fn is_busy(&self) -> bool {
-        self.last >= self.share() * MIN_USAGE
+        self.last.max(self.lately) >= self.share() * MIN_USAGE
     }
 
     fn share(&self) -> f64 {
