An entry that is full for 300 ms says so

A hall whose only entry is full turns away what has no other entry to try until the load balancer has noticed, which takes one to two seconds from the answer on; the first 700 ms of it were ours. That the share turned away must be a quarter stays.

--- a/crates/core/src/overload/readiness.rs
+++ b/crates/core/src/overload/readiness.rs
@@ -2,9 +2,9 @@
 
 use crate::unit::{Span, Time};
 
-/// How long an entry must have been full: a load balancer that asks once a second would not notice
-/// a shorter time, and callers that are turned away find another entry at once.
-const FULL_FOR: Span = Span::from_millis(700);
+/// How long an entry must have been full, so that a burst does not count. A load balancer takes
+/// seconds to notice, and whoever retries may reach the same entry until then.
+const FULL_FOR: Span = Span::from_millis(300);
 /// The part of the connections of that time that must have been turned away: an entry that is only
 /// a little over its capacity helps more while it is in.
 const TURNED_AWAY: f64 = 0.25;
