--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -14,6 +14,8 @@
 /// How much longer the slowest in twenty may take.
 const LONGER: Span = Span::from_millis(500);
 const PEAK_MEMORY: f64 = 0.8;
+/// How long it may take from the first sign of a full entry to the first connection closed unread.
+const FIRST_CLOSED: Span = Span::from_millis(300);
 
 fn thin() -> Instance {
     Instance::new(0.04, 100.0, 100)
@@ -103,6 +105,43 @@
     }
 }
 
+/// Where the share is known, the first sign is the first connection beyond it.
+#[test]
+fn an_entry_that_gets_four_times_its_share_closes_a_connection_within_300_ms() {
+    for seed in SEEDS {
+        let scenario = Scenario {
+            instances: mixed(),
+            crowds: vec![crowd(6_000, 0, 240.0)],
+            ..Scenario::default()
+        };
+        let tally = play(scenario, seed);
+        let begin = tally.start + tally.crowds[0].at;
+        let first = tally.closed.iter().find(|at| **at >= begin);
+        let after = first.expect("a connection is closed").since(begin);
+        assert!(after <= FIRST_CLOSED, "seed {seed}: {after}");
+    }
+}
+
+/// Where the share is not known, the first sign is the first task that waits.
+#[test]
+fn an_entry_whose_tasks_wait_closes_a_connection_within_300_ms() {
+    const WAIT: u64 = 30_000;
+    let mut monitor = Monitor::new(Limits::default(), 0.0, Time(0));
+    let mut closed_at = None;
+    for probe in 0..20 {
+        let (queued, ran) = (Time(probe * WAIT), Time((probe + 1) * WAIT));
+        monitor.waits().queue(queued);
+        monitor.step(queued);
+        if monitor.decide(queued) != Decision::Accept {
+            closed_at = Some(queued);
+            break;
+        }
+        monitor.waits().run(ran);
+    }
+    let closed_at = closed_at.expect("a connection is closed");
+    assert!(closed_at.since(Time(0)) <= FIRST_CLOSED, "{closed_at:?}");
+}
+
 #[test_case(vec![thin(); 12], 120.0, 30.0; "what a thin entry can do")]
 #[test_case(vec![strong(); 12], 600.0, 140.0; "what a strong entry can do")]
 #[test_case(mixed(), 200.0, 200.0 / 9.0; "all entries alike")]
