--- a/crates/daemon/tests/throttled/entry.rs
+++ b/crates/daemon/tests/throttled/entry.rs
@@ -2,9 +2,10 @@
 
 use crate::store::Store;
 use serde_json::json;
+use std::fs::File;
 use std::net::{SocketAddr, TcpListener};
 use std::ops::Range;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
 use std::sync::Arc;
@@ -54,20 +55,10 @@
         let settings = std::env::temp_dir().join(format!("{unique}.json"));
         let log = std::env::temp_dir().join(format!("{unique}.log"));
         std::fs::write(&settings, text.to_string()).unwrap();
-        let keys = format!("1:{}", "42".repeat(32));
-        let child = Command::new(env!("CARGO_BIN_EXE_sorreldeckd"))
-            .arg("hosted")
-            .env("SORRELDECK_NODE_FILE", &settings)
-            .env("SORRELDECK_LINK_KEYS", &keys)
-            .env("SORRELDECK_SESSION_KEYS", &keys)
-            .stdout(std::fs::File::create(&log).unwrap())
-            .stderr(Stdio::null())
-            .spawn()
-            .unwrap();
         Entry {
             callers,
             ready,
-            child,
+            child: spawn(&settings, &log),
             held: Arc::default(),
             throttle: None,
             settings,
@@ -97,6 +88,24 @@
         }));
     }
 
+    /// Kills the process and starts it again, with the same share.
+    pub fn restart(&mut self, share: f64) {
+        self.kill();
+        self.child = spawn(&self.settings, &self.log);
+        self.throttle(share);
+    }
+
+    fn kill(&mut self) {
+        self.held.store(false, Ordering::Relaxed);
+        if let Some(throttle) = self.throttle.take() {
+            // A thread that panicked has nothing left to undo.
+            let _ = throttle.join();
+        }
+        // Fails only if the process has ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
     /// Returns whether the process still runs.
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
@@ -124,14 +133,7 @@
 
 impl Drop for Entry {
     fn drop(&mut self) {
-        self.held.store(false, Ordering::Relaxed);
-        if let Some(throttle) = self.throttle.take() {
-            // A thread that panicked has nothing left to undo.
-            let _ = throttle.join();
-        }
-        // Fails only if the process has ended by itself.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
         if !thread::panicking() {
             let _ = std::fs::remove_file(&self.log);
         }
@@ -139,6 +141,20 @@
     }
 }
 
+fn spawn(settings: &Path, log: &Path) -> Child {
+    let keys = format!("1:{}", "42".repeat(32));
+    let log = File::options().create(true).append(true).open(log);
+    Command::new(env!("CARGO_BIN_EXE_sorreldeckd"))
+        .arg("hosted")
+        .env("SORRELDECK_NODE_FILE", settings)
+        .env("SORRELDECK_LINK_KEYS", &keys)
+        .env("SORRELDECK_SESSION_KEYS", &keys)
+        .stdout(log.unwrap())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap()
+}
+
 fn signal(pid: i32, signal: i32) {
     // SAFETY: the process was started by this test and has not been waited for.
     unsafe { libc::kill(pid, signal) };
--- a/crates/daemon/tests/throttled/most_connections_at_one_slow_entry.rs
+++ b/crates/daemon/tests/throttled/most_connections_at_one_slow_entry.rs
@@ -10,6 +10,8 @@
 /// How long most connections go to one entry, and from when on it is judged.
 const LASTS: Duration = Duration::from_millis(9_000);
 const JUDGED_AFTER: Duration = Duration::from_millis(4_000);
+/// When an entry is restarted.
+const RESTARTED_AFTER: Duration = Duration::from_millis(2_000);
 /// How often first tries that were read are served, against before.
 const SERVED_FIRST: f64 = 0.95;
 /// How many of all requests are served, in how many tries on average.
@@ -78,6 +80,13 @@
     assert!(play.closed > 0, "no connection was closed unread");
 }
 
+#[test]
+fn first_tries_that_a_slow_entry_reads_are_served_after_it_was_restarted_meanwhile() {
+    let _turn = TURN.lock().unwrap_or_else(|e| e.into_inner());
+    let play = task::block_on(play_with(0.04, 0.04, 120.0, Some(RESTARTED_AFTER)));
+    play.check();
+}
+
 #[test]
 fn an_entry_below_its_capacity_closes_no_connection_unread() {
     let _turn = TURN.lock().unwrap_or_else(|e| e.into_inner());
@@ -112,6 +121,11 @@
 
 /// `told` is the share that the settings tell.
 async fn play(share: f64, told: f64, per_s: f64) -> Play {
+    play_with(share, told, per_s, None).await
+}
+
+/// Restarts the entry that gets most connections, this long after it began to.
+async fn play_with(share: f64, told: f64, per_s: f64, restart: Option<Duration>) -> Play {
     let store = start_store().await;
     let limits = Limits {
         share: told,
@@ -138,7 +152,13 @@
     for favourite in [0, 5] {
         balancer.favour(favourite);
         let began = Instant::now();
-        let calls = client.send_until(began + LASTS, per_s).await;
+        let sender = client.clone();
+        let calls = task::spawn(async move { sender.send_until(began + LASTS, per_s).await });
+        if let Some(after) = restart {
+            task::sleep(after).await;
+            entries[favourite].restart(share);
+        }
+        let calls = calls.await;
         let late = calls.iter().filter(|c| c.asked > began + JUDGED_AFTER);
         let seen = Seen::of(late);
         println!("most at one: {seen}");
