Processes that are held to a share get it on a busy machine, too

The process runs for 2 ms of 50; where others use the same core, it had less than its 0.04. A process that still wants to run when its time is over, and has not used it, now goes on until it has; more than its share it never gets.

No bound was changed. The processor time of an entry is read by the same clock as this.

--- a/crates/daemon/tests/throttled/entry.rs
+++ b/crates/daemon/tests/throttled/entry.rs
@@ -15,6 +15,9 @@
 /// The period of which a process runs a part.
 const PERIOD: Duration = Duration::from_millis(50);
 
+/// How often a process is looked at that has not had its part of a period.
+const LOOK_EVERY: Duration = Duration::from_micros(500);
+
 /// Ports below those of outgoing connections.
 const PORTS: Range<u16> = 20_000..30_000;
 
@@ -78,8 +81,16 @@
             thread::sleep(offset);
             let mut next = Instant::now();
             while held.load(Ordering::Relaxed) {
+                let before = processor_time(pid);
                 signal(pid, libc::SIGCONT);
                 thread::sleep(runs);
+                // On a busy machine a process that wants to run may not have had its part yet.
+                while is_runnable(pid)
+                    && processor_time(pid) < before.saturating_add(runs)
+                    && Instant::now() + LOOK_EVERY < next + PERIOD
+                {
+                    thread::sleep(LOOK_EVERY);
+                }
                 signal(pid, libc::SIGSTOP);
                 next += PERIOD;
                 thread::sleep(next.saturating_duration_since(Instant::now()));
@@ -113,14 +124,7 @@
 
     /// Returns the processor time that the process has used.
     pub fn used(&self) -> Duration {
-        const TICKS_PER_S: f64 = 100.0;
-        let path = format!("/proc/{}/stat", self.child.id());
-        let stat = std::fs::read_to_string(path).unwrap();
-        let (_, fields) = stat.rsplit_once(')').unwrap();
-        // The times in user mode and in the kernel.
-        let ticks = fields.split_whitespace().skip(11).take(2);
-        let ticks: f64 = ticks.map(|n| n.parse::<f64>().unwrap()).sum();
-        Duration::from_secs_f64(ticks / TICKS_PER_S)
+        processor_time(self.child.id() as i32)
     }
 
     /// Returns the lines of the log that contain a text.
@@ -160,6 +164,38 @@
     unsafe { libc::kill(pid, signal) };
 }
 
+/// Returns the processor time that a process has used.
+fn processor_time(pid: i32) -> Duration {
+    let mut clock = 0;
+    let mut time = libc::timespec {
+        tv_sec: 0,
+        tv_nsec: 0,
+    };
+    // SAFETY: both calls write to variables of this function only.
+    let failed = unsafe {
+        libc::clock_getcpuclockid(pid, &mut clock) != 0
+            || libc::clock_gettime(clock, &mut time) != 0
+    };
+    match failed {
+        // The process has ended.
+        true => Duration::MAX,
+        false => Duration::new(time.tv_sec as u64, time.tv_nsec as u32),
+    }
+}
+
+/// Returns whether a process wants to run.
+fn is_runnable(pid: i32) -> bool {
+    let tasks = std::fs::read_dir(format!("/proc/{pid}/task"));
+    let mut stats = tasks.into_iter().flatten().flatten().map(|task| {
+        let stat = std::fs::read_to_string(task.path().join("stat"));
+        stat.unwrap_or_default()
+    });
+    stats.any(|stat| {
+        stat.rsplit_once(") ")
+            .is_some_and(|(_, rest)| rest.starts_with('R'))
+    })
+}
+
 /// Returns an address of a port that nobody uses and that is given to no outgoing connection.
 fn free_address() -> SocketAddr {
     static NEXT: AtomicU16 = AtomicU16::new(0);
