--- a/crates/core/src/overload/mod.rs
+++ b/crates/core/src/overload/mod.rs
@@ -5,8 +5,9 @@
 //! another entry at once, and says that it is not ready while that goes on. What it has read it
 //! serves.
 //!
-//! The processor is full when tasks wait for it all the time; from then on no more is let in than it
-//! was seen to do. The link, the memory and the descriptors have limits that are known.
+//! The processor is full when more is owed than its share can do, or when tasks wait for it all the
+//! time; from then on no more is let in than it was seen to do. The same holds for the link, where
+//! connections to upstreams take long to open. Memory and descriptors have limits that are known.
 //!
 //! ```
 //! use sorreldeck::overload::{Decision, Limits, Monitor, Resource};
--- a/crates/core/src/overload/wait.rs
+++ b/crates/core/src/overload/wait.rs
@@ -51,8 +51,9 @@
 
 /// The waits of a probe task that is queued again and again.
 ///
-/// A probe waits behind all tasks that were ready before it. If every probe of some time waits
-/// long, the queue never gets empty in between; one that does may have met a single long task.
+/// A probe waits behind all tasks and sockets that were ready before it. If every probe of some
+/// time waits long, the queue never gets empty in between; one that does may have met a single
+/// long task.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Waits {
     queued: Option<Time>,
