Entries that are told no share close nothing below what they can do

What callers saw: where the settings or the platform tell no share of the processor, connections were closed unread by entries with none to two requests in progress.

Cause: an untold share is 0 cores, and what counts as the share is then only the usage beyond 0 that was seen lately. Since a clock counts as usable below a whole core, the capacity of such an entry was what it happened to do lately, so any growth looked full.

Ruled out: the waits that bounds (no closing named them); load (the machine was quiet).

Now the capacity is known only if a share is.

--- a/crates/core/src/overload/usage.rs
+++ b/crates/core/src/overload/usage.rs
@@ -133,9 +133,10 @@
         costs.get(index).copied().filter(|cost| *cost > 0.0)
     }
 
-    /// Returns the work that a part of the share can do in a second, if that is known.
+    /// Returns the work that a part of the share can do in a second, if both are known.
     pub fn capacity(&self, part: f64) -> Option<f64> {
-        let cost = self.cost.filter(|_| self.shows_usage())?;
+        let is_known = self.cores > 0.0 && self.shows_usage();
+        let cost = self.cost.filter(|_| is_known)?;
         Some(self.share() * part / cost)
     }
 
--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -155,6 +155,7 @@
 #[test_case(vec![thin(); 12], 120.0, 30.0; "what a thin entry can do")]
 #[test_case(vec![strong(); 12], 600.0, 140.0; "what a strong entry can do")]
 #[test_case(mixed(), 200.0, 200.0 / 9.0; "all entries alike")]
+#[test_case(vec![Instance { told_cores: 0.0, ..strong() }; 12], 120.0, 140.0; "entries that are told no share")]
 fn an_entry_below_its_capacity_closes_nothing_unread(
     instances: Vec<Instance>,
     before: f64,
