--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -84,6 +84,7 @@
 #[test_case(mixed(), 150.0, 240.0; "four times what a thin entry can do")]
 #[test_case(vec![Instance::new(0.02, 100.0, 100); 12], 60.0, 100.0; "entries half as strong")]
 #[test_case(vec![Instance { told_cores: 0.2, ..thin() }; 12], 120.0, 120.0; "entries that are told a larger share")]
+#[test_case(vec![Instance { told_cores: 0.0, ..thin() }; 12], 120.0, 120.0; "entries whose share is not told")]
 #[test_case(vec![Instance::new(0.5, 4.0, 100); 12], 300.0, 300.0; "the link is short")]
 #[test_case(vec![Instance { told_mbps: 6.0, ..Instance::new(0.5, 4.0, 100) }; 12], 300.0, 300.0; "the link carries less than it is told")]
 #[test_case(vec![Instance::new(0.5, 100.0, 30); 12], 800.0, 1_600.0; "the memory is short")]
