The room of overload keeps each count once

Requests in progress were counted by the monitor and by the processor, and usage sampled two spans with a copy each. One count and one type of sample remain; a link that is behind and a refused connection are read off in one expression.

--- a/crates/core/src/overload/link.rs
+++ b/crates/core/src/overload/link.rs
@@ -102,11 +102,10 @@
 
     /// Returns since when the link is behind, if it is.
     fn behind_since(&self, now: Time) -> Option<Time> {
+        let bandwidth = self.bandwidth?;
+        let since = self.opens.behind_since(now)?;
         let sent = self.pace.rate(SENT_OVER, now);
-        let is_used = self
-            .bandwidth
-            .is_some_and(|bandwidth| sent >= bandwidth * MIN_SENT);
-        self.opens.behind_since(now).filter(|_| is_used)
+        (sent >= bandwidth * MIN_SENT).then_some(since)
     }
 
     /// Returns the bytes that are let in a second, if they are limited.
--- a/crates/core/src/overload/mod.rs
+++ b/crates/core/src/overload/mod.rs
@@ -172,7 +172,6 @@
     memory: Memory,
     max_connections: usize,
     connections: usize,
-    requests: usize,
     readiness: Readiness,
     episode: Option<Episode>,
     closed: u64,
@@ -192,7 +191,6 @@
             memory: Memory::new(limits.memory),
             max_connections,
             connections: 0,
-            requests: 0,
             readiness: Readiness::new(phase),
             episode: None,
             closed: 0,
@@ -248,7 +246,6 @@
 
     /// Records that a request was read; the first one of a connection was charged with it.
     pub fn begin(&mut self, is_first: bool) {
-        self.requests += 1;
         self.processor.begin();
         self.link.begin();
         if !is_first {
@@ -282,7 +279,6 @@
 
     /// Records that the answer to a request has ended.
     pub fn end(&mut self) {
-        self.requests = self.requests.saturating_sub(1);
         self.processor.end();
         self.link.end();
     }
@@ -334,7 +330,7 @@
     pub fn owed(&self, now: Time) -> Owed {
         Owed {
             connections: self.connections,
-            requests: self.requests,
+            requests: self.processor.active(),
             processor: self.processor.owed(now),
             link: self.link.owed(now),
             sent: self.link.sent(),
--- a/crates/core/src/overload/processor.rs
+++ b/crates/core/src/overload/processor.rs
@@ -70,6 +70,11 @@
         self.average.end();
     }
 
+    /// Returns the requests that were read and are not answered.
+    pub fn active(&self) -> usize {
+        self.active
+    }
+
     /// Charges the work of a request that was let in.
     pub fn charge(&mut self) {
         self.meter.charge(self.average.get());
--- a/crates/core/src/overload/usage.rs
+++ b/crates/core/src/overload/usage.rs
@@ -37,14 +37,10 @@
     /// The windows in a row in which the clock showed usage, up to as many as it takes.
     shown: usize,
     is_proven: bool,
-    began: Time,
-    used: Span,
+    /// The work that was done until the last window ended.
     work: f64,
-    /// The usage of the last window, in cores.
-    last: f64,
-    /// The usage of a shorter time, in cores, and when the next such time began with which usage.
-    lately: f64,
-    lately_began: (Time, Span),
+    last: Sample,
+    lately: Sample,
     windows: VecDeque<Window>,
     /// The processor time of a unit of work in seconds, if it is known.
     cost: Option<f64>,
@@ -57,6 +53,39 @@
     cost: f64,
 }
 
+/// The usage over spans of some length, one after the other.
+#[derive(Clone, Copy, Debug)]
+struct Sample {
+    over: Span,
+    began: Time,
+    /// The processor time that was used until then.
+    used: Span,
+    /// The usage of the span that ended last, in cores.
+    cores: f64,
+}
+
+impl Sample {
+    fn new(over: Span, now: Time) -> Sample {
+        Sample {
+            over,
+            began: now,
+            used: Span::default(),
+            cores: 0.0,
+        }
+    }
+
+    /// Records all processor time used until now; returns how long the span took, if it has ended.
+    fn record(&mut self, used: Span, now: Time) -> Option<Span> {
+        let passed = now.since(self.began);
+        if passed < self.over {
+            return None;
+        }
+        self.cores = (used - self.used).secs_f64() / passed.secs_f64();
+        (self.began, self.used) = (now, used);
+        Some(passed)
+    }
+}
+
 impl Usage {
     pub fn new(cores: f64, now: Time) -> Usage {
         Usage {
@@ -64,12 +93,9 @@
             excess: 0.0,
             shown: 0,
             is_proven: false,
-            began: now,
-            used: Span::default(),
             work: 0.0,
-            last: 0.0,
-            lately: 0.0,
-            lately_began: (now, Span::default()),
+            last: Sample::new(WINDOW, now),
+            lately: Sample::new(BUSY_OVER, now),
             windows: VecDeque::new(),
             cost: None,
         }
@@ -77,20 +103,18 @@
 
     /// Records all processor time that was used and all work that was done until now.
     pub fn record(&mut self, used: Span, work: f64, now: Time) {
-        self.record_lately(used, now);
-        let passed = now.since(self.began);
-        if passed < WINDOW {
+        self.lately.record(used, now);
+        let Some(passed) = self.last.record(used, now) else {
             return;
-        }
-        let seconds = passed.secs_f64();
-        let rate = (work - self.work) / seconds;
-        self.last = (used - self.used).secs_f64() / seconds;
-        self.excess = (self.last - self.cores).max(self.excess * KEEP_EXCESS);
+        };
+        let last = self.last.cores;
+        let rate = (work - self.work) / passed.secs_f64();
+        self.work = work;
+        self.excess = (last - self.cores).max(self.excess * KEEP_EXCESS);
         self.shown = self.count_shown();
-        self.is_proven |= self.shows_usage() && PROVEN.contains(&(self.last / self.cores));
-        (self.began, self.used, self.work) = (now, used, work);
+        self.is_proven |= self.shows_usage() && PROVEN.contains(&(last / self.cores));
         if rate > 0.0 {
-            let cost = self.last / rate;
+            let cost = last / rate;
             self.windows.push_back(Window { rate, cost });
             self.cost = self.usual_cost();
         }
@@ -99,17 +123,8 @@
         }
     }
 
-    fn record_lately(&mut self, used: Span, now: Time) {
-        let (began, before) = self.lately_began;
-        let passed = now.since(began);
-        if passed >= BUSY_OVER {
-            self.lately = (used - before).secs_f64() / passed.secs_f64();
-            self.lately_began = (now, used);
-        }
-    }
-
     fn count_shown(&self) -> usize {
-        match self.last < WALL_CLOCK {
+        match self.last.cores < WALL_CLOCK {
             true => (self.shown + 1).min(MIN_SHOWN),
             false if self.cores >= WALL_CLOCK => self.shown,
             false => 0,
@@ -147,7 +162,7 @@
 
     /// Returns whether much of the share was used lately.
     pub fn is_busy(&self) -> bool {
-        self.last.max(self.lately) >= self.share() * MIN_USAGE
+        self.last.cores.max(self.lately.cores) >= self.share() * MIN_USAGE
     }
 
     fn share(&self) -> f64 {
--- a/crates/daemon/src/hosted/client.rs
+++ b/crates/daemon/src/hosted/client.rs
@@ -235,11 +235,10 @@
         let began = self.clock.now();
         let time = self.load.connect_timeout();
         let channel = Channel::open(address, time.into()).await;
-        let is_known = match &channel {
-            Ok(_) => true,
-            Err(e) => e.kind() == ErrorKind::TimedOut,
-        };
-        if is_known {
+        let is_refused = channel
+            .as_ref()
+            .is_err_and(|e| e.kind() != ErrorKind::TimedOut);
+        if !is_refused {
             self.load.connect(address, self.clock.now().since(began));
         }
         channel.map_err(|e| Failure::not_run(Reason::LinkLost, format!("no connection: {e}")))
