Connections to readiness, health, metrics and the own interface are bounded

What callers would see: an entry accepted all connections to its readiness check and metrics, and a sidecar to its health check, and kept them for as long as nothing came on them (60 s a head). Each takes a descriptor and memory that requests of callers need, and of which the bound on these knows nothing. The own interface took all callers' connections likewise.

Now each of these listeners has a bound. Where answers are short, the connection that has been open longest gives way, so idle ones keep no check away; the own interface, whose answers are long, closes new ones unread beyond half of the descriptors of the process.

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -6,6 +6,7 @@
 use crate::controller::{self, Lease};
 use crate::event_loop::{self, Flow, Stop};
 use crate::links::{self, Context};
+use crate::machine;
 use crate::metrics::Metrics;
 use crate::options;
 use crate::propagation::{self, Throttle, Transfer};
@@ -22,7 +23,7 @@
 use sorreldeck::spool::Batch;
 use sorreldeck::wire::Frame;
 use sorreldeck::{Failure, Incarnation, Invariant, Reason, RequestId, Tree};
-use sorreldeck_net::http;
+use sorreldeck_net::http::{self, Bound};
 use sorreldeck_net::link::{Event, Outbox, Traffic};
 use sorreldeck_net::platform::{Answer, Commit, Instance, Platform, Transaction, Trouble};
 use std::collections::HashMap;
@@ -33,6 +34,8 @@
 
 /// The time that a stopping entry has to finish the requests in progress.
 const STOP_TIMEOUT: Duration = Duration::from_secs(120);
+/// The descriptors for each connection of a caller; its request may call the platform.
+const DESCRIPTORS_EACH: usize = 2;
 /// The heartbeat interval of a link grows by this much per link, within the limits
 /// below, so that the heartbeats of all links stay within the bandwidth budget for
 /// control traffic.
@@ -208,7 +211,8 @@
         shared.clone(),
         Lease::new(&settings.name, incarnation),
     ));
-    task::spawn(http::serve(listener, app(shared.clone())));
+    let open = machine::descriptors().map_or(Bound::None, |n| Bound::New(n / DESCRIPTORS_EACH));
+    task::spawn(http::serve(listener, app(shared.clone()), open));
     let flag = stop.clone();
     let grace = settings.grace.into();
     task::spawn(async move {
--- a/crates/daemon/src/hosted/mod.rs
+++ b/crates/daemon/src/hosted/mod.rs
@@ -136,10 +136,14 @@
     let door = Arc::new(Door::default());
     let store = Store::new(settings.store_address);
     task::spawn(frontend::listen(callers, shared.clone(), door.clone()));
-    task::spawn(http::serve(ready, web::health(shared.clone())));
+    task::spawn(http::serve(ready, web::health(shared.clone()), web::OPEN));
     if let Some(port) = options.metrics {
         let metrics = TcpListener::bind((settings.ip, port)).await?;
-        task::spawn(http::serve(metrics, web::metrics(shared.clone())));
+        task::spawn(http::serve(
+            metrics,
+            web::metrics(shared.clone()),
+            web::OPEN,
+        ));
     }
     let mut links_at = None;
     if let Some(links) = settings.link_address {
--- a/crates/daemon/src/hosted/web.rs
+++ b/crates/daemon/src/hosted/web.rs
@@ -3,6 +3,10 @@
 use super::event_loop::EventLoop;
 use super::message::Message;
 use super::shared::Shared;
+use sorreldeck_net::http::Bound;
+
+/// The open connections of each endpoint; descriptors and memory are for requests.
+pub const OPEN: Bound = Bound::Oldest(64);
 
 /// Returns the application of the readiness check.
 pub fn health(shared: Shared) -> tide::Server<Shared> {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod hosted;
 pub mod links;
 pub mod loss;
+pub mod machine;
 pub mod metrics;
 pub mod options;
 pub mod program;
--- a/crates/daemon/src/sidecar.rs
+++ b/crates/daemon/src/sidecar.rs
@@ -17,7 +17,7 @@
 use sorreldeck::spool::Batch;
 use sorreldeck::wire::{Frame, Run};
 use sorreldeck::{Incarnation, Invariant};
-use sorreldeck_net::http::{self, Client};
+use sorreldeck_net::http::{self, Bound, Client};
 use sorreldeck_net::link::{self, Event, Keys, Outbox, Traffic};
 use sorreldeck_net::Platform;
 use std::collections::HashMap;
@@ -27,6 +27,8 @@
 use std::time::{Duration, Instant};
 use tide::{Request, Response};
 
+/// The open connections of the health check; descriptors and memory are for runs.
+const HEALTH_OPEN: Bound = Bound::Oldest(64);
 /// The pause after a failure to accept a connection.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 /// The time that a stopping sidecar has to finish the runs in progress.
@@ -117,7 +119,7 @@
         traffic,
     ));
     task::spawn(propagation::poll(platform, send.clone(), Message::Config));
-    task::spawn(http::serve(health, app(send)));
+    task::spawn(http::serve(health, app(send), HEALTH_OPEN));
     let flag = stop.clone();
     task::spawn(async move {
         event_loop.run(receive, flag).await;
--- a/crates/emulator/src/engine.rs
+++ b/crates/emulator/src/engine.rs
@@ -235,7 +235,7 @@
 
     /// Starts the engine and its server on a listener.
     pub fn serve_on(&self, listener: async_std::net::TcpListener) {
-        task::spawn(http::serve(listener, app(self.clone())));
+        task::spawn(http::serve(listener, app(self.clone()), http::Bound::None));
         let engine = self.clone();
         task::spawn(async move { engine.work().await });
     }
--- a/crates/emulator/src/plain.rs
+++ b/crates/emulator/src/plain.rs
@@ -70,7 +70,7 @@
         let mut app = tide::with_state(self.clone());
         app.at("/").all(answer);
         app.at("/*").all(answer);
-        task::spawn(http::serve(listener, app));
+        task::spawn(http::serve(listener, app, http::Bound::None));
     }
 
     fn count(&self, key: &str) {
--- a/crates/emulator/src/server.rs
+++ b/crates/emulator/src/server.rs
@@ -32,7 +32,7 @@
     app.at("/faults").post(faults);
     app.at("/calls").get(calls);
     app.at("/skills").post(skills);
-    task::spawn(http::serve(listener, app));
+    task::spawn(http::serve(listener, app, http::Bound::None));
 }
 
 /// Makes a platform rate answers by the quality of their version.
