Descriptors that are not told are those that the process may open

Where the settings tell no max-fds, connections of callers were not bounded by descriptors at all, though the process has a limit of its own; beyond it accepting fails and callers wait unread. The limit of the process counts now.

--- a/crates/daemon/src/hosted/shared.rs
+++ b/crates/daemon/src/hosted/shared.rs
@@ -3,6 +3,7 @@
 use super::load::Load;
 use super::message::Message;
 use crate::clock::Clock;
+use crate::machine;
 use async_channel::Sender;
 use sorreldeck::overload;
 use sorreldeck::{Incarnation, RequestId, Size};
@@ -45,11 +46,15 @@
             0 => DEFAULT_MEMORY,
             configured => configured,
         };
+        let descriptors = match settings.descriptors {
+            0 => machine::descriptors().unwrap_or(0),
+            told => told,
+        };
         let limits = overload::Limits {
             cores: settings.cores,
             memory: Size::from_bytes(memory),
             mbps: settings.link_mbps,
-            descriptors: settings.descriptors,
+            descriptors,
         };
         Shared {
             send,
