A connection that has not opened yet tells that the link is behind

Cause: that the link is behind was only told by connections that had opened or been given up, 250 ms after the first one that was late, and a connection kept the time that it had begun with. So those under way when the link filled were all given up at 600 ms.

Ruled out: a longer time for all. It would hold callers up for as long where an upstream is gone and the link is free.

Now a connection that waits is looked at every 100 ms: its wait counts as evidence, and what time it has is asked again.

--- a/crates/core/src/overload/link.rs
+++ b/crates/core/src/overload/link.rs
@@ -60,11 +60,16 @@
         }
     }
 
-    /// Records that a connection to an upstream took this long to open, or did not open until then.
+    /// Records that a connection to an upstream took this long to open.
     pub fn open(&mut self, upstream: SocketAddr, took: Span, now: Time) {
         self.opens.record(upstream, took, now);
     }
 
+    /// Records that a connection to an upstream has not opened after this long.
+    pub fn wait(&mut self, upstream: SocketAddr, passed: Span, now: Time) {
+        self.opens.wait(upstream, passed, now);
+    }
+
     pub fn begin(&mut self) {
         self.average.begin();
     }
--- a/crates/core/src/overload/mod.rs
+++ b/crates/core/src/overload/mod.rs
@@ -269,7 +269,7 @@
         self.link.connect_timeout(now)
     }
 
-    /// Records that a connection to an upstream took this long to open, or did not open until then.
+    /// Records that a connection to an upstream took this long to open.
     pub fn connect(&mut self, upstream: SocketAddr, took: Span, now: Time) {
         // The task that noticed it may have waited for the processor.
         if !self.processor.waits.is_long(now) {
@@ -277,6 +277,13 @@
         }
     }
 
+    /// Records that a connection to an upstream has not opened after this long.
+    pub fn wait_for(&mut self, upstream: SocketAddr, passed: Span, now: Time) {
+        if !self.processor.waits.is_long(now) {
+            self.link.wait(upstream, passed, now);
+        }
+    }
+
     /// Records that the answer to a request has ended.
     pub fn end(&mut self) {
         self.processor.end();
--- a/crates/core/src/overload/wait.rs
+++ b/crates/core/src/overload/wait.rs
@@ -112,6 +112,18 @@
         let usual = self.usual.entry(upstream).or_insert(took);
         *usual = took.min(*usual);
         let is_long = took - *usual > OPEN_TARGET;
+        self.count(is_long, now);
+    }
+
+    /// Records that a connection to an upstream has not opened after this long.
+    pub fn wait(&mut self, upstream: SocketAddr, passed: Span, now: Time) {
+        let usual = self.usual.get(&upstream).copied().unwrap_or_default();
+        if passed - usual > OPEN_TARGET {
+            self.count(true, now);
+        }
+    }
+
+    fn count(&mut self, is_long: bool, now: Time) {
         if now.since(self.last_at) >= OPENS_FADE {
             self.series = Series::default();
         }
--- a/crates/daemon/src/hosted/client.rs
+++ b/crates/daemon/src/hosted/client.rs
@@ -24,7 +24,6 @@
 use sorreldeck_net::reach;
 use sorreldeck_platform::call;
 use std::collections::HashMap;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -37,6 +36,8 @@
 /// closed instead of used. This takes one poll of its task, well under a millisecond on an idle
 /// machine.
 const READY_TIMEOUT: Duration = Duration::from_millis(200);
+/// Interval at which a connection that has not opened is looked at.
+const CONNECT_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of bytes of a refusal's body that are read to reuse its connection.
 const MAX_REFUSAL_BYTES: usize = 4096;
 
@@ -233,17 +234,24 @@
             }
         }
         let began = self.clock.now();
-        let time = self.load.connect_timeout();
-        let channel = Channel::open(address, time.into()).await;
-        let is_refused = channel
-            .as_ref()
-            .is_err_and(|e| e.kind() != ErrorKind::TimedOut);
-        if !is_refused {
+        let channel = Channel::open(address, self.wait_too_long(address, began)).await;
+        if channel.is_ok() {
             self.load.connect(address, self.clock.now().since(began));
         }
         channel.map_err(|e| Failure::not_run(Reason::LinkLost, format!("no connection: {e}")))
     }
 
+    /// Waits until a connection has taken too long to open; how long that is may change meanwhile.
+    async fn wait_too_long(&self, address: SocketAddr, began: Time) {
+        loop {
+            task::sleep(CONNECT_INTERVAL).await;
+            let passed = self.clock.now().since(began);
+            if self.load.wait_for(address, passed) {
+                return;
+            }
+        }
+    }
+
     fn pooled_channel(&self, address: SocketAddr) -> Option<Channel> {
         let mut pool = self.pool.lock().unwrap_or_else(|e| e.into_inner());
         let channels = pool.get_mut(&address)?;
--- a/crates/daemon/src/hosted/load.rs
+++ b/crates/daemon/src/hosted/load.rs
@@ -85,16 +85,19 @@
         self.monitor().send(Size::from_bytes(bytes as u64));
     }
 
-    /// Returns how long a connection to an upstream may take to open.
-    pub fn connect_timeout(&self) -> Span {
+    /// Records that a connection to an upstream took this long to open.
+    pub fn connect(&self, upstream: SocketAddr, took: Span) {
         let now = self.0.clock.now();
-        self.monitor().connect_timeout(now)
+        self.monitor().connect(upstream, took, now);
     }
 
-    /// Records that a connection to an upstream took this long to open, or did not open until then.
-    pub fn connect(&self, upstream: SocketAddr, took: Span) {
+    /// Records that a connection to an upstream has not opened after this long; returns whether
+    /// that is too long.
+    pub fn wait_for(&self, upstream: SocketAddr, passed: Span) -> bool {
         let now = self.0.clock.now();
-        self.monitor().connect(upstream, took, now);
+        let mut monitor = self.monitor();
+        monitor.wait_for(upstream, passed, now);
+        passed >= monitor.connect_timeout(now)
     }
 
     /// Updates the state and logs where connections begin or cease to be closed unread.
--- a/crates/net/src/h1.rs
+++ b/crates/net/src/h1.rs
@@ -9,17 +9,16 @@
 //! use sorreldeck_net::h1::Channel;
 //! use std::time::Duration;
 //!
-//! let time = Duration::from_millis(600);
-//! let channel = Channel::open("127.0.0.1:8080".parse().unwrap(), time).await?;
+//! let too_long = async_std::task::sleep(Duration::from_millis(600));
+//! let channel = Channel::open("127.0.0.1:8080".parse().unwrap(), too_long).await?;
 //! assert!(channel.is_open());
 //! # Ok::<(), std::io::Error>(())
 //! # }).unwrap();
 //! ```
 
-use async_std::future::timeout;
 use async_std::net::TcpStream;
 use async_std::task::{self, JoinHandle};
-use futures_lite::{AsyncRead, AsyncWrite};
+use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
 use futures_util::future::{select, Either};
 use http_body_util::Full;
 use hyper::body::{Body, Bytes, Incoming};
@@ -373,14 +372,20 @@
 }
 
 impl Channel {
-    /// Opens a connection.
+    /// Opens a connection, unless that takes `too_long`.
     ///
     /// # Errors
     ///
     /// Fails when there is no connection in time.
-    pub async fn open(address: SocketAddr, time: Duration) -> io::Result<Channel> {
-        let stream = timeout(time, TcpStream::connect(address)).await;
-        let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    pub async fn open(
+        address: SocketAddr,
+        too_long: impl Future<Output = ()>,
+    ) -> io::Result<Channel> {
+        let give_up = async {
+            too_long.await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        let stream = TcpStream::connect(address).or(give_up).await?;
         stream.set_nodelay(true)?;
         let handshake = client::Builder::new()
             .max_buf_size(BUFFER)
