What a listener closes beyond its bound is logged, in a file of its own

A caller of the own interface whose connection was closed unread left no line. Now a line says at which address, how many are kept and how many were closed since the last line, every 5 s at most. Behaviour otherwise as before; the three tests of the bound pass.

--- a/crates/daemon/src/hosted/web.rs
+++ b/crates/daemon/src/hosted/web.rs
@@ -3,7 +3,7 @@
 use super::event_loop::EventLoop;
 use super::message::Message;
 use super::shared::Shared;
-use sorreldeck_net::http::Bound;
+use sorreldeck_net::open::Bound;
 
 /// The open connections of each endpoint; descriptors and memory are for requests.
 pub const OPEN: Bound = Bound::Oldest(64);
--- a/crates/emulator/src/engine.rs
+++ b/crates/emulator/src/engine.rs
@@ -29,6 +29,7 @@
 use serde_json::{json, Value};
 use sorreldeck::header;
 use sorreldeck_net::http::{self, Piece, Stream};
+use sorreldeck_net::open::Bound;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
 use std::net::SocketAddr;
@@ -235,7 +236,7 @@
 
     /// Starts the engine and its server on a listener.
     pub fn serve_on(&self, listener: async_std::net::TcpListener) {
-        task::spawn(http::serve(listener, app(self.clone()), http::Bound::None));
+        task::spawn(http::serve(listener, app(self.clone()), Bound::None));
         let engine = self.clone();
         task::spawn(async move { engine.work().await });
     }
--- a/crates/emulator/src/plain.rs
+++ b/crates/emulator/src/plain.rs
@@ -15,6 +15,7 @@
 
 use async_std::task;
 use sorreldeck_net::http;
+use sorreldeck_net::open::Bound;
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
@@ -70,7 +71,7 @@
         let mut app = tide::with_state(self.clone());
         app.at("/").all(answer);
         app.at("/*").all(answer);
-        task::spawn(http::serve(listener, app, http::Bound::None));
+        task::spawn(http::serve(listener, app, Bound::None));
     }
 
     fn count(&self, key: &str) {
--- a/crates/emulator/src/server.rs
+++ b/crates/emulator/src/server.rs
@@ -6,6 +6,7 @@
 use async_std::task;
 use serde::Serialize;
 use sorreldeck_net::http;
+use sorreldeck_net::open::Bound;
 use sorreldeck_net::platform::{Answer, Faults, Instance, Memory, Transaction, Trouble};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -32,7 +33,7 @@
     app.at("/faults").post(faults);
     app.at("/calls").get(calls);
     app.at("/skills").post(skills);
-    task::spawn(http::serve(listener, app, http::Bound::None));
+    task::spawn(http::serve(listener, app, Bound::None));
 }
 
 /// Makes a platform rate answers by the quality of their version.
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -13,21 +13,21 @@
 //! # }).unwrap();
 //! ```
 
+use crate::open::{Bound, Open};
 use async_channel::Receiver;
 use async_std::future::timeout;
 use async_std::io::{BufRead as AsyncBufRead, Read as AsyncRead, ReadExt};
 use async_std::net::{TcpListener, TcpStream};
 use async_std::sync::Mutex;
-use async_std::task::{self, JoinHandle};
+use async_std::task;
 use sorreldeck::wire::{Call, Header};
 use sorreldeck::Verdict;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::fmt;
-use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::{Arc, MutexGuard};
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tide::http::{Body, Method, Request, Response, Url};
@@ -327,57 +327,6 @@
     headers
 }
 
-/// What becomes of connections beyond the most that a listener keeps open.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Bound {
-    /// There is no bound.
-    None,
-    /// The connection that has been open longest is closed, as befits short answers.
-    Oldest(usize),
-    /// New connections are closed unread.
-    New(usize),
-}
-
-/// The open connections of a listener, by their order.
-#[derive(Clone, Default)]
-struct Open(Arc<std::sync::Mutex<BTreeMap<u64, JoinHandle<()>>>>);
-
-impl Open {
-    fn tasks(&self) -> MutexGuard<'_, BTreeMap<u64, JoinHandle<()>>> {
-        self.0.lock().unwrap_or_else(|e| e.into_inner())
-    }
-
-    /// Returns whether there is room for a new connection.
-    async fn make_room(&self, bound: Bound) -> bool {
-        match bound {
-            Bound::None => true,
-            Bound::New(max) => self.tasks().len() < max,
-            Bound::Oldest(max) => {
-                let oldest = {
-                    let mut tasks = self.tasks();
-                    (tasks.len() >= max).then(|| tasks.pop_first()).flatten()
-                };
-                if let Some((_, oldest)) = oldest {
-                    oldest.cancel().await;
-                }
-                true
-            }
-        }
-    }
-
-    /// Runs a connection, which counts as open until it ends.
-    fn run(&self, number: u64, connection: impl Future<Output = ()> + Send + 'static) {
-        let open = self.clone();
-        // A connection that ends at once waits here until it is in the list.
-        let mut tasks = self.tasks();
-        let task = task::spawn(async move {
-            connection.await;
-            open.tasks().remove(&number);
-        });
-        tasks.insert(number, task);
-    }
-}
-
 /// Serves requests on a listener until it fails.
 ///
 /// The head of a request must come within 60 s, the time set by async-h1.
@@ -388,14 +337,12 @@
 where
     S: Clone + Send + Sync + 'static,
 {
-    let open = Open::default();
-    let mut next = 0;
+    let mut open = Open::new(bound, listener.local_addr().ok());
     loop {
         match listener.accept().await {
             // Dropping the stream closes it unread.
-            Ok((stream, _)) if open.make_room(bound).await => {
-                open.run(next, serve_connection(stream, app.clone()));
-                next += 1;
+            Ok((stream, _)) if open.make_room().await => {
+                open.run(serve_connection(stream, app.clone()));
             }
             Ok(_) => {}
             // Out of descriptors, say: the open connections will free some.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod h1;
 pub mod http;
 pub mod link;
+pub mod open;
 pub mod platform;
 pub mod reach;
 
--- a/crates/net/tests/open.rs
+++ b/crates/net/tests/open.rs
@@ -4,7 +4,8 @@
 use async_std::io::prelude::*;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
-use sorreldeck_net::http::{self, Bound};
+use sorreldeck_net::http;
+use sorreldeck_net::open::Bound;
 use std::net::SocketAddr;
 use std::time::Duration;
 
