Connections that have not shown a key of a link are bounded

What callers would see: a listener of links kept every connection for 3 s though nothing came on it, each with a descriptor that requests of callers need.

Seen: 400 idle connections to the listener of links of a hosted entry, all 400 open (the new test failed on it).

Now 256 may be opening at a time, at hosted entries and at sidecars; beyond, the one that has been opening longest gives way, so a true link, which opens in milliseconds, does not wait for idle ones. Links that are open do not count: their number is bounded by their keys' holders. Not mended: frames that other entries send are not bounded by what is owed.

--- a/crates/daemon/src/hosted/peer.rs
+++ b/crates/daemon/src/hosted/peer.rs
@@ -19,14 +19,16 @@
 use sorreldeck::wire::{Cursor, Frame, TableCopy};
 use sorreldeck::InstanceId;
 use sorreldeck_net::link::{self, Event, Keys, Open, Outbox};
+use sorreldeck_net::open::{self, Bound};
 use sorreldeck_platform::store::{Page, Row};
 use sorreldeck_platform::{Settings, Table};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
+/// The incoming connections that have not shown a key; a data hall may connect as a whole at once.
+const OPENING: Bound = Bound::Oldest(256);
 /// Timeout of a request for tables to another entry.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
 /// Maximum number of open links; further ones are refused. With 360 entries in 5 data halls, an
@@ -238,12 +240,14 @@
 
 /// Accepts links from other entries.
 pub async fn listen(listener: TcpListener, keys: Keys, shared: Shared) {
-    let next_number = AtomicU64::new(1);
+    let mut opening = open::Open::new(OPENING, listener.local_addr().ok());
+    let mut next_number = 1;
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let number = next_number.fetch_add(1, Ordering::Relaxed);
-                task::spawn(accept(stream, keys.clone(), number, shared.clone()));
+                opening.make_room().await;
+                opening.run(accept(stream, keys.clone(), next_number, shared.clone()));
+                next_number += 1;
             }
             // For example, no file descriptors are left; connections that close will free some.
             Err(e) => {
@@ -254,11 +258,12 @@
     }
 }
 
+/// Opens an incoming link, which then runs by itself.
 async fn accept(stream: TcpStream, keys: Keys, number: Link, shared: Shared) {
     match link::accept(stream, &keys, clock::random()).await {
         Ok(open) => {
-            let accepted = |outbox| Message::LinkAccepted(number, outbox);
-            run(open, number, accepted, shared).await;
+            let accepted = move |outbox| Message::LinkAccepted(number, outbox);
+            task::spawn(run(open, number, accepted, shared));
         }
         Err(e) => warn!("event=link-refused error={e:?}"),
     }
--- a/crates/daemon/src/sidecar.rs
+++ b/crates/daemon/src/sidecar.rs
@@ -19,7 +19,7 @@
 use sorreldeck::{Incarnation, Invariant};
 use sorreldeck_net::http::{self, Client};
 use sorreldeck_net::link::{self, Event, Keys, Outbox, Traffic};
-use sorreldeck_net::open::Bound;
+use sorreldeck_net::open::{Bound, Open};
 use sorreldeck_net::Platform;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -30,6 +30,8 @@
 
 /// The open connections of the health check; descriptors and memory are for runs.
 const HEALTH_OPEN: Bound = Bound::Oldest(64);
+/// The incoming connections that have not shown a key.
+const OPENING: Bound = Bound::Oldest(256);
 /// The pause after a failure to accept a connection.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 /// The time that a stopping sidecar has to finish the runs in progress.
@@ -139,6 +141,7 @@
     send: Sender<Message>,
     traffic: Arc<Traffic>,
 ) {
+    let mut opening = Open::new(OPENING, listener.local_addr().ok());
     let mut next: Link = 1;
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -148,25 +151,31 @@
         let (keys, send, traffic) = (keys.clone(), send.clone(), traffic.clone());
         let link = next;
         next += 1;
-        task::spawn(async move {
-            let open = match link::accept(stream, &keys, clock::random()).await {
-                Ok(open) => open,
-                Err(e) => return info!("rejected an incoming link: {e}"),
-            };
-            let (events, incoming) = async_channel::bounded(64);
-            let outbox = open.run(link, events, traffic);
-            if send.send(Message::LinkUp(link, outbox)).await.is_err() {
-                return;
-            }
-            while let Ok(event) = incoming.recv().await {
-                if send.send(Message::Link(event)).await.is_err() {
-                    return;
+        opening.make_room().await;
+        opening.run(async move {
+            match link::accept(stream, &keys, clock::random()).await {
+                Ok(open) => {
+                    task::spawn(run_link(open, link, send, traffic));
                 }
+                Err(e) => info!("rejected an incoming link: {e}"),
             }
         });
     }
 }
 
+async fn run_link(open: link::Open, link: Link, send: Sender<Message>, traffic: Arc<Traffic>) {
+    let (events, incoming) = async_channel::bounded(64);
+    let outbox = open.run(link, events, traffic);
+    if send.send(Message::LinkUp(link, outbox)).await.is_err() {
+        return;
+    }
+    while let Ok(event) = incoming.recv().await {
+        if send.send(Message::Link(event)).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// The event loop of a sidecar and its state.
 struct EventLoop {
     sidecar: Sidecar,
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -2,7 +2,7 @@
 
 mod answers_ended_by_their_connection;
 mod connections_on_a_full_link;
-mod idle_connections_to_readiness;
+mod idle_connections;
 mod leaving_upstream_not_heard_of;
 mod lost_upstream;
 mod many_rows;
--- a/crates/net/src/open.rs
+++ b/crates/net/src/open.rs
@@ -44,7 +44,7 @@
 type Tasks = Arc<Mutex<BTreeMap<u64, JoinHandle<()>>>>;
 
 /// The open connections of a listener.
-pub(crate) struct Open {
+pub struct Open {
     bound: Bound,
     address: Option<SocketAddr>,
     tasks: Tasks,
@@ -55,6 +55,7 @@
 }
 
 impl Open {
+    /// Creates the list of a listener at an address, which log lines name.
     pub fn new(bound: Bound, address: Option<SocketAddr>) -> Open {
         Open {
             bound,
