Hosted entries as processes go through kills, pauses, stops and changes while connections crowd

A seeded soak: eight entries of 0.06 of a core each, 100 requests a second and 16 connections that are kept; most connections go to one entry after the other while entries are killed, paused, stopped as planned and started again, signalled, and the configuration changes. Judged: 0.97 of all served, 0.97 of the first tries that were read where no kill or pause touched their entries, no answer on a kept connection broken without one, no entry closes a connection unread from 8 s after the last event on, memory under 0.8 of the limit, no process ends by itself.

--- a/crates/daemon/tests/throttled/client.rs
+++ b/crates/daemon/tests/throttled/client.rs
@@ -33,6 +33,8 @@
     pub asked: Instant,
     pub took: Duration,
     pub tries: Vec<Outcome>,
+    /// The entries of the tries.
+    pub entries: Vec<SocketAddr>,
 }
 
 impl Call {
@@ -118,6 +120,7 @@
             asked,
             took: asked.elapsed(),
             tries,
+            entries: tried,
         }
     }
 }
--- a/crates/daemon/tests/throttled/entry.rs
+++ b/crates/daemon/tests/throttled/entry.rs
@@ -8,7 +8,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -36,8 +36,11 @@
 pub struct Entry {
     pub callers: SocketAddr,
     pub ready: SocketAddr,
+    pub links: SocketAddr,
     child: Child,
     held: Arc<AtomicBool>,
+    /// Until when the process does not run at all.
+    paused_until: Arc<Mutex<Option<Instant>>>,
     throttle: Option<thread::JoinHandle<()>>,
     settings: PathBuf,
     pub log: PathBuf,
@@ -61,8 +64,10 @@
         Entry {
             callers,
             ready,
+            links: control,
             child: spawn(&settings, &log),
             held: Arc::default(),
+            paused_until: Arc::default(),
             throttle: None,
             settings,
             log,
@@ -72,7 +77,7 @@
     /// Lets the process run for a share of each period only, from now on.
     pub fn throttle(&mut self, share: f64) {
         let pid = self.child.id() as i32;
-        let held = self.held.clone();
+        let (held, paused_until) = (self.held.clone(), self.paused_until.clone());
         held.store(true, Ordering::Relaxed);
         let runs = PERIOD.mul_f64(share);
         // Processes that all stop and run in step would share one core.
@@ -81,6 +86,11 @@
             thread::sleep(offset);
             let mut next = Instant::now();
             while held.load(Ordering::Relaxed) {
+                let paused = paused_until.lock().unwrap().take();
+                if let Some(until) = paused {
+                    thread::sleep(until.saturating_duration_since(Instant::now()));
+                    next = Instant::now();
+                }
                 let before = processor_time(pid);
                 signal(pid, libc::SIGCONT);
                 thread::sleep(runs);
@@ -99,6 +109,16 @@
         }));
     }
 
+    /// Stops the process for some time.
+    pub fn pause(&self, time: Duration) {
+        *self.paused_until.lock().unwrap() = Some(Instant::now() + time);
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, number: i32) {
+        signal(self.child.id() as i32, number);
+    }
+
     /// Kills the process and starts it again, with the same share.
     pub fn restart(&mut self, share: f64) {
         self.kill();
@@ -127,6 +147,15 @@
         processor_time(self.child.id() as i32)
     }
 
+    /// Returns the most memory that the process has used, in kB.
+    pub fn peak_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kb = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+        kb.expect("the system tells the memory of a process")
+    }
+
     /// Returns the lines of the log that contain a text.
     pub fn lines(&self, text: &str) -> Vec<String> {
         let log = std::fs::read_to_string(&self.log).unwrap_or_default();
@@ -153,6 +182,7 @@
         .env("SORRELDECK_NODE_FILE", settings)
         .env("SORRELDECK_LINK_KEYS", &keys)
         .env("SORRELDECK_SESSION_KEYS", &keys)
+        .env("RUST_BACKTRACE", "1")
         .stdout(log.unwrap())
         .stderr(Stdio::null())
         .spawn()
--- a/crates/daemon/tests/throttled/main.rs
+++ b/crates/daemon/tests/throttled/main.rs
@@ -8,6 +8,7 @@
 #[allow(dead_code)]
 #[path = "../hosted/runner.rs"]
 mod runner;
+mod soak;
 #[allow(dead_code)]
 #[path = "../hosted/store.rs"]
 mod store;
@@ -17,7 +18,7 @@
 use client::Client;
 use entry::Entry;
 use runner::{Refused, Upstream};
-use serde_json::json;
+use serde_json::{json, Value};
 use std::time::{Duration, Instant};
 use store::Store;
 
@@ -27,7 +28,19 @@
 /// A store with a configuration and upstreams of one service.
 async fn start_store() -> Store {
     let store = Store::start().await;
-    let config = json!({
+    store.put("op", "config", &configuration());
+    for number in 0..UPSTREAMS {
+        let id = format!("i-{number}");
+        let upstream = Upstream::start(&id, &Refused::default()).await;
+        let row = json!({"service": "engines", "address": upstream.address.to_string(), "zone": "a",
+            "version": "v1", "slots": 200, "state": "ready", "cold-left-ms": 0, "sequence": 1});
+        store.put("servers", &id, &row);
+    }
+    store
+}
+
+fn configuration() -> Value {
+    json!({
         "version": 3,
         "routes": [{
             "name": "talk", "host": "pay.example", "path-prefix": "/talk/", "route-type": "stream",
@@ -40,14 +53,5 @@
         "limits": {"max-header-bytes": 16_384, "max-body-bytes": 100_000,
             "header-timeout-ms": 3_000, "idle-timeout-ms": 15_000},
         "tenants": [{"name": "payroll", "api-keys": [KEY], "priority": 1}]
-    });
-    store.put("op", "config", &config);
-    for number in 0..UPSTREAMS {
-        let id = format!("i-{number}");
-        let upstream = Upstream::start(&id, &Refused::default()).await;
-        let row = json!({"service": "engines", "address": upstream.address.to_string(), "zone": "a",
-            "version": "v1", "slots": 200, "state": "ready", "cold-left-ms": 0, "sequence": 1});
-        store.put("servers", &id, &row);
-    }
-    store
+    })
 }
--- a/crates/daemon/tests/throttled/most_connections_at_one_slow_entry.rs
+++ b/crates/daemon/tests/throttled/most_connections_at_one_slow_entry.rs
@@ -117,7 +117,7 @@
 }
 
 /// The tests load the machine and run one at a time.
-static TURN: Mutex<()> = Mutex::new(());
+pub static TURN: Mutex<()> = Mutex::new(());
 
 /// `told` is the share that the settings tell.
 async fn play(share: f64, told: f64, per_s: f64) -> Play {
