--- a/crates/daemon/tests/throttled/cost.rs
+++ b/crates/daemon/tests/throttled/cost.rs
@@ -18,9 +18,7 @@
             mbps: 1_000.0,
         };
         let entries = vec![Entry::start(&store, "front-0", limits)];
-        while !balancer::is_ready(entries[0].ready).await {
-            task::sleep(Duration::from_millis(50)).await;
-        }
+        until_ready(&entries[0], STARTS_WITHIN).await;
         let balancer = Balancer::start(&entries);
         let kinds = [
             ("stream", 600, "2 events, 600 bytes"),
--- a/crates/daemon/tests/throttled/main.rs
+++ b/crates/daemon/tests/throttled/main.rs
@@ -25,6 +25,8 @@
 
 const KEY: &str = "n2ctnfzs989anu6wsjnb";
 const UPSTREAMS: usize = 6;
+/// How long an entry may take to be ready after its start.
+const STARTS_WITHIN: Duration = Duration::from_secs(20);
 
 /// A store with a configuration and upstreams of one service.
 async fn start_store() -> Store {
@@ -56,3 +58,12 @@
         "tenants": [{"name": "payroll", "api-keys": [KEY], "priority": 1}]
     })
 }
+
+/// Waits until an entry says that it is ready.
+async fn until_ready(entry: &Entry, within: Duration) {
+    let began = Instant::now();
+    while !balancer::is_ready(entry.ready).await {
+        assert!(began.elapsed() < within, "not ready");
+        task::sleep(Duration::from_millis(50)).await;
+    }
+}
--- a/crates/daemon/tests/throttled/most_connections_at_one_slow_entry.rs
+++ b/crates/daemon/tests/throttled/most_connections_at_one_slow_entry.rs
@@ -136,11 +136,7 @@
         .map(|n| Entry::start(&store, &format!("front-{n}"), limits))
         .collect();
     for entry in &mut entries {
-        let began = Instant::now();
-        while !balancer::is_ready(entry.ready).await {
-            assert!(began.elapsed() < Duration::from_secs(20), "not ready");
-            task::sleep(Duration::from_millis(50)).await;
-        }
+        until_ready(entry, STARTS_WITHIN).await;
         entry.throttle(share);
     }
     let balancer = Balancer::start(&entries);
--- a/crates/daemon/tests/throttled/refused_links.rs
+++ b/crates/daemon/tests/throttled/refused_links.rs
@@ -21,9 +21,7 @@
             mbps: 100.0,
         };
         let entry = Entry::start(&store, "front-0", limits);
-        while !balancer::is_ready(entry.ready).await {
-            task::sleep(Duration::from_millis(50)).await;
-        }
+        until_ready(&entry, STARTS_WITHIN).await;
         let before = entry.peak_kb();
         for _ in 0..REFUSED {
             let mut stream = TcpStream::connect(entry.links).await.unwrap();
--- a/crates/daemon/tests/throttled/soak.rs
+++ b/crates/daemon/tests/throttled/soak.rs
@@ -80,7 +80,7 @@
         .map(|n| Entry::start(&store, &format!("front-{n}"), LIMITS))
         .collect();
     for entry in &mut entries {
-        until_ready(entry, Duration::from_secs(20)).await;
+        until_ready(entry, STARTS_WITHIN).await;
         entry.throttle(LIMITS.share);
     }
     let balancer = Balancer::start(&entries);
@@ -216,14 +216,6 @@
     counts.sum()
 }
 
-async fn until_ready(entry: &Entry, within: Duration) {
-    let began = Instant::now();
-    while !balancer::is_ready(entry.ready).await {
-        assert!(began.elapsed() < within, "not ready");
-        task::sleep(Duration::from_millis(50)).await;
-    }
-}
-
 /// Sends requests over a connection, and over another one when it was closed.
 async fn keep(number: usize, balancer: &Balancer, over: &AtomicBool) -> Kept {
     let mut kept = Kept::default();
