--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -61,7 +61,10 @@
     if headers.get("transfer-encoding", "").lower() == "chunked":
         body = b""
         while True:
-            size = int((await reader.readline()).strip() or b"0", 16)
+            line = await reader.readline()
+            if not line.endswith(b"\n"):
+                raise ConnectionError
+            size = int(line, 16)
             if size == 0:
                 await reader.readline()
                 return body
