One part that is not understood keeps no accepted configuration out of force

Cause: the operator's configuration was built with the checks for our own files, and any error, of a check or of one field, rejected it whole. Ruled out: a missed or late read (every entry logged not-understood within 0.1 s) and an older copy from another entry (no page-ignored, no config line after it).

Now nothing that the store has accepted is checked again, each field is read by itself, and a part that is not understood has no effect, is logged with its place, counted and shown by `status`, which the hosted role serves on its metrics port.

--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -144,10 +144,12 @@
     if as_json(answer, format) {
         return;
     }
-    println!(
-        "revision {}, {} requests under way, {} bill records not yet stored",
-        answer["revision"], answer["in_flight"], answer["unbilled"]
-    );
+    let (revision, in_flight) = (&answer["revision"], &answer["in_flight"]);
+    println!("revision {revision}, {in_flight} requests under way");
+    if let Some(unbilled) = answer["unbilled"].as_u64() {
+        println!("{unbilled} bill records not yet stored");
+    }
+    issues(&answer["issues"]);
     let cells = |row: &Value, names: &[&str]| names.iter().map(|n| text(&row[n])).collect();
     let columns = ["name", "role", "hall", "address", "leaving"];
     let lines: Vec<Vec<String>> = rows(&answer["instances"])
@@ -193,6 +195,24 @@
     );
 }
 
+/// Writes what an entry does not understand of the platform's store, if it uses one.
+fn issues(issues: &Value) {
+    if issues.is_null() {
+        return;
+    }
+    let configuration = &issues["configuration"];
+    let count = &configuration["not_understood"];
+    println!("{count} parts of the configuration are not understood and have no effect");
+    for issue in rows(&configuration["first"]) {
+        println!("  {}: {}", text(&issue["place"]), text(&issue["message"]));
+    }
+    for row in rows(&issues["rows"]) {
+        let (table, key) = (text(&row["table"]), text(&row["key"]));
+        let (message, ago) = (text(&row["message"]), &row["ago_ms"]);
+        println!("row {key:?} of {table}, {ago} ms ago: {message}");
+    }
+}
+
 /// Writes what emptying a data hall moves, and the change that does it.
 pub fn evacuation(answer: &Value, dry_run: bool, format: Format) {
     if as_json(answer, format) {
--- a/crates/core/src/duty/rows.rs
+++ b/crates/core/src/duty/rows.rs
@@ -90,7 +90,8 @@
             return is_parsed;
         }
         let sum_id = row.key.strip_prefix(SUM).and_then(|s| s.split_once('/'));
-        let sum_id = sum_id.and_then(|(w, hall)| Some((parse_window(w)?, hall.parse().ok()?)));
+        let sum_id =
+            sum_id.and_then(|(w, hall)| Some((parse_window(w)?, Hall::external(hall).ok()?)));
         let sum = decode(&row.value);
         match (sum_id, sum) {
             (Some(sum_id), Some(sum)) => {
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -453,7 +453,7 @@
     /// Returns whether the entry is ready to take requests.
     pub fn is_ready(&self) -> bool {
         let linked = self.peers.iter().any(|(_, p)| !p.leaving);
-        !self.draining && self.tree.revision() > Revision(0) && linked
+        !self.draining && self.tree.is_known() && linked
     }
 
     /// Returns the configuration in force.
--- a/crates/core/src/entry/pending.rs
+++ b/crates/core/src/entry/pending.rs
@@ -38,7 +38,7 @@
     }
 
     fn is_initialized(&self) -> bool {
-        let known = self.tree.revision() > Revision(0) && self.peers.iter().next().is_some();
+        let known = self.tree.is_known() && self.peers.iter().next().is_some();
         known && !self.suspended
     }
 
--- a/crates/core/src/entry/routed/mod.rs
+++ b/crates/core/src/entry/routed/mod.rs
@@ -220,7 +220,7 @@
         routed: &Routed,
         key: Option<&str>,
     ) -> Result<(Context, RouteState), Failure> {
-        if self.tree.revision() == Revision(0) {
+        if !self.tree.is_known() {
             let failure = Failure::not_run(Reason::NotReady, "no configuration is known yet");
             return Err(failure.retry_after(MIN_RETRY_AFTER));
         }
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -6,6 +6,7 @@
 //! let version: VersionId = "scribe-2".parse()?;
 //! assert_eq!(version.to_string(), "scribe-2");
 //! assert!("no spaces".parse::<VersionId>().is_err());
+//! assert_eq!(VersionId::external("no spaces")?.as_str(), "no spaces");
 //!
 //! let id = RequestId::new(7, 1);
 //! assert_eq!(id.to_string().parse::<RequestId>()?, id);
@@ -18,7 +19,10 @@
 use std::str::FromStr;
 use std::sync::Arc;
 
+/// Maximum length in bytes of a name that a configuration of `sorreldeck` gives.
 const MAX_NAME: usize = 64;
+/// Maximum length in bytes of a name that another system gives.
+const MAX_EXTERNAL_NAME: usize = 200;
 
 fn check_name(what: &str, s: &str) -> Result<()> {
     let legal = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || "._-".contains(c);
@@ -31,6 +35,16 @@
     Ok(())
 }
 
+fn check_external(what: &str, s: &str) -> Result<()> {
+    if s.is_empty() || s.len() > MAX_EXTERNAL_NAME || s.chars().any(char::is_control) {
+        return Err(Error::new(
+            Category::Invalid,
+            format!("{s:?} is no {what}: 1 to {MAX_EXTERNAL_NAME} bytes without control characters are allowed"),
+        ));
+    }
+    Ok(())
+}
+
 macro_rules! name {
     ($(#[$doc:meta])* $name:ident, $what:literal) => {
         $(#[$doc])*
@@ -42,6 +56,16 @@
             pub fn as_str(&self) -> &str {
                 &self.0
             }
+
+            /// Takes a name that another system gave, byte for byte.
+            ///
+            /// # Errors
+            ///
+            /// Fails if the name is empty, has more than 200 bytes or holds a control character.
+            pub fn external(s: &str) -> Result<Self> {
+                check_external($what, s)?;
+                Ok($name(s.into()))
+            }
         }
 
         impl FromStr for $name {
@@ -74,7 +98,7 @@
         impl<'de> Deserialize<'de> for $name {
             fn deserialize<D: Deserializer<'de>>(d: D) -> std::result::Result<Self, D::Error> {
                 let s = String::deserialize(d)?;
-                s.parse().map_err(de::Error::custom)
+                $name::external(&s).map_err(de::Error::custom)
             }
         }
     };
@@ -270,10 +294,11 @@
     ///
     /// Fails if the child's name is not a legal name.
     pub fn child(&self, name: &str) -> Result<NodePath> {
-        match &*self.0 {
-            "/" => format!("/{name}").parse(),
-            path => format!("{path}/{name}").parse(),
-        }
+        check_name("node name", name)?;
+        Ok(NodePath(match &*self.0 {
+            "/" => format!("/{name}").into(),
+            path => format!("{path}/{name}").into(),
+        }))
     }
 
     /// Returns the nodes from the root to this one.
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -109,7 +109,7 @@
 ) -> Result<Context, Failure> {
     let path = match key.and_then(|key| tree.node_of_key(key)) {
         Some(path) => path.clone(),
-        None if route.public || !tree.has_keys() => NodePath::root(),
+        None if route.public || !tree.asks_keys() => NodePath::root(),
         None if key.is_none() => {
             let message = "send the API key as a bearer token";
             return Err(Failure::not_run(Reason::NoKey, message));
--- a/crates/core/src/tree/check.rs
+++ b/crates/core/src/tree/check.rs
@@ -21,6 +21,7 @@
 
 /// Checks every rule that spans more than one value.
 pub(super) fn check(tree: &Tree) -> Result<()> {
+    check_names(tree)?;
     check_pools(tree)?;
     check_models(tree)?;
     check_versions(tree)?;
@@ -57,6 +58,37 @@
     }
 }
 
+/// Checks the names that refer to no other entry.
+fn check_names(tree: &Tree) -> Result<()> {
+    for (name, pool) in &tree.pools {
+        for model in pool.costs.keys() {
+            check_name::<ModelId>(&place(Section::Pools, name, "costs"), model.as_str())?;
+        }
+    }
+    for (name, route) in &tree.routes {
+        for model in &route.sizes {
+            check_name::<ModelId>(&place(Section::Routes, name, "sizes"), model.as_str())?;
+        }
+        for region in route.regions.iter().flatten() {
+            check_name::<Region>(&place(Section::Routes, name, "regions"), region.as_str())?;
+        }
+    }
+    for (path, node) in &tree.nodes {
+        if let Some(account) = &node.account {
+            check_name::<AccountId>(&place(Section::Nodes, path, "account"), account.as_str())?;
+        }
+        for region in node.regions.iter().flatten() {
+            check_name::<Region>(&place(Section::Nodes, path, "regions"), region.as_str())?;
+        }
+    }
+    Ok(())
+}
+
+fn check_name<T: std::str::FromStr<Err = Error>>(at: &str, name: &str) -> Result<()> {
+    let name = name.parse::<T>();
+    name.map(drop).map_err(|e| Error::at(at, e.to_string()))
+}
+
 fn check_pools(tree: &Tree) -> Result<()> {
     let mut prefixes: BTreeMap<&str, &PoolId> = BTreeMap::new();
     for (name, pool) in &tree.pools {
--- a/crates/core/src/tree/mod.rs
+++ b/crates/core/src/tree/mod.rs
@@ -39,6 +39,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Tree {
     revision: Revision,
+    known: bool,
     /// Written from the sections when they are first asked for, unless the tree was read from them.
     entries: OnceLock<BTreeMap<Key, Value>>,
     pools: BTreeMap<PoolId, Pool>,
@@ -56,6 +57,7 @@
     objectives: BTreeMap<PoolId, crate::unit::Span>,
     in_force: HashMap<NodePath, Arc<Node>>,
     by_key: HashMap<String, NodePath>,
+    asks_keys: bool,
     allowed: HashSet<(AccountId, VersionId)>,
 }
 
@@ -65,9 +67,8 @@
 /// use sorreldeck::tree::Sections;
 /// use sorreldeck::{Revision, Tree};
 ///
-/// let tree = Tree::from_sections(Revision(3), Sections::default())?;
+/// let tree = Tree::from_sections(Revision(3), Sections::default());
 /// assert!(tree.entries().is_empty());
-/// # Ok::<(), sorreldeck::Error>(())
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Sections {
@@ -115,30 +116,23 @@
             tree.put(key, value)?;
         }
         tree.entries = OnceLock::from(entries);
-        tree.checked()
+        tree.compile();
+        check::check(&tree)?;
+        Ok(tree)
     }
 
-    /// Builds and checks a tree from typed entries, and keeps nothing else of them.
-    ///
-    /// # Errors
-    ///
-    /// Fails with [`Category::Invalid`]; the error names the entry and field.
-    pub fn from_sections(revision: Revision, sections: Sections) -> Result<Tree> {
-        let tree = Tree {
+    /// Builds a tree from typed entries that another system has accepted, and keeps nothing else
+    /// of them. The rules for configurations of `sorreldeck` do not apply to them.
+    pub fn from_sections(revision: Revision, sections: Sections) -> Tree {
+        let mut tree = Tree {
             revision,
             pools: sections.pools,
             nodes: sections.nodes,
             routes: sections.routes,
             ..Tree::default()
         };
-        tree.checked()
-    }
-
-    fn checked(mut self) -> Result<Tree> {
-        self.compile();
-        self.compile_allowed();
-        check::check(&self)?;
-        Ok(self)
+        tree.compile();
+        tree
     }
 
     /// Returns the tree that a change makes of this one.
@@ -191,8 +185,16 @@
         }
     }
 
-    /// Works out what each node comes to, parents before children.
+    /// Derives the lookups from the sections.
     fn compile(&mut self) {
+        self.compile_nodes();
+        self.compile_routes();
+        self.compile_allowed();
+        self.known = true;
+    }
+
+    /// Works out what each node comes to, parents before children.
+    fn compile_nodes(&mut self) {
         for (path, node) in &self.nodes {
             let above = match path.parent() {
                 None => Some(Node::default()),
@@ -206,6 +208,10 @@
                 self.by_key.insert(key.clone(), path.clone());
             }
         }
+        self.asks_keys = !self.by_key.is_empty();
+    }
+
+    fn compile_routes(&mut self) {
         for (name, route) in &self.routes {
             self.by_host.insert(name, route);
             for pool in route.pools.keys().filter(|_| !route.sizes.is_empty()) {
@@ -286,8 +292,19 @@
     }
 
     /// Returns whether any API key is known.
-    pub fn has_keys(&self) -> bool {
-        !self.by_key.is_empty()
+    pub fn asks_keys(&self) -> bool {
+        self.asks_keys
+    }
+
+    /// Returns whether another tree replaces this one: it is of a later revision, or this one is no
+    /// configuration at all.
+    pub fn precedes(&self, other: &Tree) -> bool {
+        !self.known || self.revision < other.revision
+    }
+
+    /// Returns whether this is a configuration, not the absence of one.
+    pub fn is_known(&self) -> bool {
+        self.known
     }
 
     /// Returns the operator whose token this is.
--- a/crates/core/src/tree/route.rs
+++ b/crates/core/src/tree/route.rs
@@ -113,17 +113,18 @@
         }
     }
 
-    /// Returns the pool for a random number in `[0, 1)`.
+    /// Returns the pool for a random number in `[0, 1)`, or `None` if no pool has a weight.
     pub fn pool(&self, draw: f64) -> Option<&PoolId> {
-        let sum: u32 = self.pools.values().sum();
-        let mut left = draw * f64::from(sum);
-        for (pool, weight) in &self.pools {
+        let weighted = || self.pools.iter().filter(|(_, weight)| **weight > 0);
+        let sum: f64 = weighted().map(|(_, weight)| f64::from(*weight)).sum();
+        let mut left = draw * sum;
+        for (pool, weight) in weighted() {
             left -= f64::from(*weight);
             if left < 0.0 {
                 return Some(pool);
             }
         }
-        self.pools.keys().last()
+        weighted().next_back().map(|(pool, _)| pool)
     }
 }
 
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -4,6 +4,7 @@
 use crate::clock;
 use crate::entry::{EventLoop, Message, Shared};
 use crate::propagation::{self, Outcome, Proposal, Transfer};
+use crate::status;
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 use sorreldeck::tree::{self, Change, Edit, Key, Section, Tree};
@@ -32,7 +33,7 @@
     app.at("/admin/v1/changes/:ticket").get(change_by_ticket);
     app.at("/admin/v1/versions/:name/withdraw").post(withdraw);
     app.at("/admin/v1/rollouts/:name/:intent").post(set_intent);
-    app.at("/admin/v1/status").get(status);
+    app.at("/admin/v1/status").get(show_status);
     app.at("/admin/v1/halls/:hall").get(halls::evacuation);
     app.at("/admin/v1/quarantine").get(quarantine::list);
     app.at("/admin/v1/quarantine/:name/lift")
@@ -503,7 +504,7 @@
     answer.ok_or_else(|| Refusal::new(503, "leaving", "this entry has stopped"))
 }
 
-async fn status(request: Request<Shared>) -> tide::Result {
+async fn show_status(request: Request<Shared>) -> tide::Result {
     let answer = async {
         let operator = operator(&request)?;
         let status = query(&request, move |event_loop| status_of(event_loop, &operator)).await?;
@@ -515,28 +516,7 @@
 fn status_of(event_loop: &mut EventLoop, operator: &Operator) -> Value {
     let tree = event_loop.entry.tree().clone();
     let now = event_loop.clock.now();
-    let upstreams: Vec<Value> = event_loop
-        .entry
-        .peers()
-        .pools()
-        .iter()
-        .flat_map(|(pool, links)| links.iter().map(move |l| (pool, *l)))
-        .filter_map(|(pool, link)| Some((pool, link, event_loop.entry.peers().get(link)?)))
-        .map(|(pool, link, peer)| {
-            json!({
-                "upstream": peer.upstream,
-                "pool": pool,
-                "hall": peer.placement.hall,
-                "gets_work": event_loop.entry.peers().gets_work(link),
-                "work": event_loop.entry.peers().availability(link, now).map(|a| a.to_string()),
-                "running": peer.load.running,
-                "slots": peer.load.slots,
-                "queued": peer.load.queued,
-                "in_flight_here": peer.in_flight,
-                "leaving": peer.leaving,
-            })
-        })
-        .collect();
+    let upstreams = status::upstreams(&event_loop.entry, now);
     let rollouts: Vec<Value> = tree
         .rollouts()
         .iter()
--- a/crates/daemon/src/hosted/event_loop.rs
+++ b/crates/daemon/src/hosted/event_loop.rs
@@ -12,6 +12,7 @@
 use super::duties::Duties;
 use super::followers::Followers;
 use super::holds::Recorder;
+use super::issues::Register;
 use super::message::Message;
 use super::mirror::Mirror;
 use super::mover::{Mover, Proposal};
@@ -104,6 +105,7 @@
     shared: Shared,
     /// The sources that were last logged.
     logged_sources: Vec<String>,
+    issues: Register,
 }
 
 impl EventLoop {
@@ -190,6 +192,7 @@
             vain_fetches: 0,
             shared,
             logged_sources: Vec::new(),
+            issues: Register::default(),
         }
     }
 
--- a/crates/daemon/src/hosted/event_loop/status.rs
+++ b/crates/daemon/src/hosted/event_loop/status.rs
@@ -3,7 +3,9 @@
 use super::EventLoop;
 use crate::clock;
 use crate::hosted::{load, shared};
+use crate::status;
 use log::info;
+use serde_json::{json, Value};
 use sorreldeck::{Span, Time};
 use sorreldeck_platform::Table;
 
@@ -35,6 +37,23 @@
         );
     }
 
+    /// Returns the status of this entry: what is in force, and what is not understood.
+    pub fn status(&self) -> Value {
+        let now = self.clock.now();
+        let tree = self.entry.tree();
+        let evacuated = self.entry.peers().hall_states().evacuated();
+        json!({
+            "revision": tree.revision(),
+            "known": tree.is_known(),
+            "asks_keys": tree.asks_keys(),
+            "routes": tree.routes().len(),
+            "in_flight": self.entry.in_flight(),
+            "evacuated": evacuated,
+            "upstreams": status::upstreams(&self.entry, now),
+            "issues": self.issues.status(tree.revision(), now),
+        })
+    }
+
     /// Returns the metrics of this process as text.
     pub fn metrics_text(&mut self) -> String {
         self.metrics.set_invariants(self.entry.invariants());
@@ -48,6 +67,7 @@
         }
         let gauges = self.metrics.gauges();
         gauges.revision.set(self.entry.tree().revision().0 as i64);
+        gauges.configuration_issues.set(self.issues.parts() as i64);
         gauges.in_flight.set(self.entry.in_flight() as i64);
         gauges.quarantined.set(self.entry.quarantined(now) as i64);
         let owed = self.shared.load.owed();
--- a/crates/daemon/src/hosted/event_loop/updates.rs
+++ b/crates/daemon/src/hosted/event_loop/updates.rs
@@ -6,8 +6,9 @@
 use log::{info, warn};
 use sorreldeck::entry::Input;
 use sorreldeck::quarantine::{Fingerprint, Hold};
-use sorreldeck::{Incarnation, Revision};
+use sorreldeck::Incarnation;
 use sorreldeck_platform::member::Registration;
+use sorreldeck_platform::store::CONFIG_KEY;
 use sorreldeck_platform::Table;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
@@ -46,6 +47,8 @@
                 "event=not-understood table={:?} key={:?} error={:?}",
                 row.table, row.key, row.message
             );
+            self.metrics.count_not_understood(1);
+            self.issues.add_row(row, self.clock.now());
         }
     }
 
@@ -135,15 +138,24 @@
 
     fn apply_config(&mut self, config: sorreldeck_platform::Configuration, from: &str) {
         let revision = config.tree.revision();
-        if revision <= self.entry.tree().revision() && revision > Revision(0) {
+        if !self.entry.tree().precedes(&config.tree) {
             return;
         }
         let origin = self.origin(Table::Operator, from);
         info!(
-            "event=config revision={revision} before={} routes={} {origin}",
+            "event=config revision={revision} before={} routes={} not_understood={} {origin}",
             self.entry.tree().revision(),
-            config.tree.routes().len()
+            config.tree.routes().len(),
+            config.issues.count()
         );
+        for issue in config.issues.first() {
+            warn!(
+                "event=not-understood table={:?} key={CONFIG_KEY:?} revision={revision} place={:?} error={:?}",
+                Table::Operator, issue.place, issue.message
+            );
+        }
+        self.metrics.count_not_understood(config.issues.count());
+        self.issues.set_configuration(config.issues);
         self.shared.set_limits(config.limits);
         self.handle(Input::Tree(Arc::new(config.tree)));
     }
--- a/crates/daemon/src/hosted/mod.rs
+++ b/crates/daemon/src/hosted/mod.rs
@@ -14,6 +14,7 @@
 mod frontend;
 mod hints;
 mod holds;
+mod issues;
 mod load;
 mod log;
 mod message;
--- a/crates/daemon/src/hosted/web.rs
+++ b/crates/daemon/src/hosted/web.rs
@@ -1,4 +1,4 @@
-//! HTTP endpoints for readiness and metrics.
+//! HTTP endpoints for readiness, metrics and status.
 
 use super::event_loop::EventLoop;
 use super::message::Message;
@@ -19,23 +19,45 @@
     app
 }
 
-/// Returns the application that serves the metrics.
+/// Returns the application that serves the metrics and the status.
 pub fn metrics(shared: Shared) -> tide::Server<Shared> {
     let mut app = tide::with_state(shared);
     app.at("/metrics")
         .get(|request: tide::Request<Shared>| async move {
-            let (sender, text) = async_channel::bounded(1);
-            let collect = move |event_loop: &mut EventLoop| {
-                // Sending fails if the client disconnected in the meantime.
-                let _ = sender.try_send(event_loop.metrics_text());
-            };
-            let message = Message::Execute(Box::new(collect));
-            if request.state().send.send(message).await.is_err() {
-                return Ok(tide::Response::new(503));
-            }
-            let text = text.recv().await.unwrap_or_default();
-            let response = tide::Response::builder(200).body(text);
-            Ok(response.content_type("text/plain; version=0.0.4").build())
+            let text = ask(request.state(), EventLoop::metrics_text).await;
+            Ok(reply(text, "text/plain; version=0.0.4"))
+        });
+    app.at("/admin/v1/status")
+        .get(|request: tide::Request<Shared>| async move {
+            let status = ask(request.state(), |event_loop| {
+                event_loop.status().to_string()
+            });
+            Ok(reply(status.await, "application/json"))
         });
     app
 }
+
+/// Returns what the event loop answers, or `None` once it has ended.
+async fn ask(
+    shared: &Shared,
+    query: impl FnOnce(&mut EventLoop) -> String + Send + 'static,
+) -> Option<String> {
+    let (sender, answer) = async_channel::bounded(1);
+    let execute = move |event_loop: &mut EventLoop| {
+        // Sending fails if the client disconnected in the meantime.
+        let _ = sender.try_send(query(event_loop));
+    };
+    let message = Message::Execute(Box::new(execute));
+    shared.send.send(message).await.ok()?;
+    answer.recv().await.ok()
+}
+
+fn reply(text: Option<String>, content_type: &str) -> tide::Response {
+    match text {
+        Some(text) => {
+            let response = tide::Response::builder(200).body(text);
+            response.content_type(content_type).build()
+        }
+        None => tide::Response::new(503),
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod propagation;
 pub mod sidecar;
 pub mod standalone;
+mod status;
 pub mod upstream;
 
 pub use options::Options;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -61,6 +61,7 @@
     versions: Family<TableLabels, Gauge>,
     silences: Family<TableLabels, Gauge>,
     ignored_pages: Counter,
+    not_understood: Counter,
     told_speed_sums: Counter,
     heard_speed_sums: Counter,
     paused_reads: Counter,
@@ -80,6 +81,8 @@
     pub tables_age: Gauge,
     /// The latest era of the platform's store, -1 if it is unknown.
     pub era: Gauge,
+    /// The number of parts of the configuration in force that are not understood.
+    pub configuration_issues: Gauge,
     /// The number of requests in progress.
     pub in_flight: Gauge,
     /// The number of open connections of callers.
@@ -168,6 +171,12 @@
             "Answers of the platform's store that changed nothing, since a later version is known",
             ignored_pages.clone(),
         );
+        let not_understood = Counter::default();
+        registry.register(
+            "not_understood",
+            "Rows, and parts of configurations, that were not understood and have no effect",
+            not_understood.clone(),
+        );
         let (told_speed_sums, heard_speed_sums) = (Counter::default(), Counter::default());
         registry.register(
             "speed_sums_told",
@@ -197,6 +206,7 @@
             versions,
             silences,
             ignored_pages,
+            not_understood,
             told_speed_sums,
             heard_speed_sums,
             paused_reads,
@@ -225,6 +235,11 @@
                 "Era that the platform's store told last, -1 if it told none",
                 &self.era,
             ),
+            (
+                "configuration_not_understood",
+                "Parts of the configuration in force that are not understood and have no effect",
+                &self.configuration_issues,
+            ),
             ("in_flight", "Requests under way", &self.in_flight),
             (
                 "connections",
@@ -410,6 +425,11 @@
         self.ignored_pages.inc();
     }
 
+    /// Counts rows, or parts of a configuration, that were not understood.
+    pub fn count_not_understood(&self, count: usize) {
+        self.not_understood.inc_by(count as u64);
+    }
+
     /// Counts speed sums that this entry told to others.
     pub fn count_told_speed_sums(&self, sums: usize) {
         self.told_speed_sums.inc_by(sums as u64);
