Whether keys are asked for is told by the configuration, not by the keys that are left

Cause: requests to routes were let through unless any key was known. Ruled out: the configuration being rejected (the revision is in force, and unknown keys were refused while one was left).

In our own files keys are asked for as soon as a client account is declared, unless the root tells otherwise. A generator of configurations as the pages allow them holds this and the fault before: each change comes into force at an entry that reads the store, one that hears of it, and one that starts anew.

--- a/crates/core/src/tree/check.rs
+++ b/crates/core/src/tree/check.rs
@@ -411,6 +411,10 @@
 /// Checks what a node comes to with all that it inherits.
 fn check_node_in_force(tree: &Tree, path: &NodePath, node: &Node) -> Result<()> {
     let at = |field| place(Section::Nodes, path, field);
+    if node.keyed.is_some() && *path != NodePath::root() {
+        let message = "only the root tells whether requests to routes need a key";
+        return Err(Error::at(at("keyed"), message));
+    }
     if let Some(parent) = path.parent() {
         let Some(above) = tree.effective(&parent) else {
             let at = Key::new(Section::Nodes, path).to_string();
--- a/crates/core/src/tree/entry.rs
+++ b/crates/core/src/tree/entry.rs
@@ -320,6 +320,10 @@
     /// The BLAKE3 hashes of the API keys that lead to this node; not inherited.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub keys: Option<BTreeSet<String>>,
+    /// Whether requests to routes that are not public need an API key; told at the root only.
+    /// Unless told, they need one as soon as there are client accounts.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub keyed: Option<bool>,
     /// The models and cascades that may be asked for.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub models: Option<BTreeSet<String>>,
--- a/crates/core/src/tree/mod.rs
+++ b/crates/core/src/tree/mod.rs
@@ -208,7 +208,13 @@
                 self.by_key.insert(key.clone(), path.clone());
             }
         }
-        self.asks_keys = !self.by_key.is_empty();
+        let root = self.nodes.get(&NodePath::root());
+        let has_accounts = || {
+            let mut nodes = self.nodes.values();
+            nodes.any(|node| node.account.is_some() || node.keys.is_some())
+        };
+        let told = root.and_then(|root| root.keyed);
+        self.asks_keys = told.unwrap_or_else(has_accounts);
     }
 
     fn compile_routes(&mut self) {
@@ -291,7 +297,8 @@
         self.by_key.get(hash_key(key).as_str())
     }
 
-    /// Returns whether any API key is known.
+    /// Returns whether requests to routes that are not public need an API key, whether or not any
+    /// key is known: the root tells it, or else they do as soon as there are client accounts.
     pub fn asks_keys(&self) -> bool {
         self.asks_keys
     }
@@ -502,6 +509,7 @@
         splits: own.splits.or(above.splits),
         rank: own.rank.or(above.rank),
         regions: own.regions.or(above.regions),
+        keyed: own.keyed.or(above.keyed),
     }
 }
 
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -2,7 +2,7 @@
 
 // Each test binary uses only some of these.
 #[allow(unused_imports)]
-pub use sorreldeck_emulator::routed::{ask, entry, head, member, routed, streams, tree};
+pub use sorreldeck_emulator::routed::{ask, entry, head, member, route, routed, streams, tree};
 
 use sorreldeck::entry::{Output, Part};
 use sorreldeck::pick::Link;
--- a/crates/core/tests/routed.rs
+++ b/crates/core/tests/routed.rs
@@ -739,3 +739,25 @@
     let proposed = fixture.entry.propose_moves(fixture.now);
     assert_eq!(proposed.first().map(|p| p.1), Some(State::RolledBack));
 }
+
+/// Guards against letting requests through where client accounts are declared and none has a key.
+#[test_case("[nodes.'/a']\naccount = 'a'", Some(Reason::NoKey); "an account without keys")]
+#[test_case("[nodes.'/a']\naccount = 'a'\nkeys = []", Some(Reason::NoKey); "an empty list of keys")]
+#[test_case("keyed = true", Some(Reason::NoKey); "the root asks for keys")]
+#[test_case("keyed = false\n[nodes.'/a']\naccount = 'a'", None; "the root asks for none")]
+#[test_case("", None; "no account")]
+fn the_configuration_tells_whether_a_key_is_needed(more: &str, refused: Option<Reason>) {
+    let mut fixture = Fixture::new();
+    let route = common::route("drafts", "").replace("public = true", "");
+    let text = format!("[pools.engines]\nkind = \"engine\"\n[nodes.\"/\"]\n{more}\n{route}");
+    fixture.handle(common::tree(&text));
+    let (_, outputs) = fixture.send("/drafts/1", None);
+    assert_eq!(failure(&outputs).map(|f| f.reason), refused);
+}
+
+#[test]
+fn only_the_root_tells_whether_keys_are_needed() {
+    let text = "[nodes.'/']\n[nodes.'/a']\nkeyed = false";
+    let error = sorreldeck::Tree::from_toml(text).unwrap_err();
+    assert_eq!(error.place(), Some("nodes/a.keyed"));
+}
--- a/crates/daemon/tests/configurations.rs
+++ b/crates/daemon/tests/configurations.rs
@@ -1,6 +1,9 @@
-//! Configurations as the platform's pages allow them: each one that the store has accepted comes
-//! into force at every entry, and after a restart.
+//! Configurations as the platform's pages allow them, generated: each one that the store has
+//! accepted comes into force at every entry, and after a restart.
+//!
+//! `PROPTEST_CASES` sets the number of cases.
 
+use proptest::prelude::*;
 use serde_json::{json, Map, Value};
 use sorreldeck::entry::{Entry, Input, Member, Output, Part, Reply, Routed};
 use sorreldeck::era::Stamp;
@@ -12,8 +15,10 @@
 use sorreldeck_platform::Table;
 use sorreldeck_sim::rows;
 use sorreldeckd::hosted::{Merge, Mirror, Update};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
+use test_case::test_case;
 
 const HOSTS: [&str; 2] = ["ficu95.example", "Pay.Example"];
 const PREFIXES: [&str; 5] = ["/", "/a/", "/a/b/", "/lohu930/", "/a b/"];
@@ -59,6 +64,55 @@
     tenants: Option<Vec<(usize, Vec<usize>)>>,
 }
 
+fn route() -> impl Strategy<Value = Route> {
+    let services = prop::collection::vec((0..SERVICES.len(), 0u32..4), 1..4);
+    let sizes = prop::collection::vec(0..MODELS.len(), 0..3);
+    let switches = any::<[bool; 4]>();
+    let places = (0..HOSTS.len(), 0..PREFIXES.len(), 0..KINDS.len());
+    (places, services, sizes, switches).prop_map(|((host, prefix, kind), services, sizes, on)| {
+        let mut seen = BTreeSet::new();
+        let services = services.into_iter().filter(|(s, _)| seen.insert(*s));
+        Route {
+            host,
+            prefix,
+            kind,
+            services: services.collect(),
+            split: on[0],
+            fractions: on[1],
+            sizes,
+            public: on[2],
+            brief: on[3],
+        }
+    })
+}
+
+fn configuration() -> impl Strategy<Value = Configuration> {
+    let routes = prop::collection::vec(route(), 0..6);
+    let holders = prop::collection::vec(0..TENANTS.len() + 1, KEYS.len() - 1);
+    let listed = prop::collection::vec(any::<bool>(), TENANTS.len());
+    let tenants = prop::option::weighted(0.8, (holders, listed));
+    let engines = prop::collection::vec(any::<bool>(), SERVICES.len());
+    (1u64..40, routes, engines, tenants).prop_map(|(rise, routes, engines, tenants)| {
+        let mut seen = BTreeSet::new();
+        let routes = routes.into_iter();
+        let routes = routes.filter(|r| seen.insert((r.host, r.prefix))).collect();
+        let tenants = tenants.map(|(holders, listed)| {
+            let listed = (0..TENANTS.len()).filter(|t| listed[*t]);
+            let keys_of = |tenant| {
+                let keys = (0..holders.len()).filter(|key| holders[*key] == tenant);
+                (tenant, keys.collect())
+            };
+            listed.map(keys_of).collect()
+        });
+        Configuration {
+            rise,
+            routes,
+            engines,
+            tenants,
+        }
+    })
+}
+
 impl Route {
     fn value(&self, number: usize) -> Value {
         let mut route = Map::new();
@@ -407,6 +461,26 @@
     }
 }
 
+fn cases() -> ProptestConfig {
+    let cases = std::env::var("PROPTEST_CASES").ok();
+    ProptestConfig {
+        cases: cases.and_then(|n| n.parse().ok()).unwrap_or(60),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(cases())]
+
+    #[test]
+    fn every_accepted_configuration_comes_into_force(
+        configurations in prop::collection::vec(configuration(), 1..6),
+    ) {
+        play(&configurations);
+    }
+}
+
 fn plain_route(host: usize, service: usize) -> Route {
     Route {
         host,
@@ -442,6 +516,15 @@
     play(&[before, after]);
 }
 
+/// Guards against asking for no key once the last one has been taken away.
+#[test_case(vec![(0, vec![]), (1, vec![])]; "tenants without keys")]
+#[test_case(vec![]; "no tenant")]
+fn keys_are_asked_for_when_none_is_left(left: Vec<(usize, Vec<usize>)>) {
+    let before = plain(&[0, 1], Some(vec![(0, vec![0]), (1, vec![1])]));
+    let one = plain(&[0, 1], Some(vec![(0, vec![]), (1, vec![1])]));
+    play(&[before, one, plain(&[0, 1], Some(left))]);
+}
+
 /// Guards against taking a first configuration of version 0 for none.
 #[test]
 fn a_configuration_of_version_0_is_one() {
