A connection gives way to others, and ends where a message has too much framing

Cause: the runtime makes no task yield, the HTTP library reads framing in a loop until a read is not ready, and all tasks share one thread. Ruled out as the first cause: turning away as overloaded (/ready would say 503) and memory (14 MB).

One wrapper makes all sockets: it gives way after 32 KiB or 64 reads, counts what is read of a message against its content, gives what has more framing than a turn a turn each 10 ms and ends the connection beyond a budget. A connection whose requests are refused one behind the other gets 100 at once and 100 a second. Events are cut in one pass, bounded, with CR LF and CR as line ends too. Settings, counters and a line for each.

tests/hostile plays peers of a grammar (one place of a message that never ends, comes slowly, all at once, stops, or comes twice) against a real process of 88 MB beside good callers. Three of its seven named rows failed before (0 of 100 served, 0 of 100 ready, cut after 5.3 and 6.1 s of 1.5 allowed); all seven pass, cut after 0.1 and 1.5 s.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -5,6 +5,7 @@
 mod cascade;
 mod crash;
 mod days;
+mod events;
 mod faults;
 mod fleet;
 mod limits;
@@ -64,6 +65,9 @@
     /// Send most new connections to one entry, at rising load
     #[bpaf(command)]
     Skew(#[bpaf(external(skew::options))] skew::Options),
+    /// Cut streams of one event that never ends
+    #[bpaf(command)]
+    Events(#[bpaf(external(events::options))] events::Options),
     /// Hit real processes with faults under load and check the promises
     #[bpaf(command)]
     Faults(#[bpaf(external(faults::options))] faults::Options),
@@ -93,6 +97,7 @@
         Options::Restore(options) => restore::run(&options)?,
         Options::Scale(options) => scale::run(&options)?,
         Options::Skew(options) => skew::run(&options)?,
+        Options::Events(options) => events::run(&options)?,
         Options::Faults(options) => run(faults::run(options))?,
         Options::StandIns(options) => run(stand::run(options))?,
         Options::Daemon(options) => {
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -4,7 +4,6 @@
 use async_channel::Receiver;
 use async_std::future::timeout;
 use async_std::io::ReadExt;
-use async_std::net::TcpStream;
 use futures_lite::FutureExt;
 use serde_json::{json, Value};
 use sorreldeck::entry::{Chat, Part, Payload, Request as EntryRequest};
@@ -13,6 +12,7 @@
 use sorreldeck::wire::{Call, Header};
 use sorreldeck::{Failure, Reason, RequestId, Size, Span, Verdict};
 use sorreldeck_net::http::{self, Piece, Stream};
+use sorreldeck_net::socket::Socket;
 use std::net::SocketAddr;
 use tide::{Body, Request, Response};
 
@@ -124,7 +124,7 @@
         let failure = Failure::not_run(Reason::Leaving, "this entry has stopped");
         return Ok(error_response(Some(id), &failure));
     }
-    let connection = request.ext::<TcpStream>().cloned();
+    let connection = request.ext::<Socket>().cloned();
     let call = Call { body, ..call };
     Ok(answer(&shared, id, call, parts, connection).await)
 }
@@ -136,8 +136,8 @@
     response.insert_header("connection", "close");
     // The server reads a request to its end before it closes the connection, so a
     // slow sender could keep it open forever; the shutdown ends the request here.
-    if let Some(stream) = request.ext::<TcpStream>() {
-        let _ = stream.shutdown(std::net::Shutdown::Read);
+    if let Some(stream) = request.ext::<Socket>() {
+        let _ = stream.stream().shutdown(std::net::Shutdown::Read);
     }
     response
 }
@@ -243,7 +243,7 @@
     id: RequestId,
     call: Call,
     parts: Receiver<Part>,
-    connection: Option<TcpStream>,
+    connection: Option<Socket>,
 ) -> Response {
     let first = async { parts.recv().await.ok() };
     let disconnected = async {
--- a/crates/daemon/src/hosted/client.rs
+++ b/crates/daemon/src/hosted/client.rs
@@ -14,13 +14,14 @@
 use async_std::task::{self, JoinHandle};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use hyper::{Request, Response};
 use sorreldeck::entry::{Head, Reply};
 use sorreldeck::pick::Link;
 use sorreldeck::wire::{Header, Metadata, Run, Start};
-use sorreldeck::{Failure, Reason, Span, Time, Verdict};
-use sorreldeck_net::h1::{self, Channel};
+use sorreldeck::{Failure, Reason, Size, Span, Time, Verdict};
+use sorreldeck_net::events::Events;
+use sorreldeck_net::h1::{self, Channel, Content};
 use sorreldeck_net::reach;
 use sorreldeck_platform::call;
 use std::collections::HashMap;
@@ -53,6 +54,7 @@
     messages: Sender<Message>,
     load: Load,
     clock: Clock,
+    max_event: Size,
 }
 
 /// A run. Dropping it closes its connection, which cancels the run at the upstream.
@@ -67,13 +69,14 @@
 }
 
 impl Client {
-    /// Creates a client without connections.
-    pub fn new(messages: Sender<Message>, load: Load, clock: Clock) -> Client {
+    /// Creates a client without connections that takes events of up to this size.
+    pub fn new(messages: Sender<Message>, load: Load, clock: Clock, max_event: Size) -> Client {
         Client {
             pool: Pool::default(),
             messages,
             load,
             clock,
+            max_event,
         }
     }
 
@@ -103,6 +106,7 @@
             started_at: self.clock.now(),
             time_left: Span::from_micros(start.deadline_us),
             unread,
+            max_event: self.max_event,
         };
         Handle(Some(task::spawn(run_task.work(address, start))))
     }
@@ -119,14 +123,15 @@
     started_at: Time,
     time_left: Span,
     unread: Unread,
+    max_event: Size,
 }
 
 /// The response of an upstream.
 enum Answer {
     /// The request ran.
-    Ran(Response<Incoming>),
+    Ran(Response<Content>),
     /// The upstream refused the request with this status.
-    NotRun(u16, Response<Incoming>),
+    NotRun(u16, Response<Content>),
 }
 
 /// How the end of a body shows.
@@ -138,7 +143,7 @@
 }
 
 impl Framing {
-    fn of(response: &Response<Incoming>) -> Framing {
+    fn of(response: &Response<Content>) -> Framing {
         let body = response.body();
         let is_chunked = response.headers().contains_key("transfer-encoding");
         match body.size_hint().exact().is_some() || is_chunked {
@@ -280,7 +285,7 @@
 
     /// Checks that the response belongs to the request and has the headers that a response must
     /// have.
-    async fn read_head(&self, response: Response<Incoming>) -> Result<Answer, Failure> {
+    async fn read_head(&self, response: Response<Content>) -> Result<Answer, Failure> {
         let status = response.status().as_u16();
         let headers = h1::headers_of(response.headers());
         let head = call::parse_response(status, &headers);
@@ -328,7 +333,7 @@
     /// request as soon as it has that part.
     async fn forward_body(
         &self,
-        response: Response<Incoming>,
+        response: Response<Content>,
         address: SocketAddr,
         channel: Channel,
     ) -> Result<(), Failure> {
@@ -336,7 +341,7 @@
         let is_stream =
             self.metadata.as_ref().is_some_and(|o| o.stream) && response.status() == 200;
         let mut body = response.into_body();
-        let mut pending = Vec::new();
+        let mut events = Events::new(self.max_event);
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|e| may_have_run(format!("the answer broke off: {e}")))?;
             let Ok(data) = frame.into_data() else {
@@ -346,10 +351,7 @@
                 self.return_channel(address, channel.take());
             }
             match is_stream {
-                true => {
-                    pending.extend_from_slice(&data);
-                    self.forward_events(&mut pending).await;
-                }
+                true => self.forward_events(&mut events, &data).await?,
                 false => {
                     let data = data.to_vec();
                     self.send_reply(Reply::Data {
@@ -362,7 +364,7 @@
             self.until_read().await;
         }
         self.return_channel(address, channel);
-        match pending.is_empty() {
+        match events.is_empty() {
             true => Ok(()),
             false => Err(may_have_run("the answer ended inside an event")),
         }
@@ -378,20 +380,19 @@
     }
 
     /// Forwards the events that are complete.
-    async fn forward_events(&self, pending: &mut Vec<u8>) {
-        let end = pending.windows(2).rposition(|pair| pair == b"\n\n");
-        let Some(end) = end else {
-            return;
+    async fn forward_events(&self, events: &mut Events, data: &[u8]) -> Result<(), Failure> {
+        let whole = events.push(data);
+        let Some(data) = whole.map_err(|e| may_have_run(e.to_string()))? else {
+            return Ok(());
         };
-        let rest = pending.split_off(end + 2);
-        let data = std::mem::replace(pending, rest);
         let last_event = call::last_event_id(&data);
         self.send_reply(Reply::Data { data, last_event }).await;
+        Ok(())
     }
 }
 
 /// Reads the rest of a refusal so that its connection can be reused, and returns whether it can.
-async fn drain(response: Response<Incoming>) -> bool {
+async fn drain(response: Response<Content>) -> bool {
     let mut body = response.into_body();
     let mut read = 0;
     while let Some(frame) = body.frame().await {
--- a/crates/daemon/src/hosted/event_loop.rs
+++ b/crates/daemon/src/hosted/event_loop.rs
@@ -169,7 +169,12 @@
             relay,
             duties,
             followers: Followers::start(&store, &shared, &clock),
-            client: Client::new(shared.send.clone(), shared.load.clone(), clock.clone()),
+            client: Client::new(
+                shared.send.clone(),
+                shared.load.clone(),
+                clock.clone(),
+                options.max_event.0,
+            ),
             clock,
             runs: HashMap::new(),
             responses: HashMap::new(),
--- a/crates/daemon/src/hosted/event_loop/status.rs
+++ b/crates/daemon/src/hosted/event_loop/status.rs
@@ -7,6 +7,7 @@
 use log::info;
 use serde_json::{json, Value};
 use sorreldeck::{Span, Time};
+use sorreldeck_net::socket;
 use sorreldeck_platform::Table;
 
 /// Interval between log lines with the sizes of this entry's state.
@@ -72,6 +73,8 @@
         gauges.quarantined.set(self.entry.quarantined(now) as i64);
         let owed = self.shared.load.owed();
         gauges.connections.set(owed.connections as i64);
+        gauges.framing_closed.set(socket::closed() as i64);
+        gauges.gave_way.set(socket::gave_way() as i64);
         gauges.closed_unread.set(self.shared.load.closed() as i64);
         gauges.processor_owed.set(owed.processor.millis() as i64);
         gauges.link_owed.set(owed.link.millis() as i64);
--- a/crates/daemon/src/hosted/frontend.rs
+++ b/crates/daemon/src/hosted/frontend.rs
@@ -2,22 +2,23 @@
 
 use super::load::{Active, Connection, Load};
 use super::message::Message;
+use super::refusals::Refusals;
 use super::response::{self, Reader};
 use super::shared::Shared;
 use async_channel::Sender;
 use async_io::Async;
-use async_std::net::TcpStream;
 use async_std::task;
 use bytes::{Bytes, BytesMut};
 use futures_lite::FutureExt;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::{Body, Frame, SizeHint};
 use hyper::{Request, Response, StatusCode};
 use log::warn;
 use sorreldeck::entry::{Part, Payload, Request as EntryRequest, Routed};
 use sorreldeck::wire::{Call, Header};
 use sorreldeck::{Failure, Reason, RequestId, Span, Verdict};
-use sorreldeck_net::h1::{self, Door, Limits};
+use sorreldeck_net::h1::{self, Content, Door, Limits};
+use sorreldeck_net::socket::Socket;
 use sorreldeck_platform::call;
 use std::net::TcpListener;
 use std::pin::Pin;
@@ -59,7 +60,7 @@
             Ok((stream, _)) => {
                 // A connection that is not accepted is closed by dropping its stream unread.
                 if let Some(accepted) = shared.load.accept() {
-                    let stream = TcpStream::from(stream);
+                    let stream = Socket::from(async_std::net::TcpStream::from(stream));
                     task::spawn(connection(stream, accepted, shared.clone(), door.clone()));
                 }
             }
@@ -72,7 +73,7 @@
     }
 }
 
-async fn connection(stream: TcpStream, accepted: Connection, shared: Shared, door: Arc<Door>) {
+async fn connection(stream: Socket, accepted: Connection, shared: Shared, door: Arc<Door>) {
     let limits = shared.limits();
     let limits = Limits {
         head: limits.head.bytes() as usize + HEAD_MARGIN,
@@ -80,9 +81,20 @@
         idle_timeout: limits.idle_timeout.into(),
     };
     let is_first = AtomicBool::new(true);
+    let refusals = Refusals::default();
     let handle_request = |request| {
-        let active = shared.load.begin(is_first.swap(false, Ordering::Relaxed));
-        handle_request(request, active, shared.clone())
+        let (shared, refusals, is_first) = (shared.clone(), &refusals, &is_first);
+        async move {
+            if let Some(wait) = refusals.wait() {
+                task::sleep(wait).await;
+            }
+            let active = shared.load.begin(is_first.swap(false, Ordering::Relaxed));
+            let response = handle_request(request, active, shared).await;
+            if response.body().is_refusal() {
+                refusals.count();
+            }
+            response
+        }
     };
     h1::serve(stream, door, limits, handle_request).await;
     drop(accepted);
@@ -128,7 +140,7 @@
 }
 
 async fn handle_request(
-    request: Request<Incoming>,
+    request: Request<Content>,
     active: Active,
     shared: Shared,
 ) -> Response<ResponseBody> {
@@ -175,7 +187,7 @@
 
 /// Reads a whole request.
 async fn read(
-    request: Request<Incoming>,
+    request: Request<Content>,
     shared: &Shared,
     reservation: &mut Reservation,
 ) -> Result<EntryRequest, Failure> {
@@ -333,6 +345,11 @@
 }
 
 impl ResponseBody {
+    /// Returns whether the entry itself has answered.
+    fn is_refusal(&self) -> bool {
+        self.rest.is_none()
+    }
+
     fn whole(text: Bytes) -> ResponseBody {
         ResponseBody {
             length: Some(text.len() as u64),
--- a/crates/daemon/src/hosted/mod.rs
+++ b/crates/daemon/src/hosted/mod.rs
@@ -23,6 +23,7 @@
 mod pack;
 mod peer;
 mod reconcile;
+mod refusals;
 mod relay;
 mod replica;
 mod reports;
@@ -52,6 +53,7 @@
 use sorreldeck::Incarnation;
 use sorreldeck_net::h1::Door;
 use sorreldeck_net::http;
+use sorreldeck_net::socket;
 use sorreldeck_platform::{Settings, Store};
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
@@ -123,6 +125,7 @@
     clock: Clock,
     stop: Arc<AtomicBool>,
 ) -> Result<Running> {
+    socket::configure(options.turn, options.framing);
     let callers = Async::<std::net::TcpListener>::bind(settings.front_address)?;
     let ready = TcpListener::bind(settings.readiness_address).await?;
     let (callers_at, ready_at) = (callers.get_ref().local_addr()?, ready.local_addr()?);
--- a/crates/daemon/src/hosted/peer.rs
+++ b/crates/daemon/src/hosted/peer.rs
@@ -11,7 +11,7 @@
 use super::shared::Shared;
 use crate::clock;
 use async_std::future::timeout;
-use async_std::net::{TcpListener, TcpStream};
+use async_std::net::TcpListener;
 use async_std::task;
 use log::{info, warn};
 use sorreldeck::era::Stamp;
@@ -20,6 +20,7 @@
 use sorreldeck::InstanceId;
 use sorreldeck_net::link::{self, Event, Keys, Open, Outbox};
 use sorreldeck_net::open::{self, Bound};
+use sorreldeck_net::socket::{self, Socket};
 use sorreldeck_platform::store::{Page, Row};
 use sorreldeck_platform::{Settings, Table};
 use std::collections::{BTreeMap, HashMap};
@@ -246,8 +247,8 @@
     let mut opening = open::Open::new(OPENING, listener.local_addr().ok());
     let mut next_number = 1;
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
+        match socket::accept(&listener).await {
+            Ok(stream) => {
                 opening.make_room().await;
                 opening.run(accept(stream, keys.clone(), next_number, shared.clone()));
                 next_number += 1;
@@ -262,7 +263,7 @@
 }
 
 /// Opens an incoming link, which then runs by itself.
-async fn accept(stream: TcpStream, keys: Keys, number: Link, shared: Shared) {
+async fn accept(stream: Socket, keys: Keys, number: Link, shared: Shared) {
     match link::accept(stream, &keys, clock::random()).await {
         Ok(open) => {
             let accepted = move |outbox| Message::LinkAccepted(number, outbox);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -89,6 +89,10 @@
     pub connections: Gauge,
     /// The number of connections that were closed unread because a resource was full.
     pub closed_unread: Gauge,
+    /// The number of connections that were closed because a message had too much framing.
+    pub framing_closed: Gauge,
+    /// How often connections gave way to others in the middle of what they had to read.
+    pub gave_way: Gauge,
     /// How long tasks wait for the processor, or it needs for what it owes, in milliseconds.
     pub processor_owed: Gauge,
     /// How long the network link needs for what it owes, in milliseconds.
@@ -235,6 +239,16 @@
                 "Era that the platform's store told last, -1 if it told none",
                 &self.era,
             ),
+            (
+                "framing_exceeded",
+                "Connections closed because a message had too much that is no content",
+                &self.framing_closed,
+            ),
+            (
+                "turns_ended",
+                "How often a connection gave way to others while it had more to read",
+                &self.gave_way,
+            ),
             (
                 "configuration_not_understood",
                 "Parts of the configuration in force that are not understood and have no effect",
--- a/crates/daemon/src/sidecar.rs
+++ b/crates/daemon/src/sidecar.rs
@@ -20,6 +20,7 @@
 use sorreldeck_net::http::{self, Client};
 use sorreldeck_net::link::{self, Event, Keys, Outbox, Traffic};
 use sorreldeck_net::open::{Bound, Open};
+use sorreldeck_net::socket;
 use sorreldeck_net::Platform;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -144,7 +145,7 @@
     let mut opening = Open::new(OPENING, listener.local_addr().ok());
     let mut next: Link = 1;
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok(stream) = socket::accept(&listener).await else {
             task::sleep(ACCEPT_BACKOFF).await;
             continue;
         };
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -139,6 +139,9 @@
         admission: Default::default(),
         model_choice: Default::default(),
         accept: options::Thresholds(sorreldeck::entry::CONFIDENCE_THRESHOLDS),
+        turn: Default::default(),
+        framing: Default::default(),
+        max_event: Default::default(),
         log: LogFormat::Json,
     };
     let stop = Arc::new(AtomicBool::new(false));
--- a/crates/emulator/src/engine.rs
+++ b/crates/emulator/src/engine.rs
@@ -22,7 +22,6 @@
 use crate::quality::Quality;
 use crate::text::{self, Words};
 use async_channel::{Receiver, Sender};
-use async_std::net::TcpStream;
 use async_std::task;
 use futures_lite::FutureExt;
 use serde::{Deserialize, Serialize};
@@ -30,6 +29,7 @@
 use sorreldeck::header;
 use sorreldeck_net::http::{self, Piece, Stream};
 use sorreldeck_net::open::Bound;
+use sorreldeck_net::socket::Socket;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
 use std::net::SocketAddr;
@@ -511,7 +511,7 @@
     if chat.stream {
         return Ok(answer.stream(progress));
     }
-    let connection = request.ext::<TcpStream>().cloned();
+    let connection = request.ext::<Socket>().cloned();
     answer.respond(progress, connection).await
 }
 
@@ -703,7 +703,7 @@
         parts.send(self.last_events().into_bytes().into()).await
     }
 
-    async fn respond(self, progress: Receiver<u32>, connection: Option<TcpStream>) -> tide::Result {
+    async fn respond(self, progress: Receiver<u32>, connection: Option<Socket>) -> tide::Result {
         let generated = async {
             let mut generated = 0;
             while let Ok(n) = progress.recv().await {
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod crash;
 pub mod engine;
+pub mod hostile;
 pub mod notice;
 pub mod overload;
 pub mod plain;
--- a/crates/net/src/h1.rs
+++ b/crates/net/src/h1.rs
@@ -16,7 +16,7 @@
 //! # }).unwrap();
 //! ```
 
-use async_std::net::TcpStream;
+use crate::socket::{self, Meter, Socket};
 use async_std::task::{self, JoinHandle};
 use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
 use futures_util::future::{select, Either};
@@ -28,6 +28,7 @@
 use hyper::{Request, Response};
 use smol_hyper::rt::FuturesIo;
 use sorreldeck::wire::Header;
+use sorreldeck::Size;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -185,7 +186,7 @@
 
 /// Notes when bytes come in.
 struct Watched {
-    stream: TcpStream,
+    stream: Socket,
     activity: Arc<Activity>,
     door: Arc<Door>,
 }
@@ -232,6 +233,37 @@
     }
 }
 
+/// A body that comes in, whose content is told from its framing.
+pub struct Content {
+    body: Incoming,
+    meter: Meter,
+}
+
+impl Body for Content {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<hyper::body::Frame<Bytes>, hyper::Error>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        if let Poll::Ready(Some(Ok(frame))) = &polled {
+            let bytes = frame.data_ref().map_or(0, Bytes::len);
+            self.meter.add_content(bytes);
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> hyper::body::SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// A body that notes when it has ended or was given up.
 pub struct Tracked<B: Body> {
     body: B,
@@ -290,16 +322,21 @@
 /// Serves the requests of one connection until it ends.
 ///
 /// The future of `answer` is dropped when the caller leaves.
-pub async fn serve<F, A, B>(stream: TcpStream, door: Arc<Door>, limits: Limits, answer: F)
+pub async fn serve<F, A, B>(stream: Socket, door: Arc<Door>, limits: Limits, answer: F)
 where
-    F: Fn(Request<Incoming>) -> A,
+    F: Fn(Request<Content>) -> A,
     A: Future<Output = Response<B>>,
     B: Body + Unpin + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>> + Unpin,
 {
-    if stream.set_nodelay(true).is_err() {
+    if stream.stream().set_nodelay(true).is_err() {
         return;
     }
+    // Of what was read, the next requests may be in the buffer.
+    let framing = limits.head as u64 + BUFFER as u64 + socket::framing().base.bytes();
+    let framing = Size::from_bytes(framing);
+    let meter = stream.meter();
+    meter.begin(framing);
     door.open.fetch_add(1, Ordering::Relaxed);
     let activity = Arc::new(Activity::default());
     activity.free_since.store(door.now(), Ordering::Relaxed);
@@ -308,8 +345,13 @@
         activity: activity.clone(),
         door: door.clone(),
     };
-    let service = service_fn(|request| {
+    let service = service_fn(|request: Request<Incoming>| {
         activity.begin();
+        meter.begin(framing);
+        let request = request.map(|body| Content {
+            body,
+            meter: meter.clone(),
+        });
         let end = Ending {
             activity: activity.clone(),
             door: door.clone(),
@@ -357,6 +399,7 @@
 /// closes the connection at once.
 pub struct Channel {
     send: SendRequest<Full<Bytes>>,
+    meter: Meter,
     task: Option<JoinHandle<()>>,
     /// When the last request ended.
     pub free_since: Instant,
@@ -385,8 +428,9 @@
             too_long.await;
             Err(io::ErrorKind::TimedOut.into())
         };
-        let stream = TcpStream::connect(address).or(give_up).await?;
-        stream.set_nodelay(true)?;
+        let stream = Socket::connect(address).or(give_up).await?;
+        stream.stream().set_nodelay(true)?;
+        let meter = stream.meter();
         let handshake = client::Builder::new()
             .max_buf_size(BUFFER)
             .handshake(FuturesIo::new(stream));
@@ -397,6 +441,7 @@
         });
         Ok(Channel {
             send,
+            meter,
             task: Some(task),
             free_since: Instant::now(),
         })
@@ -420,12 +465,16 @@
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, Unsent> {
+    ) -> Result<Response<Content>, Unsent> {
+        let framing = BUFFER as u64 + socket::framing().base.bytes();
+        self.meter.begin(Size::from_bytes(framing));
         let sent = self.send.try_send_request(request).await;
-        sent.map_err(|mut e| Unsent {
+        let meter = self.meter.clone();
+        let response = sent.map_err(|mut e| Unsent {
             unsent: e.take_message().is_some(),
             message: e.error().to_string(),
-        })
+        })?;
+        Ok(response.map(|body| Content { body, meter }))
     }
 }
 
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -14,14 +14,15 @@
 //! ```
 
 use crate::open::{Bound, Open};
+use crate::socket::{self, Meter, Socket};
 use async_channel::Receiver;
 use async_std::future::timeout;
 use async_std::io::{BufRead as AsyncBufRead, Read as AsyncRead, ReadExt};
-use async_std::net::{TcpListener, TcpStream};
+use async_std::net::TcpListener;
 use async_std::sync::Mutex;
 use async_std::task;
 use sorreldeck::wire::{Call, Header};
-use sorreldeck::Verdict;
+use sorreldeck::{Size, Verdict};
 use std::collections::HashMap;
 use std::fmt;
 use std::io;
@@ -106,10 +107,11 @@
     /// The headers, in lower case.
     pub headers: Vec<Header>,
     body: Response,
-    home: Option<(Client, SocketAddr, TcpStream)>,
+    home: Option<(Client, SocketAddr, Socket)>,
     buf: Vec<u8>,
     expected: Option<usize>,
     got: usize,
+    meter: Meter,
 }
 
 impl Incoming {
@@ -126,6 +128,7 @@
             .map_err(Trouble::unsure)?;
         if n > 0 {
             self.got += n;
+            self.meter.add_content(n);
             return Ok(Some(self.buf[..n].to_vec()));
         }
         if self.expected.is_some_and(|len| self.got < len) {
@@ -158,7 +161,7 @@
 /// An HTTP/1.1 client that keeps connections.
 #[derive(Clone, Default)]
 pub struct Client {
-    kept: Arc<Mutex<HashMap<SocketAddr, Vec<TcpStream>>>>,
+    kept: Arc<Mutex<HashMap<SocketAddr, Vec<Socket>>>>,
 }
 
 impl Client {
@@ -183,20 +186,23 @@
                 return sent;
             }
         }
-        let stream = TcpStream::connect(address)
-            .await
+        let stream = Socket::connect(address).await.map_err(Trouble::not_run)?;
+        stream
+            .stream()
+            .set_nodelay(true)
             .map_err(Trouble::not_run)?;
-        stream.set_nodelay(true).map_err(Trouble::not_run)?;
         self.exchange(stream, address, call).await
     }
 
     async fn exchange(
         &self,
-        stream: TcpStream,
+        stream: Socket,
         address: SocketAddr,
         call: &Call,
     ) -> Result<Incoming, Trouble> {
         let request = request_of(address, call)?;
+        let meter = stream.meter();
+        meter.begin(max_framing());
         let response = async_h1::connect(stream.clone(), request)
             .await
             .map_err(Trouble::unsure)?;
@@ -211,6 +217,7 @@
             buf: vec![0; CHUNK],
             expected,
             got: 0,
+            meter,
         })
     }
 
@@ -278,7 +285,7 @@
         self.kept.lock().await.remove(&address);
     }
 
-    async fn take(&self, address: SocketAddr) -> Option<TcpStream> {
+    async fn take(&self, address: SocketAddr) -> Option<Socket> {
         loop {
             let stream = self.kept.lock().await.get_mut(&address)?.pop()?;
             if is_open(&stream).await {
@@ -287,7 +294,7 @@
         }
     }
 
-    async fn keep(&self, address: SocketAddr, stream: TcpStream) {
+    async fn keep(&self, address: SocketAddr, stream: Socket) {
         let mut kept = self.kept.lock().await;
         let streams = kept.entry(address).or_default();
         if streams.len() < KEPT {
@@ -298,9 +305,9 @@
 
 /// Returns whether the server has neither closed an idle connection nor sent
 /// anything over it.
-async fn is_open(stream: &TcpStream) -> bool {
+async fn is_open(stream: &Socket) -> bool {
     let mut buf = [0];
-    let peeked = futures_lite::future::poll_once(stream.peek(&mut buf)).await;
+    let peeked = futures_lite::future::poll_once(stream.stream().peek(&mut buf)).await;
     peeked.is_none()
 }
 
@@ -332,16 +339,16 @@
 /// The head of a request must come within 60 s, the time set by async-h1.
 ///
 /// The handler finds the connection among the request's extensions as a
-/// [`TcpStream`], with which it can notice that the caller has gone.
+/// [`Socket`], with which it can notice that the caller has gone.
 pub async fn serve<S>(listener: TcpListener, app: tide::Server<S>, bound: Bound)
 where
     S: Clone + Send + Sync + 'static,
 {
     let mut open = Open::new(bound, listener.local_addr().ok());
     loop {
-        match listener.accept().await {
+        match socket::accept(&listener).await {
             // Dropping the stream closes it unread.
-            Ok((stream, _)) if open.make_room().await => {
+            Ok(stream) if open.make_room().await => {
                 open.run(serve_connection(stream, app.clone()));
             }
             Ok(_) => {}
@@ -351,18 +358,20 @@
     }
 }
 
-async fn serve_connection<S>(stream: TcpStream, app: tide::Server<S>)
+async fn serve_connection<S>(stream: Socket, app: tide::Server<S>)
 where
     S: Clone + Send + Sync + 'static,
 {
-    if stream.set_nodelay(true).is_err() {
+    if stream.stream().set_nodelay(true).is_err() {
         return;
     }
     let connection = stream.clone();
+    connection.meter().begin(max_framing());
     let endpoint = move |mut request: Request| {
         let app = app.clone();
         let connection = connection.clone();
         async move {
+            count_content(&mut request, connection.meter());
             request.ext_mut().insert(connection);
             app.respond::<Request, Response>(request).await
         }
@@ -371,11 +380,64 @@
     let _ = async_h1::accept(stream, endpoint).await;
 }
 
+/// Returns the framing that a message may have: its head, what the library reads ahead, and more.
+fn max_framing() -> Size {
+    Size::from_bytes(2 * CHUNK as u64 + socket::framing().base.bytes())
+}
+
+/// Tells the content of a request's body from its framing.
+fn count_content(request: &mut Request, meter: Meter) {
+    meter.begin(max_framing());
+    let length = request.len();
+    let kind = request.content_type();
+    let body = Counted {
+        body: request.take_body(),
+        meter,
+    };
+    request.set_body(Body::from_reader(body, length));
+    // The body's own kind took the place of the one that was told.
+    match kind {
+        Some(kind) => drop(request.set_content_type(kind)),
+        None => drop(request.remove_header("content-type")),
+    }
+}
+
+/// A body whose content is told from its framing.
+struct Counted {
+    body: Body,
+    meter: Meter,
+}
+
+impl AsyncRead for Counted {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let read = Pin::new(&mut self.body).poll_read(cx, buf);
+        if let Poll::Ready(Ok(bytes)) = &read {
+            self.meter.add_content(*bytes);
+        }
+        read
+    }
+}
+
+impl AsyncBufRead for Counted {
+    fn poll_fill_buf(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        Pin::new(&mut self.get_mut().body).poll_fill_buf(cx)
+    }
+
+    fn consume(mut self: Pin<&mut Self>, amt: usize) {
+        self.meter.add_content(amt);
+        Pin::new(&mut self.body).consume(amt);
+    }
+}
+
 /// Waits until the other side of a connection has closed it.
-pub async fn closed(stream: &TcpStream) {
+pub async fn closed(stream: &Socket) {
     let mut buf = [0];
     loop {
-        match stream.peek(&mut buf).await {
+        match stream.stream().peek(&mut buf).await {
             Ok(0) | Err(_) => return,
             // The caller has sent more; it is read after this answer.
             Ok(_) => task::sleep(Duration::from_millis(100)).await,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -2,11 +2,13 @@
 //!
 //! Everything here moves bytes; the decisions are in the `sorreldeck` library.
 
+pub mod events;
 pub mod h1;
 pub mod http;
 pub mod link;
 pub mod open;
 pub mod platform;
 pub mod reach;
+pub mod socket;
 
 pub use platform::Platform;
--- a/crates/net/src/link.rs
+++ b/crates/net/src/link.rs
@@ -12,9 +12,9 @@
 //! # Ok::<(), sorreldeck::Error>(())
 //! ```
 
+use crate::socket;
 use async_channel::{Receiver, Sender};
 use async_std::future::timeout;
-use async_std::net::TcpStream;
 use async_std::task;
 use eyre::{bail, eyre, Result};
 use futures_util::stream::{SplitSink, SplitStream};
@@ -50,7 +50,7 @@
 /// ones get more while they are read.
 const READ_BUFFER: usize = 4 * 1024;
 
-type Socket = WebSocketStream<Compat<TcpStream>>;
+type Socket = WebSocketStream<Compat<socket::Socket>>;
 
 /// The keys by which processes know each other, the one in use first.
 #[derive(Clone)]
@@ -176,8 +176,8 @@
     entry: Incarnation,
     nonce: [u8; 16],
 ) -> Result<Open> {
-    let stream = TcpStream::connect(address).await?;
-    stream.set_nodelay(true)?;
+    let stream = socket::Socket::connect(address).await?;
+    stream.stream().set_nodelay(true)?;
     let url = format!("ws://{address}/link");
     let (mut socket, _) =
         tokio_tungstenite::client_async_with_config(url, stream.compat(), Some(config())).await?;
@@ -206,12 +206,12 @@
 /// # Errors
 ///
 /// Fails when the other end does not prove in time that it holds a key.
-pub async fn accept(stream: TcpStream, keys: &Keys, nonce: [u8; 16]) -> Result<Open> {
+pub async fn accept(stream: socket::Socket, keys: &Keys, nonce: [u8; 16]) -> Result<Open> {
     timeout(OPEN_TIMEOUT, welcome(stream, keys, nonce)).await?
 }
 
-async fn welcome(stream: TcpStream, keys: &Keys, nonce: [u8; 16]) -> Result<Open> {
-    stream.set_nodelay(true)?;
+async fn welcome(stream: socket::Socket, keys: &Keys, nonce: [u8; 16]) -> Result<Open> {
+    stream.stream().set_nodelay(true)?;
     let accepting = tokio_tungstenite::accept_async_with_config(stream.compat(), Some(config()));
     let mut socket = accepting.await?;
     let Greeting::Hello {
--- a/crates/net/src/reach.rs
+++ b/crates/net/src/reach.rs
@@ -7,8 +7,8 @@
 //! # });
 //! ```
 
+use crate::socket::Socket;
 use async_std::future::timeout;
-use async_std::net::TcpStream;
 use futures_lite::AsyncReadExt;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -25,7 +25,7 @@
 
 /// What came of opening a connection.
 enum Look {
-    Taken(TcpStream),
+    Taken(Socket),
     Refused,
     /// Silence, or the network's trouble.
     Unknown,
@@ -44,7 +44,7 @@
 }
 
 async fn look(address: SocketAddr) -> Look {
-    match timeout(ANSWER_TIMEOUT, TcpStream::connect(address)).await {
+    match timeout(ANSWER_TIMEOUT, Socket::connect(address)).await {
         Ok(Ok(stream)) => Look::Taken(stream),
         Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => Look::Refused,
         Ok(Err(_)) | Err(_) => Look::Unknown,
@@ -52,8 +52,9 @@
 }
 
 /// Returns whether the other end closes a connection at once.
-async fn closes(mut stream: &TcpStream) -> bool {
+async fn closes(stream: &Socket) -> bool {
     let mut byte = [0];
+    let mut stream = stream.stream();
     let read = timeout(STAYS, stream.read(&mut byte)).await;
     matches!(read, Ok(Ok(0) | Err(_)))
 }
--- a/crates/net/tests/full.rs
+++ b/crates/net/tests/full.rs
@@ -4,7 +4,7 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use http_body_util::Full;
-use hyper::body::{Bytes, Incoming};
+use hyper::body::Bytes;
 use hyper::{Request, Response};
 use sorreldeck_net::h1::{self, Door, Limits};
 use std::sync::Arc;
@@ -17,7 +17,7 @@
     idle_timeout: Duration::from_secs(5),
 };
 
-async fn answer(_: Request<Incoming>) -> Response<Full<Bytes>> {
+async fn answer(_: Request<h1::Content>) -> Response<Full<Bytes>> {
     Response::new(Full::new(Bytes::from_static(b"body")))
 }
 
@@ -48,7 +48,7 @@
         let served = door.clone();
         task::spawn(async move {
             let (stream, _) = listener.accept().await.unwrap();
-            h1::serve(stream, served, LIMITS, answer).await;
+            h1::serve(stream.into(), served, LIMITS, answer).await;
         });
         let mut stream = TcpStream::connect(address).await.unwrap();
         let (_, stays) = ask(&mut stream).await;
--- a/crates/net/tests/link_memory.rs
+++ b/crates/net/tests/link_memory.rs
@@ -41,7 +41,7 @@
     for number in 0..links as u64 {
         let accepted = async {
             let (stream, _) = listener.accept().await.unwrap();
-            link::accept(stream, keys, [1; 16]).await.unwrap()
+            link::accept(stream.into(), keys, [1; 16]).await.unwrap()
         };
         let opened = link::connect(address, keys, Incarnation(1), [2; 16]);
         let (accepted, opened) = futures_lite::future::zip(accepted, opened).await;
--- a/crates/net/tests/regression/outbox_took_thirty_megabytes.rs
+++ b/crates/net/tests/regression/outbox_took_thirty_megabytes.rs
@@ -28,7 +28,7 @@
         for number in 0..LINKS {
             let accepted = async {
                 let (stream, _) = listener.accept().await.unwrap();
-                link::accept(stream, &keys, [1; 16]).await.unwrap()
+                link::accept(stream.into(), &keys, [1; 16]).await.unwrap()
             };
             let opened = link::connect(address, &keys, Incarnation(1), [2; 16]);
             let (accepted, opened) = futures_lite::future::zip(accepted, opened).await;
