A few long responses at full speed turn nobody away

Callers saw: while four upstreams sent bodies without end as fast as their callers read, and for seconds after, 13 of 100 others were served and /ready said yes 11 of 100 times; the others were closed unread.

Cause: what the next request is taken to cost is the average over the last hundred requests, and four of gigabytes each made it so large that hardly any was let in. Ruled out: long turns (the slowest of those served took 5 ms).

From 256 KiB on a response waits while the link or the processor owes 20 ms or more, and its later parts do not count for the average.

--- a/crates/core/src/overload/link.rs
+++ b/crates/core/src/overload/link.rs
@@ -52,6 +52,11 @@
         self.average.spend(bytes);
     }
 
+    /// Records bytes that do not count for the average request.
+    pub fn send_more(&mut self, size: Size) {
+        self.pace.work(size.bytes() as f64);
+    }
+
     /// Returns how long a connection to an upstream may take to open.
     pub fn connect_timeout(&self, now: Time) -> Span {
         match self.behind_since(now) {
--- a/crates/core/src/overload/mod.rs
+++ b/crates/core/src/overload/mod.rs
@@ -259,6 +259,13 @@
         self.processor.work(Work::Part);
     }
 
+    /// Records a later part of a long answer, which waits while others need what it takes: it is no
+    /// measure of what the next request will cost.
+    pub fn pass_on_more(&mut self, size: Size) {
+        self.processor.work_more(Work::Part);
+        self.link.send_more(size);
+    }
+
     /// Records bytes that leave the instance.
     pub fn send(&mut self, size: Size) {
         self.link.send(size);
--- a/crates/core/src/overload/processor.rs
+++ b/crates/core/src/overload/processor.rs
@@ -59,6 +59,11 @@
         self.average.spend(units);
     }
 
+    /// Records work that does not count for the average request.
+    pub fn work_more(&mut self, work: Work) {
+        self.pace.work(work.units());
+    }
+
     pub fn begin(&mut self) {
         self.active += 1;
         self.work(Work::Request);
--- a/crates/daemon/src/hosted/client.rs
+++ b/crates/daemon/src/hosted/client.rs
@@ -4,7 +4,7 @@
 //! connection: an upstream may close a pooled connection without notice, and then it would be
 //! unknown whether the request ran.
 
-use super::load::Load;
+use super::load::{Load, LONG_RESPONSE};
 use super::message::Message;
 use super::response::Unread;
 use crate::clock::Clock;
@@ -42,6 +42,9 @@
 /// Maximum number of bytes of a refusal's body that are read to reuse its connection.
 const MAX_REFUSAL_BYTES: usize = 4096;
 
+/// How long a long response waits before it is looked at whether others still need what it takes.
+const LONG_RESPONSE_PAUSE: Duration = Duration::from_millis(10);
+
 /// The bytes that leave with a request besides its body, about: its head, and the packets that open
 /// and close the connection.
 const HEAD_BYTES: usize = 800;
@@ -342,11 +345,13 @@
             self.metadata.as_ref().is_some_and(|o| o.stream) && response.status() == 200;
         let mut body = response.into_body();
         let mut events = Events::new(self.max_event);
+        let mut read = 0;
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|e| may_have_run(format!("the answer broke off: {e}")))?;
             let Ok(data) = frame.into_data() else {
                 continue;
             };
+            read += data.len();
             if body.is_end_stream() {
                 self.return_channel(address, channel.take());
             }
@@ -362,6 +367,7 @@
                 }
             }
             self.until_read().await;
+            self.let_others_go_first(read).await;
         }
         self.return_channel(address, channel);
         match events.is_empty() {
@@ -370,6 +376,13 @@
         }
     }
 
+    /// Waits while others need what a long response takes.
+    async fn let_others_go_first(&self, read: usize) {
+        while read as u64 > LONG_RESPONSE.bytes() && self.load.is_pressed() {
+            task::sleep(LONG_RESPONSE_PAUSE).await;
+        }
+    }
+
     /// Waits until the caller has read enough of the response.
     async fn until_read(&self) {
         if self.unread.is_full() {
--- a/crates/daemon/src/hosted/frontend.rs
+++ b/crates/daemon/src/hosted/frontend.rs
@@ -380,8 +380,8 @@
         };
         match part {
             Some(Part::Data(data)) => {
+                rest.load.pass_on(data.len() + PART_BYTES, rest.sent);
                 rest.sent += data.len() as u64;
-                rest.load.pass_on(data.len() + PART_BYTES);
                 if this.length.is_some_and(|length| rest.sent >= length) {
                     // hyper does not poll for the end of a body that is complete by its length.
                     rest.guard.done = true;
--- a/crates/daemon/src/hosted/load.rs
+++ b/crates/daemon/src/hosted/load.rs
@@ -15,6 +15,10 @@
 
 /// Time after which a timer of a probe expires: the executor looks at sockets in between.
 const ROUND: Duration = Duration::from_micros(100);
+/// The bytes from which on a response is a long one.
+pub const LONG_RESPONSE: Size = Size::from_bytes(256 * 1024);
+/// What may be owed before long responses wait.
+const PRESSED: Span = Span::from_millis(20);
 /// Interval between two readings of the memory in use.
 const MEMORY_INTERVAL: Span = Span::from_millis(100);
 const KIB: u64 = 1024;
@@ -73,11 +77,16 @@
         Active(self.clone())
     }
 
-    /// Records that a part of an answer was passed on to a caller.
-    pub fn pass_on(&self, bytes: usize) {
+    /// Records that a part of an answer was passed on to a caller; `before` is the number of bytes
+    /// of the answer that were passed on before.
+    pub fn pass_on(&self, bytes: usize, before: u64) {
+        let size = Size::from_bytes(bytes as u64);
         let mut monitor = self.monitor();
+        if before >= LONG_RESPONSE.bytes() {
+            return monitor.pass_on_more(size);
+        }
         monitor.pass_on();
-        monitor.send(Size::from_bytes(bytes as u64));
+        monitor.send(size);
     }
 
     /// Records bytes that were sent otherwise.
@@ -152,6 +161,13 @@
         self.monitor().is_ready()
     }
 
+    /// Returns whether long responses should wait, since the link or the processor owes so much that
+    /// connections will be closed unread.
+    pub fn is_pressed(&self) -> bool {
+        let owed = self.owed();
+        owed.link >= PRESSED || owed.processor >= PRESSED
+    }
+
     /// Returns what is owed.
     pub fn owed(&self) -> Owed {
         let now = self.0.clock.now();
--- a/crates/daemon/tests/hostile/main.rs
+++ b/crates/daemon/tests/hostile/main.rs
@@ -32,6 +32,7 @@
 #[test_case("upstream/informational/endless", 4; "informational heads from an upstream")]
 #[test_case("upstream/chunk-size/endless", 4; "digits of a chunk size from an upstream")]
 #[test_case("upstream/chunks/endless", 4; "chunks from an upstream")]
+#[test_case("upstream/length/endless", 4; "a body of a terabyte from an upstream")]
 #[test_case("stream/event/endless", 4; "data of one event")]
 fn others_are_served_beside(peer: &str, count: usize) {
     room::play(peer.parse().unwrap(), count).check();
