A test holds that status and metrics show what is not understood

status_and_metrics_show_what_is_not_understood: two parts of a configuration and a row of another writer, over sockets; no API key is shown. A running hosted entry tells the address of its metrics, so that the test can let the system choose the port.

--- a/crates/daemon/src/hosted/mod.rs
+++ b/crates/daemon/src/hosted/mod.rs
@@ -67,6 +67,8 @@
     pub ready: SocketAddr,
     /// The address for links from other entries, if there is one.
     pub links: Option<SocketAddr>,
+    /// The address of the metrics and the status, if they are served.
+    pub metrics: Option<SocketAddr>,
     /// Stops the entry.
     pub stop: Stop,
 }
@@ -141,8 +143,10 @@
     let store = Store::new(settings.store_address);
     task::spawn(frontend::listen(callers, shared.clone(), door.clone()));
     task::spawn(http::serve(ready, web::health(shared.clone()), web::OPEN));
+    let mut metrics_at = None;
     if let Some(port) = options.metrics {
         let metrics = TcpListener::bind((settings.ip, port)).await?;
+        metrics_at = Some(metrics.local_addr()?);
         task::spawn(http::serve(
             metrics,
             web::metrics(shared.clone()),
@@ -166,6 +170,7 @@
         callers: callers_at,
         ready: ready_at,
         links: links_at,
+        metrics: metrics_at,
         stop: Stop::new(stop, ended),
     })
 }
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -133,7 +133,7 @@
         settings: None,
         link_keys: keys.parse().unwrap(),
         session_keys: keys.parse().unwrap(),
-        metrics: None,
+        metrics: Some(0),
         policy: Default::default(),
         contention: Default::default(),
         admission: Default::default(),
--- a/crates/daemon/tests/hosted/rows_of_other_writers.rs
+++ b/crates/daemon/tests/hosted/rows_of_other_writers.rs
@@ -47,3 +47,44 @@
         assert_eq!(harness.count_reaching(0, 8).await, 0);
     });
 }
+
+#[test]
+fn status_and_metrics_show_what_is_not_understood() {
+    task::block_on(async {
+        let harness = Harness::start().await;
+        let mut bad = config(4, &[]);
+        bad["routes"][0]["timeout-ms"] = json!(-1);
+        bad["tenants"][0]["api-keys"] = json!([KEY, 7]);
+        harness.store.put("op", "config", &bad);
+        harness.store.put_text("servers", "i-8", "no base64");
+        let address = harness.entry.metrics.unwrap();
+        let client = sorreldeck_net::http::Client::default();
+        let show = |path: &'static str| {
+            let client = client.clone();
+            async move { client.get(address, path).await.unwrap().text() }
+        };
+        eventually("the status shows the row", || async {
+            show("/admin/v1/status").await.contains("i-8")
+        })
+        .await;
+        let text = show("/admin/v1/status").await;
+        let status: Value = serde_json::from_str(&text).unwrap();
+        assert_eq!(status["revision"], 4);
+        assert_eq!(status["asks_keys"], true);
+        let configuration = &status["issues"]["configuration"];
+        assert_eq!(configuration["not_understood"], 2);
+        let places: Vec<&Value> = configuration["first"]
+            .as_array()
+            .unwrap()
+            .iter()
+            .map(|issue| &issue["place"])
+            .collect();
+        assert_eq!(places, ["routes[0].timeout-ms", "tenants[0].api-keys[1]"]);
+        assert!(!text.contains(KEY), "a key is shown: {text}");
+        let metrics = show("/metrics").await;
+        assert!(
+            metrics.contains("sorreldeck_configuration_not_understood 2"),
+            "{metrics}"
+        );
+    });
+}
