--- a/crates/core/src/overload/link.rs
+++ b/crates/core/src/overload/link.rs
@@ -47,9 +47,8 @@
     }
 
     pub fn send(&mut self, size: Size) {
-        let bytes = size.bytes() as f64;
-        self.pace.work(bytes);
-        self.average.spend(bytes);
+        self.send_more(size);
+        self.average.spend(size.bytes() as f64);
     }
 
     /// Records bytes that do not count for the average request.
--- a/crates/core/src/overload/processor.rs
+++ b/crates/core/src/overload/processor.rs
@@ -54,9 +54,8 @@
     }
 
     pub fn work(&mut self, work: Work) {
-        let units = work.units();
-        self.pace.work(units);
-        self.average.spend(units);
+        self.work_more(work);
+        self.average.spend(work.units());
     }
 
     /// Records work that does not count for the average request.
--- a/crates/daemon/src/hosted/event_loop.rs
+++ b/crates/daemon/src/hosted/event_loop.rs
@@ -173,7 +173,7 @@
                 shared.send.clone(),
                 shared.load.clone(),
                 clock.clone(),
-                options.max_event.0,
+                options.max_event.size(),
             ),
             clock,
             runs: HashMap::new(),
--- a/crates/daemon/src/hosted/frontend.rs
+++ b/crates/daemon/src/hosted/frontend.rs
@@ -60,7 +60,7 @@
             Ok((stream, _)) => {
                 // A connection that is not accepted is closed by dropping its stream unread.
                 if let Some(accepted) = shared.load.accept() {
-                    let stream = Socket::from(async_std::net::TcpStream::from(stream));
+                    let stream = Socket::from(stream);
                     task::spawn(connection(stream, accepted, shared.clone(), door.clone()));
                 }
             }
@@ -81,12 +81,12 @@
         idle_timeout: limits.idle_timeout.into(),
     };
     let is_first = AtomicBool::new(true);
-    let refusals = Refusals::default();
+    let refusals = Refusals::new(shared.load.clone());
     let handle_request = |request| {
         let (shared, refusals, is_first) = (shared.clone(), &refusals, &is_first);
         async move {
             if let Some(wait) = refusals.wait() {
-                task::sleep(wait).await;
+                task::sleep(wait.into()).await;
             }
             let active = shared.load.begin(is_first.swap(false, Ordering::Relaxed));
             let response = handle_request(request, active, shared).await;
--- a/crates/daemon/src/hosted/load.rs
+++ b/crates/daemon/src/hosted/load.rs
@@ -62,6 +62,11 @@
         self.0.monitor.lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    /// Returns the time by the clock that this load goes by.
+    pub fn now(&self) -> Time {
+        self.0.clock.now()
+    }
+
     /// Decides on a new connection; returns it if it is accepted.
     pub fn accept(&self) -> Option<Connection> {
         let now = self.0.clock.now();
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -6,7 +6,8 @@
 use sorreldeck::escalation::ModelChoice;
 use sorreldeck::pick::{Contention, Policy};
 use sorreldeck::session::Keyring;
-use sorreldeck::{Hall, InstanceId, PoolId, Share, Size, Span, UpstreamId};
+use sorreldeck::{Hall, InstanceId, PoolId, Share, Span, UpstreamId};
+use sorreldeck_net::events;
 use sorreldeck_net::link::Keys;
 use sorreldeck_net::socket::{Framing, Turn};
 use std::net::SocketAddr;
@@ -88,42 +89,15 @@
     #[bpaf(
         long("event-bytes"),
         argument("BYTES"),
-        fallback(EventSize::default()),
+        fallback(events::MaxSize::default()),
         display_fallback
     )]
-    pub max_event: EventSize,
+    pub max_event: events::MaxSize,
     /// The format of log lines
     #[bpaf(external(log_format))]
     pub log: LogFormat,
 }
 
-/// The size that an event of a stream may have.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct EventSize(pub Size);
-
-impl Default for EventSize {
-    fn default() -> EventSize {
-        EventSize(Size::from_bytes(256 * 1024))
-    }
-}
-
-impl std::str::FromStr for EventSize {
-    type Err = String;
-
-    fn from_str(s: &str) -> Result<EventSize, String> {
-        let allowed = 16 * 1024..=16 * 1024 * 1024;
-        let bytes = s.parse().ok().filter(|bytes| allowed.contains(bytes));
-        let bytes = bytes.ok_or_else(|| format!("{s:?} is no size from 16384 to 16777216"))?;
-        Ok(EventSize(Size::from_bytes(bytes)))
-    }
-}
-
-impl std::fmt::Display for EventSize {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{}", self.0.bytes())
-    }
-}
-
 /// The settings of an entry.
 #[derive(Clone, Debug, Bpaf)]
 pub struct Entry {
--- a/crates/net/src/events.rs
+++ b/crates/net/src/events.rs
@@ -14,9 +14,13 @@
 //! # Ok::<(), sorreldeck_net::events::TooLarge>(())
 //! ```
 
+use crate::bytes::Bytes;
 use sorreldeck::Size;
 use std::fmt;
 
+/// The size that an event may have: 16 KiB to 16 MiB.
+pub type MaxSize = Bytes<{ 16 * 1024 }, { 16 * 1024 * 1024 }, { 256 * 1024 }>;
+
 /// The error of an event that is larger than allowed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TooLarge(Size);
--- a/crates/net/src/h1.rs
+++ b/crates/net/src/h1.rs
@@ -18,7 +18,7 @@
 
 use crate::socket::{self, Meter, Socket};
 use async_std::task::{self, JoinHandle};
-use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
+use futures_lite::FutureExt;
 use futures_util::future::{select, Either};
 use http_body_util::Full;
 use hyper::body::{Body, Bytes, Incoming};
@@ -28,7 +28,6 @@
 use hyper::{Request, Response};
 use smol_hyper::rt::FuturesIo;
 use sorreldeck::wire::Header;
-use sorreldeck::Size;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -184,55 +183,6 @@
     Stuck,
 }
 
-/// Notes when bytes come in.
-struct Watched {
-    stream: Socket,
-    activity: Arc<Activity>,
-    door: Arc<Door>,
-}
-
-impl AsyncRead for Watched {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if let Poll::Ready(Ok(n)) = &read {
-            if *n > 0 {
-                self.activity.has_read(self.door.now());
-            }
-        }
-        read
-    }
-}
-
-impl AsyncWrite for Watched {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_close(cx)
-    }
-}
-
 /// A body that comes in, whose content is told from its framing.
 pub struct Content {
     body: Incoming,
@@ -333,18 +283,14 @@
         return;
     }
     // Of what was read, the next requests may be in the buffer.
-    let framing = limits.head as u64 + BUFFER as u64 + socket::framing().base.bytes();
-    let framing = Size::from_bytes(framing);
+    let framing = socket::framing().beyond(limits.head + BUFFER);
     let meter = stream.meter();
     meter.begin(framing);
     door.open.fetch_add(1, Ordering::Relaxed);
     let activity = Arc::new(Activity::default());
     activity.free_since.store(door.now(), Ordering::Relaxed);
-    let io = Watched {
-        stream,
-        activity: activity.clone(),
-        door: door.clone(),
-    };
+    let (reading, clock) = (activity.clone(), door.clone());
+    let io = stream.on_read(move || reading.has_read(clock.now()));
     let service = service_fn(|request: Request<Incoming>| {
         activity.begin();
         meter.begin(framing);
@@ -466,8 +412,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Content>, Unsent> {
-        let framing = BUFFER as u64 + socket::framing().base.bytes();
-        self.meter.begin(Size::from_bytes(framing));
+        self.meter.begin(socket::framing().beyond(BUFFER));
         let sent = self.send.try_send_request(request).await;
         let meter = self.meter.clone();
         let response = sent.map_err(|mut e| Unsent {
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -382,7 +382,7 @@
 
 /// Returns the framing that a message may have: its head, what the library reads ahead, and more.
 fn max_framing() -> Size {
-    Size::from_bytes(2 * CHUNK as u64 + socket::framing().base.bytes())
+    socket::framing().beyond(2 * CHUNK)
 }
 
 /// Tells the content of a request's body from its framing.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Everything here moves bytes; the decisions are in the `sorreldeck` library.
 
+pub mod bytes;
 pub mod events;
 pub mod h1;
 pub mod http;
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -19,6 +19,7 @@
 //! # }).unwrap();
 //! ```
 
+use crate::bytes::{self, Bytes};
 use async_io::Timer;
 use async_std::net::{TcpListener, TcpStream};
 use futures_lite::{AsyncRead, AsyncWrite};
@@ -56,32 +57,9 @@
 static LOGGED: Mutex<Option<Instant>> = Mutex::new(None);
 
 /// The bytes that a connection may read in one turn: 4 KiB to 1 MiB.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Turn(Size);
-
-impl Default for Turn {
-    fn default() -> Turn {
-        Turn(Size::from_bytes(TURN as u64))
-    }
-}
-
-impl FromStr for Turn {
-    type Err = String;
-
-    fn from_str(s: &str) -> Result<Turn, String> {
-        let bytes = parse_within(s, 4 * 1024, 1024 * 1024)?;
-        Ok(Turn(Size::from_bytes(bytes)))
-    }
-}
-
-impl fmt::Display for Turn {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.0.bytes())
-    }
-}
+pub type Turn = Bytes<{ 4 * 1024 }, { 1024 * 1024 }, { TURN as u64 }>;
 
-/// The framing that a message may have: `BYTES` beyond its head, and `BYTES:RATIO` times its
-/// content.
+/// The framing that a message may have, written as `BYTES:RATIO`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Framing {
     /// The bytes that any message may have beyond its head.
@@ -105,26 +83,29 @@
     fn from_str(s: &str) -> Result<Framing, String> {
         let (base, per_byte) = s.split_once(':').ok_or("BYTES:RATIO is expected")?;
         Ok(Framing {
-            base: Size::from_bytes(parse_within(base, 64 * 1024, 64 * 1024 * 1024)?),
-            per_byte: parse_within(per_byte, 1, 1024)?,
+            base: Size::from_bytes(bytes::parse_within(base, 64 * 1024, 64 * 1024 * 1024)?),
+            per_byte: bytes::parse_within(per_byte, 1, 1024)?,
         })
     }
 }
 
+impl Framing {
+    /// Returns the framing that a message may have beyond bytes of its head and of what is read
+    /// ahead.
+    pub fn beyond(self, bytes: usize) -> Size {
+        Size::from_bytes(self.base.bytes() + bytes as u64)
+    }
+}
+
 impl fmt::Display for Framing {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}:{}", self.base.bytes(), self.per_byte)
     }
 }
 
-fn parse_within(s: &str, least: u64, most: u64) -> Result<u64, String> {
-    let number = s.parse().ok().filter(|n| (least..=most).contains(n));
-    number.ok_or_else(|| format!("{s:?} is no number from {least} to {most}"))
-}
-
 /// Sets the budgets of all sockets of this process.
 pub fn configure(turn: Turn, framing: Framing) {
-    TURN_BYTES.store(turn.0.bytes() as usize, Ordering::Relaxed);
+    TURN_BYTES.store(turn.size().bytes() as usize, Ordering::Relaxed);
     FRAMING_BYTES.store(framing.base.bytes(), Ordering::Relaxed);
     FRAMING_RATIO.store(framing.per_byte, Ordering::Relaxed);
 }
@@ -205,7 +186,6 @@
 }
 
 /// A connection. Clones share it and its budgets.
-#[derive(Debug)]
 pub struct Socket {
     stream: TcpStream,
     /// What was read in this turn.
@@ -213,6 +193,8 @@
     meter: Meter,
     /// The end of a pause between two turns.
     pause: Option<Timer>,
+    /// Called whenever bytes have come in.
+    on_read: Option<Arc<dyn Fn() + Send + Sync>>,
 }
 
 impl Clone for Socket {
@@ -222,6 +204,7 @@
             turn: self.turn.clone(),
             meter: self.meter.clone(),
             pause: None,
+            on_read: self.on_read.clone(),
         }
     }
 }
@@ -233,10 +216,17 @@
             turn: Arc::default(),
             meter: Meter::default(),
             pause: None,
+            on_read: None,
         }
     }
 }
 
+impl From<std::net::TcpStream> for Socket {
+    fn from(stream: std::net::TcpStream) -> Socket {
+        Socket::from(TcpStream::from(stream))
+    }
+}
+
 impl Socket {
     /// Opens a connection.
     ///
@@ -247,6 +237,12 @@
         Ok(Socket::from(TcpStream::connect(address).await?))
     }
 
+    /// Has a function called whenever bytes have come in.
+    pub fn on_read(mut self, note: impl Fn() + Send + Sync + 'static) -> Socket {
+        self.on_read = Some(Arc::new(note));
+        self
+    }
+
     /// Returns the count of framing of this connection.
     pub fn meter(&self) -> Meter {
         self.meter.clone()
@@ -320,10 +316,13 @@
         match Pin::new(&mut self.stream).poll_read(cx, &mut buf[..most]) {
             Poll::Ready(Ok(bytes)) => {
                 self.turn.fetch_add(bytes.max(READ_COST), Ordering::Relaxed);
-                match self.meter.add_read(bytes) {
-                    true => Poll::Ready(Ok(bytes)),
-                    false => Poll::Ready(Err(self.refuse_framing())),
+                if !self.meter.add_read(bytes) {
+                    return Poll::Ready(Err(self.refuse_framing()));
+                }
+                if let Some(note) = self.on_read.as_ref().filter(|_| bytes > 0) {
+                    note();
                 }
+                Poll::Ready(Ok(bytes))
             }
             Poll::Pending => {
                 self.end_turn();
--- a/crates/net/tests/socket.rs
+++ b/crates/net/tests/socket.rs
@@ -124,8 +124,7 @@
     assert_eq!(found, Vec::<String>::new());
 }
 
-/// Finds lines that make a connection, but for the frontend's, whose listener is looked at without a
-/// task of its own.
+/// Finds lines that make a connection.
 fn look_through(folder: &Path, found: &mut Vec<String>) {
     for entry in std::fs::read_dir(folder).unwrap() {
         let path = entry.unwrap().path();
@@ -144,8 +143,7 @@
                 ".accept().await",
                 "listener.incoming",
             ];
-            let is_made = makes.iter().any(|made| line.contains(made));
-            if is_made && !line.contains("Socket::from(") {
+            if makes.iter().any(|made| line.contains(made)) {
                 found.push(format!("{}: {}", path.display(), line.trim()));
             }
         }
