--- a/review/5/case.py
+++ b/review/5/case.py
@@ -8,7 +8,7 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "standins-2"))
-from parties import Runner, request_text  # noqa: E402
+from parties import Runner, request_text, response  # noqa: E402
 from platform_standins import Entry, Record, Store, read_head, scratch, trouble  # noqa: E402
 
 KEY = "n2ctnfzs989anu6wsjnb"
@@ -19,6 +19,8 @@
 EVENTS_BEFORE_PAUSE = 20
 PAUSE_S = 3.0
 SIGTERM_AFTER_S = 0.4
+# Further runners of the service, which are full all the time; 0 unless set.
+FULL = int(os.environ.get("FULL", "0"))
 OBJECTIVE_MS, GAP_AIM_MS, TIMEOUT_MS = 2000, 1200, 20000
 # "A client gives up a stream ... after a gap of two seconds, of four times the objective, or of
 # eight times that pause, whichever is the longest."
@@ -71,6 +73,11 @@
     record.add(f"runner has ended {ident} with event {EVENTS}")
 
 
+async def refuse(request, ident, writer):
+    """The answer of a runner that is full."""
+    writer.write(response(503, b"", [("Request-Id", ident), ("Not-Executed", "1")]))
+
+
 async def read_stream(reader):
     """Returns the status, the events' numbers, whether the end came, and how reading ended."""
     head = await asyncio.wait_for(read_head(reader), GIVE_UP_S)
@@ -118,7 +125,13 @@
     await runner.start()
     runner.answer = lambda request, ident, writer: stream(runner, record, request, ident, writer)
     await store.put("op", "config", CONFIG)
-    beats = asyncio.ensure_future(runner.check_in(store))
+    runners = [runner]
+    for number in range(FULL):
+        full = Runner(f"i-0{number}9e6b4", "msaidizi", record)
+        await full.start()
+        full.answer = refuse
+        runners.append(full)
+    beats = [asyncio.ensure_future(one.check_in(store)) for one in runners]
     entry = Entry(1, store, folder)
     entry.start()
     try:
@@ -132,7 +145,8 @@
         answers = await asyncio.gather(*asking)
     finally:
         entry.end()
-        beats.cancel()
+        for one in beats:
+            one.cancel()
     if any(status != 200 or why == "a gap that is too long" for status, _, why in answers):
         return 2
     lost = sum(not whole for _, whole, _ in answers)
