Order an upstream's starts by the store's version, not by its clock

What callers saw: an upstream restarted under its name with `born` 0.5 s lower, since its clock was set back.

Cause: Mirror::apply_row ignored every row whose `born` was lower than the highest one seen under the name. A time of another process's clock was used as an order.

Ruled out: a missed change (the row is mirrored, its version is in later lines), retention after lapsed leases (no event=held).

Change: core::start decides what a row says about starts. `born` and address tell starts apart; the store's version orders rows; `sequence` orders rows of one start around its drain. A row of a start that was replaced, or from before the drain, is deferred and counts only if it stays for 4.5 s of contact. The number of a start among entries is made of `born` and address. A notice that an upstream leaves ends after 300 s; nothing reset it. A row written after a restore replaces a retained drain of the same start.

Tests replaced: "an older one that arrives late" and an_older_start_that_arrives_after_the_newer_one_left took a lower `born` for an older start, which is the fault. The rows in their place say which start was seen before, with the clock right and set back, and bound the time for which a late row has no effect.

--- a/crates/core/src/entry/learn.rs
+++ b/crates/core/src/entry/learn.rs
@@ -124,6 +124,7 @@
             return;
         }
         self.speeds_refreshed = now;
+        self.peers.expire_notices(now);
         let sums = self.peers.refresh_speeds(now);
         if !sums.is_empty() {
             out.push(Output::SpeedSums(sums));
--- a/crates/core/src/era/reconcile.rs
+++ b/crates/core/src/era/reconcile.rs
@@ -198,6 +198,8 @@
                 Resolution::Replace
             }
             (Kind::Configuration, Comparison::Missing, _) => Resolution::Retain(None),
+            // Written after the restore, so the store's order counts again.
+            (Kind::Upstream, Comparison::New, _) => Resolution::Replace,
             (Kind::Configuration | Kind::Upstream, _, Local::Newer) => Resolution::Retain(None),
             (Kind::Configuration, ..) => Resolution::Replace,
             (Kind::Order, Comparison::Missing | Comparison::Outdated, _) => {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod sidecar;
 pub mod slots;
 pub mod spool;
+pub mod start;
 pub mod subset;
 pub mod tree;
 pub mod warmup;
--- a/crates/core/src/notice/mod.rs
+++ b/crates/core/src/notice/mod.rs
@@ -21,7 +21,7 @@
 mod limit;
 mod registry;
 
-pub use registry::Registry;
+pub use registry::{Registry, LEAVING_LIFETIME};
 
 use crate::pick::Pace;
 use crate::unit::{Rate, Span};
--- a/crates/core/src/notice/registry.rs
+++ b/crates/core/src/notice/registry.rs
@@ -9,11 +9,16 @@
 /// The most upstreams that are kept; those with the latest notices stay.
 const MAX_UPSTREAMS: usize = 8_192;
 
+/// How long an upstream that said in an answer that it leaves gets no requests. One that still
+/// leaves says so again in its next answer; one that started anew under the same name and address is
+/// then used again.
+pub const LEAVING_LIFETIME: Span = Span::from_millis(300_000);
+
 /// The state of one upstream.
 #[derive(Clone, Copy, Debug, Default)]
 struct State {
     updated_at: Time,
-    /// Since when it is known to leave; nothing resets this.
+    /// Since when it is known to leave.
     leaving: Option<Time>,
     /// Until when it accepts no requests of this entry.
     paused_until: Time,
@@ -87,6 +92,14 @@
         }
     }
 
+    /// Removes the notices that upstreams leave after [`LEAVING_LIFETIME`].
+    pub fn expire(&mut self, now: Time) {
+        for state in self.states.values_mut() {
+            let is_valid = |since: &Time| now.since(*since) < LEAVING_LIFETIME;
+            state.leaving = state.leaving.filter(is_valid);
+        }
+    }
+
     /// Returns whether any notice of an upstream is known.
     pub fn contains(&self, upstream: u64) -> bool {
         self.states.contains_key(&upstream)
--- a/crates/core/src/pick/notices.rs
+++ b/crates/core/src/pick/notices.rs
@@ -151,6 +151,11 @@
         }
     }
 
+    /// Removes notices that have lost their effect.
+    pub fn expire_notices(&mut self, now: Time) {
+        self.notices.expire(now);
+    }
+
     /// Takes the updates that are to be shared with other entries.
     pub fn take_updates(&mut self) -> Vec<Update> {
         self.notices.take_updates()
--- a/crates/daemon/src/hosted/event_loop/updates.rs
+++ b/crates/daemon/src/hosted/event_loop/updates.rs
@@ -10,7 +10,6 @@
 use sorreldeck_platform::member::Registration;
 use sorreldeck_platform::store::CONFIG_KEY;
 use sorreldeck_platform::Table;
-use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
 impl EventLoop {
@@ -42,6 +41,17 @@
                 suspects.grace_period.millis()
             );
         }
+        for late in self.mirror.take_deferred() {
+            info!(
+                "event=row-deferred upstream={} born={:?} address={} sequence={} row_version={} for_ms={} from={from}",
+                late.key,
+                late.row.born.map(|born| born.0),
+                late.row.address,
+                late.row.sequence,
+                late.version,
+                late.delay.millis()
+            );
+        }
         for row in self.mirror.take_malformed() {
             warn!(
                 "event=not-understood table={:?} key={:?} error={:?}",
@@ -80,7 +90,7 @@
     fn apply_update(&mut self, update: Update, from: &str) {
         match update {
             Update::Config(config) => self.apply_config(*config, from),
-            Update::Joined(listed) => self.join(*listed, from),
+            Update::Joined(listed, start) => self.join(*listed, start, from),
             Update::Retired(upstream) => {
                 let origin = self.origin(Table::Upstreams, from);
                 info!("event=retired upstream={upstream} {origin}");
@@ -160,11 +170,8 @@
         self.handle(Input::Tree(Arc::new(config.tree)));
     }
 
-    fn join(&mut self, mut listed: Registration, from: &str) {
-        // If the row has no incarnation, the address stands for it, so that notices of one
-        // incarnation are not attributed to another.
-        let incarnation = &mut listed.member.placement.incarnation;
-        incarnation.get_or_insert_with(|| incarnation_of(listed.address));
+    fn join(&mut self, mut listed: Registration, start: Incarnation, from: &str) {
+        let born = listed.member.placement.incarnation.replace(start);
         let placement = &mut listed.member.placement;
         placement.region = placement
             .hall
@@ -175,9 +182,10 @@
         let member = &listed.member;
         let origin = self.origin(Table::Upstreams, from);
         info!(
-            "event=joined upstream={} start={:?} pool={} address={} hall={:?} release={:?} {origin}",
+            "event=joined upstream={} start={start} born={} sequence={} pool={} address={} hall={:?} release={:?} {origin}",
             member.upstream,
-            member.placement.incarnation,
+            born.map_or_else(|| "-".to_owned(), |born| born.0.to_string()),
+            listed.sequence,
             member.pool,
             listed.address,
             member.placement.hall,
@@ -188,12 +196,3 @@
         self.handle(Input::Join(link, Box::new(listed.member)));
     }
 }
-
-/// Returns a number that identifies the upstream at an address by that address.
-fn incarnation_of(address: SocketAddr) -> Incarnation {
-    let host = match address.ip() {
-        IpAddr::V4(ip) => u64::from(u32::from(ip)),
-        IpAddr::V6(ip) => u128::from(ip) as u64,
-    };
-    Incarnation(host << u16::BITS | u64::from(address.port()))
-}
--- a/crates/daemon/src/hosted/mirror/mod.rs
+++ b/crates/daemon/src/hosted/mirror/mod.rs
@@ -10,7 +10,6 @@
 pub use moves::Rewrite;
 
 use self::moves::OrderRow;
-use self::upstreams::Identity;
 use super::holds::{self, Record};
 use super::pack;
 use super::reconcile;
@@ -19,6 +18,7 @@
 use sorreldeck::quarantine::Fingerprint;
 use sorreldeck::release::{Order, State};
 use sorreldeck::replication::{Peer, Watermark};
+use sorreldeck::start;
 use sorreldeck::wire::{Cursor, TableDelta};
 use sorreldeck::{Hall, Incarnation, Span, Time, UpstreamId};
 use sorreldeck_platform::config::{self, Configuration};
@@ -38,8 +38,8 @@
 pub enum Update {
     /// A newer configuration.
     Config(Box<Configuration>),
-    /// An upstream that can be called.
-    Joined(Box<Registration>),
+    /// An upstream that can be called, and the number that stands for its start.
+    Joined(Box<Registration>, Incarnation),
     /// An upstream that gets no new requests.
     Retired(UpstreamId),
     /// An upstream that is still warming up, and for how much longer.
@@ -75,6 +75,18 @@
     pub grace_period: Span,
 }
 
+/// A row of an upstream that may be late and is applied only if it stays in the store; logged.
+#[derive(Clone, Debug)]
+pub struct Deferred {
+    pub key: String,
+    /// The fields from which this follows.
+    pub row: start::Row,
+    /// The version of the row.
+    pub version: u64,
+    /// How long the row must stay.
+    pub delay: Span,
+}
+
 /// A page that was ignored because a later version is known, or because the table must be read
 /// as a whole first; logged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -116,12 +128,14 @@
 pub struct Mirror {
     tables: BTreeMap<Table, Replica>,
     watermark: Watermark,
-    /// The upstreams that may get requests, by key, with the incarnation and address that are
-    /// in use.
-    listed: BTreeMap<String, Identity>,
-    /// The latest incarnation of each upstream that reports one, including upstreams that have
-    /// left.
-    incarnations: BTreeMap<String, Incarnation>,
+    /// The upstreams that may get requests, by key, with the start that is in use.
+    listed: BTreeMap<String, Incarnation>,
+    /// The starts of each upstream, including upstreams that have left.
+    histories: BTreeMap<String, start::History>,
+    /// The upstreams whose rows may be late, since when, and how long these must still stay in
+    /// the store.
+    deferred: BTreeMap<String, (Time, Span)>,
+    new_deferred: Vec<Deferred>,
     grace_ends: BTreeMap<String, Time>,
     /// The latest roll-out order under each key.
     orders: BTreeMap<String, OrderRow>,
@@ -146,7 +160,9 @@
             tables: BTreeMap::new(),
             watermark: Watermark::new(Table::ALL.len()),
             listed: BTreeMap::new(),
-            incarnations: BTreeMap::new(),
+            histories: BTreeMap::new(),
+            deferred: BTreeMap::new(),
+            new_deferred: Vec::new(),
             grace_ends: BTreeMap::new(),
             orders: BTreeMap::new(),
             expired_until: Time::default(),
@@ -235,6 +251,11 @@
         std::mem::take(&mut self.suspects)
     }
 
+    /// Returns the rows that were deferred since the last call.
+    pub fn take_deferred(&mut self) -> Vec<Deferred> {
+        std::mem::take(&mut self.new_deferred)
+    }
+
     /// Returns the pages that were ignored since the last call.
     pub fn take_ignored(&mut self) -> Vec<Ignored> {
         std::mem::take(&mut self.ignored)
@@ -496,6 +517,7 @@
             false => Span::default(),
         };
         self.expired_until = self.expired_until.max(now);
+        updates.extend(self.apply_deferred(passed, now));
         for table in Table::ALL {
             let replica = self.tables.get_mut(&table);
             let expired = replica.map_or_else(Vec::new, |t| t.expire(passed));
--- a/crates/daemon/src/hosted/reconcile.rs
+++ b/crates/daemon/src/hosted/reconcile.rs
@@ -42,7 +42,7 @@
 }
 
 /// Returns whether one row says that an upstream leaves and another that the same incarnation
-/// of it stays.
+/// of it stays, and the second was not written after the first.
 fn leaves(row: &Row, other: &Row) -> bool {
     let read = |row: &Row| member::decode(&row.key, row.value.as_deref()?).ok();
     let (Some(row), Some(other)) = (read(row), read(other)) else {
@@ -50,5 +50,5 @@
     };
     let is_same = row.address == other.address
         && row.member.placement.incarnation == other.member.placement.incarnation;
-    is_same && row.leaving && !other.leaving
+    is_same && row.leaving && !other.leaving && other.sequence <= row.sequence
 }
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -17,6 +17,7 @@
 mod slow_reader;
 mod store;
 mod suspended;
+mod upstream_clock_set_back;
 mod usage_reports;
 mod words_of_upstreams;
 
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -444,7 +444,7 @@
         for update in updates {
             match update {
                 Update::Entry(peer) => node.relay.learn(peer),
-                Update::Joined(listed) => drop(node.routable.insert(listed.member.upstream)),
+                Update::Joined(listed, _) => drop(node.routable.insert(listed.member.upstream)),
                 Update::Retired(upstream) => drop(node.routable.remove(&upstream)),
                 _ => {}
             }
