Order the reports of entries on a move by the store's version, not by their clocks

What callers see: after an entry restarted during a move, with its clock set back or one that was ahead before, other data halls go on with its former counts and do not hear the new ones until the end of the move, so a bad release is judged on too few answers (EXPOSURE).

Cause: Report::is_after compared `since`, the time of the first counted answer on the reporting entry's clock, before the counts. A clock starts at the system's time, which may be off or jump between two lives of a process.

Change: an order carries up to where the store was known when this process learned of it (`learned`), and reports are ordered by that. A process that restarts reads the store later.

After: all pass. Reports of builds before this one have no `learned` and rank lowest among those of one order.

--- a/crates/core/src/release/mod.rs
+++ b/crates/core/src/release/mod.rs
@@ -21,7 +21,7 @@
 //! let mut releases = Releases::default();
 //! let pool: sorreldeck::PoolId = "assistant".parse()?;
 //! let duration = Span::from_millis(24_000);
-//! let order = Order { pool: pool.clone(), to: new, duration, issued: 7.into() };
+//! let order = Order { pool: pool.clone(), to: new, duration, issued: 7.into(), learned: 7.into() };
 //! releases.set_order(order, Some(State::Running), Some(Time(0)));
 //! let present = [(&old, 3)].into_iter().collect();
 //! let chosen = releases.choose(&pool, None, 0.99, Time(1), &present);
@@ -78,6 +78,9 @@
     pub duration: Span,
     /// When the order was first written; a later order has a later stamp.
     pub issued: Stamp,
+    /// Up to where the store was known when this process learned of the order; an entry that
+    /// restarts learns of it later.
+    pub learned: Stamp,
 }
 
 /// An observation of an answer and the release that gave it.
@@ -119,9 +122,9 @@
     /// Whether the release was found bad.
     #[serde(default)]
     bad: bool,
-    /// Since when the answers are counted, by the entry that began last.
+    /// Up to where the store was known when the entry that began last learned of the order.
     #[serde(default)]
-    since: Time,
+    learned: (Era, u64),
 }
 
 impl Report {
@@ -137,7 +140,7 @@
             self.new_starts.add(&other.new_starts);
             self.failing.extend(other.failing.iter().cloned());
             self.bad |= other.bad;
-            self.since = self.since.max(other.since);
+            self.learned = self.learned.max(other.learned);
         }
     }
 
@@ -149,7 +152,7 @@
     /// Returns whether this report is later than another by the same entries: counts only grow
     /// unless an entry restarts, and what was found bad stays so.
     pub fn is_after(&self, other: &Report) -> bool {
-        let state = |r: &Report| (r.order(), r.bad, r.since, r.old.answers + r.new.answers);
+        let state = |r: &Report| (r.order(), r.bad, r.learned, r.old.answers + r.new.answers);
         state(self) > state(other)
     }
 }
@@ -458,7 +461,6 @@
         };
         let start = Start::of(answer);
         if moving.order.to != *answer.release {
-            moving.count_since(answer.seen);
             moving.old.record(answer.ttft.is_none(), slow);
             moving.record_start(Side::Old, answer.sent, start);
             self.add_usual(answer);
@@ -467,7 +469,6 @@
         if moving.state == Some(State::Completed) {
             return false;
         }
-        moving.count_since(answer.seen);
         moving.record_start(Side::New, answer.sent, start);
         let slow = slow && moving.counts_slowness(answer.sent);
         moving.new.record(answer.ttft.is_none(), slow);
--- a/crates/core/src/release/moving.rs
+++ b/crates/core/src/release/moving.rs
@@ -89,8 +89,6 @@
     pub new: Tally,
     old_starts: Starts,
     new_starts: Starts,
-    /// When the first answer was counted.
-    since: Option<Time>,
     failing: BTreeSet<UpstreamId>,
     serving: BTreeSet<UpstreamId>,
     /// The upstreams that gave the latest answers of the new release.
@@ -148,7 +146,6 @@
             new: Tally::default(),
             old_starts: Starts::default(),
             new_starts: Starts::default(),
-            since: None,
             failing: BTreeSet::new(),
             serving: BTreeSet::new(),
             recent: VecDeque::new(),
@@ -434,15 +431,10 @@
             new_starts: self.new_starts.clone(),
             failing: self.failing.clone(),
             bad: self.bad,
-            since: self.since.unwrap_or_default(),
+            learned: (self.order.learned.era, self.order.learned.version),
         }
     }
 
-    /// Records that an answer seen at this time is counted.
-    pub fn count_since(&mut self, seen: Time) {
-        self.since.get_or_insert(seen);
-    }
-
     /// Records an answer to a request that was sent at this time, and how long it took to begin.
     pub fn record_start(&mut self, side: Side, sent: Time, start: Option<Start>) {
         let stage = self.stage_at(sent);
--- a/crates/core/tests/evacuation.rs
+++ b/crates/core/tests/evacuation.rs
@@ -247,6 +247,7 @@
         to: "v2".parse().unwrap(),
         duration: Span::from_millis(24_000),
         issued: 7.into(),
+        learned: 7.into(),
     };
     let start = harness.now;
     harness.handle(Input::Move(order, Some(State::Running), Some(start)));
--- a/crates/core/tests/regression/roaming_session_was_drawn.rs
+++ b/crates/core/tests/regression/roaming_session_was_drawn.rs
@@ -24,6 +24,7 @@
         to: new.clone(),
         duration: Span::from_millis(24_000),
         issued: 1.into(),
+        learned: 1.into(),
     };
     releases.set_order(order, Some(State::Running), Some(Time(0)));
     let broken = (0..TRIALS).filter(|trial| {
--- a/crates/core/tests/regression/session_of_another_entry_was_drawn.rs
+++ b/crates/core/tests/regression/session_of_another_entry_was_drawn.rs
@@ -117,6 +117,7 @@
                 to: "v2".parse().unwrap(),
                 duration: Span::from_millis(24_000),
                 issued: 7.into(),
+                learned: 7.into(),
             };
             self.handle(
                 number,
--- a/crates/core/tests/release.rs
+++ b/crates/core/tests/release.rs
@@ -62,11 +62,23 @@
     }
 
     fn set_state(&mut self, state: State) {
+        self.set_order(state, 7);
+    }
+
+    /// Starts anew with an order that is learned of when the store is known up to this version.
+    fn learn(&mut self, version: u64) {
+        self.releases = Releases::default();
+        self.releases.set_baseline(&self.pool, [&self.old]);
+        self.set_order(State::Running, version);
+    }
+
+    fn set_order(&mut self, state: State, learned: u64) {
         let order = Order {
             pool: self.pool.clone(),
             to: self.new.clone(),
             duration: Span::from_millis(DURATION),
             issued: 7.into(),
+            learned: learned.into(),
         };
         self.releases.set_order(order, Some(state), Some(at(0)));
     }
@@ -185,6 +197,7 @@
         to: fixture.new.clone(),
         duration: Span::from_millis(duration),
         issued: 8.into(),
+        learned: 8.into(),
     };
     fixture
         .releases
@@ -656,6 +669,7 @@
         to: fixture.new.clone(),
         duration: Span::from_millis(DURATION),
         issued: 9.into(),
+        learned: 9.into(),
     };
     fixture.releases.set_order(order, None, None);
     assert!(!fixture.releases.is_bad(&fixture.pool));
@@ -709,16 +723,21 @@
     assert_eq!(starter.proposed(1_000), Some(State::RolledBack));
 }
 
-#[test]
-fn counts_of_an_entry_that_restarted_replace_its_earlier_ones() {
+/// Each row: when the entry counted its first answer before and after it restarted, on its clock.
+#[test_case(0, 5_000; "its clock is right")]
+#[test_case(5_000, 4_000; "its clock was set back")]
+#[test_case(86_400_000, 5_000; "its clock was a day ahead")]
+fn counts_of_an_entry_that_restarted_replace_its_earlier_ones(first: u64, second: u64) {
     let [mut before, mut after, mut listener] =
         [Fixture::running(), Fixture::running(), Fixture::running()];
+    before.sent = first;
     for fixture in [&mut before, &mut listener] {
         for _ in 0..300 {
             fixture.answer("old-1", Some(100));
         }
     }
-    after.sent = 5_000;
+    after.learn(9);
+    after.sent = second;
     after.answer("a", None);
     after.answer("b", None);
     let pool = before.pool.clone();
--- a/crates/core/tests/release_orders.rs
+++ b/crates/core/tests/release_orders.rs
@@ -114,6 +114,7 @@
             to: self.new.clone(),
             duration: Span::from_millis(DURATION_MS),
             issued: 7.into(),
+            learned: 7.into(),
         };
         self.known[entry] = self.record;
         self.entries[entry].set_order(order, self.record, self.began);
--- a/crates/core/tests/routed.rs
+++ b/crates/core/tests/routed.rs
@@ -699,6 +699,7 @@
         to: "v2".parse().unwrap(),
         duration: Span::from_millis(24_000),
         issued: 7.into(),
+        learned: 7.into(),
     };
     Input::Move(order, Some(State::Running), Some(fixture.now))
 }
--- a/crates/daemon/src/hosted/mirror/moves.rs
+++ b/crates/daemon/src/hosted/mirror/moves.rs
@@ -27,6 +27,8 @@
     first_written: Stamp,
     /// When the row was last written: the operator writes it again after the store lost it.
     last_written: Stamp,
+    /// Up to where the store was known when the row was read first.
+    learned: Stamp,
 }
 
 impl Mirror {
@@ -34,9 +36,10 @@
     /// tables.
     pub(super) fn roll_out_update(&mut self, key: &str) -> Option<Update> {
         let value = self.row(Table::Operator, key)?.value.clone()?;
-        let number = self.issued_at(key, &value)?;
+        let (number, learned) = self.issued_at(key, &value)?;
         let order = release::decode(&value, number);
-        let order = self.decoded(Table::Operator, key, order)?;
+        let mut order = self.decoded(Table::Operator, key, order)?;
+        order.learned = learned;
         let record = self.row(Table::Progress, key).cloned();
         // A record written before the order belongs to an earlier order.
         let record = record.filter(|_| self.row_stamp(Table::Progress, key) > Some(number));
@@ -49,10 +52,10 @@
         Some(Update::Move(order, state, started_at))
     }
 
-    /// Returns the stamp at which an order was first written, which identifies it. A row with
-    /// the same value that was written again after a loss, or that is part of the restored
-    /// backup, is the same order.
-    fn issued_at(&mut self, key: &str, value: &[u8]) -> Option<Stamp> {
+    /// Returns the stamp at which an order was first written, which identifies it, and the one
+    /// up to which the store was known when it was first read. A row with the same value that was
+    /// written again after a loss, or that is part of the restored backup, is the same order.
+    fn issued_at(&mut self, key: &str, value: &[u8]) -> Option<(Stamp, Stamp)> {
         let stamp = self.row_stamp(Table::Operator, key)?;
         let known = self.orders.get_mut(key).filter(|known| {
             let is_same = stamp.era > known.last_written.era || stamp == known.last_written;
@@ -60,15 +63,18 @@
         });
         if let Some(known) = known {
             known.last_written = stamp;
-            return Some(known.first_written);
+            return Some((known.first_written, known.learned));
         }
+        let newest = self.tables.values().map(|table| table.stamp).max();
+        let learned = newest.unwrap_or_default().max(stamp);
         let written = OrderRow {
             value: value.to_owned(),
             first_written: stamp,
             last_written: stamp,
+            learned,
         };
         self.orders.insert(key.to_owned(), written);
-        Some(stamp)
+        Some((stamp, learned))
     }
 
     /// Returns the era and version at which the valid state of a row was written.
--- a/crates/daemon/src/hosted/mover.rs
+++ b/crates/daemon/src/hosted/mover.rs
@@ -167,7 +167,9 @@
             .as_deref()
             .filter(|_| row.key.starts_with(ROLLOUT_PREFIX));
         let read = value.map(|buf| release::decode(buf, order.issued));
-        read.is_some_and(|read| read.is_ok_and(|read| read == *order))
+        let learned = order.learned;
+        let is_same = |read: Order| Order { learned, ..read } == *order;
+        read.is_some_and(|read| read.is_ok_and(is_same))
     };
     Some(rows.find(holds_order)?.key.clone())
 }
