Keep a silent run until another has gone on with its answer

Cause: abandon_stalled cancelled the silent run before it looked whether another upstream takes the request.

Change: a second run is started beside the silent one, if an upstream takes it and tries and budget allow it. Whichever speaks first goes on, the other is cancelled in the same step; what fails is dropped, what is refused is no try, and if a run really ends the other remains. When to start it is decided by core::silence, a pure module: usual intervals of the pool's streams instead of 0.7 s, what another upstream needs to read the prompt, the pause that the route allows, contention; a contended pool whose upstream is silent on all runs asks it for a connection first. Never for requests that may run once.

--- a/crates/core/src/entry/answer.rs
+++ b/crates/core/src/entry/answer.rs
@@ -528,6 +528,7 @@
         failure: Failure,
         out: &mut Outputs,
     ) {
+        self.drop_second(now, request, "the request ended", out);
         self.finish_run(request);
         let Some(flight) = self.flights.remove(&request) else {
             return;
@@ -582,11 +583,16 @@
         let mut lost: Vec<RequestId> = self
             .flights
             .iter()
-            .filter(|(_, f)| f.link == Some(link))
+            .filter(|(_, f)| f.links().any(|of_run| of_run == link))
             .map(|(request, _)| *request)
             .collect();
         lost.sort_unstable();
         for request in lost {
+            let flight = self.flights.get(&request);
+            if flight.is_some_and(|f| f.link != Some(link)) {
+                self.drop_second(now, request, "link lost", out);
+                continue;
+            }
             self.finish_run(request);
             let Some(flight) = self.flights.get_mut(&request) else {
                 continue;
--- a/crates/core/src/entry/decision.rs
+++ b/crates/core/src/entry/decision.rs
@@ -186,6 +186,22 @@
         }
     }
 
+    /// Sets the outcome of the latest attempt at an upstream.
+    pub fn set_outcome_of(
+        &mut self,
+        request: RequestId,
+        upstream: Option<&UpstreamId>,
+        outcome: String,
+    ) {
+        self.update(request, |decision| {
+            let mut attempts = decision.attempts.iter_mut().rev();
+            let of_upstream = attempts.find(|attempt| Some(&attempt.upstream) == upstream);
+            if let Some(attempt) = of_upstream {
+                attempt.outcome = outcome;
+            }
+        });
+    }
+
     /// Sets the outcome of the latest attempt.
     pub fn set_outcome(&mut self, request: RequestId, outcome: impl Into<String>) {
         self.update(request, |decision| {
--- a/crates/core/src/entry/guard.rs
+++ b/crates/core/src/entry/guard.rs
@@ -59,7 +59,7 @@
         let is_suspect = |f: &Flight| f.names().any(|name| suspects.contains(&name));
         if !suspects.is_empty() && is_suspect(flight) {
             let others = self.flights.values().filter(|f| is_suspect(f));
-            avoided.extend(others.filter_map(|f| f.link));
+            avoided.extend(others.flat_map(Flight::links));
         }
         avoided
     }
@@ -194,7 +194,7 @@
     crashed: Option<&Link>,
 ) -> f64 {
     let is_match = |f: &&Flight| f.has(name);
-    let links = flights.values().filter(is_match).filter_map(|f| f.link);
+    let links = flights.values().filter(is_match).flat_map(Flight::links);
     let links: BTreeSet<Link> = links.filter(|link| Some(link) != crashed).collect();
     let pool = flights.values().find(is_match).map(|f| &f.pool);
     let all = pool.map_or(0, |pool| peers.available_count(pool));
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -50,6 +50,7 @@
 use crate::route::{self, Caller, Cause, Choice, Context, Target};
 use crate::saturation::Tracker;
 use crate::session::{Keyring, Session};
+use crate::silence::Intervals;
 use crate::spool::{Batch, Spool};
 use crate::tree::{Action, Class, Kind, Tree};
 use crate::unit::*;
@@ -188,6 +189,8 @@
     Written(u64),
     /// Writing a batch of records failed or its outcome is unknown.
     NotWritten(u64),
+    /// Whether an upstream is gone, after [`Output::Probe`].
+    Probed(Link, bool),
     /// The periodic timer fired.
     Tick,
     /// The machine resumed from a suspension, so all state may be stale by its duration.
@@ -269,6 +272,19 @@
     RecordQuarantine(quarantine::Change),
     /// A request ended.
     RequestEnded(Summary),
+    /// Find out whether an upstream is there.
+    Probe(Link),
+}
+
+/// How many second runs were started beside silent ones, and what came of them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SecondRuns {
+    /// The second runs that were started.
+    pub started: u64,
+    /// Those that went on with the answer while the first was silent.
+    pub went_on: u64,
+    /// Those that were refused or failed.
+    pub failed: u64,
 }
 
 /// The summary of an ended request, for metrics and the request log.
@@ -314,6 +330,9 @@
     retry_outcomes: Outcomes,
     gates: Gates,
     latencies: Estimator,
+    /// The usual intervals between events.
+    intervals: Intervals,
+    second_runs: SecondRuns,
     /// The choice of models in contended pools.
     decider: Decider,
     pricing: Pricing,
@@ -362,6 +381,8 @@
             retry_outcomes: Outcomes::default(),
             gates: Gates::new(settings.admission),
             latencies: Estimator::default(),
+            intervals: Intervals::default(),
+            second_runs: SecondRuns::default(),
             decider: Decider::default(),
             pricing: Pricing::default(),
             reuse: Reuse::default(),
@@ -419,6 +440,7 @@
             Input::Entries(entries) => self.set_entries(&entries, now),
             Input::Evacuate(halls) => self.evacuate(now, halls),
             Input::Cold(link, left) => self.peers.mark_cold(link, left, now),
+            Input::Probed(link, is_gone) => self.peers.probed(link, is_gone),
             Input::Claimed(request, claim) => self.on_claimed(now, request, claim, &mut out),
             Input::Rated(rating) => self.on_rated(rating, &mut out),
             Input::Written(batch) => drop(self.spool.on_written(batch)),
@@ -466,6 +488,11 @@
         &self.peers
     }
 
+    /// Returns how many second runs were started and what came of them.
+    pub fn second_runs(&self) -> SecondRuns {
+        self.second_runs
+    }
+
     /// Returns the invariants with the counts of their checks and violations.
     pub fn invariants(&self) -> &Invariants {
         &self.invariants
--- a/crates/core/src/entry/routed/gate.rs
+++ b/crates/core/src/entry/routed/gate.rs
@@ -70,7 +70,7 @@
         let (Some(route_state), Some(first)) = (&flight.route_state, flight.first_byte_at) else {
             return;
         };
-        let is_whole = flight.status < 300 && route_state.sent_at <= first;
+        let is_whole = flight.status < 300 && route_state.run.sent_at <= first;
         if let Some(gate) = self.gates.get_mut(&flight.pool).filter(|_| is_whole) {
             gate.ended(&route_state.name, now.since(first), now);
         }
--- a/crates/core/src/entry/routed/learn.rs
+++ b/crates/core/src/entry/routed/learn.rs
@@ -27,11 +27,11 @@
         let Some((route_state, link)) = flight.route_state.as_mut().zip(flight.link) else {
             return;
         };
-        if std::mem::take(&mut route_state.estimate.prefill_pending) {
-            let sent_at = route_state.sent_at;
+        if std::mem::take(&mut route_state.run.estimate.prefill_pending) {
+            let sent_at = route_state.run.sent_at;
             let read = |read_at| PrefillEnd::Read { sent_at, read_at };
             let end = read_at.map_or(PrefillEnd::Abandoned, read);
-            let prefill = route_state.estimate.prefill;
+            let prefill = route_state.run.estimate.prefill;
             self.peers.prefill_ended(link, prefill, end);
         }
     }
@@ -83,8 +83,8 @@
             wait,
             slowdown,
             ..
-        } = route_state.estimate;
-        let elapsed = now.since(route_state.sent_at);
+        } = route_state.run.estimate;
+        let elapsed = now.since(route_state.run.sent_at);
         let workload = route_state.workload(pool);
         if !self.peers.is_contended(pool) {
             self.latencies
@@ -108,10 +108,14 @@
         let Some(flight) = self.flights.get(&request) else {
             return;
         };
-        if flight.route_state.as_ref().is_some_and(|t| t.recorded_slow) {
+        if flight
+            .route_state
+            .as_ref()
+            .is_some_and(|t| t.run.recorded_slow)
+        {
             return;
         }
-        let sent = flight.route_state.as_ref().map(|t| t.sent_at);
+        let sent = flight.route_state.as_ref().map(|t| t.run.sent_at);
         let first = sent.filter(|_| good).map(|sent| now.since(sent));
         let Some(answer) = flight.release_answer(now, first) else {
             return;
@@ -127,8 +131,8 @@
         let Some(flight) = self.flights.get(&request).filter(|f| !f.head_sent) else {
             return;
         };
-        let waited = flight.route_state.as_ref().filter(|t| !t.recorded_slow);
-        let waited = waited.map(|t| now.since(t.sent_at));
+        let waited = flight.route_state.as_ref().filter(|t| !t.run.recorded_slow);
+        let waited = waited.map(|t| now.since(t.run.sent_at));
         let Some(answer) = waited.and_then(|waited| flight.release_answer(now, Some(waited)))
         else {
             return;
@@ -141,7 +145,7 @@
         }
         let flight = self.flights.get_mut(&request);
         if let Some(route_state) = flight.and_then(|f| f.route_state.as_mut()) {
-            route_state.recorded_slow = true;
+            route_state.run.recorded_slow = true;
         }
     }
 
@@ -172,7 +176,8 @@
         };
         // A resumed stream includes the pause of its switch between upstreams, and a stream whose
         // caller is slow to read is as slow as that.
-        let is_steady = route_state.reading == Reading::Steady && route_state.sent_at <= first;
+        let is_steady =
+            route_state.run.reading == Reading::Steady && route_state.run.sent_at <= first;
         if !route_state.route.stream || !is_steady {
             return;
         }
@@ -201,7 +206,7 @@
             return;
         };
         if let Some(route_state) = flight.route_state.as_ref().filter(|t| t.route.stream) {
-            let waited = now.since(route_state.sent_at);
+            let waited = now.since(route_state.run.sent_at);
             self.saturation
                 .record(&flight.pool, waited, route_state.route.objective);
         }
--- a/crates/core/src/entry/routed/mod.rs
+++ b/crates/core/src/entry/routed/mod.rs
@@ -7,10 +7,12 @@
 mod gate;
 mod learn;
 mod reply;
+mod second;
 mod send;
 mod timeout;
 mod worth;
 
+use self::second::Second;
 use super::flight::Flight;
 use super::*;
 use crate::escalation::Dropped;
@@ -67,21 +69,40 @@
     pub prefixes: Vec<Prefix>,
     /// The last event that was sent to the caller.
     pub last_event: Option<u64>,
-    /// When the current run was sent.
-    pub sent_at: Time,
+    /// The state of the current run.
+    pub run: RunState,
+    /// A second run beside the current one; whichever goes on first with the answer stays.
+    pub second: Option<Second>,
+    /// The time before which no other second run is started.
+    pub next_second: Time,
+    /// The number of the latest attempt.
+    pub last_attempt: u16,
+    /// The number of second runs that upstreams refused.
+    pub refused_seconds: u16,
     /// The number of runs, including the current one.
     pub runs: u16,
     /// The number of earlier runs that reached their upstreams.
     pub runs_reached: u16,
     /// The number of retries charged to the budget.
     pub charged: u16,
-    /// The estimate for the current run.
-    pub estimate: Estimate,
-    /// Whether the current run was recorded as slow before it started to answer.
-    pub recorded_slow: bool,
     /// Whether the previous run ended with an error of a plain service.
     pub retries_error: bool,
-    /// How the answer of the current run is read.
+}
+
+/// The state of one run.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct RunState {
+    /// When it was sent.
+    pub sent_at: Time,
+    /// When something was last heard of it, or when it was sent.
+    pub heard_at: Time,
+    /// The estimate of its work.
+    pub estimate: Estimate,
+    /// Whether it was recorded as slow before it started to answer.
+    pub recorded_slow: bool,
+    /// Whether it was recorded as silent.
+    pub recorded_silent: bool,
+    /// How its answer is read.
     pub reading: Reading,
 }
 
@@ -241,14 +262,15 @@
             dropped: None,
             prefixes: Vec::new(),
             last_event: None,
-            sent_at: Time::default(),
+            run: RunState::default(),
+            second: None,
+            next_second: Time::default(),
+            last_attempt: 0,
+            refused_seconds: 0,
             runs: 0,
             runs_reached: 0,
             charged: 0,
-            estimate: Estimate::default(),
-            recorded_slow: false,
             retries_error: false,
-            reading: Reading::Steady,
         };
         Ok((context, route_state))
     }
@@ -279,8 +301,8 @@
             release: self.version()?,
             upstream: self.upstream.as_ref()?,
             kind: (&route_state.name, route_state.size_index),
-            expected: route_state.estimate.time_to_first_byte(),
-            sent: route_state.sent_at,
+            expected: route_state.run.estimate.time_to_first_byte(),
+            sent: route_state.run.sent_at,
             seen: now,
             ttft: first,
         })
--- a/crates/core/src/entry/routed/reply.rs
+++ b/crates/core/src/entry/routed/reply.rs
@@ -1,5 +1,6 @@
 //! Handles the answers of upstreams to routed requests.
 
+use super::second::Sign;
 use super::*;
 use crate::escalation::{Dropped, Next, Price, LATE_VALUE};
 use crate::release::SESSION_TTL;
@@ -53,20 +54,30 @@
                 self.peers.answered(link, now);
                 let sent_at = self.sent_at(run, head.status);
                 self.apply_notice(link, head.notice, head.load, sent_at, now);
-                self.on_routed_head(now, link, run, head, out);
+                self.update_run(run, |state| state.heard_at = now);
+                self.on_head_of_either(now, link, run, head, out);
             }
             Reply::Notice(notice, load) => {
                 self.apply_notice(link, notice, load, Time::default(), now)
             }
-            Reply::Data { data, last_event } => self.on_routed_data(run, data, last_event, out),
-            Reply::Paused => self.set_reading(run, Reading::Paused),
-            Reply::Continued => self.set_reading(run, Reading::Continued(now)),
+            Reply::Data { data, last_event } => {
+                self.record_interval(now, run);
+                self.update_run(run, |state| state.heard_at = now);
+                self.settle_runs(now, run, Sign::Speaks, out);
+                self.on_routed_data(run, data, last_event, out);
+            }
+            Reply::Paused => self.update_run(run, |state| state.reading = Reading::Paused),
+            Reply::Continued => {
+                self.update_run(run, |state| state.reading = Reading::Continued(now));
+            }
             Reply::End => {
+                self.settle_runs(now, run, Sign::Speaks, out);
                 if let Some(flight) = self.end_routed(now, link, run, out) {
                     self.record_answered(now, &flight);
                 }
             }
             Reply::Closed => {
+                self.settle_runs(now, run, Sign::Speaks, out);
                 if let Some(flight) = self.end_routed(now, link, run, out) {
                     self.unchecked.insert(run, flight);
                     if self.unchecked.len() > MAX_UNCHECKED {
@@ -75,14 +86,53 @@
                 }
             }
             Reply::Checked { is_gone } => self.on_checked(now, run, is_gone),
+            Reply::Fail(failure) if self.is_second(run) => {
+                self.on_second_failure(now, link, run.request, &failure);
+            }
             Reply::Fail(failure) => self.on_routed_failure(now, link, run, failure, out),
         }
     }
 
-    fn set_reading(&mut self, run: Run, reading: Reading) {
-        let flight = self.flight(run);
-        if let Some(route_state) = flight.and_then(|flight| flight.route_state.as_mut()) {
-            route_state.reading = reading;
+    /// Handles the head of an answer of one of the runs of a request.
+    fn on_head_of_either(
+        &mut self,
+        now: Time,
+        link: Link,
+        run: Run,
+        head: Head,
+        out: &mut Outputs,
+    ) {
+        let flight = self.flights.get(&run.request);
+        let has_begun = flight.is_some_and(|flight| flight.head_sent);
+        let sign = match (has_begun, head.status) {
+            (false, ..500) => Sign::Speaks,
+            (true, ..300) => Sign::Neutral,
+            _ => Sign::Fails,
+        };
+        let is_second = self.is_second(run);
+        if self.settle_runs(now, run, sign, out) {
+            return self.on_routed_head(now, link, run, head, out);
+        }
+        if is_second && sign == Sign::Fails {
+            let message = format!("the upstream answered {}", head.status);
+            let failure = Failure::new(Reason::UpstreamFailed, Verdict::Ran, message);
+            out.push(Output::Send(link, Frame::Cancel(run)));
+            self.on_second_failure(now, link, run.request, &failure);
+        }
+    }
+
+    /// Records the time since the last event of a stream that is read as it comes.
+    fn record_interval(&mut self, now: Time, run: Run) {
+        let Some(flight) = self.flights.get(&run.request).filter(|f| f.run == run) else {
+            return;
+        };
+        let Some(state) = flight.route_state.as_ref().filter(|s| s.route.stream) else {
+            return;
+        };
+        if flight.parts > 0 && state.run.reading == Reading::Steady {
+            let patience = self.intervals.patience(&flight.pool);
+            let interval = now.since(state.run.heard_at).min(patience);
+            self.intervals.record(&flight.pool, interval);
         }
     }
 
@@ -106,7 +156,7 @@
     fn sent_at(&mut self, run: Run, status: u16) -> Time {
         let flight = self.flight(run).filter(|_| status < 500);
         let route_state = flight.and_then(|flight| flight.route_state.as_ref());
-        route_state.map_or(Time::default(), |route_state| route_state.sent_at)
+        route_state.map_or(Time::default(), |route_state| route_state.run.sent_at)
     }
 
     fn on_routed_head(&mut self, now: Time, link: Link, run: Run, head: Head, out: &mut Outputs) {
@@ -144,6 +194,19 @@
         self.record_release_start(now, run.request, status < 500);
         self.record_retry_outcome(run.request, status < 500);
         self.record_saturation(now, run.request);
+        let has_second = self
+            .flights
+            .get(&run.request)
+            .and_then(Flight::second)
+            .is_some();
+        if status >= 500 && has_second {
+            let message = format!("the upstream answered {status}");
+            let failure = Failure::new(Reason::UpstreamFailed, Verdict::Ran, message);
+            self.history.set_outcome(run.request, failure.to_string());
+            self.record_error(now, run.request, link);
+            self.cancel_run(link, run, out);
+            return self.retry_routed_or_fail(now, run.request, failure, out);
+        }
         match self.head_action(now, run.request, link, status, confidence) {
             HeadAction::Forward => {
                 let took = self.run_age_ms(now, run.request);
@@ -283,12 +346,12 @@
         let flight = self.flights.get(&request);
         let sent = flight
             .and_then(|f| f.route_state.as_ref())
-            .map(|t| t.sent_at);
+            .map(|t| t.run.sent_at);
         sent.map_or(0, |sent| now.since(sent).millis())
     }
 
     /// Returns whether the budget allows another retry.
-    fn has_retry_budget(&mut self, now: Time, request: RequestId) -> bool {
+    pub(super) fn has_retry_budget(&mut self, now: Time, request: RequestId) -> bool {
         let pool = self.flights.get(&request).map(|f| f.pool.clone());
         let entries = self.entries;
         pool.is_some_and(|pool| self.budget(&pool).can_withdraw(now, entries))
@@ -347,6 +410,8 @@
         flight.run = flight.run.next_step();
         flight.tried.clear();
         if let Some(route_state) = &mut flight.route_state {
+            route_state.last_attempt = 0;
+            route_state.refused_seconds = 0;
             route_state.size_index = model;
             route_state.dropped = match why {
                 Why::Unsure => None,
@@ -446,10 +511,13 @@
         failure: Failure,
         out: &mut Outputs,
     ) {
+        if self.promote_second(request) {
+            return;
+        }
         match self.may_retry(now, request, &failure) {
             true => {
                 if let Some(flight) = self.flights.get_mut(&request) {
-                    flight.run = flight.run.next_attempt();
+                    flight.run = flight.next_attempt();
                 }
                 self.dispatch(now, request, out);
             }
@@ -466,7 +534,7 @@
             return false;
         };
         let not_run = failure.verdict == Verdict::NotRun;
-        if now >= flight.deadline || flight.run.attempt + 1 >= MAX_ATTEMPTS {
+        if now >= flight.deadline || flight.counted_attempts() + 1 >= MAX_ATTEMPTS {
             return false;
         }
         let may_resume = route_state.route.repeat == Repeat::Resume;
--- a/crates/core/src/entry/routed/send.rs
+++ b/crates/core/src/entry/routed/send.rs
@@ -130,11 +130,13 @@
             }
         });
         if let Some(route_state) = &mut flight.route_state {
-            route_state.sent_at = now;
             route_state.runs += 1;
-            route_state.estimate = estimate;
-            route_state.recorded_slow = false;
-            route_state.reading = Reading::Steady;
+            route_state.run = RunState {
+                sent_at: now,
+                heard_at: now,
+                estimate,
+                ..RunState::default()
+            };
         }
         if let Some(start) = self.routed_start_frame(now, flight) {
             out.push(Output::Send(chosen.link, Frame::Start(Box::new(start))));
--- a/crates/core/src/entry/routed/timeout.rs
+++ b/crates/core/src/entry/routed/timeout.rs
@@ -1,11 +1,9 @@
-//! Deadlines of routed requests and stalls of their upstreams.
+//! Deadlines of routed requests, and runs that are silent.
 
 use super::*;
+use crate::silence::{Observation, Step};
 use crate::tree::Repeat;
 
-/// The maximum time without data in the middle of a stream before it is resumed at another
-/// upstream. Events are about 40 ms apart, and a pause of 1.2 s makes an answer late.
-const STREAM_STALL_TIMEOUT: Span = Span::from_millis(700);
 /// The interval between two ticks beyond which this process itself is taken to have been paused, so
 /// that missing data does not indicate a stalled upstream.
 const MAX_TICK_INTERVAL: Span = Span::from_millis(250);
@@ -16,33 +14,45 @@
 const MAX_OVERDUE: Span = Span::from_millis(1_000);
 
 impl Entry {
-    /// Ends requests past their deadline and retries those at stalled upstreams.
+    /// Ends requests past their deadline and starts second runs beside silent ones.
     pub(in crate::entry) fn check_routed(&mut self, now: Time, out: &mut Outputs) {
         if now.since(self.last_tick) > MAX_TICK_INTERVAL {
             self.peers.heard_from_all(now);
+            let states = self
+                .flights
+                .values_mut()
+                .filter_map(|f| f.route_state.as_mut());
+            states.for_each(|state| state.run.heard_at = now);
         }
         self.last_tick = now;
         self.record_slow_waits(now);
         self.report_overdue(now, out);
         let mut expired: Vec<RequestId> = Vec::new();
-        let mut stalled: Vec<(RequestId, Link, Run)> = Vec::new();
+        let mut silent: Vec<(RequestId, Link, Step)> = Vec::new();
         for (request, flight) in &self.flights {
             let Some(route_state) = &flight.route_state else {
                 continue;
             };
             if now >= flight.deadline {
                 expired.push(*request);
-            } else if let Some(link) = self.stalled_link(now, flight, route_state) {
-                stalled.push((*request, link, flight.run));
+                continue;
             }
+            let silence = self.silence(now, flight, route_state);
+            let steps = silence.map(|(link, silence)| (*request, link, silence.step()));
+            silent.extend(steps.filter(|(_, _, step)| *step != Step::Wait));
         }
         expired.sort_unstable();
-        stalled.sort_unstable();
+        silent.sort_unstable_by_key(|(request, ..)| *request);
         for request in expired {
             self.expire(now, request, out);
         }
-        for (request, link, run) in stalled {
-            self.abandon_stalled(now, request, link, run, out);
+        for (request, link, step) in silent {
+            match step {
+                Step::Wait => {}
+                Step::Probe if self.peers.probe(link, now) => out.push(Output::Probe(link)),
+                Step::Probe => {}
+                Step::Start => self.on_silence(now, request, link, out),
+            }
         }
     }
 
@@ -61,8 +71,8 @@
             if flight.head_sent || !self.peers.is_contended(&flight.pool) {
                 continue;
             }
-            let expected = state.estimate.time_to_first_byte() + OVERDUE_INTERVAL;
-            let over = now.since(state.sent_at) - expected;
+            let expected = state.run.estimate.time_to_first_byte() + OVERDUE_INTERVAL;
+            let over = now.since(state.run.sent_at) - expected;
             if over > Span::default() {
                 let longest = overdue.entry(link).or_default();
                 *longest = over.max(*longest);
@@ -89,85 +99,69 @@
         }
     }
 
-    /// Returns the upstream of a request if it has stalled and the request may be sent elsewhere.
-    fn stalled_link(&self, now: Time, flight: &Flight, route_state: &RouteState) -> Option<Link> {
+    /// Returns what is known of the silence of the current run of a request, with its upstream, if a
+    /// second run may be started beside it.
+    fn silence(
+        &self,
+        now: Time,
+        flight: &Flight,
+        state: &RouteState,
+    ) -> Option<(Link, Observation)> {
         let link = flight.link?;
-        let may_retry = match flight.head_sent {
-            true => route_state.route.repeat == Repeat::Resume,
+        let may_repeat = match flight.head_sent {
+            true => state.route.repeat == Repeat::Resume,
             false => !flight.at_most_once,
         };
-        if !may_retry || route_state.runs >= route_state.route.tries {
+        let has_tries = state.runs < state.route.tries;
+        if !may_repeat || !has_tries || state.second.is_some() || now < state.next_second {
             return None;
         }
-        let read_since = match route_state.reading {
-            Reading::Steady => route_state.sent_at,
+        let read_since = match state.run.reading {
+            Reading::Steady => state.run.sent_at,
             // What is not read cannot be told from what does not come.
             Reading::Paused => return None,
             Reading::Continued(at) => at,
         };
-        let heard = self.peers.get(link).map_or(read_since, |p| p.last_heard);
-        let since = now.since(heard.max(read_since));
-        let limit = match flight.head_sent {
-            true => self.stream_stall_timeout(flight, route_state),
+        let peer = self.peers.get(link);
+        let of_upstream = peer.map_or(read_since, |peer| peer.last_heard);
+        let is_contended = self.peers.is_contended(&flight.pool);
+        let heard_at = match flight.head_sent && !is_contended {
+            true => state.run.heard_at,
+            false => of_upstream.max(state.run.heard_at),
+        };
+        let workload = state.workload(&flight.pool);
+        let patience = match flight.head_sent {
+            true => self.intervals.patience(&flight.pool),
             false => {
-                let workload = route_state.workload(&flight.pool);
-                self.latencies
-                    .stall_timeout(&workload, route_state.estimate.time_to_first_byte())
+                let expected = state.run.estimate.time_to_first_byte();
+                self.latencies.stall_timeout(&workload, expected)
             }
         };
-        (since > limit).then_some(link)
-    }
-
-    /// Returns the maximum time without data in a stream that has started.
-    ///
-    /// Another upstream has to prefill the prompt first. If that would exceed the allowed pause of
-    /// the route, waiting for an upstream that may only be busy is faster until that pause has
-    /// passed. In a contended pool a silent upstream mostly reads the prompts of others, and leaving
-    /// it repeats the prefill where others wait as well.
-    fn stream_stall_timeout(&self, flight: &Flight, route_state: &RouteState) -> Span {
-        let workload = route_state.workload(&flight.pool);
-        let prefill = self
-            .latencies
-            .estimate(&workload, route_state.estimate.uncached_tokens);
-        if self.peers.is_contended(&flight.pool) {
-            return route_state.route.pause + route_state.route.pause;
-        }
-        match STREAM_STALL_TIMEOUT + prefill <= route_state.route.pause {
-            true => STREAM_STALL_TIMEOUT,
-            false => route_state.route.pause.max(STREAM_STALL_TIMEOUT),
-        }
+        let tokens = state.run.estimate.uncached_tokens;
+        let silence = Observation {
+            silent: now.since(heard_at.max(read_since)),
+            patience,
+            read: self.latencies.estimate(&workload, tokens),
+            pause: flight.head_sent.then_some(state.route.pause),
+            is_contended,
+            is_upstream_silent: now.since(of_upstream) > patience,
+            is_upstream_gone: peer.and_then(|peer| peer.probe.is_gone()),
+        };
+        Some((link, silence))
     }
 
-    fn abandon_stalled(
-        &mut self,
-        now: Time,
-        request: RequestId,
-        link: Link,
-        run: Run,
-        out: &mut Outputs,
-    ) {
-        let failure = Failure::new(
-            Reason::LinkLost,
-            Verdict::MayHaveRun,
-            "the upstream is silent",
-        );
-        if !self.charge_retry(now, request, true) {
-            return;
+    /// Handles a silence after which another upstream is asked.
+    fn on_silence(&mut self, now: Time, request: RequestId, link: Link, out: &mut Outputs) {
+        let flight = self.flights.get_mut(&request);
+        let state = flight.and_then(|flight| flight.route_state.as_mut());
+        let is_first = state.is_some_and(|s| !std::mem::replace(&mut s.run.recorded_silent, true));
+        if is_first {
+            self.record_saturation(now, request);
+            self.record_slow_wait(now, request);
+            self.record_stall(now, request);
+            self.peers.failed(link, now);
         }
-        self.record_saturation(now, request);
-        self.record_slow_wait(now, request);
-        self.record_latency(now, request);
-        self.record_stall(now, request);
-        self.peers.failed(link, now);
-        self.cancel_run(link, run, out);
-        self.history.set_outcome(request, failure.to_string());
-        let Some(flight) = self.flights.get_mut(&request) else {
-            return;
-        };
-        flight.verdict = flight.verdict.raise(Verdict::MayHaveRun);
-        flight.last_failure = Some(failure);
-        flight.run = flight.run.next_attempt();
-        self.dispatch(now, request, out);
+        self.start_second(now, request, out);
     }
 
     /// Fails a request whose deadline has passed.
--- a/crates/core/src/entry/routed/worth.rs
+++ b/crates/core/src/entry/routed/worth.rs
@@ -80,7 +80,7 @@
             return;
         };
         // A stream that went on elsewhere has made its tokens at two upstreams.
-        if route_state.sent_at > first || flight.status >= 300 {
+        if route_state.run.sent_at > first || flight.status >= 300 {
             return;
         }
         let running = self.peers.get(link).map_or(1, |peer| peer.load.running);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod saturation;
 pub mod session;
 pub mod sidecar;
+pub mod silence;
 pub mod slots;
 pub mod spool;
 pub mod start;
--- a/crates/core/src/pick/mod.rs
+++ b/crates/core/src/pick/mod.rs
@@ -26,6 +26,7 @@
 mod outlook;
 mod pace;
 mod peer;
+mod probe;
 mod speed;
 pub mod usual;
 mod warmup;
@@ -50,6 +51,7 @@
 use crate::warmup::Entries;
 use crate::wire::Load;
 use peer::{AVOID_BASE, AVOID_ERROR_BASE};
+use probe::Probe;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use warmup::InitialSet;
 
@@ -332,6 +334,20 @@
     pub fn heard_from(&mut self, link: Link, now: Time) {
         if let Some(peer) = self.peers.get_mut(&link) {
             peer.last_heard = now;
+            peer.probe = Probe::default();
+        }
+    }
+
+    /// Records that an upstream is probed; returns whether it is due.
+    pub fn probe(&mut self, link: Link, now: Time) -> bool {
+        let peer = self.peers.get_mut(&link);
+        peer.is_some_and(|peer| peer.probe.ask(now))
+    }
+
+    /// Records the result of a probe.
+    pub fn probed(&mut self, link: Link, is_gone: bool) {
+        if let Some(peer) = self.peers.get_mut(&link) {
+            peer.probe.answered(is_gone);
         }
     }
 
--- a/crates/core/src/pick/peer.rs
+++ b/crates/core/src/pick/peer.rs
@@ -2,6 +2,7 @@
 
 use super::backlog::{Backlog, Queue};
 use super::pace::{Pace, PaceReport};
+use super::probe::Probe;
 use super::speed::Slowdown;
 use super::{Criteria, Placement, Prefix};
 use crate::digest::mix;
@@ -107,6 +108,8 @@
     pub placement: Placement,
     /// When something was received from it last.
     pub last_heard: Time,
+    /// The latest probe since then.
+    pub probe: Probe,
     /// The time until which it is avoided after a failure.
     pub avoided: Time,
     /// Whether it is removed once no requests of this entry run there.
@@ -154,6 +157,7 @@
             leaving: false,
             placement: Placement::default(),
             last_heard: Time::default(),
+            probe: Probe::default(),
             avoided: Time::default(),
             failures: 0,
             retired: false,
--- a/crates/core/tests/random.rs
+++ b/crates/core/tests/random.rs
@@ -296,6 +296,7 @@
             }
             entry::Output::Forward(..)
             | entry::Output::RecordQuarantine(_)
+            | entry::Output::Probe(_)
             | entry::Output::Prefill(..)
             | entry::Output::SessionAffinity(..)
             | entry::Output::Suspect(_)
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -406,7 +406,8 @@
             Output::SpeedSums(_) => {}
             Output::QuarantineUpdate(update) => self.broadcast(&update),
             // Sidecars keep the quarantine and relay its updates.
-            Output::RecordQuarantine(_) => {}
+            // Sidecars tell whether their upstreams are there.
+            Output::RecordQuarantine(_) | Output::Probe(_) => {}
             // Only upstreams without a sidecar send notices to entries directly.
             Output::Notice(_) => {}
             // The usage of client accounts is taken from the records of runs.
--- a/crates/daemon/src/hosted/event_loop.rs
+++ b/crates/daemon/src/hosted/event_loop.rs
@@ -37,6 +37,7 @@
 use sorreldeck::{Hall, Region, RequestId, Span, Time, UpstreamId};
 use sorreldeck_net::h1::Door;
 use sorreldeck_net::link::Event;
+use sorreldeck_net::reach;
 use sorreldeck_platform::{Settings, Store};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -355,6 +356,7 @@
             Message::LinkOpened(name, link, outbox) => self.handle_link_opened(name, link, outbox),
             Message::MoveRecorded(key, result) => self.mover.on_written(&key, result),
             Message::RowsRestored(result) => self.restorer.on_written(result),
+            Message::Probed(link, is_gone) => self.handle(Input::Probed(link, is_gone)),
             Message::HoldRecorded(fingerprint, result) => {
                 let now = self.clock.now();
                 self.recorder.on_written(fingerprint, result, now);
@@ -371,6 +373,19 @@
         }
     }
 
+    /// Finds out whether an upstream is there.
+    fn probe(&self, link: Link) {
+        let Some(address) = self.addresses.get(&link).copied() else {
+            return;
+        };
+        let send = self.shared.send.clone();
+        task::spawn(async move {
+            let is_gone = !reach::is_taken(address).await;
+            // Sending fails only while the process ends.
+            let _ = send.send(Message::Probed(link, is_gone)).await;
+        });
+    }
+
     fn execute(&mut self, output: Output) {
         match output {
             Output::Send(link, Frame::Start(start)) => {
@@ -381,6 +396,7 @@
                 self.runs.insert(run, handle);
             }
             Output::Send(_, Frame::Cancel(run)) => drop(self.runs.remove(&run)),
+            Output::Probe(link) => self.probe(link),
             Output::Answer(request, part) => self.respond(request, part),
             Output::SpeedSums(sums) => {
                 self.metrics.count_told_speed_sums(sums.len());
--- a/crates/daemon/src/hosted/event_loop/status.rs
+++ b/crates/daemon/src/hosted/event_loop/status.rs
@@ -84,6 +84,10 @@
         gauges.leaving.set(peers.leaving() as i64);
         gauges.paused.set(peers.resting(now) as i64);
         gauges.limited.set(peers.limited() as i64);
+        let second_runs = self.entry.second_runs();
+        gauges.second_runs.set(second_runs.started as i64);
+        gauges.second_runs_went_on.set(second_runs.went_on as i64);
+        gauges.second_runs_failed.set(second_runs.failed as i64);
         let evacuated = peers.hall_states().evacuated();
         gauges.evacuated.set(evacuated.len() as i64);
         if let Some(duties) = &self.duties {
--- a/crates/daemon/src/hosted/message.rs
+++ b/crates/daemon/src/hosted/message.rs
@@ -21,6 +21,8 @@
     Disconnected(RequestId),
     /// A part of an upstream's response to a run.
     Reply(Link, Run, Reply),
+    /// Whether an upstream that was silent is gone.
+    Probed(Link, bool),
     /// The outcome of a poll of a table.
     Store(Table, Outcome),
     /// Tables from another entry.
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -111,6 +111,12 @@
     pub limited: Gauge,
     /// The number of evacuated data halls.
     pub evacuated: Gauge,
+    /// The number of second runs started beside silent ones.
+    pub second_runs: Gauge,
+    /// The number of second runs that went on with the answer.
+    pub second_runs_went_on: Gauge,
+    /// The number of second runs that were refused or failed.
+    pub second_runs_failed: Gauge,
     /// The number of this entry's usage reports that the platform accepted.
     pub reports_taken: Gauge,
     /// The number of this entry's usage reports that the platform rejected, or whose outcome
@@ -302,6 +308,21 @@
                 &self.limited,
             ),
             ("evacuated", "Data halls that get no work", &self.evacuated),
+            (
+                "second_runs",
+                "Second runs started beside silent ones since the start",
+                &self.second_runs,
+            ),
+            (
+                "second_runs_went_on",
+                "Second runs that went on with the answer, since the first was silent",
+                &self.second_runs_went_on,
+            ),
+            (
+                "second_runs_failed",
+                "Second runs that were refused or failed",
+                &self.second_runs_failed,
+            ),
             (
                 "duty_reports_taken",
                 "Reports of what client accounts used that the platform took of this entry",
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -14,6 +14,7 @@
 mod runner;
 mod silent_connections;
 mod silent_start;
+mod silent_upstream;
 mod slow_reader;
 mod store;
 mod suspended;
--- a/crates/daemon/tests/hosted/runner.rs
+++ b/crates/daemon/tests/hosted/runner.rs
@@ -7,6 +7,7 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -23,6 +24,10 @@
 const PACED_EVENTS: usize = 12;
 const PACE: Duration = Duration::from_millis(40);
 
+/// Number of events of a stream that pauses in the middle, and the length of the pause.
+pub const PAUSING_EVENTS: u64 = 40;
+const PAUSES_FOR: Duration = Duration::from_millis(3_000);
+
 /// A request that an upstream got, and when.
 #[derive(Clone, Debug)]
 pub struct Seen {
@@ -41,6 +46,8 @@
     connections: Arc<Mutex<u32>>,
     sent_bytes: Arc<Mutex<usize>>,
     refused: Refused,
+    /// Whether it refuses all requests.
+    is_full: Arc<AtomicBool>,
     /// Header lines added to all answers.
     headers: Arc<Mutex<String>>,
     /// Channel that is open until the simulated process crashes.
@@ -61,6 +68,7 @@
             connections: Arc::default(),
             sent_bytes: Arc::default(),
             refused: refused.clone(),
+            is_full: Arc::default(),
             headers: Arc::default(),
             life: async_channel::bounded(1),
         };
@@ -78,6 +86,11 @@
         upstream
     }
 
+    /// Refuses all requests from now on.
+    pub fn fill(&self) {
+        self.is_full.store(true, Ordering::Relaxed);
+    }
+
     /// Simulates a crash of the process: the listener and all connections close.
     pub fn crash(&self) {
         self.life.0.close();
@@ -135,6 +148,7 @@
 
     /// Answers as the last part of the path says; returns whether the connection stays open.
     async fn act(&self, stream: &mut TcpStream, head: &str) -> bool {
+        let request_head = head;
         let label = header(head, "request-id").unwrap_or("none").to_owned();
         let path = head.split(' ').nth(1).unwrap();
         let action = path.rsplit('/').next().unwrap().split('?').next().unwrap();
@@ -151,6 +165,10 @@
         );
         let closing_head = stream_head.replace("transfer-encoding: chunked\r\n", "");
         let closing_head = format!("{closing_head}confidence: 90\r\n\r\n");
+        let action = match self.is_full.load(Ordering::Relaxed) {
+            true => "full",
+            false => action,
+        };
         let (text, goes_on) = match action {
             "foreign" => (good("other").replace(&label, "0badc0de"), true),
             "unsigned" => (good("body").replace("response-signature", "x-other"), true),
@@ -251,6 +269,17 @@
                 return stream.write_all(head.as_bytes()).await.is_ok()
                     && self.send_paced_stream(stream).await;
             }
+            "pausing-stream" => {
+                let head = format!("{stream_head}confidence: 90\r\n\r\n");
+                let after = header(request_head, "last-event-id");
+                let after = after.and_then(|id| id.parse().ok()).unwrap_or(0);
+                return stream.write_all(head.as_bytes()).await.is_ok()
+                    && self.send_pausing_stream(stream, after).await;
+            }
+            "late" => {
+                task::sleep(PAUSES_FOR).await;
+                (good("late"), true)
+            }
             "slow-stream" => {
                 let text = format!(
                     "{stream_head}confidence: 90\r\n\r\n{}",
@@ -300,6 +329,22 @@
         stream.write_all(b"0\r\n\r\n").await.is_ok()
     }
 
+    /// Sends the events after this one, with a pause in the middle of the whole stream; returns whether
+    /// the caller got all.
+    async fn send_pausing_stream(&self, stream: &mut TcpStream, after: u64) -> bool {
+        for number in after + 1..=PAUSING_EVENTS {
+            if number == PAUSING_EVENTS / 2 {
+                task::sleep(PAUSES_FOR).await;
+            }
+            let event = format!("id: {number}\ndata: a\n\n");
+            if stream.write_all(chunk(&event).as_bytes()).await.is_err() {
+                return false;
+            }
+            task::sleep(PACE).await;
+        }
+        stream.write_all(b"0\r\n\r\n").await.is_ok()
+    }
+
     /// Sends a few events one after the other; returns whether the caller got all.
     async fn send_paced_stream(&self, stream: &mut TcpStream) -> bool {
         for number in 1..=PACED_EVENTS {
--- a/crates/net/src/reach.rs
+++ b/crates/net/src/reach.rs
@@ -43,6 +43,15 @@
     }
 }
 
+/// Returns whether somebody takes a connection at an address and keeps it, within
+/// some 200 ms.
+pub async fn is_taken(address: SocketAddr) -> bool {
+    match look(address).await {
+        Look::Taken(stream) => !closes(&stream).await,
+        Look::Refused | Look::Unknown => false,
+    }
+}
+
 async fn look(address: SocketAddr) -> Look {
     match timeout(ANSWER_TIMEOUT, Socket::connect(address)).await {
         Ok(Ok(stream)) => Look::Taken(stream),
