--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -34,7 +34,7 @@
 /// The silence that is waited for while the usual interval between events is unknown.
 const DEFAULT_PATIENCE: Span = Span::from_millis(700);
 /// The shortest silence that counts, however short the usual interval is.
-const MIN_PATIENCE: Span = Span::from_millis(500);
+const MIN_PATIENCE: Span = Span::from_millis(700);
 /// The deviations beyond the mean at which an interval is no longer a usual one.
 const DEVIATIONS: f64 = 8.0;
 /// The number of intervals over which the mean and deviation are smoothed.
