A planned stop ends when the sockets of callers have taken their answers

Cause: EventLoop::is_done took an answer for ended when its last part had been handed to the channel to the HTTP library. Ruled out: the grace time, the time limits, a lost upstream.

Change: each connection counts as owing from the read of a request until its socket has taken the last byte of the answer; the stop waits for that, within the grace time.

--- a/crates/daemon/src/hosted/event_loop.rs
+++ b/crates/daemon/src/hosted/event_loop.rs
@@ -233,7 +233,9 @@
 
     fn is_done(&self, since: Time) -> bool {
         let waited = self.clock.now().since(since);
-        let idle = self.entry.is_idle() && self.responses.is_empty();
+        // An answer has ended when the socket of its caller has taken its last byte.
+        let is_delivered = self.responses.is_empty() && self.door.owing() == 0;
+        let idle = self.entry.is_idle() && is_delivered;
         (self.door.is_shut() && idle) || waited >= self.grace - EXIT_MARGIN
     }
 
--- a/crates/daemon/tests/hosted/runner.rs
+++ b/crates/daemon/tests/hosted/runner.rs
@@ -24,6 +24,9 @@
 const PACED_EVENTS: usize = 12;
 const PACE: Duration = Duration::from_millis(40);
 
+/// Bytes of a large answer: more than the sockets of a loopback connection hold.
+pub const LARGE_BYTES: usize = 400_000;
+
 /// Number of events of a stream that pauses in the middle, and the length of the pause.
 pub const PAUSING_EVENTS: u64 = 40;
 const PAUSES_FOR: Duration = Duration::from_millis(3_000);
@@ -276,6 +279,7 @@
                 return stream.write_all(head.as_bytes()).await.is_ok()
                     && self.send_pausing_stream(stream, after).await;
             }
+            "large" => (good(&"a".repeat(LARGE_BYTES)), true),
             "late" => {
                 task::sleep(PAUSES_FOR).await;
                 (good("late"), true)
--- a/crates/daemon/tests/throttled/main.rs
+++ b/crates/daemon/tests/throttled/main.rs
@@ -1,5 +1,6 @@
 //! Hosted entries as processes that get a share of a core each, behind a load balancer.
 
+mod answers_cut_at_a_planned_stop;
 mod balancer;
 mod client;
 mod cost;
--- a/crates/net/src/h1.rs
+++ b/crates/net/src/h1.rs
@@ -61,6 +61,7 @@
     full: AtomicBool,
     shut: (async_channel::Sender<()>, async_channel::Receiver<()>),
     open: AtomicUsize,
+    owing: AtomicUsize,
     start: Instant,
 }
 
@@ -71,6 +72,7 @@
             full: AtomicBool::new(false),
             shut: async_channel::bounded(1),
             open: AtomicUsize::new(0),
+            owing: AtomicUsize::new(0),
             start: Instant::now(),
         }
     }
@@ -119,6 +121,12 @@
         self.open.load(Ordering::Relaxed)
     }
 
+    /// Returns how many connections have read a request whose answer their sockets have not taken
+    /// whole.
+    pub fn owing(&self) -> usize {
+        self.owing.load(Ordering::Relaxed)
+    }
+
     fn now(&self) -> u64 {
         self.start.elapsed().as_millis() as u64
     }
@@ -132,12 +140,31 @@
     free_since: AtomicU64,
     /// When the first byte after that came in; 0 while none has.
     head_since: AtomicU64,
+    /// Whether the connection counts as owing.
+    owes: AtomicBool,
 }
 
 impl Activity {
-    fn begin(&self) {
+    fn begin(&self, door: &Door) {
         self.busy.fetch_add(1, Ordering::Relaxed);
         self.head_since.store(0, Ordering::Relaxed);
+        if !self.owes.swap(true, Ordering::Relaxed) {
+            door.owing.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Records that the socket has taken all that was written.
+    fn has_flushed(&self, door: &Door) {
+        if self.busy.load(Ordering::Relaxed) == 0 {
+            self.settle(door);
+        }
+    }
+
+    /// Records that no answer is owed any more.
+    fn settle(&self, door: &Door) {
+        if self.owes.swap(false, Ordering::Relaxed) {
+            door.owing.fetch_sub(1, Ordering::Relaxed);
+        }
     }
 
     fn end(&self, now: u64) {
@@ -291,8 +318,10 @@
     activity.free_since.store(door.now(), Ordering::Relaxed);
     let (reading, clock) = (activity.clone(), door.clone());
     let io = stream.on_read(move || reading.has_read(clock.now()));
+    let (writing, counter) = (activity.clone(), door.clone());
+    let io = io.on_flush(move || writing.has_flushed(&counter));
     let service = service_fn(|request: Request<Incoming>| {
-        activity.begin();
+        activity.begin(&door);
         meter.begin(framing);
         let request = request.map(|body| Content {
             body,
@@ -338,6 +367,7 @@
             },
         }
     }
+    activity.settle(&door);
     door.open.fetch_sub(1, Ordering::Relaxed);
 }
 
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -195,6 +195,8 @@
     pause: Option<Timer>,
     /// Called whenever bytes have come in.
     on_read: Option<Arc<dyn Fn() + Send + Sync>>,
+    /// Called whenever all bytes written so far have gone out.
+    on_flush: Option<Arc<dyn Fn() + Send + Sync>>,
 }
 
 impl Clone for Socket {
@@ -205,6 +207,7 @@
             meter: self.meter.clone(),
             pause: None,
             on_read: self.on_read.clone(),
+            on_flush: self.on_flush.clone(),
         }
     }
 }
@@ -217,6 +220,7 @@
             meter: Meter::default(),
             pause: None,
             on_read: None,
+            on_flush: None,
         }
     }
 }
@@ -243,6 +247,12 @@
         self
     }
 
+    /// Has a function called whenever all bytes written so far have gone out to the network.
+    pub fn on_flush(mut self, note: impl Fn() + Send + Sync + 'static) -> Socket {
+        self.on_flush = Some(Arc::new(note));
+        self
+    }
+
     /// Returns the count of framing of this connection.
     pub fn meter(&self) -> Meter {
         self.meter.clone()
@@ -351,7 +361,11 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
+        if let (Poll::Ready(Ok(())), Some(note)) = (&flushed, &self.on_flush) {
+            note();
+        }
+        flushed
     }
 
     fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
