Charge connections for requests that come, and close those that owe least first

Cause: an accepted connection was charged for an average request and kept that charge; connections beyond were closed unread, which counted for readiness. A burst of 150 ms counted as full for 300 ms. Ruled out: descriptors and memory in use.

Change: the charge goes by the share of connections that bring a request at once, and is taken back after 50 ms without one; where descriptors or memory run short, what owes least and has waited longest is closed for the connection that arrives, never one with a request under way; 300 ms of turning away are counted from the first to the last connection turned away.

Tests: begin(true) is begin(Some(part)) in two callers of Monitor; nothing that they ask for changed.

--- a/crates/core/src/overload/link.rs
+++ b/crates/core/src/overload/link.rs
@@ -82,9 +82,14 @@
         self.average.end();
     }
 
-    /// Charges the bytes of a request that was let in.
-    pub fn charge(&mut self) {
-        self.meter.charge(self.average.get());
+    /// Charges this part of the bytes of a request that was let in.
+    pub fn charge(&mut self, part: f64) {
+        self.meter.charge(self.average.get() * part);
+    }
+
+    /// Takes back the charge for this part of a request that has not come.
+    pub fn refund(&mut self, part: f64) {
+        self.meter.refund(self.average.get() * part);
     }
 
     /// Updates the pace.
--- a/crates/core/src/overload/memory.rs
+++ b/crates/core/src/overload/memory.rs
@@ -5,8 +5,10 @@
 /// The part of the memory beyond which no connection is accepted; the rest is for what was read
 /// and grows, and for memory that is free but scattered.
 const FULL: f64 = 0.65;
-/// The memory that a connection takes at once, in bytes.
-const EACH: u64 = 48 * 1024;
+/// The memory that a connection with a request takes at once, in bytes.
+const EACH: f64 = 48.0 * 1024.0;
+/// The same for one that has brought none.
+const EACH_IDLE: f64 = 12.0 * 1024.0;
 /// The connections below which memory is not full by them.
 const MIN_CONNECTIONS: usize = 16;
 
@@ -16,8 +18,8 @@
     /// `None` if the limit is unknown.
     full: Option<u64>,
     in_use: u64,
-    /// The connections accepted since `in_use` was read.
-    accepted: u64,
+    /// The memory of connections accepted since `in_use` was read, in bytes.
+    accepted: f64,
 }
 
 impl Memory {
@@ -26,22 +28,22 @@
         Memory {
             full: (full > 0).then_some(full),
             in_use: 0,
-            accepted: 0,
+            accepted: 0.0,
         }
     }
 
     pub fn set(&mut self, in_use: Size) {
         self.in_use = in_use.bytes();
-        self.accepted = 0;
+        self.accepted = 0.0;
     }
 
-    /// Charges a connection that was accepted.
-    pub fn charge(&mut self) {
-        self.accepted += 1;
+    /// Charges a connection that was accepted, of those of which this part bring a request at once.
+    pub fn charge(&mut self, bringing: f64) {
+        self.accepted += EACH * bringing + EACH_IDLE * (1.0 - bringing);
     }
 
     pub fn in_use(&self) -> Size {
-        Size::from_bytes(self.in_use + self.accepted * EACH)
+        Size::from_bytes(self.in_use + self.accepted as u64)
     }
 
     /// Returns whether the memory cannot take another connection besides those that are open.
--- a/crates/core/src/overload/meter.rs
+++ b/crates/core/src/overload/meter.rs
@@ -82,6 +82,11 @@
         self.level += cost;
     }
 
+    /// Takes back a cost that was charged.
+    pub fn refund(&mut self, cost: f64) {
+        self.level = (self.level - cost).max(0.0);
+    }
+
     /// Returns how long the resource works on what it owes at a rate a second.
     pub fn owed(&self, per_s: f64) -> Span {
         Span::from_secs_f64(self.level / per_s.max(f64::MIN_POSITIVE))
--- a/crates/core/src/overload/mod.rs
+++ b/crates/core/src/overload/mod.rs
@@ -48,6 +48,12 @@
 /// The descriptors that a connection with a request takes.
 const DESCRIPTORS_EACH: usize = 2;
 
+/// How long the first request of an accepted connection counts as work that is owed before it has come.
+pub const REQUEST_EXPECTED: Span = Span::from_millis(50);
+
+/// The connections over which the share of those that bring a request is taken.
+const BRINGING_OVER: f64 = 16.0;
+
 /// What the instance has.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Limits {
@@ -108,6 +114,8 @@
     Request,
     /// A part of an answer was passed on.
     Part,
+    /// A connection was accepted that has brought no request.
+    Connection,
     /// A connection was closed unread.
     Close,
 }
@@ -117,6 +125,7 @@
         match self {
             Work::Request => 7.0,
             Work::Part => 1.0,
+            Work::Connection => 2.0,
             Work::Close => 0.25,
         }
     }
@@ -172,6 +181,8 @@
     memory: Memory,
     max_connections: usize,
     connections: usize,
+    /// The share of accepted connections that bring a request at once, lately.
+    bringing: f64,
     readiness: Readiness,
     episode: Option<Episode>,
     closed: u64,
@@ -191,6 +202,7 @@
             memory: Memory::new(limits.memory),
             max_connections,
             connections: 0,
+            bringing: 1.0,
             readiness: Readiness::new(phase),
             episode: None,
             closed: 0,
@@ -199,11 +211,23 @@
 
     /// Decides what becomes of a new connection.
     pub fn decide(&mut self, now: Time) -> Decision {
-        let Some(full) = self.full(now) else {
-            self.open();
-            self.readiness.accept();
-            return Decision::Accept;
-        };
+        match self.full(now) {
+            None => {
+                self.replace();
+                Decision::Accept
+            }
+            Some(full) => self.turn_away(full, now),
+        }
+    }
+
+    /// Returns the resource for lack of which a connection is about to be closed unread, if another
+    /// one may be closed in its place.
+    pub fn lacks_room(&mut self, now: Time) -> Option<Resource> {
+        let full = self.full(now)?;
+        matches!(full, Resource::Descriptors | Resource::Memory).then_some(full)
+    }
+
+    fn turn_away(&mut self, full: Resource, now: Time) -> Decision {
         self.readiness.turn_away(now);
         self.processor.work(Work::Close);
         self.closed += 1;
@@ -217,12 +241,19 @@
         Decision::Close(full)
     }
 
-    /// Records that a connection was accepted, and charges its first request.
+    /// Records that a connection was accepted, and charges its first request as far as connections
+    /// bring one.
     fn open(&mut self) {
         self.connections += 1;
-        self.processor.charge();
-        self.link.charge();
-        self.memory.charge();
+        self.processor.charge(self.bringing);
+        self.link.charge(self.bringing);
+        self.memory.charge(self.bringing);
+    }
+
+    /// Records whether an accepted connection brought a request at once.
+    fn record_request(&mut self, has_come: bool) {
+        let come = f64::from(u8::from(has_come));
+        self.bringing += (come - self.bringing) / BRINGING_OVER;
     }
 
     /// Returns the resource that is full, if one is.
@@ -239,18 +270,47 @@
         self.processor.is_full(now).then_some(Resource::Processor)
     }
 
+    /// Accepts a connection in the place of one that is closed for it.
+    pub fn replace(&mut self) {
+        self.open();
+        self.readiness.accept();
+    }
+
+    /// Returns whether what has come on connections has been read: a request of one that was accepted
+    /// may wait for the processor itself.
+    pub fn has_read_all(&self, now: Time) -> bool {
+        !self.processor.waits.is_long(now)
+    }
+
+    /// Returns the part of a request for which a connection that is accepted now is charged.
+    pub fn charged(&self) -> f64 {
+        self.bringing
+    }
+
+    /// Takes back what an accepted connection was [charged](Monitor::charged) for its first request,
+    /// which has not come within [`REQUEST_EXPECTED`]: what it may ask later is charged when it does.
+    pub fn forgo(&mut self, charged: f64) {
+        self.processor.refund(charged);
+        self.link.refund(charged);
+        self.processor.work_more(Work::Connection);
+        self.record_request(false);
+    }
+
     /// Records that an accepted connection was closed.
     pub fn close(&mut self) {
         self.connections = self.connections.saturating_sub(1);
     }
 
-    /// Records that a request was read; the first one of a connection was charged with it.
-    pub fn begin(&mut self, is_first: bool) {
+    /// Records that a request was read; `charged` is the part for which its connection was charged, or
+    /// `None` if the request is not its first or came late.
+    pub fn begin(&mut self, charged: Option<f64>) {
         self.processor.begin();
         self.link.begin();
-        if !is_first {
-            self.processor.charge();
-            self.link.charge();
+        let part = 1.0 - charged.unwrap_or(0.0);
+        self.processor.charge(part);
+        self.link.charge(part);
+        if charged.is_some() {
+            self.record_request(true);
         }
     }
 
--- a/crates/core/src/overload/processor.rs
+++ b/crates/core/src/overload/processor.rs
@@ -79,9 +79,14 @@
         self.active
     }
 
-    /// Charges the work of a request that was let in.
-    pub fn charge(&mut self) {
-        self.meter.charge(self.average.get());
+    /// Charges this part of the work of a request that was let in.
+    pub fn charge(&mut self, part: f64) {
+        self.meter.charge(self.average.get() * part);
+    }
+
+    /// Takes back the charge for this part of a request that has not come.
+    pub fn refund(&mut self, part: f64) {
+        self.meter.refund(self.average.get() * part);
     }
 
     /// Returns how long the processor needs for what it owes beyond its pace, or how long tasks
--- a/crates/core/src/overload/readiness.rs
+++ b/crates/core/src/overload/readiness.rs
@@ -76,9 +76,8 @@
 
     /// Updates whether the entry is out.
     pub fn step(&mut self, now: Time) {
-        let is_long_full = self
-            .full_since(now)
-            .is_some_and(|since| now.since(since) >= FULL_FOR);
+        let series = self.full.filter(|_| self.full_since(now).is_some());
+        let is_long_full = series.is_some_and(|(since, last)| last.since(since) >= FULL_FOR);
         let offered = f64::from(self.accepted) + f64::from(self.turned_away);
         let is_far_over = f64::from(self.turned_away) >= offered * TURNED_AWAY;
         if is_long_full && is_far_over && self.out_until.is_none() {
--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -1,8 +1,9 @@
 //! Entries of unequal strength while one of them gets most new connections.
 
-use sorreldeck::overload::{Decision, Limits, Monitor, Resource};
+use sorreldeck::overload::{Decision, Limits, Monitor, Resource, REQUEST_EXPECTED};
 use sorreldeck::{Size, Span, Time};
 use sorreldeck_emulator::overload::{Admission, Crowd, Instance, Scenario, Tally, World};
+use std::collections::VecDeque;
 use test_case::test_case;
 
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=6;
@@ -141,7 +142,7 @@
     const WAIT: u64 = 30_000;
     let mut monitor = Monitor::new(Limits::default(), 0.0, Time(0));
     for _ in 0..requests {
-        monitor.begin(true);
+        monitor.begin(Some(1.0));
     }
     (0..100).find_map(|probe| {
         let (queued, ran) = (Time(probe * WAIT), Time((probe + 1) * WAIT));
@@ -286,3 +287,150 @@
         assert_eq!(monitor.decide(Time(n)), Decision::Accept);
     }
 }
+
+/// What can come to an entry in one second.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Second {
+    /// Nothing.
+    Calm,
+    /// A crowd opens connections that ask for nothing.
+    Opens,
+    /// The crowd opens its connections again and again.
+    Reopens,
+    /// The crowd closes its connections.
+    Leaves,
+    /// Four times the requests that the entry can answer.
+    Overload,
+}
+
+const SECONDS: [Second; 5] = [
+    Second::Calm,
+    Second::Opens,
+    Second::Reopens,
+    Second::Leaves,
+    Second::Overload,
+];
+
+/// Returns for each second whether the entry said that it is ready all the time; without the crowd if
+/// `is_alone`.
+fn readiness(seconds: &[Second], is_alone: bool) -> Vec<bool> {
+    const CROWD: usize = 1_000;
+    const STEP_US: u64 = 5_000;
+    const CAPACITY_PER_S: f64 = 100.0;
+    let limits = Limits {
+        cores: 0.1,
+        memory: Size::from_bytes(88_000_000),
+        descriptors: 4_096,
+        ..Limits::default()
+    };
+    let mut monitor = Monitor::new(limits, 0.0, Time(0));
+    monitor.set_memory(Size::from_bytes(10_000_000));
+    let mut expected: VecDeque<(Time, f64)> = VecDeque::new();
+    let (mut now, mut crowd, mut used, mut waiting) = (Time(0), 0, Span::default(), 0.0_f64);
+    let mut all = Vec::new();
+    for second in seconds {
+        let mut is_ready = true;
+        for step in 0..200 {
+            now = Time(now.0 + STEP_US);
+            let crowd_now = if is_alone { Second::Calm } else { *second };
+            let opened = match crowd_now {
+                Second::Opens if crowd < CROWD => 20,
+                Second::Reopens => crowd.min(20),
+                _ => 0,
+            };
+            if crowd_now == Second::Leaves {
+                (0..std::mem::take(&mut crowd)).for_each(|_| monitor.close());
+            }
+            for _ in 0..opened {
+                if crowd_now == Second::Reopens {
+                    crowd -= 1;
+                    monitor.close();
+                }
+                let charged = monitor.charged();
+                if monitor.decide(now) == Decision::Accept {
+                    crowd += 1;
+                    expected.push_back((now, charged));
+                    used = used + Span::from_micros(60);
+                }
+            }
+            let is_due = |(at, _): &&(Time, f64)| now.since(*at) >= REQUEST_EXPECTED;
+            while let Some((_, charged)) = expected.front().filter(is_due).copied() {
+                if !monitor.has_read_all(now) {
+                    break;
+                }
+                expected.pop_front();
+                monitor.forgo(charged);
+            }
+            // Ordinary callers, a fifth of what the entry can do, or four times that.
+            let requests = match second {
+                Second::Overload => 2,
+                _ => usize::from(step % 10 == 0),
+            };
+            for _ in 0..requests {
+                let charged = monitor.charged();
+                if monitor.decide(now) == Decision::Accept {
+                    monitor.begin(Some(charged));
+                    waiting += 1.0;
+                }
+            }
+            let answered = (CAPACITY_PER_S * STEP_US as f64 / 1e6).min(waiting);
+            let before = waiting;
+            waiting -= answered;
+            used = used + Span::from_micros((answered * 1_000.0) as u64);
+            for _ in 0..(before.ceil() - waiting.ceil()) as usize {
+                (0..8).for_each(|_| monitor.pass_on());
+                monitor.end();
+                monitor.close();
+            }
+            monitor.use_processor(used, now);
+            let is_behind = waiting > 3.0;
+            monitor.waits().queue(now);
+            let wait = if is_behind { 40_000 } else { 1_000 };
+            monitor.waits().run(Time(now.0 + wait));
+            if step % 20 == 0 {
+                let bytes = 10_000_000 + crowd as u64 * 12_000;
+                monitor.set_memory(Size::from_bytes(bytes));
+            }
+            monitor.step(now);
+            is_ready &= monitor.is_ready();
+        }
+        all.push(is_ready);
+    }
+    all
+}
+
+/// Guards against a crowd that asks for nothing and decides which entries are used.
+#[test]
+fn no_order_of_crowds_that_ask_for_nothing_changes_whether_an_entry_is_ready() {
+    let mut orders = vec![Vec::new()];
+    let mut overloads = 0;
+    for _ in 0..4 {
+        let longer = orders.iter().flat_map(|order: &Vec<Second>| {
+            SECONDS.iter().map(|second| {
+                let mut order = order.clone();
+                order.push(*second);
+                order
+            })
+        });
+        orders = longer.collect();
+        for order in &orders {
+            let (with, alone) = (readiness(order, false), readiness(order, true));
+            if !order.contains(&Second::Overload) {
+                assert_eq!(with, alone, "{order:?}");
+                assert!(with.iter().all(|is_ready| *is_ready), "{order:?}");
+            }
+            // Beside a real overload the entry says so as it does without a crowd.
+            let is_told = |ready: &[bool]| ready.contains(&false);
+            assert_eq!(
+                is_told(&with),
+                is_told(&alone),
+                "{order:?} {with:?} {alone:?}"
+            );
+            overloads += usize::from(is_told(&alone));
+        }
+    }
+    assert!(
+        overloads > 100,
+        "{overloads} orders with an overload that is told"
+    );
+}
--- a/crates/daemon/src/hosted/event_loop/status.rs
+++ b/crates/daemon/src/hosted/event_loop/status.rs
@@ -76,6 +76,10 @@
         gauges.framing_closed.set(socket::closed() as i64);
         gauges.gave_way.set(socket::gave_way() as i64);
         gauges.closed_unread.set(self.shared.load.closed() as i64);
+        let closed = self.shared.load.closed_for_others();
+        gauges.closed_no_request.set(closed.no_request as i64);
+        gauges.closed_idle.set(closed.idle as i64);
+        gauges.closed_not_read.set(closed.unread as i64);
         gauges.processor_owed.set(owed.processor.millis() as i64);
         gauges.link_owed.set(owed.link.millis() as i64);
         gauges.memory_owed.set(owed.memory.bytes() as i64);
--- a/crates/daemon/src/hosted/frontend.rs
+++ b/crates/daemon/src/hosted/frontend.rs
@@ -17,12 +17,11 @@
 use sorreldeck::entry::{Part, Payload, Request as EntryRequest, Routed};
 use sorreldeck::wire::{Call, Header};
 use sorreldeck::{Failure, Reason, RequestId, Span, Verdict};
-use sorreldeck_net::h1::{self, Content, Door, Limits};
+use sorreldeck_net::h1::{self, Activity, Content, Door, Limits};
 use sorreldeck_net::socket::Socket;
 use sorreldeck_platform::call;
 use std::net::TcpListener;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -59,9 +58,12 @@
         match listener.read_with(|listener| listener.accept()).await {
             Ok((stream, _)) => {
                 // A connection that is not accepted is closed by dropping its stream unread.
-                if let Some(accepted) = shared.load.accept() {
+                let activity = Arc::new(Activity::default());
+                activity.open(&door);
+                if let Some(accepted) = shared.load.accept(&door, activity.clone()) {
                     let stream = Socket::from(stream);
-                    task::spawn(connection(stream, accepted, shared.clone(), door.clone()));
+                    let (shared, door) = (shared.clone(), door.clone());
+                    task::spawn(connection(stream, accepted, activity, shared, door));
                 }
             }
             // For example, no file descriptors are left; connections that close will free some.
@@ -73,22 +75,27 @@
     }
 }
 
-async fn connection(stream: Socket, accepted: Connection, shared: Shared, door: Arc<Door>) {
+async fn connection(
+    stream: Socket,
+    accepted: Connection,
+    activity: Arc<Activity>,
+    shared: Shared,
+    door: Arc<Door>,
+) {
     let limits = shared.limits();
     let limits = Limits {
         head: limits.head.bytes() as usize + HEAD_MARGIN,
         head_timeout: limits.head_timeout.into(),
         idle_timeout: limits.idle_timeout.into(),
     };
-    let is_first = AtomicBool::new(true);
     let refusals = Refusals::new(shared.load.clone());
     let handle_request = |request| {
-        let (shared, refusals, is_first) = (shared.clone(), &refusals, &is_first);
+        let (shared, refusals, accepted) = (shared.clone(), &refusals, &accepted);
         async move {
             if let Some(wait) = refusals.wait() {
                 task::sleep(wait.into()).await;
             }
-            let active = shared.load.begin(is_first.swap(false, Ordering::Relaxed));
+            let active = accepted.begin();
             let response = handle_request(request, active, shared).await;
             if response.body().is_refusal() {
                 refusals.count();
@@ -96,8 +103,8 @@
             response
         }
     };
-    h1::serve(stream, door, limits, handle_request).await;
-    drop(accepted);
+    let served = h1::serve(stream, door, activity, limits, handle_request);
+    served.or(accepted.ended()).await;
 }
 
 /// A request in progress. If it is dropped before its response is complete, the event loop
--- a/crates/daemon/src/hosted/load.rs
+++ b/crates/daemon/src/hosted/load.rs
@@ -1,15 +1,18 @@
 //! What an entry owes, as the tasks around its event loop record it.
 
+use super::connections::{Closed, Connections, Entry};
 use super::shared::memory;
 use crate::clock::{processor_time, Clock};
 use crate::heap;
 use async_io::Timer;
 use async_std::task;
 use log::info;
-use sorreldeck::overload::{Change, Decision, Limits, Monitor, Owed};
+use sorreldeck::overload::{Change, Decision, Limits, Monitor, Owed, REQUEST_EXPECTED};
 use sorreldeck::{Size, Span, Time};
+use sorreldeck_net::h1::{Activity, Door};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -34,10 +37,41 @@
     /// The memory of the process that is not on the heap.
     outside_heap: Size,
     memory_read_at: Mutex<Time>,
+    connections: Connections,
+    /// The connections that were accepted lately, and when.
+    recent: Mutex<VecDeque<(Time, Arc<Charge>)>>,
+}
+
+/// What a connection was charged for its first request, and whether that has come.
+struct Charge {
+    part: f64,
+    state: AtomicU8,
+}
+
+/// The request is expected and charged.
+const EXPECTED: u8 = 0;
+/// The request has come.
+const BEGUN: u8 = 1;
+/// The request has not come, and the charge was taken back.
+const FORGONE: u8 = 2;
+
+impl Charge {
+    /// Changes the state from [`EXPECTED`]; returns whether it was that.
+    fn settle(&self, state: u8) -> bool {
+        let change = (Ordering::Relaxed, Ordering::Relaxed);
+        let changed = self
+            .state
+            .compare_exchange(EXPECTED, state, change.0, change.1);
+        changed.is_ok()
+    }
 }
 
 /// An open connection of a caller.
-pub struct Connection(Load);
+pub struct Connection {
+    load: Load,
+    charge: Arc<Charge>,
+    entry: Entry,
+}
 
 /// A request that was read; it ends with its answer.
 pub struct Active(Load);
@@ -55,6 +89,8 @@
             probing: AtomicBool::new(false),
             outside_heap: Size::from_bytes(outside),
             memory_read_at: Mutex::new(now),
+            connections: Connections::default(),
+            recent: Mutex::default(),
         }))
     }
 
@@ -68,18 +104,57 @@
     }
 
     /// Decides on a new connection; returns it if it is accepted.
-    pub fn accept(&self) -> Option<Connection> {
+    pub fn accept(&self, door: &Door, activity: Arc<Activity>) -> Option<Connection> {
         let now = self.0.clock.now();
-        match self.monitor().decide(now) {
-            Decision::Accept => Some(Connection(self.clone())),
-            Decision::Close(_) => None,
+        let is_short = self.monitor().lacks_room(now).is_some();
+        // The list is not looked through while the monitor is locked.
+        let is_replaced = is_short && self.0.connections.make_room(door);
+        let part = {
+            let mut monitor = self.monitor();
+            let part = monitor.charged();
+            match is_replaced {
+                true => monitor.replace(),
+                false if monitor.decide(now) == Decision::Accept => {}
+                false => return None,
+            }
+            part
+        };
+        let charge = Arc::new(Charge {
+            part,
+            state: AtomicU8::new(EXPECTED),
+        });
+        self.recent().push_back((now, charge.clone()));
+        Some(Connection {
+            load: self.clone(),
+            charge,
+            entry: self.0.connections.add(activity),
+        })
+    }
+
+    fn recent(&self) -> MutexGuard<'_, VecDeque<(Time, Arc<Charge>)>> {
+        self.0.recent.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Takes back the charge of connections whose first request has not come in time.
+    fn forgo_expected(&self, now: Time) {
+        if !self.monitor().has_read_all(now) {
+            return;
+        }
+        let mut recent = self.recent();
+        while let Some((at, charge)) = recent.front() {
+            if now.since(*at) < REQUEST_EXPECTED {
+                return;
+            }
+            if charge.settle(FORGONE) {
+                self.monitor().forgo(charge.part);
+            }
+            recent.pop_front();
         }
     }
 
-    /// Records that a request was read; `is_first` says whether it is the first of its connection.
-    pub fn begin(&self, is_first: bool) -> Active {
-        self.monitor().begin(is_first);
-        Active(self.clone())
+    /// Returns how many connections were closed for others.
+    pub fn closed_for_others(&self) -> Closed {
+        self.0.connections.closed()
     }
 
     /// Records that a part of an answer was passed on to a caller; `before` is the number of bytes
@@ -119,6 +194,8 @@
         let now = self.0.clock.now();
         self.probe(now);
         self.read_memory(now);
+        self.forgo_expected(now);
+        self.0.connections.log(now);
         let change = {
             let mut monitor = self.monitor();
             monitor.use_processor(processor_time(), now);
@@ -185,9 +262,29 @@
     }
 }
 
+impl Connection {
+    /// Records that a request was read.
+    pub fn begin(&self) -> Active {
+        let is_charged = self.charge.settle(BEGUN);
+        let charged = is_charged.then_some(self.charge.part);
+        self.load.monitor().begin(charged);
+        Active(self.load.clone())
+    }
+
+    /// Waits until the connection is to be closed for others.
+    pub async fn ended(&self) {
+        self.entry.ended().await;
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
-        self.0.monitor().close();
+        let is_forgone = self.charge.settle(FORGONE);
+        let mut monitor = self.load.monitor();
+        if is_forgone {
+            monitor.forgo(self.charge.part);
+        }
+        monitor.close();
     }
 }
 
--- a/crates/daemon/src/hosted/mod.rs
+++ b/crates/daemon/src/hosted/mod.rs
@@ -8,6 +8,7 @@
 
 mod answers;
 mod client;
+mod connections;
 mod duties;
 mod event_loop;
 mod followers;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -89,6 +89,12 @@
     pub connections: Gauge,
     /// The number of connections that were closed unread because a resource was full.
     pub closed_unread: Gauge,
+    /// The number of connections without a request that were closed for others.
+    pub closed_no_request: Gauge,
+    /// The number of idle connections that were closed for others.
+    pub closed_idle: Gauge,
+    /// The number of connections with unread answers that were closed for others.
+    pub closed_not_read: Gauge,
     /// The number of connections that were closed because a message had too much framing.
     pub framing_closed: Gauge,
     /// How often connections gave way to others in the middle of what they had to read.
@@ -271,6 +277,21 @@
                 "Connections closed unread since a resource was full",
                 &self.closed_unread,
             ),
+            (
+                "connections_closed_no_request",
+                "Connections closed for others on which no request had come",
+                &self.closed_no_request,
+            ),
+            (
+                "connections_closed_idle",
+                "Connections closed for others that were kept open without a request",
+                &self.closed_idle,
+            ),
+            (
+                "connections_closed_answer_unread",
+                "Connections closed for others whose callers did not read their answers",
+                &self.closed_not_read,
+            ),
             (
                 "processor_owed_milliseconds",
                 "How long tasks wait for the processor, or it needs for what it owes",
--- a/crates/daemon/tests/hostile/main.rs
+++ b/crates/daemon/tests/hostile/main.rs
@@ -4,6 +4,7 @@
 //! `HOSTILE` names the peers to play, such as `caller/chunk-size/endless*8`, separated by commas, or
 //! `all`; `HOSTILE_SEED` chooses some at random.
 
+mod crowd;
 #[allow(dead_code)]
 #[path = "../throttled/entry.rs"]
 mod entry;
@@ -15,6 +16,7 @@
 #[path = "../hosted/store.rs"]
 mod store;
 
+use crowd::Kind;
 use rand::seq::IndexedRandom;
 use rand::SeedableRng;
 use room::Seen;
@@ -38,6 +40,17 @@
     room::play(peer.parse().unwrap(), count).check();
 }
 
+/// Guards against connections that ask for nothing and take an entry out.
+#[test_case(Kind::Nothing, 1_000; "a thousand that send nothing")]
+#[test_case(Kind::Nothing, 4_000; "four thousand that send nothing")]
+#[test_case(Kind::SlowHead, 1_000; "a thousand that send a byte of a head a second")]
+#[test_case(Kind::HalfHead, 1_000; "a thousand that send half a head")]
+#[test_case(Kind::SlowBody, 500; "five hundred that send a byte of a body a second")]
+#[test_case(Kind::Unread, 200; "two hundred that read no answer")]
+fn others_are_served_beside_a_crowd(kind: Kind, count: usize) {
+    room::play_crowd(kind, count).check();
+}
+
 #[test]
 fn others_are_served_beside_peers_chosen_at_random() {
     let seed = std::env::var("HOSTILE_SEED").ok();
--- a/crates/daemon/tests/hostile/room.rs
+++ b/crates/daemon/tests/hostile/room.rs
@@ -1,11 +1,13 @@
 //! One entry with good callers, and some hostile peers for a while.
 
+use crate::crowd::{self, Kind};
 use crate::entry::{Entry, Limits};
 use crate::runner::{Refused, Upstream};
 use crate::store::Store;
 use async_std::task;
 use serde_json::{json, Value};
 use sorreldeck_emulator::hostile::{self, Peer, Side};
+use std::fmt;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -13,7 +15,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-const KEY: &str = "n2ctnfzs989anu6wsjnb";
+pub const KEY: &str = "n2ctnfzs989anu6wsjnb";
 const MEMORY_MB: u32 = 88;
 /// How long a caller that was cut off stays away.
 const RETURNS_AFTER: Duration = Duration::from_millis(50);
@@ -33,15 +35,33 @@
 const LOOKED_AT: Duration = Duration::from_millis(500);
 /// The share of good callers that must be served, and of one core that an idle entry may use.
 const SERVED: f64 = 0.95;
+const SERVED_BESIDE_CROWD: f64 = 0.97;
+const READY_BESIDE_CROWD: f64 = 0.98;
 const IDLE: f64 = 0.2;
 
 /// The plays load the machine and run one at a time.
 static TURN: Mutex<()> = Mutex::new(());
 
+/// Who is hostile in a play.
+#[derive(Clone, Copy, Debug)]
+pub enum Guest {
+    Peer(Peer),
+    Crowd(Kind),
+}
+
+impl fmt::Display for Guest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Guest::Peer(peer) => f.pad(&peer.to_string()),
+            Guest::Crowd(kind) => f.pad(&format!("crowd/{kind:?}")),
+        }
+    }
+}
+
 /// What was seen of one play.
 #[derive(Clone, Debug)]
 pub struct Seen {
-    pub peer: Peer,
+    pub guest: Guest,
     /// Good callers that were served, of all, and the slowest of those served.
     pub served: (usize, usize),
     pub slowest: Duration,
@@ -65,13 +85,17 @@
             }
         };
         let share = |(of, all): (usize, usize)| of as f64 / all.max(1) as f64;
-        check(share(self.served) >= SERVED, "others are not served");
-        check(share(self.ready) >= SERVED, "it is not ready");
+        let (served, ready) = match self.guest {
+            Guest::Peer(_) => (SERVED, SERVED),
+            Guest::Crowd(_) => (SERVED_BESIDE_CROWD, READY_BESIDE_CROWD),
+        };
+        check(share(self.served) >= served, "others are not served");
+        check(share(self.ready) >= ready, "it is not ready");
         check(self.peak_mb <= f64::from(MEMORY_MB), "memory");
         check(self.idle <= IDLE, "the processor is not idle afterwards");
-        let route = match self.peer.side {
-            Side::Stream => STREAM_ROUTE,
-            Side::Caller | Side::Upstream => ROUTE,
+        let route = match self.guest {
+            Guest::Peer(peer) if peer.side == Side::Stream => STREAM_ROUTE,
+            Guest::Peer(_) | Guest::Crowd(_) => ROUTE,
         };
         let in_time = self.cut.is_none_or(|cut| cut <= route + LATE);
         check(in_time, "a time limit was missed");
@@ -127,6 +151,42 @@
 
 /// Plays one kind of peer, `count` of them at once.
 pub fn play(peer: Peer, count: usize) -> Seen {
+    play_guest(Guest::Peer(peer), count)
+}
+
+/// Plays a crowd of connections.
+pub fn play_crowd(kind: Kind, count: usize) -> Seen {
+    play_guest(Guest::Crowd(kind), count)
+}
+
+/// Starts the hostile side of a play.
+fn start_guest(
+    guest: Guest,
+    count: usize,
+    address: SocketAddr,
+    leaves: &Arc<AtomicBool>,
+) -> Vec<JoinHandle<Option<Duration>>> {
+    let peer = match guest {
+        Guest::Peer(peer) => peer,
+        Guest::Crowd(kind) => {
+            let leaves = leaves.clone();
+            return vec![thread::spawn(move || {
+                crowd::drive(address, kind, count, &leaves);
+                None
+            })];
+        }
+    };
+    let peers = (0..count).map(|number| {
+        let leaves = leaves.clone();
+        thread::spawn(move || match peer.side {
+            Side::Caller => attack(address, peer, number, &leaves),
+            Side::Upstream | Side::Stream => Some(provoke(address, peer, number)),
+        })
+    });
+    peers.collect()
+}
+
+fn play_guest(guest: Guest, count: usize) -> Seen {
     let _turn: MutexGuard<()> = TURN.lock().unwrap_or_else(|e| e.into_inner());
     let leaves = Arc::new(AtomicBool::new(false));
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -142,19 +202,14 @@
         assert!(began.elapsed() < STARTS_WITHIN, "not ready");
         thread::sleep(Duration::from_millis(50));
     }
-    let accepting = thread::spawn({
-        let leaves = leaves.clone();
-        move || serve(&listener, peer, &leaves)
-    });
-    let peers: Vec<JoinHandle<Option<Duration>>> = (0..count)
-        .map(|number| {
-            let (leaves, address) = (leaves.clone(), entry.callers);
-            thread::spawn(move || match peer.side {
-                Side::Caller => attack(address, peer, number, &leaves),
-                Side::Upstream | Side::Stream => Some(provoke(address, peer, number)),
-            })
-        })
-        .collect();
+    let accepting = match guest {
+        Guest::Peer(peer) => {
+            let leaves = leaves.clone();
+            Some(thread::spawn(move || serve(&listener, peer, &leaves)))
+        }
+        Guest::Crowd(_) => None,
+    };
+    let peers = start_guest(guest, count, entry.callers, &leaves);
     thread::sleep(Duration::from_millis(200));
     let ready = thread::spawn({
         let address = entry.ready;
@@ -187,7 +242,7 @@
     };
     let served = good.iter().filter(|(status, _)| *status == Some(200));
     let seen = Seen {
-        peer,
+        guest,
         served: count_of(&good),
         slowest: served.map(|(_, took)| *took).max().unwrap_or_default(),
         ready: count_of(&ready),
@@ -201,7 +256,7 @@
     };
     println!(
         "{:<34} {count:>3}  served {:>3}/{:<3} slowest {:>4} ms  ready {:>3}/{:<3} peak {:>5.1} MB  idle {:.2}  cut {:>5} ms  {:?}",
-        peer.to_string(),
+        guest.to_string(),
         seen.served.0,
         seen.served.1,
         seen.slowest.as_millis(),
--- a/crates/emulator/src/overload/world.rs
+++ b/crates/emulator/src/overload/world.rs
@@ -334,7 +334,7 @@
         let body = self.requests[self.tries[number].request].body;
         let instance = &mut self.instances[entry];
         instance.bodies += body;
-        instance.monitor.begin(true);
+        instance.monitor.begin(Some(1.0));
         self.tally.peak_memory = self.tally.peak_memory.max(instance.memory_share());
         let is_over = instance.memory_share() > 1.0;
         if self.tries[number].stage != Stage::Unread {
--- a/crates/net/src/h1.rs
+++ b/crates/net/src/h1.rs
@@ -127,14 +127,28 @@
         self.owing.load(Ordering::Relaxed)
     }
 
-    fn now(&self) -> u64 {
+    /// Returns the time of this door's clock in milliseconds.
+    pub fn now(&self) -> u64 {
         self.start.elapsed().as_millis() as u64
     }
 }
 
+/// What a connection owes its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// No whole head of a request has come.
+    NoRequest,
+    /// All answers were taken, and no request is under way.
+    Idle,
+    /// Its caller does not read an answer that was made whole.
+    Unread,
+    /// A request is under way.
+    Busy,
+}
+
 /// What happens on one connection, in milliseconds of its door's clock.
 #[derive(Debug, Default)]
-struct Activity {
+pub struct Activity {
     busy: AtomicUsize,
     /// When a request ended last, or the connection opened.
     free_since: AtomicU64,
@@ -142,10 +156,29 @@
     head_since: AtomicU64,
     /// Whether the connection counts as owing.
     owes: AtomicBool,
+    has_begun: AtomicBool,
 }
 
 impl Activity {
+    /// Records that the connection has opened.
+    pub fn open(&self, door: &Door) {
+        self.free_since.store(door.now(), Ordering::Relaxed);
+    }
+
+    /// Returns what the connection owes, and since when, in milliseconds of its door's clock.
+    pub fn standing(&self) -> (Standing, u64) {
+        let since = self.free_since.load(Ordering::Relaxed);
+        let standing = match self.busy.load(Ordering::Relaxed) > 0 {
+            true => Standing::Busy,
+            false if self.owes.load(Ordering::Relaxed) => Standing::Unread,
+            false if self.has_begun.load(Ordering::Relaxed) => Standing::Idle,
+            false => Standing::NoRequest,
+        };
+        (standing, since)
+    }
+
     fn begin(&self, door: &Door) {
+        self.has_begun.store(true, Ordering::Relaxed);
         self.busy.fetch_add(1, Ordering::Relaxed);
         self.head_since.store(0, Ordering::Relaxed);
         if !self.owes.swap(true, Ordering::Relaxed) {
@@ -299,8 +332,13 @@
 /// Serves the requests of one connection until it ends.
 ///
 /// The future of `answer` is dropped when the caller leaves.
-pub async fn serve<F, A, B>(stream: Socket, door: Arc<Door>, limits: Limits, answer: F)
-where
+pub async fn serve<F, A, B>(
+    stream: Socket,
+    door: Arc<Door>,
+    activity: Arc<Activity>,
+    limits: Limits,
+    answer: F,
+) where
     F: Fn(Request<Content>) -> A,
     A: Future<Output = Response<B>>,
     B: Body + Unpin + 'static,
@@ -314,8 +352,11 @@
     let meter = stream.meter();
     meter.begin(framing);
     door.open.fetch_add(1, Ordering::Relaxed);
-    let activity = Arc::new(Activity::default());
-    activity.free_since.store(door.now(), Ordering::Relaxed);
+    let _count = Count {
+        activity: activity.clone(),
+        door: door.clone(),
+    };
+    activity.open(&door);
     let (reading, clock) = (activity.clone(), door.clone());
     let io = stream.on_read(move || reading.has_read(clock.now()));
     let (writing, counter) = (activity.clone(), door.clone());
@@ -367,8 +408,19 @@
             },
         }
     }
-    activity.settle(&door);
-    door.open.fetch_sub(1, Ordering::Relaxed);
+}
+
+/// An open connection, which is no more counted once this is dropped.
+struct Count {
+    activity: Arc<Activity>,
+    door: Arc<Door>,
+}
+
+impl Drop for Count {
+    fn drop(&mut self) {
+        self.activity.settle(&self.door);
+        self.door.open.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 /// A connection to a server that carries one request at a time; dropping it
--- a/crates/net/tests/full.rs
+++ b/crates/net/tests/full.rs
@@ -48,7 +48,7 @@
         let served = door.clone();
         task::spawn(async move {
             let (stream, _) = listener.accept().await.unwrap();
-            h1::serve(stream.into(), served, LIMITS, answer).await;
+            h1::serve(stream.into(), served, Arc::default(), LIMITS, answer).await;
         });
         let mut stream = TcpStream::connect(address).await.unwrap();
         let (_, stays) = ask(&mut stream).await;
--- a/crates/net/tests/regression/cut_answer_lost_its_head.rs
+++ b/crates/net/tests/regression/cut_answer_lost_its_head.rs
@@ -49,7 +49,14 @@
                 idle_timeout: Duration::from_secs(3),
             };
             let answer = |_| async { Response::new(Cut(0)) };
-            h1::serve(stream.into(), Arc::new(Door::default()), limits, answer).await;
+            h1::serve(
+                stream.into(),
+                Arc::new(Door::default()),
+                Arc::default(),
+                limits,
+                answer,
+            )
+            .await;
         });
         let mut stream = TcpStream::connect(address).await.unwrap();
         let request = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
--- a/crates/net/tests/regression/stream_kept_its_connection_past_the_stop.rs
+++ b/crates/net/tests/regression/stream_kept_its_connection_past_the_stop.rs
@@ -32,7 +32,7 @@
                 let body = StreamBody::new(Box::pin(parts.clone()));
                 async move { Response::new(body) }
             };
-            serve(stream.into(), shared, LIMITS, answer).await;
+            serve(stream.into(), shared, Arc::default(), LIMITS, answer).await;
         });
         let mut caller = TcpStream::connect(address).await.unwrap();
         let ask = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
