--- a/crates/core/src/entry/routed/mod.rs
+++ b/crates/core/src/entry/routed/mod.rs
@@ -74,11 +74,11 @@
     /// A second run beside the current one; whichever goes on first with the answer stays.
     pub second: Option<Second>,
     /// The time before which no other second run is started.
-    pub next_second: Time,
+    pub second_after: Time,
     /// The number of the latest attempt.
     pub last_attempt: u16,
     /// The number of second runs that upstreams refused.
-    pub refused_seconds: u16,
+    pub refused_runs: u16,
     /// The number of runs, including the current one.
     pub runs: u16,
     /// The number of earlier runs that reached their upstreams.
@@ -264,9 +264,9 @@
             last_event: None,
             run: RunState::default(),
             second: None,
-            next_second: Time::default(),
+            second_after: Time::default(),
             last_attempt: 0,
-            refused_seconds: 0,
+            refused_runs: 0,
             runs: 0,
             runs_reached: 0,
             charged: 0,
--- a/crates/core/src/entry/routed/reply.rs
+++ b/crates/core/src/entry/routed/reply.rs
@@ -411,7 +411,7 @@
         flight.tried.clear();
         if let Some(route_state) = &mut flight.route_state {
             route_state.last_attempt = 0;
-            route_state.refused_seconds = 0;
+            route_state.refused_runs = 0;
             route_state.size_index = model;
             route_state.dropped = match why {
                 Why::Unsure => None,
--- a/crates/core/src/entry/routed/second.rs
+++ b/crates/core/src/entry/routed/second.rs
@@ -62,7 +62,7 @@
         let route_state = self.route_state.as_ref();
         route_state.map_or(self.run.attempt, |state| {
             let last = state.last_attempt.max(self.run.attempt);
-            last - state.refused_seconds.min(last)
+            last - state.refused_runs.min(last)
         })
     }
 
@@ -120,7 +120,7 @@
             return;
         };
         if let Some(route_state) = &mut flight.route_state {
-            route_state.next_second = now + SECOND_PAUSE;
+            route_state.second_after = now + SECOND_PAUSE;
         }
         let is_allowed = has_budget && self.check_quarantine(now, &flight).is_ok();
         let is_sent = is_allowed && self.send_second(now, &mut flight, out);
@@ -236,8 +236,7 @@
         flight.swap_runs();
         if let Some(route_state) = &mut flight.route_state {
             route_state.second = None;
-            route_state.next_second = now + SECOND_PAUSE;
-            route_state.run.heard_at = route_state.run.heard_at.max(route_state.run.sent_at);
+            route_state.second_after = now + SECOND_PAUSE;
         }
         log::info!(
             "event=run-dropped id={} upstream={} why={outcome:?}",
@@ -281,7 +280,7 @@
         if failure.verdict == Verdict::NotRun {
             // It did not run, so it is no try, and the same upstream may be asked again.
             route_state.runs -= 1;
-            route_state.refused_seconds += 1;
+            route_state.refused_runs += 1;
             flight.tried.retain(|tried| *tried != link);
         }
     }
--- a/crates/core/src/entry/routed/timeout.rs
+++ b/crates/core/src/entry/routed/timeout.rs
@@ -113,7 +113,7 @@
             false => !flight.at_most_once,
         };
         let has_tries = state.runs < state.route.tries;
-        if !may_repeat || !has_tries || state.second.is_some() || now < state.next_second {
+        if !may_repeat || !has_tries || state.second.is_some() || now < state.second_after {
             return None;
         }
         let read_since = match state.run.reading {
--- a/crates/daemon/src/hosted/connections.rs
+++ b/crates/daemon/src/hosted/connections.rs
@@ -69,7 +69,7 @@
 }
 
 /// An open connection; it leaves the list when dropped.
-pub struct Entry {
+pub struct Listing {
     connections: Connections,
     number: u64,
     ended: async_channel::Receiver<()>,
@@ -81,11 +81,11 @@
     }
 
     /// Adds a connection.
-    pub fn add(&self, activity: Arc<Activity>) -> Entry {
+    pub fn add(&self, activity: Arc<Activity>) -> Listing {
         let number = self.0.next.fetch_add(1, Ordering::Relaxed);
         let (end, ended) = async_channel::bounded(1);
         self.slots().insert(number, Slot { activity, end });
-        Entry {
+        Listing {
             connections: self.clone(),
             number,
             ended,
@@ -170,7 +170,7 @@
     }
 }
 
-impl Entry {
+impl Listing {
     /// Waits until the connection is to be closed for others.
     pub async fn ended(&self) {
         // Nothing is sent over the channel; it is only closed.
@@ -178,7 +178,7 @@
     }
 }
 
-impl Drop for Entry {
+impl Drop for Listing {
     fn drop(&mut self) {
         self.connections.slots().remove(&self.number);
     }
--- a/crates/daemon/src/hosted/load.rs
+++ b/crates/daemon/src/hosted/load.rs
@@ -1,6 +1,6 @@
 //! What an entry owes, as the tasks around its event loop record it.
 
-use super::connections::{Closed, Connections, Entry};
+use super::connections::{Closed, Connections, Listing};
 use super::shared::memory;
 use crate::clock::{processor_time, Clock};
 use crate::heap;
@@ -70,7 +70,7 @@
 pub struct Connection {
     load: Load,
     charge: Arc<Charge>,
-    entry: Entry,
+    listing: Listing,
 }
 
 /// A request that was read; it ends with its answer.
@@ -127,7 +127,7 @@
         Some(Connection {
             load: self.clone(),
             charge,
-            entry: self.0.connections.add(activity),
+            listing: self.0.connections.add(activity),
         })
     }
 
@@ -273,7 +273,7 @@
 
     /// Waits until the connection is to be closed for others.
     pub async fn ended(&self) {
-        self.entry.ended().await;
+        self.listing.ended().await;
     }
 }
 
