--- a/crates/core/src/entry/routed/reply.rs
+++ b/crates/core/src/entry/routed/reply.rs
@@ -486,6 +486,17 @@
         };
         flight.verdict = flight.verdict.raise(failure.verdict);
         flight.last_failure = Some(failure.clone());
+        self.record_failed_run(now, link, &failure);
+        if failure.reason == Reason::UpstreamLost {
+            self.record_crash(now, run.request);
+        }
+        self.finish_run(run.request);
+        self.history.set_outcome(run.request, failure.to_string());
+        self.retry_routed_or_fail(now, run.request, failure, out);
+    }
+
+    /// Records what the failure of a run says about its upstream, except that it crashed.
+    pub(super) fn record_failed_run(&mut self, now: Time, link: Link, failure: &Failure) {
         // An upstream that announced how long it accepts no requests is not avoided for longer.
         let announced_pause =
             failure.reason == Reason::Overloaded && self.peers.is_resting(link, now);
@@ -495,12 +506,6 @@
         if failure.reason == Reason::LinkLost {
             self.peers.suspect_restart(link);
         }
-        if failure.reason == Reason::UpstreamLost {
-            self.record_crash(now, run.request);
-        }
-        self.finish_run(run.request);
-        self.history.set_outcome(run.request, failure.to_string());
-        self.retry_routed_or_fail(now, run.request, failure, out);
     }
 
     /// Retries a request after a failed run, or ends it.
--- a/crates/core/src/entry/routed/second.rs
+++ b/crates/core/src/entry/routed/second.rs
@@ -256,14 +256,7 @@
         request: RequestId,
         failure: &Failure,
     ) {
-        let announced_pause =
-            failure.reason == Reason::Overloaded && self.peers.is_resting(link, now);
-        if failure.reason != Reason::Cancelled && !announced_pause {
-            self.peers.failed(link, now);
-        }
-        if failure.reason == Reason::LinkLost {
-            self.peers.suspect_restart(link);
-        }
+        self.record_failed_run(now, link, failure);
         if failure.reason == Reason::UpstreamLost {
             self.record_second_crash(now, request);
         }
