An answer whose head spoils the end of its body is refused

What callers saw: a complete 200 with the receipt whose body was not the upstream's: raw chunks with their sizes where Transfer-Encoding was no coding that we know, seven bytes of a longer body where a length stood beside chunks, and a 200 that was cut where the length was just below 2^64.

Cause: hyper reads such a body to the end of its connection, as the protocol allows, and drops the coding; nothing after it looked at what had told the end of the body. The length was passed on as it came, whatever the body was read by. The class: each reader on the way decides for itself what ends a body.

net/head.rs decides now, once for all users of h1::Channel: one coding, chunked, in HTTP/1.1; one length, a plain number up to a tebibyte; never both. Anything else is the head of no answer: 502 with a verdict that it may have run, or another upstream where the request may run again; the connection is closed. A sound length goes on as one number.

Ruled out: refusing in the front end, which no longer sees the coding; trusting hyper's size hint, which is the same for a body without marks.

--- a/crates/daemon/src/hosted/client.rs
+++ b/crates/daemon/src/hosted/client.rs
@@ -10,7 +10,6 @@
 use crate::clock::Clock;
 use crate::loss;
 use async_channel::Sender;
-use async_std::future::timeout;
 use async_std::task::{self, JoinHandle};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -22,6 +21,7 @@
 use sorreldeck::{Failure, Reason, Size, Span, Time, Verdict};
 use sorreldeck_net::events::Events;
 use sorreldeck_net::h1::{self, Channel, Content};
+use sorreldeck_net::head::End;
 use sorreldeck_net::reach;
 use sorreldeck_platform::call;
 use std::collections::HashMap;
@@ -33,10 +33,6 @@
 const POOL_TTL: Duration = Duration::from_millis(800);
 /// Maximum number of pooled connections per upstream.
 const MAX_POOLED: usize = 16;
-/// How long a pooled connection may take to detect the end of its last response before it is
-/// closed instead of used. This takes one poll of its task, well under a millisecond on an idle
-/// machine.
-const READY_TIMEOUT: Duration = Duration::from_millis(200);
 /// Interval at which a connection that has not opened is looked at.
 const CONNECT_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of bytes of a refusal's body that are read to reuse its connection.
@@ -139,25 +135,6 @@
     NotRun(u16, Response<Content>),
 }
 
-/// How the end of a body shows.
-enum Framing {
-    /// By its length or by chunks.
-    Marked,
-    /// By the end of its connection.
-    Connection,
-}
-
-impl Framing {
-    fn of(response: &Response<Content>) -> Framing {
-        let body = response.body();
-        let is_chunked = response.headers().contains_key("transfer-encoding");
-        match body.size_hint().exact().is_some() || is_chunked {
-            true => Framing::Marked,
-            false => Framing::Connection,
-        }
-    }
-}
-
 fn may_have_run(message: impl Into<String>) -> Failure {
     Failure::new(Reason::UpstreamFailed, Verdict::MayHaveRun, message)
 }
@@ -165,8 +142,8 @@
 impl RunTask {
     async fn work(self, address: Option<SocketAddr>, start: Start) {
         let reply = match (self.exchange(address, start).await, address) {
-            (Ok(Framing::Marked), _) | (Ok(Framing::Connection), None) => Reply::End,
-            (Ok(Framing::Connection), Some(address)) => return self.end_closed(address).await,
+            (Ok(End::Connection), Some(address)) => return self.end_closed(address).await,
+            (Ok(_), _) => Reply::End,
             (Err(failure), Some(address)) => Reply::Fail(loss::classify(failure, address).await),
             (Err(failure), None) => Reply::Fail(failure),
         };
@@ -189,11 +166,8 @@
             .await;
     }
 
-    async fn exchange(
-        &self,
-        address: Option<SocketAddr>,
-        start: Start,
-    ) -> Result<Framing, Failure> {
+    /// Runs the request; returns what told the end of its response.
+    async fn exchange(&self, address: Option<SocketAddr>, start: Start) -> Result<End, Failure> {
         let upstream_left = || Failure::not_run(Reason::Leaving, "the upstream has just left");
         let address = address.ok_or_else(upstream_left)?;
         let metadata = self.metadata.as_ref().ok_or_else(upstream_left)?;
@@ -202,15 +176,14 @@
         self.load.send(HEAD_BYTES + start.call.body.len());
         let request = request_of(start, metadata, time_left)?;
         let sent = channel.send(request).await;
-        let response = sent.map_err(|e| match e.unsent {
+        let h1::Answer { response, end } = sent.map_err(|e| match e.unsent {
             true => Failure::not_run(Reason::LinkLost, e.message),
             false => may_have_run(e.message),
         })?;
         match self.read_head(response).await? {
             Answer::Ran(response) => {
-                let framing = Framing::of(&response);
                 self.forward_body(response, address, channel).await?;
-                Ok(framing)
+                Ok(end)
             }
             Answer::NotRun(status, response) => {
                 if drain(response).await {
@@ -237,8 +210,7 @@
     async fn channel(&self, address: SocketAddr, is_new: bool) -> Result<Channel, Failure> {
         if !is_new {
             while let Some(mut channel) = self.pooled_channel(address) {
-                let ready = timeout(READY_TIMEOUT, channel.ready()).await;
-                if ready == Ok(true) && channel.is_open() {
+                if channel.is_reusable().await {
                     return Ok(channel);
                 }
             }
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -1,6 +1,7 @@
 //! A hosted entry with stand-ins of the platform's store and of upstreams, over real sockets.
 
 mod answers_ended_by_their_connection;
+mod answers_with_broken_heads;
 mod connections_on_a_full_link;
 mod idle_connections;
 mod leaving_upstream_not_heard_of;
--- a/crates/daemon/tests/hosted/runner.rs
+++ b/crates/daemon/tests/hosted/runner.rs
@@ -53,6 +53,8 @@
     is_full: Arc<AtomicBool>,
     /// Header lines added to all answers.
     headers: Arc<Mutex<String>>,
+    /// The answer to `raw` requests, whose connection is closed after it.
+    raw: Arc<Mutex<Vec<u8>>>,
     /// Channel that is open until the simulated process crashes.
     life: (Sender<()>, Receiver<()>),
 }
@@ -73,6 +75,7 @@
             refused: refused.clone(),
             is_full: Arc::default(),
             headers: Arc::default(),
+            raw: Arc::default(),
             life: async_channel::bounded(1),
         };
         let serving = upstream.clone();
@@ -115,6 +118,11 @@
         lines.clone_into(&mut self.headers.lock().unwrap());
     }
 
+    /// Sets the bytes that answer `raw` requests from now on; their connections are closed after them.
+    pub fn set_raw(&self, bytes: Vec<u8>) {
+        *self.raw.lock().unwrap() = bytes;
+    }
+
     /// Returns the requests received so far.
     pub fn seen(&self) -> Vec<Seen> {
         self.seen.lock().unwrap().clone()
@@ -310,6 +318,12 @@
             ),
             _ => (good("body"), true),
         };
+        if action == "raw" {
+            let bytes = self.raw.lock().unwrap().clone();
+            // The caller may have closed after the head.
+            let _ = stream.write_all(&bytes).await;
+            return false;
+        }
         let headers = self.headers.lock().unwrap().clone();
         let text = match text.split_once("\r\n") {
             Some((first, rest)) if first.starts_with("HTTP/") => {
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -2,6 +2,7 @@
 //! platform's services. Faults can be injected. Used by the standalone role, tests and
 //! experiments.
 
+pub mod answer;
 pub mod crash;
 pub mod engine;
 pub mod hostile;
--- a/crates/net/src/h1.rs
+++ b/crates/net/src/h1.rs
@@ -16,7 +16,9 @@
 //! # }).unwrap();
 //! ```
 
+use crate::head::{self, End};
 use crate::socket::{self, Meter, Socket};
+use async_std::future::timeout;
 use async_std::task::{self, JoinHandle};
 use futures_lite::FutureExt;
 use futures_util::future::{select, Either};
@@ -43,6 +45,10 @@
 /// The bytes that are kept of what a connection has read or is to write.
 const BUFFER: usize = 64 * 1024;
 
+/// How long a kept connection may take to notice the end of its last answer before it is closed
+/// instead of used. This takes one poll of its task, well under a millisecond on an idle machine.
+const READY_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// What a caller's connection may do.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -249,6 +255,14 @@
     meter: Meter,
 }
 
+/// An answer whose head was checked.
+pub struct Answer {
+    /// The head and the body.
+    pub response: Response<Content>,
+    /// What tells the end of the body.
+    pub end: End,
+}
+
 impl Body for Content {
     type Data = Bytes;
     type Error = hyper::Error;
@@ -480,28 +494,34 @@
         self.send.is_ready() && !self.send.is_closed()
     }
 
-    /// Waits until the connection can carry the next request.
-    pub async fn ready(&mut self) -> bool {
-        self.send.ready().await.is_ok()
+    /// Returns whether the next request can be sent, once the end of the last answer was noticed.
+    pub async fn is_reusable(&mut self) -> bool {
+        let ready = timeout(READY_TIMEOUT, self.send.ready()).await;
+        ready.is_ok_and(|ready| ready.is_ok()) && self.is_open()
     }
 
     /// Sends a request and returns the answer once its head is there.
     ///
     /// # Errors
     ///
-    /// The error says whether anything may have left.
-    pub async fn send(
-        &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<Content>, Unsent> {
+    /// The error says whether anything may have left. A head that is none is an error too; the
+    /// connection is of no use then.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Answer, Unsent> {
         self.meter.begin(socket::framing().beyond(BUFFER));
+        let method = request.method().clone();
         let sent = self.send.try_send_request(request).await;
         let meter = self.meter.clone();
         let response = sent.map_err(|mut e| Unsent {
             unsent: e.take_message().is_some(),
             message: e.error().to_string(),
         })?;
-        Ok(response.map(|body| Content { body, meter }))
+        let (mut parts, body) = response.into_parts();
+        let end = head::check(&method, &mut parts).map_err(|fault| Unsent {
+            unsent: false,
+            message: fault.to_string(),
+        })?;
+        let response = Response::from_parts(parts, Content { body, meter });
+        Ok(Answer { response, end })
     }
 }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod bytes;
 pub mod events;
 pub mod h1;
+pub mod head;
 pub mod http;
 pub mod link;
 pub mod open;
