Every client reads answers the way that upstreams called directly are read

What callers saw: `sorreldeck status` printed null and ended well on an answer with an unknown coding, and took the first of two lengths. Behind a sidecar and from forwarded calls the same answers came as complete and empty bodies.

Cause: net/http.rs read answers with async-h1, which takes a body without a mark that it knows for an empty one, goes by the last of several lengths, and knows neither 299 nor `Chunked`; a second reader with rules of its own. A value with bytes above 127 made it panic, which ends the task, or the process, of the sidecar, the store's client or a command.

The client of net/http.rs is now made of h1::Channel, so that head::check decides for the sidecar, the store, usage reports, the platform's own client, forwarded calls and the command line too. A call of which nothing has left a kept connection is sent again, also one that may run once. The links between entries are no HTTP beyond their handshake, which tungstenite checks by itself (status 101, upgrade, key), and whose proof of a key follows.

Sound answers that tide can't send (299, bytes above 127) end with 502 and the verdict that the request ran, as before.

--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -309,3 +309,28 @@
         assert_eq!(invalid.status.code(), Some(4), "{}", text(&invalid));
     });
 }
+
+/// Guards against a broken answer that a command takes for the state of an entry.
+#[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: chunkd\r\n\r\n2\r\n{}\r\n0\r\n\r\n"; "an unknown coding")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 7\r\n\r\n{}"; "two lengths")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 18446744073709551613\r\n\r\n{}"; "a length that cannot be")]
+#[test_case("HTTP/1.1 000 OK\r\ncontent-length: 2\r\n\r\n{}"; "no status")]
+#[test_case("HTTP/1.1 200 OK\r\nx y: 1\r\ncontent-length: 2\r\n\r\n{}"; "a blank in a name")]
+#[test_case("HTTP/1.1 200 OK\r\nnofield\r\ncontent-length: 2\r\n\r\n{}"; "a line that is no field")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 20\r\n\r\n{}"; "a body that is cut")]
+fn a_broken_answer_fails_the_command(answer: &'static str) {
+    use std::io::{Read, Write};
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let server = listener.local_addr().unwrap().to_string();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let _ = stream.read(&mut [0; 1024]);
+            let _ = stream.write_all(answer.as_bytes());
+        }
+    });
+    let mut command = Command::new(env!("CARGO_BIN_EXE_sorreldeck"));
+    command.args(["--server", &server, "--token", "t", "status"]);
+    let output = command.output().unwrap();
+    assert!(!output.status.success(), "{}", text(&output));
+}
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -14,7 +14,7 @@
 use sorreldeck_net::http::{self, Piece, Stream};
 use sorreldeck_net::socket::Socket;
 use std::net::SocketAddr;
-use tide::{Body, Request, Response};
+use tide::{Body, Request, Response, StatusCode};
 
 /// The internal header in which the event loop gives a handler the address of the legacy
 /// scripts that a call is forwarded to.
@@ -284,12 +284,13 @@
     headers: Vec<Header>,
     parts: Receiver<Part>,
 ) -> Response {
+    let Some(mut response) = response_of(status, &headers) else {
+        let message = "the answer has a status or bytes that this interface cannot send";
+        let failure = Failure::new(Reason::UpstreamFailed, Verdict::Ran, message);
+        return error_response(Some(id), &failure);
+    };
     let streamed = http::find_header(&headers, "content-type")
         .is_some_and(|v| v.starts_with("text/event-stream"));
-    let mut response = Response::new(status);
-    for header in &headers {
-        response.append_header(header.name.as_str(), header.value.as_str());
-    }
     if streamed {
         response.set_body(Body::from_reader(Stream::new(parts, event_piece), None));
         return with_content_type(response, &headers);
@@ -310,6 +311,17 @@
     with_content_type(response, &headers)
 }
 
+/// Returns a response without a body, or `None` where tide knows no such status or bytes.
+fn response_of(status: u16, headers: &[Header]) -> Option<Response> {
+    let status = StatusCode::try_from(status).ok()?;
+    let mut response = Response::new(status);
+    for header in headers {
+        let is_sendable = header.name.is_ascii() && header.value.is_ascii();
+        is_sendable.then(|| response.append_header(header.name.as_str(), header.value.as_str()))?;
+    }
+    Some(response)
+}
+
 /// Returns a response that streams the rest of an answer that is too long to buffer.
 fn stream_rest(
     mut response: Response,
--- a/crates/daemon/src/standalone.rs
+++ b/crates/daemon/src/standalone.rs
@@ -116,6 +116,27 @@
     })
 }
 
+/// Adds a sidecar for a plain service at an address to a sample that runs.
+///
+/// # Errors
+///
+/// Fails if a name is not valid or the sidecar cannot start.
+pub async fn add_plain(
+    sample: &Sample,
+    name: &str,
+    pool: &str,
+    upstream: SocketAddr,
+) -> Result<()> {
+    let platform = Platform::of_memory(sample.memory.clone());
+    let mut settings = sidecar_settings(name, pool, upstream)?;
+    settings.plain = true;
+    let (instance, _) = start_sidecar(settings, &platform).await?;
+    let mut instances = platform.instances().await?;
+    instances.push(instance);
+    sample.memory.set_instances(instances);
+    Ok(())
+}
+
 /// Submits the initial settings tree.
 async fn submit_tree(platform: &Platform, text: &str) -> Result<()> {
     let entries = tree::parse_toml(text)?;
--- /dev/null
+++ b/crates/daemon/tests/sidecar_answers.rs
@@ -0,0 +1,148 @@
+//! Guards against broken answers of an upstream behind a sidecar, and of the scripts that a call is
+//! forwarded to.
+
+#[allow(dead_code)]
+mod common;
+
+use async_std::io::{ReadExt, WriteExt};
+use async_std::net::TcpListener;
+use async_std::task;
+use common::{admin, eventually};
+use serde_json::{json, Value};
+use sorreldeck::header;
+use sorreldeck::wire::Header;
+use sorreldeck_emulator::answer::{pairs, singles, Answer, Case, SPOILS, VARIANTS};
+use sorreldeck_net::http::{Client, Reply};
+use sorreldeckd::standalone::{self, Sample, KEY};
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, Mutex};
+
+/// How many pairs of changes are played, and by which seed.
+const PAIRS: usize = 60;
+const SEED: u64 = 3;
+
+/// The bytes that an upstream answers with.
+type Bytes = Arc<Mutex<Vec<u8>>>;
+
+fn sound() -> Answer {
+    Answer::new("r1", b"work")
+}
+
+async fn serve(bytes: Bytes) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    task::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buf = [0; 4096];
+            let _ = stream.read(&mut buf).await;
+            let bytes = bytes.lock().unwrap().clone();
+            let _ = stream.write_all(&bytes).await;
+        }
+    });
+    address
+}
+
+/// A sample with one more upstream, alone in its pool, and a branch that is forwarded.
+struct Room {
+    sample: Sample,
+    bytes: Bytes,
+}
+
+impl Room {
+    async fn start() -> Room {
+        let bytes = Bytes::default();
+        let upstream = serve(bytes.clone()).await;
+        let scripts = serve(bytes.clone()).await;
+        let more = format!(
+            "[pools.raw]\nkind = \"plain\"\nprefix = \"/raw\"\n\
+             [nodes.\"/demo/scripts\"]\naction = \"forward\"\nforward_to = \"{scripts}\"\n"
+        );
+        let tree = standalone::TREE.replace("[\"clock\"]", "[\"clock\", \"raw\"]");
+        let tree = format!("{tree}\n{more}");
+        let free = "127.0.0.1:0".parse().unwrap();
+        let stop = Arc::new(AtomicBool::new(false));
+        let sample = standalone::start(free, &tree, stop).await.unwrap();
+        standalone::add_plain(&sample, "raw-1", "raw", upstream)
+            .await
+            .unwrap();
+        eventually("the entry is linked to all sidecars", || async {
+            let status = admin(&sample, "GET", "/admin/v1/status", &[], Value::Null).await;
+            let status: Value = serde_json::from_slice(&status.body).unwrap_or_default();
+            status["upstreams"].as_array().is_some_and(|u| u.len() == 5)
+        })
+        .await;
+        Room { sample, bytes }
+    }
+
+    /// Sends a call to the upstream behind a sidecar, or to the scripts.
+    async fn call(&self, is_forwarded: bool, answer: &Answer) -> Reply {
+        *self.bytes.lock().unwrap() = answer.bytes();
+        let mut headers = vec![Header::new("authorization", format!("Bearer {KEY}"))];
+        let path = match is_forwarded {
+            true => {
+                headers.push(Header::new(header::ROUTE, "scripts"));
+                "/v1/chat/completions"
+            }
+            false => "/raw/a",
+        };
+        let body = json!({"model": "scribe", "messages": [{"role": "user", "content": "a"}]});
+        let body = body.to_string().into_bytes();
+        let address = self.sample.entry.address;
+        let client = Client::default();
+        let reply = client.call(address, "POST", path, &headers, body).await;
+        reply.unwrap()
+    }
+}
+
+fn check_none_passes(is_forwarded: bool) {
+    task::block_on(async {
+        let room = Room::start().await;
+        let mut cases = singles(&sound(), SPOILS);
+        cases.extend(pairs(&sound(), PAIRS, SEED));
+        let mut passed = Vec::new();
+        for Case { name, answer } in &cases {
+            let reply = room.call(is_forwarded, answer).await;
+            if reply.status != 502 {
+                passed.push(format!("{name}: {} {:?}", reply.status, reply.text()));
+            }
+        }
+        let (count, of) = (passed.len(), cases.len());
+        assert!(passed.is_empty(), "{count} of {of}:\n{}", passed.join("\n"));
+        let reply = room.call(is_forwarded, &sound()).await;
+        assert_eq!((reply.status, &reply.body[..]), (200, &b"work"[..]));
+    });
+}
+
+#[test]
+fn no_broken_answer_passes_a_sidecar() {
+    check_none_passes(false);
+}
+
+#[test]
+fn no_broken_answer_of_the_scripts_is_passed_on() {
+    check_none_passes(true);
+}
+
+/// Statuses and bytes that the library of the own interface does not know end as an error.
+#[test]
+fn sound_answers_pass_and_others_end_no_process() {
+    task::block_on(async {
+        let room = Room::start().await;
+        for Case { name, answer } in singles(&sound(), VARIANTS) {
+            for is_forwarded in [false, true] {
+                let reply = room.call(is_forwarded, &answer).await;
+                match is_known(&answer) {
+                    true => assert_eq!(reply.body, b"work", "{name}: {}", reply.status),
+                    false => assert_eq!(reply.status, 502, "{name}"),
+                }
+            }
+        }
+    });
+}
+
+/// Returns whether the own interface can pass an answer on.
+fn is_known(answer: &Answer) -> bool {
+    let is_ascii = answer.lines.iter().all(|line| line.is_ascii());
+    is_ascii && !answer.status.starts_with(b"299")
+}
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -1,5 +1,6 @@
 //! A small HTTP client with kept connections, and the accept loop of servers.
 //!
+//! The client reads answers as [`h1`](crate::h1) does, so that one place decides what is an answer.
 //! Both sides turn Nagle's algorithm off: with it on, a request over a kept
 //! connection takes some 40 ms longer.
 //!
@@ -13,25 +14,29 @@
 //! # }).unwrap();
 //! ```
 
+use crate::h1::{self, Answer, Channel, Content};
 use crate::open::{Bound, Open};
 use crate::socket::{self, Meter, Socket};
 use async_channel::Receiver;
 use async_std::future::timeout;
-use async_std::io::{BufRead as AsyncBufRead, Read as AsyncRead, ReadExt};
+use async_std::io::{BufRead as AsyncBufRead, Read as AsyncRead};
 use async_std::net::TcpListener;
 use async_std::sync::Mutex;
 use async_std::task;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Bytes;
 use sorreldeck::wire::{Call, Header};
 use sorreldeck::{Size, Verdict};
 use std::collections::HashMap;
 use std::fmt;
+use std::future::pending;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tide::http::{Body, Method, Request, Response, Url};
+use tide::http::{Body, Request, Response, Url};
 
 /// The connections kept to one server.
 const KEPT: usize = 64;
@@ -106,12 +111,10 @@
     pub status: u16,
     /// The headers, in lower case.
     pub headers: Vec<Header>,
-    body: Response,
-    home: Option<(Client, SocketAddr, Socket)>,
-    buf: Vec<u8>,
-    expected: Option<usize>,
-    got: usize,
-    meter: Meter,
+    body: Content,
+    client: Client,
+    address: SocketAddr,
+    channel: Option<Channel>,
 }
 
 impl Incoming {
@@ -121,21 +124,15 @@
     ///
     /// Fails when the connection breaks before the body is whole.
     pub async fn next(&mut self) -> Result<Option<Vec<u8>>, Trouble> {
-        let n = self
-            .body
-            .read(&mut self.buf)
-            .await
-            .map_err(Trouble::unsure)?;
-        if n > 0 {
-            self.got += n;
-            self.meter.add_content(n);
-            return Ok(Some(self.buf[..n].to_vec()));
-        }
-        if self.expected.is_some_and(|len| self.got < len) {
-            return Err(Trouble::unsure("the server closed in mid-answer"));
+        while let Some(frame) = self.body.frame().await {
+            let frame = frame.map_err(Trouble::unsure)?;
+            // Trailers are left out.
+            if let Ok(data) = frame.into_data() {
+                return Ok(Some(data.into()));
+            }
         }
-        if let Some((client, address, stream)) = self.home.take() {
-            client.keep(address, stream).await;
+        if let Some(channel) = self.channel.take() {
+            self.client.keep(self.address, channel).await;
         }
         Ok(None)
     }
@@ -161,15 +158,14 @@
 /// An HTTP/1.1 client that keeps connections.
 #[derive(Clone, Default)]
 pub struct Client {
-    kept: Arc<Mutex<HashMap<SocketAddr, Vec<Socket>>>>,
+    kept: Arc<Mutex<HashMap<SocketAddr, Vec<Channel>>>>,
 }
 
 impl Client {
     /// Sends a call and returns the reply once its head is there.
     ///
-    /// A kept connection is used if the server has not closed it. A call that
-    /// may be repeated is sent once more, over a new connection, if it fails on
-    /// a kept one.
+    /// A kept connection is used if the server has not closed it. A call that may be repeated, or of
+    /// which nothing has left, is sent once more over a new connection if it fails on a kept one.
     ///
     /// # Errors
     ///
@@ -180,44 +176,38 @@
         call: &Call,
         repeat: bool,
     ) -> Result<Incoming, Trouble> {
-        if let Some(stream) = self.take(address).await {
-            let sent = self.exchange(stream, address, call).await;
-            if sent.is_ok() || !repeat {
+        if let Some(channel) = self.take(address).await {
+            let sent = self.exchange(channel, address, call).await;
+            let is_last = |trouble: &Trouble| !repeat && trouble.verdict != Verdict::NotRun;
+            if sent.as_ref().map_or_else(is_last, |_| true) {
                 return sent;
             }
         }
-        let stream = Socket::connect(address).await.map_err(Trouble::not_run)?;
-        stream
-            .stream()
-            .set_nodelay(true)
-            .map_err(Trouble::not_run)?;
-        self.exchange(stream, address, call).await
+        // The caller sets the limit of the whole call.
+        let channel = Channel::open(address, pending()).await;
+        let channel = channel.map_err(Trouble::not_run)?;
+        self.exchange(channel, address, call).await
     }
 
     async fn exchange(
         &self,
-        stream: Socket,
+        mut channel: Channel,
         address: SocketAddr,
         call: &Call,
     ) -> Result<Incoming, Trouble> {
         let request = request_of(address, call)?;
-        let meter = stream.meter();
-        meter.begin(max_framing());
-        let response = async_h1::connect(stream.clone(), request)
-            .await
-            .map_err(Trouble::unsure)?;
-        let headers = headers_of(&response);
-        let closes = find_header(&headers, "connection").is_some_and(|v| v == "close");
-        let expected = find_header(&headers, "content-length").and_then(|v| v.parse().ok());
+        let Answer { response, .. } = channel.send(request).await.map_err(|e| match e.unsent {
+            true => Trouble::not_run(e.message),
+            false => Trouble::unsure(e.message),
+        })?;
+        let (head, body) = response.into_parts();
         Ok(Incoming {
-            status: response.status().into(),
-            headers,
-            body: response,
-            home: (!closes).then(|| (self.clone(), address, stream)),
-            buf: vec![0; CHUNK],
-            expected,
-            got: 0,
-            meter,
+            status: head.status.as_u16(),
+            headers: h1::headers_of(&head.headers),
+            body,
+            client: self.clone(),
+            address,
+            channel: Some(channel),
         })
     }
 
@@ -285,53 +275,46 @@
         self.kept.lock().await.remove(&address);
     }
 
-    async fn take(&self, address: SocketAddr) -> Option<Socket> {
+    async fn take(&self, address: SocketAddr) -> Option<Channel> {
         loop {
-            let stream = self.kept.lock().await.get_mut(&address)?.pop()?;
-            if is_open(&stream).await {
-                return Some(stream);
+            let mut channel = self.kept.lock().await.get_mut(&address)?.pop()?;
+            if channel.is_reusable().await {
+                return Some(channel);
             }
         }
     }
 
-    async fn keep(&self, address: SocketAddr, stream: Socket) {
+    async fn keep(&self, address: SocketAddr, channel: Channel) {
         let mut kept = self.kept.lock().await;
-        let streams = kept.entry(address).or_default();
-        if streams.len() < KEPT {
-            streams.push(stream);
+        let channels = kept.entry(address).or_default();
+        if channels.len() < KEPT {
+            channels.push(channel);
         }
     }
 }
 
-/// Returns whether the server has neither closed an idle connection nor sent
-/// anything over it.
-async fn is_open(stream: &Socket) -> bool {
-    let mut buf = [0];
-    let peeked = futures_lite::future::poll_once(stream.stream().peek(&mut buf)).await;
-    peeked.is_none()
-}
-
-fn request_of(address: SocketAddr, call: &Call) -> Result<Request, Trouble> {
+fn request_of(address: SocketAddr, call: &Call) -> Result<hyper::Request<Full<Bytes>>, Trouble> {
     let url = format!("http://{address}{}", call.path);
     let url = Url::parse(&url).map_err(Trouble::not_run)?;
-    let method: Method = call.method.parse().map_err(Trouble::not_run)?;
-    let mut request = Request::new(method, url);
-    request.set_body(Body::from_bytes(call.body.clone()));
-    request.remove_header("content-type");
-    for header in &call.headers {
-        request.append_header(header.name.as_str(), header.value.as_str());
+    let target = match url.query() {
+        Some(query) => format!("{}?{query}", url.path()),
+        None => url.path().to_owned(),
+    };
+    let mut builder = hyper::Request::builder()
+        .method(call.method.as_str())
+        .uri(target);
+    if find_header(&call.headers, "host").is_none() {
+        builder = builder.header("host", address.to_string());
     }
-    Ok(request)
-}
-
-fn headers_of(response: &Response) -> Vec<Header> {
-    let mut headers = Vec::new();
-    for (name, values) in response.iter() {
-        for value in values {
-            headers.push(Header::new(name.as_str(), value.as_str()));
-        }
+    for header in &call.headers {
+        let value = h1::value_of(&header.value);
+        let value = value.ok_or_else(|| {
+            Trouble::not_run(format!("{} has no value that can be sent", header.name))
+        })?;
+        builder = builder.header(header.name.as_str(), value);
     }
-    headers
+    let body = Full::new(Bytes::from(call.body.clone()));
+    builder.body(body).map_err(Trouble::not_run)
 }
 
 /// Serves requests on a listener until it fails.
