Bytes without end are read no further than the largest answer

Cause: a whole reply was collected without a bound, for as long as the call may take. Not bounded were the answers of the store, of usage reports, of the platform's client and of the command line, and an answer on its way through a sidecar, which neither the links nor the entry slow down.

A sidecar ends an answer of over 16 MiB (--max-answer) with the verdict that the request ran; events of engines are cut as on the direct path, in time proportional to their length.

--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -1,5 +1,6 @@
 //! The settings of a process: flags, each with an environment variable.
 
+use crate::upstream::MaxAnswer;
 use bpaf::Bpaf;
 use sorreldeck::admission::Scope;
 use sorreldeck::entry::{Judge, CONFIDENCE_THRESHOLDS};
@@ -236,6 +237,15 @@
         display_fallback
     )]
     pub prefill: u32,
+    /// The largest body of an answer, in bytes
+    #[bpaf(
+        long,
+        env("SORRELDECK_MAX_ANSWER"),
+        argument("BYTES"),
+        fallback(MaxAnswer::default()),
+        display_fallback
+    )]
+    pub max_answer: MaxAnswer,
     /// The upstream is a plain service, not a model engine
     #[bpaf(long, switch)]
     pub plain: bool,
--- a/crates/daemon/src/sidecar.rs
+++ b/crates/daemon/src/sidecar.rs
@@ -5,7 +5,7 @@
 use crate::metrics::Metrics;
 use crate::options;
 use crate::propagation::{self, Throttle, Transfer};
-use crate::upstream::{self, Handle};
+use crate::upstream::{self, Handle, MaxAnswer};
 use async_channel::{Receiver, Sender};
 use async_std::net::TcpListener;
 use async_std::task;
@@ -106,6 +106,7 @@
         clock: Clock::start(),
         client: Client::default(),
         upstream: settings.upstream,
+        max_answer: settings.max_answer,
         platform: platform.clone(),
         links: HashMap::new(),
         runs: HashMap::new(),
@@ -184,6 +185,7 @@
     clock: Clock,
     client: Client,
     upstream: SocketAddr,
+    max_answer: MaxAnswer,
     platform: Platform,
     links: HashMap<Link, Outbox>,
     runs: HashMap<Run, Handle>,
@@ -291,7 +293,8 @@
                     // Fails only when the process ends: the loop outlives every run.
                     let _ = send.try_send(Message::Input(Input::Upstream(run, event)));
                 };
-                let handle = upstream::spawn(&self.client, self.upstream, *start, report);
+                let handle =
+                    upstream::spawn(&self.client, self.upstream, *start, self.max_answer, report);
                 self.runs.insert(run, handle);
             }
             Output::Abort(run) => {
--- a/crates/daemon/src/standalone.rs
+++ b/crates/daemon/src/standalone.rs
@@ -173,6 +173,7 @@
         slots: Speed::default().slots as u32,
         reserve: 1,
         prefill: Speed::default().prefill as u32,
+        max_answer: Default::default(),
         plain: false,
         fifo: false,
         log: LogFormat::Text,
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -11,10 +11,15 @@
 use sorreldeck::header;
 use sorreldeck::sidecar::Event;
 use sorreldeck::wire::{Call, Confidence, Header, Run, Start, Usage};
-use sorreldeck::{Class, Failure, Reason, Verdict};
+use sorreldeck::{Class, Failure, Reason, Size, Verdict};
+use sorreldeck_net::bytes::Bytes;
+use sorreldeck_net::events::Events;
 use sorreldeck_net::http::{find_header, Client, Incoming};
 use std::net::SocketAddr;
 
+/// The size that the body of an answer may have: 64 KiB to 1 GiB.
+pub type MaxAnswer = Bytes<{ 64 * 1024 }, { 1024 * 1024 * 1024 }, { 16 * 1024 * 1024 }>;
+
 /// Headers that apply to a single connection and are not forwarded.
 const HOP_BY_HOP: [&str; 8] = [
     "connection",
@@ -48,6 +53,7 @@
     client: &Client,
     address: SocketAddr,
     start: Start,
+    max_answer: MaxAnswer,
     report: impl Fn(Run, Event) + Send + Sync + 'static,
 ) -> Handle {
     let (abort, aborted) = async_channel::bounded(1);
@@ -58,7 +64,8 @@
         engine: start.version.is_some(),
         usage: Usage::default(),
         confidence: None,
-        pending: Vec::new(),
+        max_answer: max_answer.size(),
+        read: 0,
         done: false,
     };
     task::spawn(async move { job.run(start, aborted, &report).await });
@@ -72,7 +79,9 @@
     engine: bool,
     usage: Usage,
     confidence: Option<Confidence>,
-    pending: Vec<u8>,
+    max_answer: Size,
+    /// Bytes of the body so far.
+    read: u64,
     done: bool,
 }
 
@@ -215,10 +224,18 @@
         Failure::new(Reason::ForeignAnswer, Verdict::MayHaveRun, message)
     }
 
-    async fn next(&self, incoming: &mut Incoming) -> Result<Option<Vec<u8>>, Failure> {
-        incoming.next().await.map_err(|trouble| {
+    async fn next(&mut self, incoming: &mut Incoming) -> Result<Option<Vec<u8>>, Failure> {
+        let data = incoming.next().await.map_err(|trouble| {
             Failure::new(Reason::UpstreamFailed, Verdict::MayHaveRun, trouble.message)
-        })
+        })?;
+        self.read += data.as_ref().map_or(0, Vec::len) as u64;
+        match self.read > self.max_answer.bytes() {
+            true => {
+                let message = format!("the answer is larger than {}", self.max_answer);
+                Err(Failure::new(Reason::UpstreamFailed, Verdict::Ran, message))
+            }
+            false => Ok(data),
+        }
     }
 
     /// Forwards a stream in whole events. The head is sent with the first event, after
@@ -231,13 +248,14 @@
         report: Report<'_>,
     ) -> Result<(), Failure> {
         let mut head = Some(head);
+        let mut events = Events::new(self.max_answer);
         while let Some(data) = self.next(&mut incoming).await? {
-            self.pending.extend_from_slice(&data);
-            let Some(cut) = end_of_events(&self.pending) else {
+            let whole = events
+                .push(&data)
+                .map_err(|e| Failure::new(Reason::UpstreamFailed, Verdict::Ran, e.to_string()))?;
+            let Some(events) = whole else {
                 continue;
             };
-            let rest = self.pending.split_off(cut);
-            let events = std::mem::replace(&mut self.pending, rest);
             self.read_events(&events)?;
             if let Some(head) = head.take() {
                 report(self.run, head);
@@ -255,6 +273,7 @@
 
     fn read_events(&mut self, events: &[u8]) -> Result<(), Failure> {
         for line in events.split(|b| *b == b'\n') {
+            let line = line.strip_suffix(b"\r").unwrap_or(line);
             let Some(data) = line.strip_prefix(b"data: ") else {
                 continue;
             };
@@ -316,10 +335,3 @@
     let n = tokens.len();
     (n > 0).then(|| Confidence((sum / n as f64).exp()))
 }
-
-/// Returns the offset after the last complete event.
-fn end_of_events(buf: &[u8]) -> Option<usize> {
-    buf.windows(2)
-        .rposition(|pair| pair == b"\n\n")
-        .map(|i| i + 2)
-}
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -3,6 +3,7 @@
 mod answers_ended_by_their_connection;
 mod answers_with_broken_heads;
 mod connections_on_a_full_link;
+mod endless_answers_of_the_store;
 mod idle_connections;
 mod leaving_upstream_not_heard_of;
 mod lost_upstream;
--- a/crates/daemon/tests/hosted/store.rs
+++ b/crates/daemon/tests/hosted/store.rs
@@ -8,7 +8,7 @@
 use serde_json::{json, Value};
 use sorreldeck::Time;
 use sorreldeckd::clock::Clock;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -29,6 +29,8 @@
     Silent,
     /// Every read is answered with 410: the history is lost.
     HistoryLost,
+    /// Every call is answered with a body that does not end.
+    Endless,
 }
 
 /// Rows by table and key: the value, `None` if removed, and the version.
@@ -55,6 +57,10 @@
     behavior: Behavior,
     calls: u64,
     waits: Vec<u64>,
+    /// The most bytes sent of one body that does not end.
+    most_sent: usize,
+    /// The keys of rows whose values are sent as they are, without quotes.
+    raw: BTreeSet<String>,
 }
 
 /// The store.
@@ -95,6 +101,23 @@
         self.state.lock().unwrap().calls
     }
 
+    /// Returns the most bytes that were sent of one body that does not end.
+    pub fn most_sent(&self) -> usize {
+        self.state.lock().unwrap().most_sent
+    }
+
+    /// Sends a body without end, until the caller closes the connection.
+    async fn send_endless(&self, mut stream: TcpStream) {
+        let mut bytes = b"HTTP/1.1 200 OK\r\n\r\n{\"rows\": [".to_vec();
+        let mut sent = 0;
+        while stream.write_all(&bytes).await.is_ok() {
+            sent += bytes.len();
+            bytes = vec![b' '; 64 * 1024];
+            let mut state = self.state.lock().unwrap();
+            state.most_sent = state.most_sent.max(sent);
+        }
+    }
+
     /// Returns the requested wait times for changes of the operator's table, in milliseconds, in the
     /// order of the calls.
     pub fn waits(&self) -> Vec<u64> {
@@ -172,6 +195,12 @@
         state.rows.insert((table.into(), key.into()), row);
     }
 
+    /// Writes a row whose value is this JSON itself, in place of its base64 text.
+    pub fn put_raw(&self, table: &str, key: &str, json: &'static str) {
+        self.put_text(table, key, json);
+        self.state.lock().unwrap().raw.insert(key.to_owned());
+    }
+
     pub fn drop_row(&self, table: &str, key: &str) {
         let mut state = self.state.lock().unwrap();
         state.version += 1;
@@ -206,6 +235,7 @@
             };
             let (status, value) = match behavior {
                 Behavior::Reset => return,
+                Behavior::Endless => return self.send_endless(stream).await,
                 Behavior::Busy => (503, json!({})),
                 Behavior::HistoryLost if line.starts_with("GET") => (410, json!({})),
                 Behavior::Silent => {
@@ -224,7 +254,7 @@
                 task::sleep(Duration::from_secs(60)).await;
                 return;
             }
-            let text = value.to_string();
+            let text = self.text_of(&value);
             let era = self.era_header();
             let reply = format!(
                 "HTTP/1.1 {status} X\r\ncontent-type: application/json\r\n{era}content-length: {}\r\n\r\n{text}",
@@ -236,6 +266,19 @@
         }
     }
 
+    /// Returns the body of an answer, in which raw values have lost their quotes.
+    fn text_of(&self, value: &Value) -> String {
+        let state = self.state.lock().unwrap();
+        let text = value.to_string();
+        state.raw.iter().fold(text, |text, key| {
+            let value = state.rows.iter().find(|((_, k), _)| k == key);
+            let Some((_, (Some(value), _))) = value else {
+                return text;
+            };
+            text.replace(&json!(value).to_string(), value)
+        })
+    }
+
     /// Returns the header line with the era.
     fn era_header(&self) -> String {
         let mut state = self.state.lock().unwrap();
--- a/crates/daemon/tests/sidecar_answers.rs
+++ b/crates/daemon/tests/sidecar_answers.rs
@@ -5,7 +5,7 @@
 mod common;
 
 use async_std::io::{ReadExt, WriteExt};
-use async_std::net::TcpListener;
+use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use common::{admin, eventually};
 use serde_json::{json, Value};
@@ -29,7 +29,32 @@
     Answer::new("r1", b"work")
 }
 
-async fn serve(bytes: Bytes) -> SocketAddr {
+/// What was sent of the last answer.
+#[derive(Clone, Default)]
+struct Sent(Arc<Mutex<(usize, bool)>>);
+
+impl Sent {
+    fn bytes(&self) -> usize {
+        self.0.lock().unwrap().0
+    }
+
+    fn has_ended(&self) -> bool {
+        self.0.lock().unwrap().1
+    }
+
+    async fn write(&self, stream: &mut TcpStream, bytes: &[u8]) {
+        *self.0.lock().unwrap() = (0, false);
+        for part in bytes.chunks(64 * 1024) {
+            if stream.write_all(part).await.is_err() {
+                break;
+            }
+            self.0.lock().unwrap().0 += part.len();
+        }
+        self.0.lock().unwrap().1 = true;
+    }
+}
+
+async fn serve(bytes: Bytes, sent: Sent) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     task::spawn(async move {
@@ -37,7 +62,7 @@
             let mut buf = [0; 4096];
             let _ = stream.read(&mut buf).await;
             let bytes = bytes.lock().unwrap().clone();
-            let _ = stream.write_all(&bytes).await;
+            sent.write(&mut stream, &bytes).await;
         }
     });
     address
@@ -47,13 +72,16 @@
 struct Room {
     sample: Sample,
     bytes: Bytes,
+    /// What the upstream has sent.
+    sent: Sent,
 }
 
 impl Room {
     async fn start() -> Room {
         let bytes = Bytes::default();
-        let upstream = serve(bytes.clone()).await;
-        let scripts = serve(bytes.clone()).await;
+        let sent = Sent::default();
+        let upstream = serve(bytes.clone(), sent.clone()).await;
+        let scripts = serve(bytes.clone(), Sent::default()).await;
         let more = format!(
             "[pools.raw]\nkind = \"plain\"\nprefix = \"/raw\"\n\
              [nodes.\"/demo/scripts\"]\naction = \"forward\"\nforward_to = \"{scripts}\"\n"
@@ -72,7 +100,11 @@
             status["upstreams"].as_array().is_some_and(|u| u.len() == 5)
         })
         .await;
-        Room { sample, bytes }
+        Room {
+            sample,
+            bytes,
+            sent,
+        }
     }
 
     /// Sends a call to the upstream behind a sidecar, or to the scripts.
@@ -141,6 +173,31 @@
     });
 }
 
+/// Guards against an upstream that sends without end and fills the memory of its sidecar and entry.
+#[test]
+fn a_body_without_end_is_read_no_further_than_the_largest_answer() {
+    /// The largest answer of a sidecar, and what the sockets on its way hold.
+    const MOST: usize = (16 << 20) + (24 << 20);
+    task::block_on(async {
+        let room = Room::start().await;
+        let mut endless = b"HTTP/1.1 200 OK\r\n\r\n".to_vec();
+        endless.resize(8 * MOST, b'a');
+        *room.bytes.lock().unwrap() = endless;
+        let mut stream = TcpStream::connect(room.sample.entry.address).await.unwrap();
+        let text = format!("GET /raw/a HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {KEY}\r\n\r\n");
+        stream.write_all(text.as_bytes()).await.unwrap();
+        // The caller reads nothing meanwhile.
+        eventually("the upstream is told to stop", || async {
+            room.sent.has_ended()
+        })
+        .await;
+        let sent = room.sent.bytes();
+        assert!(sent < MOST, "{sent} bytes were read");
+        let reply = room.call(false, &sound()).await;
+        assert_eq!((reply.status, &reply.body[..]), (200, &b"work"[..]));
+    });
+}
+
 /// Returns whether the own interface can pass an answer on.
 fn is_known(answer: &Answer) -> bool {
     let is_ascii = answer.lines.iter().all(|line| line.is_ascii());
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -38,6 +38,8 @@
 use std::time::Duration;
 use tide::http::{Body, Request, Response, Url};
 
+/// The largest body of a whole reply, unless a client sets another.
+const MAX_BODY: Size = Size::from_bytes(16 * 1024 * 1024);
 /// The connections kept to one server.
 const KEPT: usize = 64;
 /// The most bytes read from a body at a time.
@@ -48,6 +50,8 @@
 pub struct Trouble {
     /// Whether the server may have run the call.
     pub verdict: Verdict,
+    /// Whether the body of the reply was larger than the client takes.
+    pub is_too_large: bool,
     /// A sentence for people.
     pub message: String,
 }
@@ -56,6 +60,7 @@
     fn not_run(message: impl fmt::Display) -> Trouble {
         Trouble {
             verdict: Verdict::NotRun,
+            is_too_large: false,
             message: message.to_string(),
         }
     }
@@ -63,9 +68,17 @@
     fn unsure(message: impl fmt::Display) -> Trouble {
         Trouble {
             verdict: Verdict::MayHaveRun,
+            is_too_large: false,
             message: message.to_string(),
         }
     }
+
+    fn too_large(max: Size) -> Trouble {
+        Trouble {
+            is_too_large: true,
+            ..Trouble::unsure(format!("the reply has more than {} bytes", max.bytes()))
+        }
+    }
 }
 
 impl fmt::Display for Trouble {
@@ -141,10 +154,14 @@
     ///
     /// # Errors
     ///
-    /// Fails when the connection breaks before the body is whole.
+    /// Fails when the connection breaks before the body is whole, and when the body is larger than
+    /// the client takes.
     pub async fn whole(mut self) -> Result<Reply, Trouble> {
         let mut body = Vec::new();
         while let Some(data) = self.next().await? {
+            if (body.len() + data.len()) as u64 > self.client.max_body.bytes() {
+                return Err(Trouble::too_large(self.client.max_body));
+            }
             body.extend_from_slice(&data);
         }
         Ok(Reply {
@@ -156,12 +173,27 @@
 }
 
 /// An HTTP/1.1 client that keeps connections.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Client {
     kept: Arc<Mutex<HashMap<SocketAddr, Vec<Channel>>>>,
+    max_body: Size,
+}
+
+impl Default for Client {
+    fn default() -> Client {
+        Client::new(MAX_BODY)
+    }
 }
 
 impl Client {
+    /// Creates a client that takes whole replies with bodies of up to this size.
+    pub fn new(max_body: Size) -> Client {
+        Client {
+            kept: Arc::default(),
+            max_body,
+        }
+    }
+
     /// Sends a call and returns the reply once its head is there.
     ///
     /// A kept connection is used if the server has not closed it. A call that may be repeated, or of
