An upstream may have any name, and an odd row hides no other

From outside: a sound upstream got no request for as long as it lived.

Cause, two: the id of an upstream was read as a name of our own configuration (64 bytes of a-z 0-9 . _ -), where the pages allow any text of 200 bytes; so were names of pools, halls and releases once, which take any text since.

--- a/crates/daemon/src/hosted/mirror/upstreams.rs
+++ b/crates/daemon/src/hosted/mirror/upstreams.rs
@@ -2,7 +2,7 @@
 
 use super::{Deferred, Mirror, Suspects, Update};
 use sorreldeck::start::{self, Step, LATE_ROW_DELAY};
-use sorreldeck::{Incarnation, Span, Time};
+use sorreldeck::{Incarnation, Span, Time, UpstreamId};
 use sorreldeck_platform::member::{self, Registration};
 use sorreldeck_platform::Table;
 use std::collections::btree_map::Entry;
@@ -167,6 +167,6 @@
         self.grace_ends.remove(id);
         self.deferred.remove(id);
         self.listed.remove(id)?;
-        Some(Update::Retired(id.parse().ok()?))
+        Some(Update::Retired(UpstreamId::external(id).ok()?))
     }
 }
