A planned stop takes no request that may outlast it, and cuts none without an answer

Cause: for 2.4 s after SIGTERM, until the load balancer has noticed, requests are taken as ever; the process ends 7.5 s after it, whatever is in flight. An upstream that takes 5.6 s ends too late for those that came last. The decisions did not know that the process ends.

The entry is told when (entry::Stop). A request that may run at most once and whose time may outlast the process is refused at once, as not run, to come back once no connection is taken here any more. All others are taken; what is still in flight 150 ms before the end is answered: 502, or 503 if nothing of it was sent. Ruled out: going by the usual time, which does not hold for the one request that is lost; refusing all for the whole grace time, which would send away what ends in time. Routes whose time is up to 4.95 s, as all of those on the sites that run a request once, are taken as before.

--- a/crates/core/src/entry/admit.rs
+++ b/crates/core/src/entry/admit.rs
@@ -118,6 +118,9 @@
         flight.goal = Goal::Routed;
         flight.at_most_once = at_most_once;
         flight.route_state = Some(route_state);
+        let (account, class) = (flight.context.account.clone(), flight.context.class);
+        let refused = |failure| Refusal::new(request, Some(account), class, false, failure);
+        self.check_stop(now, &flight).map_err(refused)?;
         Ok((flight, Action::Route))
     }
 
--- a/crates/core/src/entry/learn.rs
+++ b/crates/core/src/entry/learn.rs
@@ -132,6 +132,7 @@
     }
 
     pub(super) fn tick(&mut self, now: Time, out: &mut Outputs) {
+        self.end_at_stop(now, out);
         self.handle_pending(now, out);
         self.check_routed(now, out);
         self.judge_parts(now);
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -23,11 +23,13 @@
 mod pending;
 mod request;
 mod routed;
+mod stop;
 
 pub use decision::{Attempt, Decision, Forecast, History, Snapshot};
 pub use monitor::{rollout_of, thresholds, Aggregate, Judge, Monitor};
 pub use request::{Chat, Part, Payload, Request};
 pub use routed::{Head, Member, Reply, Routed, CONFIDENCE_THRESHOLDS};
+pub use stop::Stop;
 
 use crate::admission::{self, Gates};
 use crate::bill::Record;
@@ -199,6 +201,8 @@
     Resynced,
     /// The process stops once its in-flight requests have ended.
     Drain,
+    /// The process stops at a time that is known, and takes requests until then.
+    Stop(Stop),
 }
 
 /// A rating of one answer.
@@ -353,6 +357,7 @@
     /// When overdue answers were last looked for.
     overdue_checked: Time,
     draining: bool,
+    stop: Option<Stop>,
 }
 
 type Outputs = Vec<Output>;
@@ -397,6 +402,7 @@
             speeds_refreshed: Time::default(),
             overdue_checked: Time::default(),
             draining: false,
+            stop: None,
             settings,
         }
     }
@@ -449,6 +455,7 @@
             Input::Suspended => self.suspended = true,
             Input::Resynced => self.suspended = false,
             Input::Drain => self.draining = true,
+            Input::Stop(stop) => self.stop = Some(stop),
         }
         self.emit_quarantine(now, &mut out);
         out.extend(self.peers.take_updates().into_iter().map(Output::Notice));
--- a/crates/core/src/entry/routed/reply.rs
+++ b/crates/core/src/entry/routed/reply.rs
@@ -422,7 +422,7 @@
     }
 
     /// Cancels a run at its upstream and counts it as ended.
-    pub(super) fn cancel_run(&mut self, link: Link, run: Run, out: &mut Outputs) {
+    pub(in crate::entry) fn cancel_run(&mut self, link: Link, run: Run, out: &mut Outputs) {
         out.push(Output::Send(link, Frame::Cancel(run)));
         self.finish_run(run.request);
     }
--- a/crates/daemon/src/hosted/event_loop.rs
+++ b/crates/daemon/src/hosted/event_loop.rs
@@ -29,7 +29,7 @@
 use async_std::task;
 use log::info;
 use sorreldeck::duty::{Context, Tally};
-use sorreldeck::entry::{Entry, Input, Output, Reply, Settings as Decisions};
+use sorreldeck::entry::{Entry, Input, Output, Reply, Settings as Decisions, Stop};
 use sorreldeck::pick::{Contention, Link};
 use sorreldeck::quarantine;
 use sorreldeck::replication::{Peer, Subscription, Timeouts};
@@ -51,6 +51,8 @@
 const DRAIN_PERIOD: Span = Span::from_millis(2_400);
 /// How long before it would be killed the process ends by itself.
 const EXIT_MARGIN: Span = Span::from_millis(500);
+/// How long the last answers of a stopping entry may take to reach their callers.
+const LAST_ANSWERS: Span = Span::from_millis(150);
 /// How long an entry waits for the addresses of the others when the whole installation starts
 /// for the first time. All entries start within 0.3 s of each other; another second for slow
 /// ones does no harm, since there are no clients yet.
@@ -212,6 +214,7 @@
                 info!("event=leave in_flight={}", event_loop.entry.in_flight());
                 event_loop.door.close();
                 event_loop.relay.leave();
+                event_loop.handle(Input::Stop(event_loop.stop_after(now)));
             }
             if stopping.is_some_and(|since| now.since(since) >= DRAIN_PERIOD)
                 && !event_loop.door.is_shut()
@@ -231,6 +234,14 @@
         task::sleep(Duration::from_millis(60)).await;
     }
 
+    /// Returns when an entry ends that begins to stop now.
+    fn stop_after(&self, now: Time) -> Stop {
+        Stop {
+            shut_at: now + DRAIN_PERIOD,
+            ends_at: now + (self.grace - EXIT_MARGIN - LAST_ANSWERS),
+        }
+    }
+
     fn is_done(&self, since: Time) -> bool {
         let waited = self.clock.now().since(since);
         // An answer has ended when the socket of its caller has taken its last byte.
--- a/crates/daemon/tests/hosted/runner.rs
+++ b/crates/daemon/tests/hosted/runner.rs
@@ -288,6 +288,12 @@
                     && self.send_pausing_stream(stream, after).await;
             }
             "large" => (good(&"a".repeat(LARGE_BYTES)), true),
+            // The number of milliseconds that the request runs.
+            _ if action.starts_with("takes-") => {
+                let ms = action["takes-".len()..].parse().unwrap();
+                task::sleep(Duration::from_millis(ms)).await;
+                (good("taken"), true)
+            }
             "late" => {
                 task::sleep(PAUSES_FOR).await;
                 (good("late"), true)
--- a/crates/daemon/tests/throttled/main.rs
+++ b/crates/daemon/tests/throttled/main.rs
@@ -7,6 +7,7 @@
 mod entry;
 mod most_connections_at_one_slow_entry;
 mod refused_links;
+mod requests_late_in_a_planned_stop;
 #[allow(dead_code)]
 #[path = "../hosted/runner.rs"]
 mod runner;
