What a peer sends while a link opens is bounded before it shows a key

Heads without end were bounded by tungstenite (64 KiB), pings by the framing; the tests stay.

Cause: the bounds of messages are those of links that run, where a message may hold many frames.

The opening of a link is counted as framing now, 64 KiB at most, until the key has been shown.

--- a/crates/net/src/link.rs
+++ b/crates/net/src/link.rs
@@ -23,7 +23,7 @@
 use sorreldeck::pick::Link;
 use sorreldeck::session::parse_hex;
 use sorreldeck::wire::{self, Frame};
-use sorreldeck::{Category, Error, Incarnation};
+use sorreldeck::{Category, Error, Incarnation, Size};
 use std::fmt;
 use std::net::SocketAddr;
 use std::str::FromStr;
@@ -37,6 +37,8 @@
 
 /// How long the opening of a link may take.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(3);
+/// The most bytes that the opening of a link may take, before the other end has shown a key.
+const MAX_OPENING: Size = Size::from_bytes(64 * 1024);
 /// How long a link may be silent before it is taken for broken.
 const SILENCE: Duration = Duration::from_secs(7);
 /// The most frames that wait to be written; a peer that reads too slowly for
@@ -178,6 +180,8 @@
 ) -> Result<Open> {
     let stream = socket::Socket::connect(address).await?;
     stream.stream().set_nodelay(true)?;
+    let meter = stream.meter();
+    meter.begin(MAX_OPENING);
     let url = format!("ws://{address}/link");
     let (mut socket, _) =
         tokio_tungstenite::client_async_with_config(url, stream.compat(), Some(config())).await?;
@@ -198,6 +202,7 @@
         .sign(id, "entry", &theirs, &nonce)
         .ok_or_else(|| eyre!("there is no key {id}"))?;
     put(&mut socket, &Greeting::Proof { mac: mac.into() }).await?;
+    meter.end();
     Ok(Open { socket, entry })
 }
 
@@ -212,6 +217,8 @@
 
 async fn welcome(stream: socket::Socket, keys: &Keys, nonce: [u8; 16]) -> Result<Open> {
     stream.stream().set_nodelay(true)?;
+    let meter = stream.meter();
+    meter.begin(MAX_OPENING);
     let accepting = tokio_tungstenite::accept_async_with_config(stream.compat(), Some(config()));
     let mut socket = accepting.await?;
     let Greeting::Hello {
@@ -234,6 +241,7 @@
     if keys.sign(key, "entry", &nonce, &theirs) != Some(mac.into()) {
         bail!("the entry does not hold key {key}");
     }
+    meter.end();
     Ok(Open { socket, entry })
 }
 
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -161,6 +161,11 @@
         self.0.is_counting.store(true, Ordering::Relaxed);
     }
 
+    /// Ends counting: what follows has bounds of its own.
+    pub fn end(&self) {
+        self.0.is_counting.store(false, Ordering::Relaxed);
+    }
+
     /// Adds bytes of content, which were read before.
     pub fn add_content(&self, bytes: usize) {
         self.0.content.fetch_add(bytes as u64, Ordering::Relaxed);
