An answer whose fields contradict one another is refused

What callers saw: an answer with two ids, one of them another request's, where the last one decided; with two receipts, or an empty one; with a Content-Encoding, after which the body is not the upstream's; and a 200 without its receipt where Connection named that field.

Cause: the last line of a name counted, the presence of a receipt was enough, and fields that Connection names were left out, whichever they are. Found by looking for the class of the spoilt heads: a field that stands once, spoilt by a second line.

Lines that repeat the same agree. The id and the receipt always pass.

--- a/crates/daemon/src/hosted/client.rs
+++ b/crates/daemon/src/hosted/client.rs
@@ -268,8 +268,12 @@
         let head = call::parse_response(status, &headers);
         let metadata = self.metadata.as_ref();
         let label = metadata.map(|o| o.label.as_str());
+        if head.is_ambiguous {
+            return Err(may_have_run("the answer has several ids or receipts"));
+        }
         let is_foreign = head.label.is_some() && head.label.as_deref() != label;
-        let is_forwarded = !is_foreign && !head.not_run && (status >= 300 || head.receipt);
+        let is_forwarded =
+            !is_foreign && !head.not_run && !head.is_encoded && (status >= 300 || head.receipt);
         if let Some(notice) = head.notice.filter(|_| !is_forwarded) {
             // The notice applies regardless of the request's outcome.
             self.send_reply(Reply::Notice(notice, head.load)).await;
@@ -285,6 +289,11 @@
         if head.not_run {
             return Ok(Answer::NotRun(status, response));
         }
+        if head.is_encoded {
+            return Err(may_have_run(
+                "the body has an encoding that nobody asked for",
+            ));
+        }
         if status < 300 && !head.receipt {
             return Err(may_have_run("a success without its receipt"));
         }
--- a/crates/daemon/tests/hosted/answers_with_broken_heads.rs
+++ b/crates/daemon/tests/hosted/answers_with_broken_heads.rs
@@ -68,6 +68,51 @@
     check_none_passes(&pairs(&sound(), PAIRS, SEED));
 }
 
+/// Guards against an answer that two requests could claim, or whose body is not the upstream's.
+#[test_case("request-id: 0badc0de"; "another id beside that of the request")]
+#[test_case("response-signature: s.2"; "another receipt beside the first")]
+#[test_case("response-signature:"; "an empty receipt beside the first")]
+#[test_case("content-encoding: gzip"; "an encoding that nobody asked for")]
+#[test_case("not-executed: 1\r\nrequest-id: 0badc0de"; "another id in what looks like a refusal")]
+fn no_answer_reaches_a_caller_whose_fields_contradict(line: &str) {
+    task::block_on(async {
+        let harness = Harness::start().await;
+        for at in [0, sound().lines.len()] {
+            let mut answer = sound();
+            answer.lines.insert(at, line.into());
+            let got = harness.call_raw("once", &answer.bytes()).await;
+            assert_eq!(fault_of(&got), None);
+        }
+    });
+}
+
+#[test]
+fn no_answer_reaches_a_caller_whose_receipt_is_empty() {
+    task::block_on(async {
+        let harness = Harness::start().await;
+        let mut answer = sound();
+        answer.lines[1] = b"response-signature: ".into();
+        let got = harness.call_raw("once", &answer.bytes()).await;
+        assert_eq!(status(&got), 502, "{got}");
+    });
+}
+
+/// Lines that repeat the same are no contradiction, and no line takes the receipt away.
+#[test_case("request-id: 9c41d07b")]
+#[test_case("response-signature: s.1")]
+#[test_case("connection: response-signature, request-id")]
+fn an_answer_whose_fields_agree_reaches_the_caller(line: &str) {
+    task::block_on(async {
+        let harness = Harness::start().await;
+        let mut answer = sound();
+        answer.lines.push(line.into());
+        let got = harness.call_raw("once", &answer.bytes()).await;
+        assert_eq!(status(&got), 200, "{got}");
+        assert!(got.contains("response-signature: s.1"), "{got}");
+        assert!(got.ends_with("work"), "{got}");
+    });
+}
+
 /// The receipt, the fields and the body arrive as they were sent.
 #[test]
 fn sound_answers_reach_the_caller_whole() {
