--- a/crates/core/tests/routed.rs
+++ b/crates/core/tests/routed.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::failure;
-use sorreldeck::entry::{Entry, Head, Input, Member, Output, Part, Reply, Routed, Settings};
+use sorreldeck::entry::{Entry, Head, Input, Member, Output, Part, Reply, Routed, Settings, Stop};
 use sorreldeck::notice::Notice;
 use sorreldeck::pick::{Link, Placement};
 use sorreldeck::release::{Order as MoveOrder, State};
@@ -780,3 +780,63 @@
     let error = sorreldeck::Tree::from_toml(text).unwrap_err();
     assert_eq!(error.place(), Some("nodes/a.keyed"));
 }
+
+/// Guards against a request that may run once and is cut at the end of a planned stop.
+#[test_case("/clock/1", 1_900, Some(Reason::Leaving); "runs once and may outlast the stop")]
+#[test_case("/clock/1", 2_100, None; "runs once and ends before")]
+#[test_case("/clock/look/1", 500, None; "may run again")]
+#[test_case("/drafts/1", 500, None; "a stream that may be resumed")]
+fn a_stopping_entry_refuses_what_it_may_cut(path: &str, ends_ms: u64, refused: Option<Reason>) {
+    let mut fixture = Fixture::new();
+    let stop = Stop {
+        shut_at: fixture.now + Span::from_millis(1_200),
+        ends_at: fixture.now + Span::from_millis(ends_ms),
+    };
+    fixture.handle(Input::Stop(stop));
+    let (_, outputs) = fixture.send(path, Some("key"));
+    assert_eq!(sent(&outputs).is_none(), refused.is_some());
+    let failure = failure(&outputs);
+    assert_eq!(failure.map(|f| f.reason), refused);
+    if let Some(failure) = failure {
+        assert_eq!(failure.verdict, Verdict::NotRun);
+        assert_eq!(failure.retry_after, Some(Span::from_millis(1_200)));
+    }
+}
+
+#[test]
+fn a_stopping_entry_answers_what_is_in_flight_before_it_ends() {
+    let mut fixture = Fixture::new();
+    let (_, outputs) = fixture.send("/clock/look/1", None);
+    let sent = sent(&outputs).unwrap();
+    let stop = Stop {
+        shut_at: fixture.now,
+        ends_at: fixture.now + Span::from_millis(500),
+    };
+    fixture.handle(Input::Stop(stop));
+    assert!(failure(&fixture.pass(480)).is_none());
+    let outputs = fixture.pass(40);
+    let failure = failure(&outputs).unwrap();
+    assert_eq!(failure.reason, Reason::Leaving);
+    assert_eq!(failure.verdict, Verdict::MayHaveRun);
+    assert!(cancelled(&outputs, sent.run));
+    assert!(fixture.entry.is_idle());
+}
+
+/// Guards against giving a sound upstream up since it closed a kept connection.
+#[test_case(Reason::ConnectionClosed, true; "a kept connection was closed")]
+#[test_case(Reason::UpstreamFailed, false; "the upstream failed")]
+fn the_only_upstream_is_asked_again_after_a_closed_connection(reason: Reason, is_asked: bool) {
+    let mut fixture = Fixture::new();
+    fixture.handle(Input::Retire(4));
+    let (_, outputs) = fixture.send("/clock/look/1", None);
+    let first = sent(&outputs).unwrap();
+    assert!(!first.order.new_connection);
+    let failure = Failure::new(reason, Verdict::MayHaveRun, "closed");
+    let outputs = fixture.handle(Input::Reply(first.link, first.run, Reply::Fail(failure)));
+    let second = sent(&outputs);
+    assert_eq!(second.is_some(), is_asked);
+    if let Some(second) = second {
+        assert_eq!(second.link, first.link);
+        assert!(second.order.new_connection);
+    }
+}
