--- a/crates/daemon/tests/throttled/main.rs
+++ b/crates/daemon/tests/throttled/main.rs
@@ -32,16 +32,22 @@
 
 /// A store with a configuration and upstreams of one service.
 async fn start_store() -> Store {
+    start_store_with(&configuration()).await.0
+}
+
+async fn start_store_with(configuration: &Value) -> (Store, Vec<Upstream>) {
     let store = Store::start().await;
-    store.put("op", "config", &configuration());
+    store.put("op", "config", configuration);
+    let mut upstreams = Vec::new();
     for number in 0..UPSTREAMS {
         let id = format!("i-{number}");
         let upstream = Upstream::start(&id, &Refused::default()).await;
         let row = json!({"service": "engines", "address": upstream.address.to_string(), "zone": "a",
             "version": "v1", "slots": 200, "state": "ready", "cold-left-ms": 0, "sequence": 1});
         store.put("servers", &id, &row);
+        upstreams.push(upstream);
     }
-    store
+    (store, upstreams)
 }
 
 fn configuration() -> Value {
--- a/crates/daemon/tests/throttled/requests_late_in_a_planned_stop.rs
+++ b/crates/daemon/tests/throttled/requests_late_in_a_planned_stop.rs
@@ -71,7 +71,6 @@
 }
 
 async fn start() -> (Store, Vec<Upstream>, Vec<Entry>) {
-    let store = Store::start().await;
     let mut config = configuration();
     let route = |name: &str, kind: &str| {
         json!({"name": name, "host": "pay.example", "path-prefix": format!("/{name}/"),
@@ -79,16 +78,7 @@
             "service": "engines", "max-attempts": 2, "public": false})
     };
     config["routes"] = json!([route("once", "unsafe"), route("look", "safe")]);
-    store.put("op", "config", &config);
-    let mut upstreams = Vec::new();
-    for number in 0..UPSTREAMS {
-        let id = format!("i-{number}");
-        let upstream = Upstream::start(&id, &Refused::default()).await;
-        let row = json!({"service": "engines", "address": upstream.address.to_string(), "zone": "a",
-            "version": "v1", "slots": 200, "state": "ready", "cold-left-ms": 0, "sequence": 1});
-        store.put("servers", &id, &row);
-        upstreams.push(upstream);
-    }
+    let (store, upstreams) = start_store_with(&config).await;
     let entries = ["front-1", "front-2"].map(|name| Entry::start(&store, name, LIMITS));
     for entry in &entries {
         until_ready(entry, STARTS_WITHIN).await;
--- a/crates/net/src/h1.rs
+++ b/crates/net/src/h1.rs
@@ -452,7 +452,7 @@
 pub struct Unanswered {
     /// The request, if nothing of it left this process.
     pub unsent: Option<Request<Full<Bytes>>>,
-    /// Whether the connection ended without any answer, sound or not.
+    /// Whether the connection ended before the head of an answer, sound or not.
     pub is_closed: bool,
     /// A sentence for people.
     pub message: String,
--- a/crates/net/src/head.rs
+++ b/crates/net/src/head.rs
@@ -22,10 +22,11 @@
 use hyper::header::{HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, Method, StatusCode, Version};
+use sorreldeck::Size;
 use std::fmt;
 
 /// The longest body that a head may announce: more than any connection carries within a time limit.
-const MAX_LENGTH: u64 = 1 << 40;
+const MAX_LENGTH: Size = Size::from_bytes(1 << 40);
 
 /// What tells the end of a body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -123,7 +124,7 @@
     // A number may begin with a sign for the parser of the standard library.
     let is_number = text.bytes().all(|b| b.is_ascii_digit());
     let length = text.parse().ok().filter(|_| is_number);
-    length.filter(|length| *length <= MAX_LENGTH)
+    length.filter(|length| *length <= MAX_LENGTH.bytes())
 }
 
 /// Returns whether the body comes in chunks, which is the only coding that callers accept.
