The test of planned stops waits until its entry knows of the stop

The trace shows why it is allowed: that request went out in the same moment as SIGTERM and was taken before the next tick (20 ms) told the entry to stop, so it was in flight when the stop began, and got its answer at the end as it should. The test took it for one that came late.

Requests that count as late are sent once the entry has logged that it leaves.

--- a/crates/daemon/tests/throttled/requests_late_in_a_planned_stop.rs
+++ b/crates/daemon/tests/throttled/requests_late_in_a_planned_stop.rs
@@ -112,12 +112,23 @@
             let stream = TcpStream::connect(address).await.unwrap();
             kept.push(is_kept.then_some(stream));
         }
-        let mut asked = Vec::new();
+        let in_flight = task::spawn(ask(address, None, count, path.clone()));
+        task::sleep(INTERVAL).await;
         entries[0].signal(libc::SIGTERM);
+        // What it takes before it knows of its stop is in flight then, as the first request is.
+        while entries[0].lines("event=leave").is_empty() {
+            task::sleep(Duration::from_millis(1)).await;
+        }
+        let mut asked = Vec::new();
         for (number, kept) in kept.into_iter().enumerate() {
             asked.push(task::spawn(ask(address, kept, number, path.clone())));
             task::sleep(INTERVAL).await;
         }
+        let first = in_flight.await;
+        assert!(
+            matches!(first, Outcome::Answered | Outcome::Failed),
+            "in flight at the signal: {first:?}"
+        );
         let mut outcomes = Vec::new();
         for (number, asked) in asked.into_iter().enumerate() {
             outcomes.push((asked.await, runs(&upstreams, number)));
