--- a/crates/core/src/entry/routed/timeout.rs
+++ b/crates/core/src/entry/routed/timeout.rs
@@ -170,14 +170,10 @@
             return;
         };
         let failure = timed_out(flight);
-        if let Some(link) = flight.link {
-            let run = flight.run;
-            if !flight.head_sent {
-                self.record_saturation(now, request);
-                self.record_slow_wait(now, request);
-            }
-            self.cancel_run(link, run, out);
+        if flight.link.is_some() && !flight.head_sent {
+            self.record_saturation(now, request);
+            self.record_slow_wait(now, request);
         }
-        self.fail(now, request, failure, out);
+        self.cancel_and_fail(now, request, failure, out);
     }
 }
--- a/crates/core/src/entry/stop.rs
+++ b/crates/core/src/entry/stop.rs
@@ -50,9 +50,6 @@
         };
         let message = "this entry has stopped before the answer was complete";
         let failure = Failure::new(Reason::Leaving, flight.current_verdict(), message);
-        if let Some(link) = flight.link {
-            self.cancel_run(link, flight.run, out);
-        }
-        self.fail(now, request, failure, out);
+        self.cancel_and_fail(now, request, failure, out);
     }
 }
--- a/crates/daemon/src/standalone.rs
+++ b/crates/daemon/src/standalone.rs
@@ -86,9 +86,9 @@
     }
     for i in 1..=PLAINS {
         let plain = Plain::new("clock", Duration::from_millis(5));
-        let mut settings = sidecar_settings(&format!("clock-{i}"), "clock", plain.serve().await?)?;
-        settings.plain = true;
-        let (instance, running) = start_sidecar(settings, &platform).await?;
+        let upstream = plain.serve().await?;
+        let (instance, running) =
+            start_plain(&format!("clock-{i}"), "clock", upstream, &platform).await?;
         instances.push(instance);
         sidecars.push(running);
         plains.push(plain);
@@ -128,9 +128,7 @@
     upstream: SocketAddr,
 ) -> Result<()> {
     let platform = Platform::of_memory(sample.memory.clone());
-    let mut settings = sidecar_settings(name, pool, upstream)?;
-    settings.plain = true;
-    let (instance, _) = start_sidecar(settings, &platform).await?;
+    let (instance, _) = start_plain(name, pool, upstream, &platform).await?;
     let mut instances = platform.instances().await?;
     instances.push(instance);
     sample.memory.set_instances(instances);
@@ -180,6 +178,18 @@
     })
 }
 
+/// Starts a sidecar for a plain service.
+async fn start_plain(
+    name: &str,
+    pool: &str,
+    upstream: SocketAddr,
+    platform: &Platform,
+) -> Result<(Instance, sidecar::Running)> {
+    let mut settings = sidecar_settings(name, pool, upstream)?;
+    settings.plain = true;
+    start_sidecar(settings, platform).await
+}
+
 async fn start_sidecar(
     settings: options::Sidecar,
     platform: &Platform,
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -13,17 +13,27 @@
 
 /// Starts a sample whose configuration has the entries of `more` in addition.
 pub async fn start(more: &str) -> Sample {
-    let tree = format!("{}\n{more}", standalone::TREE);
+    let sample = start_unlinked(&format!("{}\n{more}", standalone::TREE)).await;
+    until_linked(&sample, 4).await;
+    sample
+}
+
+/// Starts a sample with a settings tree; its entry may not be linked to all sidecars yet.
+pub async fn start_unlinked(tree: &str) -> Sample {
     let free = "127.0.0.1:0".parse().unwrap();
     let stop = Arc::new(AtomicBool::new(false));
-    let sample = standalone::start(free, &tree, stop).await.unwrap();
+    standalone::start(free, tree, stop).await.unwrap()
+}
+
+/// Waits until the entry is ready and linked to the sidecars of this many upstreams.
+pub async fn until_linked(sample: &Sample, upstreams: usize) {
     eventually("the entry is ready and fully linked", || async {
-        let status = admin(&sample, "GET", "/admin/v1/status", &[], Value::Null).await;
+        let status = admin(sample, "GET", "/admin/v1/status", &[], Value::Null).await;
         let status: Value = serde_json::from_slice(&status.body).unwrap_or_default();
-        status["upstreams"].as_array().is_some_and(|u| u.len() == 4)
+        let linked = status["upstreams"].as_array();
+        linked.is_some_and(|linked| linked.len() == upstreams)
     })
     .await;
-    sample
 }
 
 /// Waits until a condition is true.
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -91,11 +91,16 @@
 }
 
 fn announce(store: &Store, upstream: &Upstream, service: &str, state: &str) {
-    let row = json!({"service": service, "address": upstream.address.to_string(), "zone": "a",
-        "version": "v1", "slots": 8, "state": state, "cold-left-ms": 0, "sequence": 1});
+    let row = registration(&upstream.address.to_string(), service, state);
     store.put("servers", &upstream.id, &row);
 }
 
+/// Returns the row that an upstream at an address keeps in the store.
+fn registration(address: &str, service: &str, state: &str) -> Value {
+    json!({"service": service, "address": address, "zone": "a", "version": "v1", "slots": 8,
+        "state": state, "cold-left-ms": 0, "sequence": 1})
+}
+
 async fn start_entry(store: &Store, name: &str, seeds: &[SocketAddr]) -> Running {
     start_entry_in(store, name, "a", seeds).await
 }
--- a/crates/daemon/tests/hosted/rows_of_other_writers.rs
+++ b/crates/daemon/tests/hosted/rows_of_other_writers.rs
@@ -14,8 +14,7 @@
         let row = json!({"service": "clock", "address": "127.0.0.1:9", "zone": "a"});
         harness.store.put("servers", "a b\nc", &row);
         for id in ["i-5", "i-6"] {
-            let row = json!({"service": "clock", "address": "127.0.0.1:9", "zone": "a",
-                "version": "v1", "slots": 8, "state": "retired", "cold-left-ms": 0, "sequence": 1});
+            let row = registration("127.0.0.1:9", "clock", "retired");
             harness.store.put("servers", id, &row);
         }
         let upstream = Upstream::start("i-9", &Refused::default()).await;
@@ -45,11 +44,9 @@
 }
 
 fn row_with(field: &str, value: &str) -> String {
-    let row = json!({"service": "clock", "address": "127.0.0.1:9", "zone": "a", "version": "v1",
-        "slots": 8, "state": "ready", "cold-left-ms": 0, "sequence": 1});
-    let mut row = row.as_object().unwrap().clone();
-    row.insert(field.to_owned(), json!("PLACE"));
-    Value::from(row).to_string().replace("\"PLACE\"", value)
+    let mut row = registration("127.0.0.1:9", "clock", "ready");
+    row[field] = json!("PLACE");
+    row.to_string().replace("\"PLACE\"", value)
 }
 
 /// Guards against one odd row that ends the entries or keeps them from following the others.
--- a/crates/daemon/tests/sidecar_answers.rs
+++ b/crates/daemon/tests/sidecar_answers.rs
@@ -7,15 +7,14 @@
 use async_std::io::{ReadExt, WriteExt};
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
-use common::{admin, eventually};
-use serde_json::{json, Value};
+use common::eventually;
+use serde_json::json;
 use sorreldeck::header;
 use sorreldeck::wire::Header;
 use sorreldeck_emulator::answer::{pairs, singles, Answer, Case, SPOILS, VARIANTS};
 use sorreldeck_net::http::{Client, Reply};
 use sorreldeckd::standalone::{self, Sample, KEY};
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 
 /// How many pairs of changes are played, and by which seed.
@@ -87,19 +86,11 @@
              [nodes.\"/demo/scripts\"]\naction = \"forward\"\nforward_to = \"{scripts}\"\n"
         );
         let tree = standalone::TREE.replace("[\"clock\"]", "[\"clock\", \"raw\"]");
-        let tree = format!("{tree}\n{more}");
-        let free = "127.0.0.1:0".parse().unwrap();
-        let stop = Arc::new(AtomicBool::new(false));
-        let sample = standalone::start(free, &tree, stop).await.unwrap();
+        let sample = common::start_unlinked(&format!("{tree}\n{more}")).await;
         standalone::add_plain(&sample, "raw-1", "raw", upstream)
             .await
             .unwrap();
-        eventually("the entry is linked to all sidecars", || async {
-            let status = admin(&sample, "GET", "/admin/v1/status", &[], Value::Null).await;
-            let status: Value = serde_json::from_slice(&status.body).unwrap_or_default();
-            status["upstreams"].as_array().is_some_and(|u| u.len() == 5)
-        })
-        .await;
+        common::until_linked(&sample, 5).await;
         Room {
             sample,
             bytes,
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -209,10 +209,9 @@
         repeat: bool,
     ) -> Result<Incoming, Trouble> {
         if let Some(channel) = self.take(address).await {
-            let sent = self.exchange(channel, address, call).await;
-            let is_last = |trouble: &Trouble| !repeat && trouble.verdict != Verdict::NotRun;
-            if sent.as_ref().map_or_else(is_last, |_| true) {
-                return sent;
+            match self.exchange(channel, address, call).await {
+                Err(trouble) if repeat || trouble.verdict == Verdict::NotRun => {}
+                sent => return sent,
             }
         }
         // The caller sets the limit of the whole call.
