The tests of a full entry measure idle entries longer and bound what they send

Read again: what an idle entry uses was measured over one second, so that the crowd of one machine varied by half (70 to 103 a second for the same share), and a wrong measure had no bound. Now it is three seconds, and at most 1,000 requests a second are sent.

--- a/crates/daemon/tests/throttled/most_connections_at_one_slow_entry.rs
+++ b/crates/daemon/tests/throttled/most_connections_at_one_slow_entry.rs
@@ -10,8 +10,10 @@
 /// How long most connections go to one entry, and from when on it is judged.
 const LASTS: Duration = Duration::from_millis(9_000);
 const JUDGED_AFTER: Duration = Duration::from_millis(4_000);
-/// How long an idle entry is looked at.
-const IDLE: Duration = Duration::from_millis(1_000);
+/// How long idle entries are looked at.
+const IDLE: Duration = Duration::from_millis(3_000);
+/// The most requests a second that the test itself can send and serve.
+const MAX_PER_S: f64 = 1_000.0;
 /// When an entry is restarted.
 const RESTARTED_AFTER: Duration = Duration::from_millis(2_000);
 /// How often first tries that were read are served, against before.
@@ -64,17 +66,17 @@
     }
 }
 
-/// Entries, their requests and what happens.
+/// What entries of a play may use, what they are asked, and which of them is restarted.
 #[derive(Clone, Copy)]
 struct Scene {
     /// The share of a core that each entry gets.
     share: f64,
     /// The share that the settings tell.
     told: f64,
-    /// The requests a second.
+    /// The fewest requests a second.
     per_s: f64,
-    /// How many come at least while most go to one entry, in times of what it can do; a busy entry
-    /// does each request at a part of the cost.
+    /// How many come while most go to one entry, in times of what it can do by their cost before; a
+    /// busy entry does each at a part of that.
     beyond: f64,
     /// When the entry that gets most connections is restarted, after it began to get them.
     restart: Option<Duration>,
@@ -203,7 +205,7 @@
     let (calls, capacity) = measure(&entries, &client, scene).await;
     let before = Seen::of(calls.iter());
     println!("before: {before}; an entry does {capacity:.0} a second");
-    let per_s = scene.per_s.max(scene.beyond * capacity);
+    let per_s = (scene.beyond * capacity).clamp(scene.per_s, MAX_PER_S);
     let mut then = Vec::new();
     for favourite in [0, 5] {
         balancer.favour(favourite);
