One function that cancels a run and fails its request

 wrote cancel_and_fail beside abort_run in answer.rs, which did the same: what it does beyond, finish_run without a run under way, is nothing (no link: no prefill, no count). cancel_and_fail is gone; time limits and planned stops call abort_run. Callers that leave and quarantined requests had the same lines by hand and call it too; there the current run is now counted as ended before a second one is dropped, as with time limits, which nothing sees: the counts are per link and what is sent keeps its order.

Rows of upstreams in three more tests of hosted entries are made by registration. The comment on Scene::beyond says what it is a multiple of.

--- a/crates/core/src/entry/answer.rs
+++ b/crates/core/src/entry/answer.rs
@@ -251,8 +251,8 @@
         }
     }
 
-    /// Cancels an active run and fails its request.
-    fn abort_run(&mut self, now: Time, run: Run, failure: Failure, out: &mut Outputs) {
+    /// Fails a request and cancels its current run if that is under way.
+    pub(super) fn abort_run(&mut self, now: Time, run: Run, failure: Failure, out: &mut Outputs) {
         if let Some(link) = self.flight(run).and_then(|f| f.link) {
             out.push(Output::Send(link, Frame::Cancel(run)));
         }
@@ -568,12 +568,9 @@
         let Some(flight) = self.flights.get(&request) else {
             return;
         };
-        if let Some(link) = flight.link {
-            out.push(Output::Send(link, Frame::Cancel(flight.run)));
-        }
-        let verdict = flight.current_verdict();
+        let (run, verdict) = (flight.run, flight.current_verdict());
         let failure = Failure::new(Reason::Cancelled, verdict, "the caller went away");
-        self.fail(now, request, failure, out);
+        self.abort_run(now, run, failure, out);
     }
 
     pub(super) fn on_link_down(&mut self, now: Time, link: Link, out: &mut Outputs) {
--- a/crates/core/src/entry/guard.rs
+++ b/crates/core/src/entry/guard.rs
@@ -168,18 +168,16 @@
         let is_answering = |f: &Flight| f.head_sent && f.link.is_some();
         let is_match = |f: &Flight| f.has(fingerprint) && !is_answering(f);
         let runs = self.flights.iter().filter(|(_, f)| is_match(f));
-        let mut runs: Vec<(RequestId, Option<Link>, Run)> =
-            runs.map(|(request, f)| (*request, f.link, f.run)).collect();
+        let mut runs: Vec<Run> = runs.map(|(_, f)| f.run).collect();
         runs.sort_unstable();
-        for (request, link, run) in runs {
-            out.extend(link.map(|link| Output::Send(link, Frame::Cancel(run))));
-            let Some(flight) = self.flights.get_mut(&request) else {
+        for run in runs {
+            let Some(flight) = self.flight(run) else {
                 continue;
             };
             flight.verdict = flight.current_verdict();
             let failure = quarantine_failure(flight, fingerprint);
-            self.history.set_outcome(request, "broken off");
-            self.fail(now, request, failure, out);
+            self.history.set_outcome(run.request, "broken off");
+            self.abort_run(now, run, failure, out);
         }
     }
 }
--- a/crates/core/src/entry/routed/reply.rs
+++ b/crates/core/src/entry/routed/reply.rs
@@ -427,21 +427,6 @@
         self.finish_run(run.request);
     }
 
-    /// Fails a request and cancels the run that it has at an upstream.
-    pub(in crate::entry) fn cancel_and_fail(
-        &mut self,
-        now: Time,
-        request: RequestId,
-        failure: Failure,
-        out: &mut Outputs,
-    ) {
-        let flight = self.flights.get(&request);
-        if let Some((link, run)) = flight.and_then(|flight| Some((flight.link?, flight.run))) {
-            self.cancel_run(link, run, out);
-        }
-        self.fail(now, request, failure, out);
-    }
-
     /// Sends the upstream's head to the caller unchanged.
     fn forward_head(&mut self, now: Time, request: RequestId, out: &mut Outputs) {
         let Some(flight) = self.flights.get_mut(&request) else {
--- a/crates/core/src/entry/routed/timeout.rs
+++ b/crates/core/src/entry/routed/timeout.rs
@@ -169,11 +169,11 @@
         let Some(flight) = self.flights.get(&request) else {
             return;
         };
-        let failure = timed_out(flight);
+        let (run, failure) = (flight.run, timed_out(flight));
         if flight.link.is_some() && !flight.head_sent {
             self.record_saturation(now, request);
             self.record_slow_wait(now, request);
         }
-        self.cancel_and_fail(now, request, failure, out);
+        self.abort_run(now, run, failure, out);
     }
 }
--- a/crates/core/src/entry/stop.rs
+++ b/crates/core/src/entry/stop.rs
@@ -50,6 +50,7 @@
         };
         let message = "this entry has stopped before the answer was complete";
         let failure = Failure::new(Reason::Leaving, flight.current_verdict(), message);
-        self.cancel_and_fail(now, request, failure, out);
+        let run = flight.run;
+        self.abort_run(now, run, failure, out);
     }
 }
--- a/crates/daemon/tests/hosted/connections_on_a_full_link.rs
+++ b/crates/daemon/tests/hosted/connections_on_a_full_link.rs
@@ -64,8 +64,8 @@
         let entry = start_entry_with_settings(&store, "front-1", "a", &[], clock, limits).await;
         until_ready(&entry).await;
         let (listener, queued) = full_listener();
-        let row = json!({"service": "clock", "address": listener.local_addr().unwrap().to_string(),
-            "zone": "a", "version": "v1", "slots": 8, "state": "ready", "cold-left-ms": 0, "sequence": 1});
+        let address = listener.local_addr().unwrap();
+        let row = registration(&address.to_string(), "clock", "ready");
         store.put("servers", "i-9", &row);
         task::sleep(Duration::from_millis(1_000)).await;
 
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -582,9 +582,8 @@
         })
         .await;
         let upstream = Upstream::start("i-9", &Refused::default()).await;
-        let row = json!({"service": "engines", "address": upstream.address.to_string(),
-            "zone": "a", "version": "v2", "slots": 8, "state": "ready", "cold-left-ms": 0,
-            "sequence": 1});
+        let mut row = registration(&upstream.address.to_string(), "engines", "ready");
+        row["version"] = json!("v2");
         harness.store.put("servers", "i-9", &row);
         // A trial gets few of the requests, and one that has shown too little is given up.
         eventually("the roll-out is completed", || async {
--- a/crates/daemon/tests/hosted/upstream_clock_set_back.rs
+++ b/crates/daemon/tests/hosted/upstream_clock_set_back.rs
@@ -8,8 +8,8 @@
 
 /// Writes the row of an upstream that starts at a time of its clock, if it tells one.
 fn write_row(store: &Store, upstream: &Upstream, state: &str, born: Option<u64>, sequence: u64) {
-    let mut row = json!({"service": "clock", "address": upstream.address.to_string(), "zone": "a",
-        "version": "v1", "slots": 8, "state": state, "cold-left-ms": 0, "sequence": sequence});
+    let mut row = registration(&upstream.address.to_string(), "clock", state);
+    row["sequence"] = sequence.into();
     if let Some(born) = born {
         row["born"] = born.into();
     }
--- a/crates/daemon/tests/throttled/most_connections_at_one_slow_entry.rs
+++ b/crates/daemon/tests/throttled/most_connections_at_one_slow_entry.rs
@@ -75,8 +75,8 @@
     told: f64,
     /// The fewest requests a second.
     per_s: f64,
-    /// How many come while most go to one entry, in times of what it can do by their cost before; a
-    /// busy entry does each at a part of that.
+    /// The requests a second while most go to one entry, as a multiple of what it can do by
+    /// [`measure`]; a busy entry can do more.
     beyond: f64,
     /// When the entry that gets most connections is restarted, after it began to get them.
     restart: Option<Duration>,
